Judge a server's failures against those that sound servers show too

With an eighth of all connections breaking on every path, two failures close together closed each server in turn, and the fleet stood empty behind a queue. A server is now closed by a row of failures too long for chance, given the part of attempts that fails at the best quarter of servers as well.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,7 +32,10 @@
 const PULL: f64 = 3.0; // a crossing's price, as a delay, is counted this many times: aims leave slack
 const SLACK_SCALE: f64 = 0.5; // part of the aim over which slack takes a request's urgency away
 const FAIL_GAIN: f64 = 0.3; // weight of a failure in a server's failure mean: two in a row close it
-const FAIL_CLOSE: f64 = 0.4; // failure mean above which a server is closed
+const FAIL_CLOSE: f64 = 0.4; // failure mean above which a server is closed, where others hardly fail
+const FAIL_CHANCE: f64 = 1e-4; // a row of failures as rare as this is no chance, however many fail elsewhere
+const FAIL_COMMON: f64 = 0.5; // more than this part failing everywhere excuses no server further
+const FAULT_SAMPLES: f64 = 50.0; // answers over which a server's part of failures is averaged
 pub(crate) const BACKOFF: Millis = 250.0; // first closing; doubles with each failed trial
 const BACKOFF_MAX: Millis = 4000.0; // longest closing: a mended server is found again within this
 const HANG: f64 = 5.0; // silence of this many expected latencies marks a server as hung
@@ -68,6 +71,14 @@
     tau
 }
 
+/// The failure mean above which a server is closed, where `common` of the attempts fail at sound servers too:
+/// what a row of failures too long for chance brings it to. Resets on a path that all servers share say
+/// nothing against one of them.
+fn fail_limit(common: f64) -> f64 {
+    let row = FAIL_CHANCE.ln() / common.clamp(1e-9, FAIL_COMMON).ln();
+    FAIL_CLOSE.max(1.0 - (1.0 - FAIL_GAIN).powf(row))
+}
+
 /// Closes a server for a while, longer each time; it comes back by one request at a time.
 fn close(h: &mut Health, now: Millis, span: Millis) {
     (h.closed, h.backoff, h.trial) = (now + span, (2.0 * h.backoff).min(BACKOFF_MAX), true);
@@ -361,16 +372,21 @@
         let s = &mut self.servers[k];
         (s.progress, s.full) = if good { (now, s.full) } else { (s.progress, full) };
         let jitter = 0.75 + 0.5 * self.rng.f64();
-        for (h, longer) in [(&mut s.health, 1.0), (&mut s.by_class[class], CLASS_BACKOFF)] {
+        let (all, of_class) = (self.common[self.common.len() - 1], self.common[class]);
+        for (h, common, longer) in
+            [(&mut s.health, all, 1.0), (&mut s.by_class[class], of_class, CLASS_BACKOFF)]
+        {
+            let limit = fail_limit(common);
+            average(&mut h.faulty, f64::from(u8::from(!good)), FAULT_SAMPLES);
             if good {
                 h.fails *= 1.0 - FAIL_GAIN / 2.0;
-                h.trial &= h.fails > FAIL_CLOSE / 2.0;
+                h.trial &= h.fails > limit / 2.0;
                 h.backoff = if h.trial { h.backoff } else { BACKOFF };
                 // An answer also lifts a closing that was mere slowness.
-                h.closed = if h.fails < FAIL_CLOSE { h.closed.min(now) } else { h.closed };
+                h.closed = if h.fails < limit { h.closed.min(now) } else { h.closed };
             } else {
                 h.fails += FAIL_GAIN * (1.0 - h.fails);
-                if h.fails > FAIL_CLOSE && h.closed <= now {
+                if h.fails > limit && h.closed <= now {
                     close(h, now, longer * h.backoff * jitter);
                 }
             }
@@ -530,6 +546,7 @@
             kind.throttle = (kind.throttle * step).clamp(THROTTLE_MIN, 1.0);
         }
         self.slowest = self.kinds.iter().map(|k| k.core).filter(|c| c.is_finite()).fold(0.0, f64::max);
+        self.note_common(KIND_WEIGHT);
         let (up, ill) = self.census(now);
         self.doubt = ill > ALL_ILL * up || ill > DISTRUST * up && self.success < DISTRUST;
         for k in 0..self.servers.len() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,16 +7,17 @@
 /// How well a server does, as a whole or for one class.
 #[derive(Clone)]
 pub(crate) struct Health {
-    pub fails: f64,      // running mean of failures
-    pub closed: Millis,  // not open before this
-    pub backoff: Millis, // the next closing's length
-    pub trial: bool,     // back from a closing, still to prove itself
+    pub fails: f64,         // running mean of failures
+    pub faulty: (f64, f64), // the same over a longer span, and its weight
+    pub closed: Millis,     // not open before this
+    pub backoff: Millis,    // the next closing's length
+    pub trial: bool,        // back from a closing, still to prove itself
 }
 
 impl Health {
     /// Nothing is held against a server.
     pub fn clean(now: Millis) -> Self {
-        Health { fails: 0.0, closed: now, backoff: BACKOFF, trial: false }
+        Health { fails: 0.0, faulty: (0.0, 0.0), closed: now, backoff: BACKOFF, trial: false }
     }
 }
 
@@ -313,6 +314,7 @@
     pub(crate) kinds: Vec<Kind>,
     pub(crate) longest_aim: Millis,
     pub(crate) blocked: Vec<f64>, // part of the servers that is closed to a class alone
+    pub(crate) common: Vec<f64>,  // part of attempts that fails at sound servers: of each class, then of all
     pub(crate) spread: (f64, f64), // mean square of latency over its expected value, and its weight
     pub(crate) window: f64,       // requests that this proxy may have out where it shares all servers
     pub(crate) mean_room: f64,    // slots of a mean server
@@ -362,6 +364,7 @@
             longest_aim,
             mean_room: 1.0,
             blocked: vec![0.0; cfg.classes.len()],
+            common: vec![0.0; cfg.classes.len() + 1],
             spread: (2.0, 0.2 * SPREAD_SAMPLES),
             window: WINDOW_LEAST,
             rating: 0.0,
@@ -495,6 +498,18 @@
         }
     }
 
+    /// Notes which part of attempts fails at sound servers too, by class and in all: the lower quartile over
+    /// the listed ones that `least` answers or more tell of, so that a few ill servers don't count.
+    pub(crate) fn note_common(&mut self, least: f64) {
+        for class in 0..self.common.len() {
+            let health = |s: &Server| s.by_class.get(class).unwrap_or(&s.health).faulty;
+            let known = self.servers.iter().filter(|s| s.told.is_none()).map(health).filter(|f| f.1 >= least);
+            let mut parts: Vec<f64> = known.map(|f| f.0).collect();
+            parts.sort_by(f64::total_cmp);
+            self.common[class] = parts.get(parts.len() / 4).copied().unwrap_or(0.0);
+        }
+    }
+
     /// Counts the listed servers and those of them that are closed as ill, and notes for each class the part
     /// that is closed to it.
     pub(crate) fn census(&mut self, now: Millis) -> (f64, f64) {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -367,3 +367,39 @@
     assert!(good >= 12, "answers in good time widen it: {good}");
     assert!(late <= 6, "late ones, of 1200 ms, do not: {late}");
 }
+
+#[test]
+fn failures_that_all_servers_share_close_none_of_them() {
+    // page8769: a tenth of all connections broke, every server was closed in turn, and all was refused.
+    let mut hand = Hand::new(settings(1), (1..=9).map(server).collect());
+    hand.train(0, 200, |_| 40.0);
+    let mut held = 0;
+    for id in 1000..3000 {
+        let mut sent = sends(&hand.give(request(id, 1, 3000.0)));
+        held += usize::from(sent.is_empty());
+        hand.pass(20.0);
+        while let Some((of, _)) = sent.pop() {
+            let outcome = if of % 8 == 3 { Outcome::Reset } else { Outcome::Served };
+            sent = sends(&hand.give(ended(of, 0, 20.0, outcome)));
+        }
+    }
+    assert!(held < 20, "{held} of 2000 found no server open, one at a time on nine");
+}
+
+#[test]
+fn an_ill_server_is_closed_amid_failures_that_all_share() {
+    let mut hand = Hand::new(settings(1), (1..=9).map(server).collect());
+    hand.train(0, 200, |_| 40.0);
+    let (mut ill, mut others) = (0, 0);
+    for id in 1000..3000 {
+        let sent = sends(&hand.give(request(id, 1, 3000.0)));
+        hand.pass(20.0);
+        let Some(&(_, to)) = sent.first() else { continue };
+        if id >= 2000 {
+            (ill, others) = if to == 1 { (ill + 1, others) } else { (ill, others + 1) };
+        }
+        let broken = to == 1 && id >= 2000 || id % 8 == 3;
+        hand.give(ended(id, 0, 20.0, if broken { Outcome::Reset } else { Outcome::Served }));
+    }
+    assert!(ill < 20 && others > 900, "{ill} of 1000 went to the broken server, {others} elsewhere");
+}
