--- a/src/choice.rs
+++ b/src/choice.rs
@@ -143,7 +143,7 @@
         // A queue whose head must wait is passed over: those behind it are no more pressing. Only with homes
         // or after an attempt do requests differ in where they may go, and a few more are looked at.
         let (mut skip, mut looks) = (vec![0usize; self.queues.len()], LOOK);
-        while self.waiting > 0 && looks > 0 && self.running.len() < self.most_out() {
+        while self.waiting > 0 && looks > 0 && self.out() < self.most_out() {
             let mut best: Option<(f64, usize, RequestId)> = None;
             for (q, &skipped) in skip.iter().enumerate() {
                 let Some(id) = self.waiting_at(q, skipped) else { continue };
@@ -177,7 +177,7 @@
 
     /// Gives a server's free slots to those who wait for it as their home, the most pressing first.
     fn serve(&mut self, now: Millis, k: usize, out: &mut Vec<Action>) {
-        while self.servers[k].wanted > 0 && self.servers[k].free && self.running.len() < self.most_out() {
+        while self.servers[k].wanted > 0 && self.servers[k].free && self.out() < self.most_out() {
             let requests = &self.requests;
             self.servers[k].line.retain(|id| requests.get(id).is_some_and(|r| r.waiting));
             let press = |id: &RequestId| self.press(&requests[id], now);
@@ -308,6 +308,11 @@
         !self.cfg.may_tell && self.cfg.proxies > 1 && own < OWN_LEAST * self.spread.0 / 2.0
     }
 
+    /// Requests that this proxy has out, those left out that are silent: they are lost, and no load.
+    fn out(&self) -> usize {
+        self.running.len() - self.silent
+    }
+
     /// Requests that this proxy may have out.
     fn most_out(&self) -> usize {
         if self.pools() { self.window as usize } else { usize::MAX }
@@ -316,7 +321,7 @@
     /// Answers that eat up their aim narrow that window: against jams, and servers that slow when crowded.
     /// Could harm where a few slow servers alone make the late answers.
     fn fit_window(&mut self, good: bool) {
-        let used = self.running.len() as f64 + 2.0 > self.window;
+        let used = self.out() as f64 + 2.0 > self.window;
         let window = if good { self.window + if used { 0.5 } else { 0.0 } } else { self.window * WINDOW_CUT };
         self.window = window.clamp(WINDOW_LEAST, self.servers.len().max(4) as f64);
     }
@@ -418,6 +423,7 @@
         let (class, size, home) = (r.class, r.size, r.home);
         r.done |= closed;
         self.running.retain(|o| *o != id);
+        self.silent -= usize::from(silent);
         if !silent && matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) {
             // Given up, yet it may still occupy the server: its slot stays taken until it plausibly ends.
             self.ghosts.push_back((now + 2.0 * self.class_ms[class].0, k));
@@ -468,7 +474,7 @@
     /// When a request stops being of use: at its aim, unless a late answer earns something and has room.
     fn end(&self, r: &Request) -> Millis {
         let late = self.cfg.classes[r.class].late_worth > 0.0;
-        let crowded = r.waiting && self.waiting > self.running.len();
+        let crowded = r.waiting && self.waiting > self.out();
         if late && !crowded { r.due } else { r.aim.min(r.due) }
     }
 
@@ -512,6 +518,7 @@
                 close(&mut s.health, now, span);
             }
             s.own -= 1; // the slot is free for other classes
+            self.silent += 1; // and so is its place in the window
             self.requests.get_mut(&id).expect("just seen").attempts[i].silent = true;
             self.place(k, now);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -309,6 +309,7 @@
     pub(crate) queues: Queues,
     pub(crate) waiting: usize,
     pub(crate) running: Vec<RequestId>,
+    pub(crate) silent: usize, // those of them that have been out for too long
     pub(crate) ghosts: VecDeque<(Millis, usize)>, // slots of attempts given up, and until when they stay taken
     pub(crate) class_ms: Vec<(f64, f64)>,         // mean latency by class, and its weight
     pub(crate) kinds: Vec<Kind>,
@@ -356,6 +357,7 @@
             queues: vec![VecDeque::new(); cfg.classes.len() * 2],
             waiting: 0,
             running: Vec::new(),
+            silent: 0,
             ghosts: VecDeque::new(),
             class_ms: cfg.classes.iter().map(|c| (c.aim / 4.0, 0.0)).collect(),
             kinds: vec![Kind::default()],
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -403,3 +403,25 @@
     }
     assert!(ill < 20 && others > 900, "{ill} of 1000 went to the broken server, {others} elsewhere");
 }
+
+#[test]
+fn unanswered_requests_take_no_place_in_the_window_of_pooled_servers() {
+    // page108: three answers in a hundred never came, and the requests that waited for them filled the window.
+    let mut hand = Hand::new(settings(20), (1..=40).map(server).collect());
+    hand.train(0, 100, |_| 20.0);
+    hand.pass(200.0);
+    let (mut held, mut out) = (0, vec![]);
+    for id in 1000..1400 {
+        let actions = hand.give(request(id, 0, 2000.0));
+        held += usize::from(sends(&actions).is_empty());
+        out.extend(sends(&actions));
+        out.extend(sends(&hand.pass(20.0)));
+        while let Some((of, _)) = out.pop() {
+            if of % 10 != 0 {
+                out.extend(sends(&hand.give(ended(of, 0, 20.0, Outcome::Served))));
+            }
+        }
+    }
+    // One in ten is out for 0.8 s, forty requests long: four at any time, as many as may be out at first.
+    assert!(held <= 8, "{held} of 400 were held with nearly all servers idle");
+}
