Follow discovery to the address that a replaced file names at SIGHUP

SIGHUP ended the proxy, which counts as a crash. It now reads the address anew, watches there at once, and takes that address's first whole list whatever its version. A file that can't be read changes nothing.

--- a/src/bin/sandgap/config.rs
+++ b/src/bin/sandgap/config.rs
@@ -61,6 +61,17 @@
     parse(&text).map_err(|e| format!("{}: {e}", path.display()))
 }
 
+/// Reads where discovery is in a file that has been replaced; the rest holds from start to end.
+pub fn read_discovery(path: &Path) -> Result<SocketAddr, String> {
+    #[derive(Deserialize)]
+    struct Part {
+        discovery: SocketAddr,
+    }
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let part: Part = serde_json::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+    Ok(part.discovery)
+}
+
 fn parse(text: &str) -> Result<Config, String> {
     let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
     if !file.settings.is_object() {
--- a/src/bin/sandgap/discovery.rs
+++ b/src/bin/sandgap/discovery.rs
@@ -1,5 +1,6 @@
 //! The list of backends: a watch that resumes where it broke off, and single whole lists.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -95,31 +96,61 @@
     }
 }
 
+/// Where discovery is; a new configuration may name another address.
+pub struct Place {
+    address: Cell<SocketAddr>,
+    moved: Notify,
+}
+
+impl Place {
+    pub fn new(address: SocketAddr) -> Rc<Self> {
+        Rc::new(Place { address: Cell::new(address), moved: Notify::new() })
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address.get()
+    }
+
+    pub fn move_to(&self, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.moved.notify_one();
+        }
+    }
+}
+
 /// The watch and what it knows of the list's version.
 pub struct Discovery {
-    address: SocketAddr,
+    place: Rc<Place>,
     inbox: Inbox,
     /// Version of the list that the driver has.
     seq: Option<u64>,
+    /// Nothing has come from the present address yet: it may count its versions anew.
+    fresh: bool,
 }
 
 impl Discovery {
-    pub fn new(address: SocketAddr, inbox: Inbox) -> Self {
-        Discovery { address, inbox, seq: None }
+    pub fn new(place: Rc<Place>, inbox: Inbox) -> Self {
+        Discovery { place, inbox, seq: None, fresh: true }
     }
 
     /// Keeps a watch open for ever, and takes it up again where it broke off.
     pub async fn follow(mut self) -> Infallible {
         let mut backoff = BACKOFF.0;
+        let place = self.place.clone();
         loop {
             let before = self.seq;
-            let error = self.watch().await;
+            let error = self.watch_while_there().await;
             if self.seq != before {
                 backoff = BACKOFF.0;
             }
             note!("discovery: {error}; again in {} ms", backoff.as_millis());
-            sleep(backoff).await;
-            backoff = (backoff * 2).min(BACKOFF.1);
+            tokio::select! {
+                () = sleep(backoff) => backoff = (backoff * 2).min(BACKOFF.1),
+                () = place.moved.notified() => {
+                    self.fresh = true;
+                    backoff = BACKOFF.0;
+                }
+            }
         }
     }
 
@@ -127,16 +158,28 @@
     pub async fn on_request(mut self, asked: Rc<Notify>) -> Infallible {
         loop {
             asked.notified().await;
-            let error = self.watch().await;
+            let error = self.watch_while_there().await;
             note!("discovery: {error}");
             self.inbox.put(Input::List(Scope::Failed, Vec::new()));
         }
     }
 
+    /// Watches until it ends, at a new address as soon as there is one; returns why it ended.
+    async fn watch_while_there(&mut self) -> String {
+        let place = self.place.clone();
+        loop {
+            tokio::select! {
+                biased;
+                () = place.moved.notified() => self.fresh = true,
+                error = self.watch() => return error,
+            }
+        }
+    }
+
     /// Watches until it ends; returns why it ended.
     async fn watch(&mut self) -> String {
         let after = self.seq.map_or(String::new(), |seq| format!("&after={seq}"));
-        let mut lines = match timeout(CONNECT, get(self.address, &format!("watch=1{after}"))).await {
+        let mut lines = match timeout(CONNECT, get(self.place.address(), &format!("watch=1{after}"))).await {
             Ok(Ok(lines)) => lines,
             Ok(Err(e)) => return e,
             Err(_) => return "no answer".into(),
@@ -161,7 +204,8 @@
             return Ok(());
         }
         let list: List = serde_json::from_slice(line).map_err(|e| format!("a broken line: {e}"))?;
-        if self.seq.is_some_and(|seq| list.seq < seq || list.seq == seq && !list.whole) {
+        let anew = std::mem::take(&mut self.fresh) && list.whole;
+        if !anew && self.seq.is_some_and(|seq| list.seq < seq || list.seq == seq && !list.whole) {
             note!("discovery: news of {} is stale", list.seq); // what it says is older than what is known
             return Ok(());
         }
--- a/src/bin/sandgap/driver.rs
+++ b/src/bin/sandgap/driver.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -16,7 +15,7 @@
     Scope, State, TenantId, ZoneId,
 };
 
-use crate::discovery::{self, Host};
+use crate::discovery::{self, Host, Place};
 use crate::note;
 use crate::peers::Peers;
 use crate::upstream::{Endpoint, Outgoing, Reply, Upstreams};
@@ -125,7 +124,7 @@
     pub inbox: Inbox,
     pub upstreams: Rc<Upstreams>,
     pub peers: Option<Rc<Peers>>,
-    pub discovery: SocketAddr,
+    pub discovery: Rc<Place>,
     /// Told when the module wants a watch.
     pub watch: Rc<Notify>,
     /// Set once discovery has told the list.
@@ -345,7 +344,10 @@
             }
             Action::Subscribe => self.parts.watch.notify_one(),
             Action::FetchList => {
-                tokio::task::spawn_local(discovery::fetch(self.parts.discovery, self.parts.inbox.clone()));
+                tokio::task::spawn_local(discovery::fetch(
+                    self.parts.discovery.address(),
+                    self.parts.inbox.clone(),
+                ));
             }
         }
     }
--- a/src/bin/sandgap/main.rs
+++ b/src/bin/sandgap/main.rs
@@ -9,7 +9,7 @@
 mod upstream;
 
 use std::cell::Cell;
-use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,12 +27,13 @@
 /// If discovery has said nothing by then, the remembered list is served from.
 const PATIENCE: Duration = Duration::from_millis(500);
 
-async fn run(config: Config) -> Result<(), String> {
+async fn run(config: Config, path: PathBuf) -> Result<(), String> {
     let at = |what: &str| {
         let what = what.to_owned();
         move |e: std::io::Error| format!("{what}: {e}")
     };
     let mut term = signal(SignalKind::terminate()).map_err(at("SIGTERM"))?;
+    let mut hup = signal(SignalKind::hangup()).map_err(at("SIGHUP"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(at("SIGINT"))?;
     let listener = frontend::listen(config.listen).map_err(at(&format!("listen on {}", config.listen)))?;
     let (inbox, inputs) = Inbox::new();
@@ -50,11 +51,12 @@
     let ready = Rc::new(Cell::new(false));
     let known_only = Rc::new(Cell::new(false));
     let watch = Rc::new(Notify::new());
+    let place = discovery::Place::new(config.discovery);
     let parts = Parts {
         inbox: inbox.clone(),
         upstreams: upstreams.clone(),
         peers,
-        discovery: config.discovery,
+        discovery: place.clone(),
         watch: watch.clone(),
         ready: ready.clone(),
         remembered: known_only.clone(),
@@ -64,7 +66,15 @@
     let balancer = Balancer::new(config.settings, config.seed);
     let driver = spawn_local(Driver::new(balancer, config.names.clone(), parts).run(inputs));
     inbox.put(Input::List(Scope::Cached, discovery::remembered(&config.known).unwrap_or_default()));
-    let list = discovery::Discovery::new(config.discovery, inbox.clone());
+    let list = discovery::Discovery::new(place.clone(), inbox.clone());
+    spawn_local(async move {
+        while hup.recv().await.is_some() {
+            match config::read_discovery(&path) {
+                Ok(address) => place.move_to(address),
+                Err(e) => note!("the new configuration is of no use: {e}"),
+            }
+        }
+    });
     if pushed {
         spawn_local(list.follow());
     } else {
@@ -94,11 +104,11 @@
 }
 
 fn start() -> Result<(), String> {
-    let path = std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?;
-    let config = config::read(Path::new(&path))?;
+    let path = PathBuf::from(std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?);
+    let config = config::read(&path)?;
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-    let outcome = LocalSet::new().block_on(&runtime, run(config));
+    let outcome = LocalSet::new().block_on(&runtime, run(config, path));
     runtime.shutdown_background();
     outcome
 }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -87,6 +87,29 @@
     assert_eq!(text("r-2"), "new");
 }
 
+#[test]
+fn at_sighup_the_list_comes_from_the_address_that_the_new_file_names() {
+    let (old, new) = (Backend::new(Deed::Write(ok("old"))), Backend::new(Deed::Write(ok("new"))));
+    let (first, mut proxy) = proxy_with(&[&old]);
+    let second = Discovery::new();
+    proxy.reconfigure("{\"discovery\":");
+    wait_for("a word about it", || proxy.log.lock().unwrap().contains("of no use"));
+    proxy.reconfigure(&config(second.address, &Setup::default()));
+    wait_for("a watch there", || !second.asked.lock().unwrap().is_empty());
+    drop(first);
+    // The new address counts its versions anew.
+    second.say(&list(0, true, &[host("s-new", new.address, "up", 0)]));
+    let text = |id: &str| Client::new(&proxy).ask(&page(id)).expect("an answer").text();
+    wait_for("the new list", || text("r-1") == "new");
+    second.say(&list(
+        1,
+        false,
+        &[host("s-0", old.address, "up", 0), host("s-new", new.address, "removed", 0)],
+    ));
+    wait_for("a change", || text("r-2") == "old");
+    assert!(proxy.runs());
+}
+
 #[test]
 fn bad_requests_get_a_plain_4xx_and_reach_no_backend() {
     let backend = Backend::new(Deed::Write(ok("")));
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -376,8 +376,18 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration, as the platform does, and says so.
+    pub fn reconfigure(&self, text: &str) {
+        std::fs::write(&self.file, text).expect("a file");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs").success());
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill runs").success());
     }
 
     pub fn wait(&mut self) -> ExitStatus {
