Let go of peers that send no whole request within two and a half seconds

The first request on a connection now has to be whole within 2.5 s, and a connection may stand idle for as long.

--- a/src/bin/sandgap/frontend.rs
+++ b/src/bin/sandgap/frontend.rs
@@ -26,8 +26,10 @@
 use crate::note;
 use crate::upstream::{BODY, Outgoing, Upstreams, strip};
 
-/// A head must be whole after this span; it also bounds how long a connection stands idle.
-const HEAD: Duration = Duration::from_secs(60);
+/// A head must be whole after this span, and a connection's first request with its body: a peer that sends
+/// no proper request is owed an error or a close within 3 s. It also bounds how long a connection stands idle,
+/// which has to be 2 s at least.
+const HEAD: Duration = Duration::from_millis(2500);
 const HEAD_SIZE: usize = 64 << 10;
 const BACKLOG: u32 = 1024;
 /// After SIGTERM connections still come for up to 0.4 s.
@@ -174,7 +176,7 @@
                 let mut response = if over {
                     plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
                 } else {
-                    front.respond(request).await
+                    front.respond(request, &client).await
                 };
                 if over || front.draining.get() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -214,7 +216,7 @@
         }
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn respond(&self, request: Request<Incoming>, client: &Client) -> Response<Full<Bytes>> {
         let came = Instant::now();
         if request.uri().path() == "/up" {
             let up = self.ready.get() && !self.draining.get();
@@ -226,7 +228,8 @@
             Err((status, text)) => return plain(status, text),
         };
         let deadline = came + asked.patience;
-        let body = match timeout_at(deadline, Limited::new(body, BODY).collect()).await {
+        let whole = if client.used.get() { deadline } else { deadline.min(client.since.get() + HEAD) };
+        let body = match timeout_at(whole, Limited::new(body, BODY).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
                 return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -477,3 +477,28 @@
     wait_for("the slow one", || backend.seen().len() == 2);
     assert_eq!(backend.seen()[1].body, b"body");
 }
+
+#[test]
+fn a_peer_that_sends_no_whole_request_is_soon_let_go() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let proxy = Proxy::up(&discovery, &Setup { deadline: 100_000, ..Setup::default() });
+    let whole = submit("r-1", "100", "body");
+    let peers: Vec<TcpStream> = ["", "GET", &whole[..40], &whole[..whole.len() - 2]]
+        .into_iter()
+        .map(|part| {
+            let mut peer = TcpStream::connect(proxy.address).unwrap();
+            peer.write_all(part.as_bytes()).unwrap();
+            // Far less than its request may last, and far more than it is owed.
+            peer.set_read_timeout(Some(LIMIT)).unwrap();
+            peer
+        })
+        .collect();
+    for mut peer in peers {
+        let mut said = String::new();
+        let ended = peer.read_to_string(&mut said);
+        assert!(ended.is_ok() || said.starts_with("HTTP/1.1 4"), "{ended:?} after {said:?}");
+    }
+    assert!(backend.seen().is_empty());
+}
