--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -330,12 +330,16 @@
     });
     let (_discovery, proxy) = proxy_with(&[&backend]);
     let mut client = Client::new(&proxy);
+    let sent = std::time::Instant::now();
     assert_eq!(status(client.ask(&submit("r-held", "0.5", "x"))), 502);
     wait_for("the request", || backend.seen().len() == 1);
+    // The answer goes out a little before the attempt is given up: the backend's must come after that.
+    wait_for("its time to run out", || sent.elapsed().as_millis() > 600);
     gate.open();
     // Its connection is not used again, and the client gets the next answer and no other.
-    wait_for("the connection's end", || backend.ended() == 1);
     assert_eq!(client.ask(&page("r-next")).expect("an answer").text(), "prompt");
+    assert_eq!(backend.came.load(std::sync::atomic::Ordering::SeqCst), 2);
+    wait_for("the connection's end", || backend.ended() == 1);
 }
 
 #[test]
