--- a/src/choice.rs
+++ b/src/choice.rs
@@ -467,11 +467,18 @@
         let effect = self.cfg.classes[r.class].effect;
         let harmless = matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
         let harmless = harmless || !r.may_have_run();
-        let refuse = Action::Refuse { request: id, retry_after: None };
+        let retry_after = self.cfg.retry_after.map(|most| self.queueing().clamp(self.mean.min(most), most));
+        let refuse = Action::Refuse { request: id, retry_after };
         out.push(if harmless { refuse } else { Action::Fail(id) });
         self.finish(id);
     }
 
+    /// How long those who wait now will take to go out: a client that comes back sooner only lengthens it.
+    fn queueing(&self) -> Millis {
+        let slots: f64 = self.bands.bands.iter().map(|b| b.slots).sum();
+        self.waiting as f64 * self.mean / slots.max(1.0)
+    }
+
     /// When a request stops being of use: at its aim, unless a late answer earns something and has room.
     fn end(&self, r: &Request) -> Millis {
         let late = self.cfg.classes[r.class].late_worth > 0.0;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -156,6 +156,8 @@
     pub warm_keys: bool,
     /// Whether messages between proxies are allowed.
     pub may_tell: bool,
+    /// The longest wait that a refused client may be asked for; `None` where refusals can't name one.
+    pub retry_after: Option<Millis>,
     /// Prices.
     pub prices: Prices,
     /// Figures of the rules.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -126,6 +126,7 @@
         },
         warm_keys: flag(&all["extra"], "warmKeys", false),
         may_tell: flag(ceilings, "mayTell", false),
+        retry_after: flag(ceilings, "retryAfter", false).then(|| number(ceilings, "maxRetryAfter", 1000.0)),
         prices: Prices { cross_zone: number(prices, "crossZone", 0.0) },
         limits: Limits {
             start_capacity: number(rules, "startCapacity", 0.0),
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -449,3 +449,22 @@
     // A third spills over in any case; with the fast servers closed in turn it is more than half.
     assert!(slow * 5 < late.len() * 2, "{slow} of {} went to the slow servers", late.len());
 }
+
+#[test]
+fn a_refusal_says_when_to_come_back_where_the_settings_allow_it() {
+    let waits = |retry_after, n| {
+        let mut hand = Hand::new(Settings { retry_after, ..settings(1) }, vec![server(1)]);
+        let mut out: Vec<Action> = (0..n).flat_map(|id| hand.give(request(id, 1, 1200.0))).collect();
+        out.extend(hand.pass(1200.0));
+        let wait = |a: &Action| match a {
+            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        };
+        out.iter().filter_map(wait).collect::<Vec<_>>()
+    };
+    assert!(waits(None, 20).iter().all(Option::is_none));
+    let told: Vec<Millis> = waits(Some(900.0), 20).into_iter().flatten().collect();
+    assert!(told.len() >= 10 && told.iter().all(|w| (1.0..=900.0).contains(w)), "{told:?}");
+    // The longer the queue, the later; and never later than clients go by.
+    assert_eq!(waits(Some(900.0), 200)[0], Some(900.0));
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -23,6 +23,7 @@
         rating: Rating::Size,
         warm_keys: false,
         may_tell: false,
+        retry_after: None,
         prices: Prices::default(),
         limits: Limits {
             start_capacity: 0.2,
