Try a lookup elsewhere in time where silence has meant a lost answer

A request whose answer got lost waited for it until its client gave up. Once silent attempts are seen to stay unanswered, one that may be repeated is given up when its silence tells; one in ten is still waited for, to see whether that holds.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,6 +40,9 @@
 const BACKOFF_MAX: Millis = 4000.0; // longest closing: a mended server is found again within this
 const HANG: f64 = 5.0; // silence of this many expected latencies marks a server as hung
 const HANG_RARE: f64 = 0.003; // part lost at sound servers too from which one silent attempt proves no hang
+const LOST: f64 = 0.5; // part of silent attempts never answered above which silence means a lost answer
+const LOST_SAMPLES: f64 = 20.0; // silent attempts over which that part is averaged
+const LOST_WATCHED: f64 = 0.1; // part of attempts waited for all the same, to see whether it still holds
 const CLASS_BACKOFF: f64 = 4.0; // times as long a server stays closed to a class alone
 const ALL_ILL: f64 = 0.9; // with more than this part closed, as a whole or to a class, it is not believed
 const DISTRUST: f64 = 0.5; // nor with more than this part, if as few attempts are served
@@ -409,10 +412,25 @@
         s.progress = if s.own == 0 { now } else { s.progress };
         s.own += 1;
         s.tokens -= 1.0;
-        out.push(Action::Send { request: id, backend: s.info.id, timeout: None });
+        let backend = s.info.id;
+        let timeout = self.give_up(now, id, k);
+        out.push(Action::Send { request: id, backend, timeout });
         self.place(k, now);
     }
 
+    /// How long a silent server is listened to before a request is tried elsewhere: where answers get lost,
+    /// as long as it takes to tell, if it may be repeated and that can still be in time.
+    fn give_up(&mut self, now: Millis, id: RequestId, k: usize) -> Option<Millis> {
+        let r = &self.requests[&id];
+        let usual = self.usual(r);
+        let patience = HANG * usual * self.servers[k].slow.0 / self.warmth(k, now) + TICK;
+        let safe = self.cfg.classes[r.class].effect == Effect::Safe;
+        let again = r.attempts.len() < self.cfg.limits.max_attempts as usize;
+        let in_time = now + patience + 2.0 * usual < r.aim.min(r.due - MARGIN);
+        let lost = self.lost.0 > LOST && self.rng.f64() >= LOST_WATCHED;
+        (safe && again && in_time && lost).then_some(patience)
+    }
+
     fn ended(
         &mut self, now: Millis, id: RequestId, attempt: usize, latency: Millis, outcome: Outcome,
         closed: bool, out: &mut Vec<Action>,
@@ -425,6 +443,9 @@
         r.done |= closed;
         self.running.retain(|o| *o != id);
         self.silent -= usize::from(silent);
+        if silent && matches!(outcome, Outcome::Served | Outcome::TimedOut) {
+            average(&mut self.lost, f64::from(u8::from(outcome == Outcome::TimedOut)), LOST_SAMPLES);
+        }
         if !silent && matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) {
             // Given up, yet it may still occupy the server: its slot stays taken until it plausibly ends.
             self.ghosts.push_back((now + 2.0 * self.class_ms[class].0, k));
--- a/src/state.rs
+++ b/src/state.rs
@@ -309,7 +309,8 @@
     pub(crate) queues: Queues,
     pub(crate) waiting: usize,
     pub(crate) running: Vec<RequestId>,
-    pub(crate) silent: usize, // those of them that have been out for too long
+    pub(crate) lost: (f64, f64), // part of silent attempts that was never answered, and its weight
+    pub(crate) silent: usize,    // those of them that have been out for too long
     pub(crate) ghosts: VecDeque<(Millis, usize)>, // slots of attempts given up, and until when they stay taken
     pub(crate) class_ms: Vec<(f64, f64)>,         // mean latency by class, and its weight
     pub(crate) kinds: Vec<Kind>,
@@ -357,6 +358,7 @@
             queues: vec![VecDeque::new(); cfg.classes.len() * 2],
             waiting: 0,
             running: Vec::new(),
+            lost: (0.0, 5.0),
             silent: 0,
             ghosts: VecDeque::new(),
             class_ms: cfg.classes.iter().map(|c| (c.aim / 4.0, 0.0)).collect(),
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -468,3 +468,40 @@
     // The longer the queue, the later; and never later than clients go by.
     assert_eq!(waits(Some(900.0), 200)[0], Some(900.0));
 }
+
+#[test]
+fn where_answers_get_lost_a_safe_request_is_tried_elsewhere_in_time() {
+    // page108: lookups whose answer was lost waited for it until their client gave up.
+    let mut hand = Hand::new(settings(1), (1..=4).map(server).collect());
+    hand.train(0, 200, |_| 20.0);
+    let timeout = |actions: &[Action]| match actions {
+        [Action::Send { timeout, .. }] => *timeout,
+        _ => None,
+    };
+    let sent = hand.give(request(1000, 0, 2000.0));
+    assert!(sends(&sent).len() == 1 && timeout(&sent).is_none(), "an answer may just take long: {sent:?}");
+    hand.give(ended(1000, 0, 20.0, Outcome::Served));
+    for id in 1001..1021 {
+        hand.give(request(id, 0, 2000.0));
+        hand.pass(2000.0);
+        hand.give(ended(id, 0, 2000.0, Outcome::TimedOut));
+        hand.pass(500.0);
+    }
+    let mut again = 0;
+    for id in 2000..2400 {
+        let sent = hand.give(request(id, 0, 2000.0));
+        let Some(span) = timeout(&sent).filter(|_| id % 10 == 0) else {
+            hand.pass(20.0);
+            hand.give(ended(id, 0, 20.0, Outcome::Served));
+            continue;
+        };
+        assert!(span < 400.0, "half its aim: {span}");
+        hand.pass(span);
+        let then = hand.give(ended(id, 0, span, Outcome::TimedOut));
+        again += sends(&then).iter().filter(|s| s.0 == id && s.1 != sends(&sent)[0].1).count();
+        hand.give(ended(id, 1, 20.0, Outcome::Served));
+    }
+    assert!(again >= 30, "{again} of 40 were tried elsewhere at once");
+    let sent = hand.give(request(3000, 1, 3000.0));
+    assert!(sends(&sent).len() == 1 && timeout(&sent).is_none(), "it must never run twice: {sent:?}");
+}
