--- a/src/bin/sandgap/main.rs
+++ b/src/bin/sandgap/main.rs
@@ -9,7 +9,8 @@
 mod upstream;
 
 use std::cell::Cell;
-use std::path::PathBuf;
+use std::ffi::OsString;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
+use wharfhitch::properties::Features;
 use wharfhitch::{Balancer, Scope};
 
 use config::Config;
@@ -103,7 +105,20 @@
     }
 }
 
+/// Reads the command line: nothing, or the file with the features' settings.
+fn features(mut arguments: impl Iterator<Item = OsString>) -> Result<Features, String> {
+    let usage = "usage: sandgap [--properties FILE]";
+    let Some(flag) = arguments.next() else { return Ok(Features::default()) };
+    match (flag.to_str(), arguments.next(), arguments.next()) {
+        (Some("--properties"), Some(file), None) => {
+            Features::read(Path::new(&file)).map_err(|e| e.to_string())
+        }
+        _ => Err(usage.into()),
+    }
+}
+
 fn start() -> Result<(), String> {
+    features(std::env::args_os().skip(1))?;
     let path = PathBuf::from(std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?);
     let config = config::read(&path)?;
     let runtime =
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod choice;
 pub mod interface;
+#[cfg(feature = "properties")]
+pub mod properties;
 #[cfg(feature = "settings")]
 pub mod settings;
 mod state;
--- /dev/null
+++ b/src/properties.rs
@@ -0,0 +1,131 @@
+//! The operators' own settings for the features: a file of one `key = value` a line.
+//!
+//! Whatever is unknown, repeated or out of range is an error that names file, line and key: a slip must stop
+//! the start instead of leaving a feature silently as it was.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io::Read as _;
+use std::path::Path;
+
+/// Bytes of a file; a longer one is no settings file.
+const MOST: u64 = 64 << 10;
+
+/// What is wrong with a file, and where.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    file: String,
+    line: Option<usize>,
+    key: Option<String>,
+    what: String,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}", self.file)?;
+        if let Some(line) = self.line {
+            write!(f, ":{line}")?;
+        }
+        if let Some(key) = &self.key {
+            write!(f, ": {key}")?;
+        }
+        write!(f, ": {}", self.what)
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// The settings of all features. The default is what holds with no file: everything off.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Features {}
+
+impl Features {
+    /// Reads a file whole.
+    pub fn read(path: &Path) -> Result<Self, Error> {
+        let file = path.display().to_string();
+        let whole =
+            |e: std::io::Error| Error { file: file.clone(), line: None, key: None, what: e.to_string() };
+        let mut text = String::new();
+        std::fs::File::open(path).map_err(whole)?.take(MOST + 1).read_to_string(&mut text).map_err(whole)?;
+        if text.len() as u64 > MOST {
+            return Err(Error { file, line: None, key: None, what: format!("over {MOST} bytes") });
+        }
+        Features::parse(&file, &text)
+    }
+
+    /// Reads the text of a file; `file` is its name in errors.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Error> {
+        let entries = Entries::parse(file, text)?;
+        let features = Features {};
+        entries.finish()?;
+        Ok(features)
+    }
+}
+
+/// The lines of a file that nobody has asked for yet.
+struct Entries<'a> {
+    file: &'a str,
+    /// By key: the line's number and the value.
+    left: BTreeMap<&'a str, (usize, &'a str)>,
+}
+
+impl<'a> Entries<'a> {
+    fn parse(file: &'a str, text: &'a str) -> Result<Self, Error> {
+        let mut entries = Entries { file, left: BTreeMap::new() };
+        for (n, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if line.is_empty() || line.starts_with('#') {
+                continue;
+            }
+            let (key, value) = line.split_once('=').map_or((line, None), |(k, v)| (k.trim(), Some(v.trim())));
+            let Some(value) = value.filter(|v| !v.is_empty()) else {
+                return Err(entries.error(n + 1, key, "there is no value: 'key = value' is wanted"));
+            };
+            if let Some((first, _)) = entries.left.insert(key, (n + 1, value)) {
+                return Err(entries.error(n + 1, key, format!("stands in line {first} already")));
+            }
+        }
+        Ok(entries)
+    }
+
+    fn error(&self, line: usize, key: &str, what: impl Into<String>) -> Error {
+        Error { file: self.file.into(), line: Some(line), key: Some(key.into()), what: what.into() }
+    }
+
+    /// Whatever nobody has asked for is unknown.
+    fn finish(self) -> Result<(), Error> {
+        match self.left.iter().min_by_key(|(_, (line, _))| line) {
+            Some((key, (line, _))) => Err(self.error(*line, key, "no such key")),
+            None => Ok(()),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn error(text: &str) -> String {
+        Features::parse("f", text).expect_err(text).to_string()
+    }
+
+    #[test]
+    fn nothing_but_comments_leaves_all_off() {
+        assert_eq!(Features::parse("f", "# a comment\r\n\n   # another\n"), Ok(Features::default()));
+    }
+
+    #[test]
+    fn what_is_wrong_is_named_with_file_line_and_key() {
+        assert_eq!(error("\nno.such = 1\n"), "f:2: no.such: no such key");
+        assert_eq!(error("b = 1\na = 1\n"), "f:1: b: no such key");
+        assert_eq!(error("a.key = 1\n#\n a.key=2\n"), "f:3: a.key: stands in line 1 already");
+        assert!(error("a.key\n").starts_with("f:1: a.key: there is no value"));
+        assert!(error("a.key = \n").starts_with("f:1: a.key: there is no value"));
+    }
+
+    #[test]
+    fn a_file_that_cannot_be_read_is_named() {
+        let error = Features::read(Path::new("/no/such/file")).expect_err("nothing there").to_string();
+        assert!(error.starts_with("/no/such/file: "), "{error}");
+    }
+}
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -277,6 +277,8 @@
     pub may_tell: Option<(SocketAddr, SocketAddr)>,
     /// Descriptors that the system allows the process.
     pub descriptors: Option<u32>,
+    /// The text of the features' settings; `None` starts the proxy without the flag.
+    pub properties: Option<String>,
 }
 
 impl Default for Setup {
@@ -289,6 +291,7 @@
             deadline: 5000,
             may_tell: None,
             descriptors: None,
+            properties: None,
         }
     }
 }
@@ -323,6 +326,7 @@
     pub address: SocketAddr,
     pub log: Arc<Mutex<String>>,
     file: std::path::PathBuf,
+    properties: Option<std::path::PathBuf>,
 }
 
 static COUNT: AtomicUsize = AtomicUsize::new(0);
@@ -338,15 +342,19 @@
 impl Proxy {
     pub fn start(discovery: &Discovery, setup: &Setup) -> Self {
         let file = config_file(&config(discovery.address, setup));
+        let properties = setup.properties.as_deref().map(config_file);
         let program = env!("CARGO_BIN_EXE_sandgap");
         let mut command = match setup.descriptors {
             Some(limit) => {
                 let mut shell = Command::new("sh");
-                shell.args(["-c", &format!("ulimit -n {limit}; exec \"$0\""), program]);
+                shell.args(["-c", &format!("ulimit -n {limit}; exec \"$0\" \"$@\""), program]);
                 shell
             }
             None => Command::new(program),
         };
+        if let Some(file) = &properties {
+            command.arg("--properties").arg(file);
+        }
         let mut child =
             command.env("NODE_CONFIG", &file).stderr(Stdio::piped()).spawn().expect("the proxy starts");
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
@@ -361,7 +369,7 @@
                 kept.lock().expect("no panic").push_str(&(line + "\n"));
             }
         });
-        Proxy { child, address: address.expect("the proxy listens"), log, file }
+        Proxy { child, address: address.expect("the proxy listens"), log, file, properties }
     }
 
     /// Starts a proxy and waits until it is up.
@@ -408,7 +416,9 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.file);
+        for file in self.properties.iter().chain([&self.file]) {
+            let _ = std::fs::remove_file(file);
+        }
     }
 }
 
