--- /dev/null
+++ b/src/bin/canvascart/main.rs
@@ -0,0 +1,51 @@
+//! The operators' command.
+
+mod client;
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use wharfhitch::properties::Features;
+
+/// Tools for those who run and use the proxy.
+#[derive(Parser)]
+#[command(name = "canvascart", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Asks a proxy for a lookup or a checkout, and tries again where that is safe.
+    Client(client::Arguments),
+}
+
+/// The file with the features' settings.
+#[derive(clap::Args)]
+struct Properties {
+    /// The file with the features' settings.
+    #[arg(long, value_name = "FILE")]
+    properties: Option<PathBuf>,
+}
+
+impl Properties {
+    fn read(&self) -> Result<Features, String> {
+        let read = |file: &Path| Features::read(file).map_err(|e| e.to_string());
+        self.properties.as_deref().map_or_else(|| Ok(Features::default()), read)
+    }
+}
+
+/// What the command line or a file gets wrong, as clap's own errors.
+const USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let outcome = match Arguments::parse().command {
+        Command::Client(arguments) => client::run(arguments),
+    };
+    ExitCode::from(outcome.unwrap_or_else(|text| {
+        eprintln!("canvascart: {text}");
+        USAGE
+    }))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,8 @@
 #![doc = include_str!("../README.md")]
 
 mod choice;
+#[cfg(feature = "properties")]
+pub mod client;
 pub mod interface;
 #[cfg(feature = "properties")]
 pub mod properties;
--- a/src/properties.rs
+++ b/src/properties.rs
@@ -6,7 +6,11 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::io::Read as _;
+use std::ops::RangeInclusive;
 use std::path::Path;
+use std::time::Duration;
+
+use crate::client;
 
 /// Bytes of a file; a longer one is no settings file.
 const MOST: u64 = 64 << 10;
@@ -37,7 +41,10 @@
 
 /// The settings of all features. The default is what holds with no file: everything off.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Features {}
+pub struct Features {
+    /// `client.*`
+    pub client: client::Settings,
+}
 
 impl Features {
     /// Reads a file whole.
@@ -55,8 +62,8 @@
 
     /// Reads the text of a file; `file` is its name in errors.
     pub fn parse(file: &str, text: &str) -> Result<Self, Error> {
-        let entries = Entries::parse(file, text)?;
-        let features = Features {};
+        let mut entries = Entries::parse(file, text)?;
+        let features = Features { client: entries.client()? };
         entries.finish()?;
         Ok(features)
     }
@@ -88,6 +95,27 @@
         Ok(entries)
     }
 
+    /// The value of a key, if it stands in the file, as `read` understands it.
+    fn take<T>(
+        &mut self, key: &str, read: impl FnOnce(&str) -> Result<T, String>,
+    ) -> Result<Option<T>, Error> {
+        let Some((line, value)) = self.left.remove(key) else { return Ok(None) };
+        read(value).map(Some).map_err(|what| self.error(line, key, what))
+    }
+
+    fn client(&mut self) -> Result<client::Settings, Error> {
+        let default = client::Settings::default();
+        Ok(client::Settings {
+            target: self.take("client.target", host_and_port)?,
+            lookup_deadline: self.take("client.deadline.lookup", span)?.unwrap_or(default.lookup_deadline),
+            checkout_deadline: self
+                .take("client.deadline.checkout", span)?
+                .unwrap_or(default.checkout_deadline),
+            max_tries: self.take("client.max_tries", whole(1..=100))?.unwrap_or(default.max_tries),
+            mark_retries: self.take("client.mark_retries", flag)?.unwrap_or(default.mark_retries),
+        })
+    }
+
     fn error(&self, line: usize, key: &str, what: impl Into<String>) -> Error {
         Error { file: self.file.into(), line: Some(line), key: Some(key.into()), what: what.into() }
     }
@@ -101,6 +129,31 @@
     }
 }
 
+fn flag(text: &str) -> Result<bool, String> {
+    text.parse().map_err(|_| format!("'{text}' is neither true nor false"))
+}
+
+fn whole<T: TryFrom<u64>>(range: RangeInclusive<u64>) -> impl Fn(&str) -> Result<T, String> {
+    move |text| {
+        let number = text.parse().ok().filter(|n| range.contains(n)).and_then(|n| T::try_from(n).ok());
+        number.ok_or(format!("'{text}' is no whole number from {} to {}", range.start(), range.end()))
+    }
+}
+
+/// Milliseconds; the unit may be named.
+fn span(text: &str) -> Result<Duration, String> {
+    let number = text.strip_suffix("ms").unwrap_or(text).trim_end();
+    whole(1..=3_600_000)(number).map(Duration::from_millis).map_err(|e| format!("{e}, in ms"))
+}
+
+/// Checks an address with a port; the host may be a name.
+pub fn host_and_port(text: &str) -> Result<String, String> {
+    let port = text.rsplit_once(':').filter(|(host, _)| !host.is_empty()).map(|(_, port)| port);
+    let good = port.and_then(|p| p.parse::<u16>().ok()).is_some_and(|p| p > 0);
+    let plain = text.bytes().all(|b| b.is_ascii_graphic());
+    if good && plain { Ok(text.to_owned()) } else { Err(format!("'{text}' is not HOST:PORT")) }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -123,6 +176,38 @@
         assert!(error("a.key = \n").starts_with("f:1: a.key: there is no value"));
     }
 
+    #[test]
+    fn the_client_s_settings_are_read_and_have_their_defaults() {
+        let of = |text: &str| Features::parse("f", text).expect(text).client;
+        let default = of("");
+        assert_eq!(default.target, None);
+        assert_eq!(default.lookup_deadline, Duration::from_millis(2500));
+        assert_eq!(default.checkout_deadline, Duration::from_millis(2000));
+        assert_eq!((default.max_tries, default.mark_retries), (3, true));
+        let set = of("client.target = 127.0.0.1:9000\nclient.deadline.lookup = 900 ms\n\
+            client.deadline.checkout=800\nclient.max_tries = 1\nclient.mark_retries = false");
+        let wanted = client::Settings {
+            target: Some("127.0.0.1:9000".into()),
+            lookup_deadline: Duration::from_millis(900),
+            checkout_deadline: Duration::from_millis(800),
+            max_tries: 1,
+            mark_retries: false,
+        };
+        assert_eq!(set, wanted);
+        for (line, word) in [
+            ("client.target = 127.0.0.1", "HOST:PORT"),
+            ("client.target = :9000", "HOST:PORT"),
+            ("client.target = a b:9000", "HOST:PORT"),
+            ("client.deadline.lookup = 0", "from 1 to"),
+            ("client.deadline.checkout = 2 s", "from 1 to"),
+            ("client.max_tries = 101", "from 1 to 100"),
+            ("client.mark_retries = yes", "neither true nor false"),
+        ] {
+            let error = error(line);
+            assert!(error.contains(word) && error.starts_with("f:1: client."), "{line}: {error}");
+        }
+    }
+
     #[test]
     fn a_file_that_cannot_be_read_is_named() {
         let error = Features::read(Path::new("/no/such/file")).expect_err("nothing there").to_string();
