--- a/src/bin/canvascart/main.rs
+++ b/src/bin/canvascart/main.rs
@@ -1,6 +1,8 @@
 //! The operators' command.
 
+mod capture;
 mod client;
+mod replay;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -20,6 +22,9 @@
 enum Command {
     /// Asks a proxy for a lookup or a checkout, and tries again where that is safe.
     Client(client::Arguments),
+    /// Reads what a proxy has captured.
+    #[command(subcommand)]
+    Capture(capture::Command),
 }
 
 /// The file with the features' settings.
@@ -43,6 +48,7 @@
 fn main() -> ExitCode {
     let outcome = match Arguments::parse().command {
         Command::Client(arguments) => client::run(arguments),
+        Command::Capture(command) => capture::run(command),
     };
     ExitCode::from(outcome.unwrap_or_else(|text| {
         eprintln!("canvascart: {text}");
--- /dev/null
+++ b/src/bin/canvascart/replay.rs
@@ -0,0 +1,183 @@
+//! The decision module on a capture: one request at a time, each attempt ending as it did then.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use wharfhitch::capture::{Head, News, Record, Server, Tried};
+use wharfhitch::settings::{self, Names, index_of, number_of};
+use wharfhitch::{
+    Action, Backend, BackendId, Balancer, CellId, ClassId, Event, Key, KindId, Millis, Outcome, RequestId,
+    TenantId, ZoneId,
+};
+
+/// Between two requests: they come alone, so that none waits for another.
+const STEP: Millis = 50.0;
+/// How long an attempt takes, and the part of its request's time that it takes at most.
+const LATENCY: Millis = 10.0;
+const LATENCY_PART: f64 = 0.25;
+/// The proxy answers so long before the client gives up, whatever happens.
+const LAST_RESORT: Millis = 4.0;
+/// The codes of the final answers.
+const SERVED: u16 = 200;
+const GONE: u16 = 499;
+const FAILED: u16 = 502;
+const REFUSED: u16 = 503;
+
+/// A module that lives through a capture again.
+pub struct Replay {
+    balancer: Balancer,
+    names: Names,
+    unix_start: Millis,
+    now: Millis,
+    requests: u64,
+    servers: Vec<(BackendId, String)>,
+    /// When the module wants which of its timers back, in µs.
+    due: BinaryHeap<Reverse<(u64, u64)>>,
+}
+
+/// What becomes of the one request.
+#[derive(Default)]
+struct Course {
+    tried: Vec<Tried<'static>>,
+    code: Option<u16>,
+}
+
+impl Replay {
+    pub fn new(head: &Head, given: Option<&str>) -> Result<Self, String> {
+        let given = given.ok_or("the capture's settings are missing")?;
+        let given = serde_json::from_str(given).map_err(|e| format!("the capture's settings: {e}"))?;
+        let (settings, names) = settings::parse(&given);
+        if settings.me >= settings.proxies {
+            return Err("the capture's settings: the proxy's number is off".into());
+        }
+        Ok(Replay {
+            balancer: Balancer::new(settings, head.seed),
+            names,
+            unix_start: head.start,
+            now: 0.0,
+            requests: 0,
+            servers: Vec::new(),
+            due: BinaryHeap::new(),
+        })
+    }
+
+    /// The list changes, as long after the start as it did then.
+    pub fn news(&mut self, news: &News, servers: &[Server]) {
+        self.pass(news.at, &mut Course::default());
+        let entries = servers.iter().map(|s| self.backend(s)).collect();
+        self.handle(Event::List { scope: news.scope, entries }, &mut Course::default());
+    }
+
+    fn backend(&mut self, server: &Server) -> Backend {
+        let id = BackendId(number_of(&server.name));
+        if !self.servers.iter().any(|(known, _)| *known == id) {
+            self.servers.push((id, server.name.clone()));
+        }
+        let born = server.born.is_finite() && server.born > 0.0;
+        Backend {
+            id,
+            zone: server.site.as_ref().map(|z| ZoneId(index_of(&mut self.names.zones, z) as u32)),
+            kind: server.class.as_ref().map(|k| KindId(index_of(&mut self.names.kinds, k) as u32)),
+            cell: server.block.map(CellId),
+            state: server.state,
+            rating: server.share.unwrap_or(1.0),
+            since: born.then_some(server.born - self.unix_start),
+        }
+    }
+
+    /// What the module decides now about a request of then, whose attempts end as those of then did.
+    pub fn decide<'a>(&mut self, then: &'a Record, tried: &[Tried]) -> Result<Record<'a>, String> {
+        let class = self.names.classes.iter().position(|c| *c == then.class);
+        let class = class.ok_or_else(|| format!("the settings know no class '{}'", then.class))?;
+        let tenant = then.tenant.as_ref().and_then(|t| self.names.tenants.iter().position(|n| n == t));
+        self.pass(self.now + STEP, &mut Course::default());
+        self.requests += 1;
+        let id = RequestId(self.requests);
+        let budget = (then.deadline as f64 - LAST_RESORT).max(0.0);
+        let mut course = Course::default();
+        let request = Event::Request {
+            id,
+            class: ClassId(class),
+            tenant: tenant.map(TenantId),
+            key: then.sid.as_ref().map(|sid| Key(number_of(sid))),
+            budget,
+            hint: None,
+        };
+        let end = self.now + budget;
+        self.handle(request, &mut course);
+        self.run(id, end, then, tried, &mut course);
+        let code = course.code.unwrap_or(FAILED);
+        if course.tried.last().is_some_and(|t| t.end.is_none()) {
+            let attempt = (course.tried.len() - 1) as u32;
+            let (outcome, latency) = (Outcome::TimedOut, budget);
+            let late = Event::Ended { request: id, attempt, latency, outcome, closed: true };
+            self.handle(late, &mut Course::default());
+        }
+        Ok(Record { code, tried: Some(course.tried), ..then.clone() })
+    }
+
+    /// Lets the request's attempts end until it has its answer.
+    fn run(&mut self, id: RequestId, end: Millis, then: &Record, tried: &[Tried], course: &mut Course) {
+        let latency = LATENCY.min(LATENCY_PART * (end - self.now));
+        while course.code.is_none() {
+            let out = course.tried.last().is_some_and(|t| t.end.is_none());
+            let attempt = course.tried.len().saturating_sub(1);
+            // An attempt that there was none of then is served: nothing is known against it.
+            let outcome = tried.get(attempt).map_or(Some(Outcome::Served), |t| t.end);
+            let left = then.code == GONE && course.tried.len() >= tried.len();
+            if out && let Some(outcome) = outcome {
+                self.pass(self.now + latency, course);
+                if course.code.is_some() {
+                    return;
+                }
+                course.tried[attempt].end = Some(outcome);
+                let closed = outcome == Outcome::Served;
+                course.code = closed.then_some(SERVED);
+                let request = id;
+                let ended = Event::Ended { request, attempt: attempt as u32, latency, outcome, closed };
+                self.handle(ended, course);
+            } else if left {
+                course.code = Some(GONE);
+                self.handle(Event::Abandoned(id), course);
+            } else if self.now < end && self.next().is_some() {
+                let next = self.next().unwrap_or(end).min(end).max(self.now);
+                self.pass(next, course);
+            } else {
+                course.code = Some(FAILED); // the proxy's own last resort
+                self.handle(Event::Abandoned(id), course);
+            }
+        }
+    }
+
+    fn next(&self) -> Option<Millis> {
+        self.due.peek().map(|Reverse((at, _))| *at as f64 / 1000.0)
+    }
+
+    /// Lets time pass, with the timers that fall due.
+    fn pass(&mut self, until: Millis, course: &mut Course) {
+        while let Some(at) = self.next().filter(|at| *at <= until) {
+            let Some(Reverse((_, token))) = self.due.pop() else { break };
+            self.now = self.now.max(at);
+            self.handle(Event::Timer(token), course);
+        }
+        self.now = self.now.max(until);
+    }
+
+    fn handle(&mut self, event: Event, course: &mut Course) {
+        let mut actions = Vec::new();
+        self.balancer.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { backend, .. } => {
+                    let name =
+                        self.servers.iter().find(|(id, _)| *id == backend).map(|(_, name)| name.clone());
+                    course.tried.push(Tried { server: name.unwrap_or_default().into(), end: None });
+                }
+                Action::Refuse { .. } => course.code = course.code.or(Some(REFUSED)),
+                Action::Fail(_) => course.code = course.code.or(Some(FAILED)),
+                Action::Timer { token, at } => self.due.push(Reverse(((at * 1000.0).ceil() as u64, token))),
+                Action::Broadcast(_) | Action::Subscribe | Action::FetchList => {} // nobody is there
+            }
+        }
+    }
+}
--- a/src/bin/sandgap/config.rs
+++ b/src/bin/sandgap/config.rs
@@ -50,6 +50,8 @@
     pub peers: Option<PeerAddresses>,
     /// The list of backends as last seen, in discovery's form; perhaps old, perhaps nothing.
     pub known: Value,
+    /// The settings as they were given.
+    pub given: Value,
     pub settings: Settings,
     pub names: Names,
     pub connections: Connections,
@@ -100,6 +102,7 @@
         peers,
         known: file.known,
         connections: settings::connections(&file.settings),
+        given: file.settings,
         settings,
         names,
     })
--- a/src/bin/sandgap/discovery.rs
+++ b/src/bin/sandgap/discovery.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
-use wharfhitch::Scope;
+use wharfhitch::{Scope, State};
 
 use crate::driver::{Inbox, Input};
 use crate::note;
@@ -66,6 +66,15 @@
             born_ms: entry["born_ms"].as_f64().unwrap_or(0.0),
         })
     }
+
+    /// Whether something new may go there.
+    pub fn state(&self) -> State {
+        match self.health.as_str() {
+            "up" if self.dial.is_some() => State::Up,
+            "removed" => State::Gone,
+            _ => State::Draining, // draining, unknown or nowhere: nothing new goes there
+        }
+    }
 }
 
 /// The whole list or what has changed.
@@ -83,12 +92,12 @@
 }
 
 /// Reads the list that the configuration remembers; a broken one is as good as none.
-pub fn remembered(known: &Value) -> Option<Vec<Host>> {
+pub fn remembered(known: &Value) -> Option<(u64, Vec<Host>)> {
     if known.is_null() {
         return None;
     }
     match List::deserialize(known) {
-        Ok(list) => Some(list.entries()),
+        Ok(list) => Some((list.seq, list.entries())),
         Err(e) => {
             note!("the remembered list is of no use: {e}");
             None
@@ -160,7 +169,7 @@
             asked.notified().await;
             let error = self.watch_while_there().await;
             note!("discovery: {error}");
-            self.inbox.put(Input::List(Scope::Failed, Vec::new()));
+            self.inbox.put(Input::no_list());
         }
     }
 
@@ -214,7 +223,7 @@
         }
         self.seq = Some(list.seq);
         let scope = if list.whole { Scope::Full } else { Scope::Delta };
-        self.inbox.put(Input::List(scope, list.entries()));
+        self.inbox.put(Input::List { scope, seq: Some(list.seq), hosts: list.entries() });
         Ok(())
     }
 }
@@ -226,10 +235,12 @@
         serde_json::from_slice::<List>(&body).map_err(|e| format!("a broken list: {e}"))
     });
     match list.await.unwrap_or_else(|_| Err("no answer".into())) {
-        Ok(list) => inbox.put(Input::List(Scope::Full, list.entries())),
+        Ok(list) => {
+            inbox.put(Input::List { scope: Scope::Full, seq: Some(list.seq), hosts: list.entries() });
+        }
         Err(e) => {
             note!("discovery: {e}");
-            inbox.put(Input::List(Scope::Failed, Vec::new()));
+            inbox.put(Input::no_list());
         }
     }
 }
--- a/src/bin/sandgap/driver.rs
+++ b/src/bin/sandgap/driver.rs
@@ -15,6 +15,7 @@
     Scope, State, TenantId, ZoneId,
 };
 
+use crate::capture::{self, Capture, Pending};
 use crate::discovery::{self, Host, Place};
 use crate::note;
 use crate::peers::Peers;
@@ -22,6 +23,10 @@
 
 /// What the client is told has to be on its way this long before the client gives up, whatever happens.
 const LAST_RESORT: Duration = Duration::from_millis(4);
+/// The codes of the final answers.
+pub const SERVED: u16 = 200;
+pub const REFUSED: u16 = 503;
+pub const FAILED: u16 = 502;
 const SWEEP: Duration = Duration::from_secs(1); // between looks at idle connections
 
 /// What happens outside the module.
@@ -32,12 +37,19 @@
     Gone(RequestId),
     /// An attempt has ended.
     Ended { request: RequestId, attempt: u32, latency: Millis, outcome: Outcome, reply: Option<Reply> },
-    /// News of the list.
-    List(Scope, Vec<Host>),
+    /// News of the list, with discovery's version of it.
+    List { scope: Scope, seq: Option<u64>, hosts: Vec<Host> },
     /// Another proxy's message.
     Datagram { from: u32, bytes: Vec<u8> },
 }
 
+impl Input {
+    /// A list that was asked for and did not come.
+    pub fn no_list() -> Self {
+        Input::List { scope: Scope::Failed, seq: None, hosts: Vec::new() }
+    }
+}
+
 /// A client's request.
 pub struct Arrival {
     pub id: RequestId,
@@ -45,6 +57,8 @@
     pub tenant: Option<TenantId>,
     pub key: Option<Key>,
     pub hint: Option<Millis>,
+    /// How long the client waits in all.
+    pub patience: Duration,
     /// When the client gives up.
     pub deadline: Instant,
     pub message: Outgoing,
@@ -78,17 +92,27 @@
 
 /// The module's clock is monotonic and starts with the process; Unix time is converted here alone, by an
 /// offset taken once, so that the same start always gives the same time.
-struct Clock {
+#[derive(Clone, Copy)]
+pub struct Clock {
     start: Instant,
     unix_start: Millis,
 }
 
 impl Clock {
-    fn new() -> Self {
+    pub fn new() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { start: Instant::now(), unix_start: unix.as_secs_f64() * 1000.0 }
     }
 
+    pub fn now(&self) -> Millis {
+        self.at(Instant::now())
+    }
+
+    /// Unix time at the start.
+    pub fn unix_start(&self) -> Millis {
+        self.unix_start
+    }
+
     fn at(&self, instant: Instant) -> Millis {
         instant.saturating_duration_since(self.start).as_secs_f64() * 1000.0
     }
@@ -111,6 +135,8 @@
     deadline: Instant,
     attempts: u32,
     out: u32,
+    /// What the capture knows of it, if there is one.
+    pending: Option<Pending>,
 }
 
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
@@ -121,6 +147,8 @@
 
 /// What the driver needs of the other parts.
 pub struct Parts {
+    pub clock: Clock,
+    pub capture: Option<Rc<Capture>>,
     pub inbox: Inbox,
     pub upstreams: Rc<Upstreams>,
     pub peers: Option<Rc<Peers>>,
@@ -138,7 +166,6 @@
     balancer: Balancer,
     names: Names,
     parts: Parts,
-    clock: Clock,
     endpoints: FxHashMap<BackendId, Rc<Endpoint>>,
     live: FxHashMap<RequestId, Live>,
     due: BinaryHeap<Reverse<(Instant, Due)>>,
@@ -151,7 +178,6 @@
             balancer,
             names,
             parts,
-            clock: Clock::new(),
             endpoints: FxHashMap::default(),
             live: FxHashMap::default(),
             due: BinaryHeap::new(),
@@ -191,20 +217,20 @@
         match input {
             Input::Request(arrival) => self.request(*arrival),
             Input::Gone(id) => {
-                if self.close(id).is_some() {
+                if self.close(id, capture::GONE).is_some() {
                     self.handle(Event::Abandoned(id));
                 }
             }
             Input::Ended { request, attempt, latency, outcome, reply } => {
                 self.ended(request, attempt, latency, outcome, reply);
             }
-            Input::List(scope, hosts) => self.list(scope, hosts),
+            Input::List { scope, seq, hosts } => self.list(scope, seq, hosts),
             Input::Datagram { from, bytes } => self.handle(Event::Message { from, bytes }),
         }
     }
 
     fn request(&mut self, arrival: Arrival) {
-        let Arrival { id, class, tenant, key, hint, deadline, message, answer } = arrival;
+        let Arrival { id, class, tenant, key, hint, patience, deadline, message, answer } = arrival;
         let last = deadline - LAST_RESORT;
         let budget = last.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0;
         self.live.insert(
@@ -216,6 +242,7 @@
                 deadline,
                 attempts: 0,
                 out: 0,
+                pending: self.parts.capture.as_ref().map(|c| c.begin(class, tenant, patience)),
             },
         );
         self.due.push(Reverse((last, Due::LastResort(id))));
@@ -224,7 +251,7 @@
 
     /// Answers a request that nobody else has answered in time. It may have run, so it has failed.
     fn last_resort(&mut self, id: RequestId) {
-        if let Some(answer) = self.close(id) {
+        if let Some(answer) = self.close(id, FAILED) {
             let _ = answer.send(Answer::Failed); // a client that has left needs none
             self.handle(Event::Abandoned(id));
         }
@@ -235,9 +262,12 @@
     ) {
         let Some(live) = self.live.get_mut(&request) else { return };
         live.out -= 1;
+        if let Some(pending) = &mut live.pending {
+            pending.ended(attempt, outcome);
+        }
         let was_open = live.answer.is_some();
         if let (Outcome::Served, Some(reply)) = (outcome, reply)
-            && let Some(answer) = self.close(request)
+            && let Some(answer) = self.close(request, SERVED)
         {
             let _ = answer.send(Answer::Served(reply)); // else the client has just left
         }
@@ -246,11 +276,14 @@
         self.handle(Event::Ended { request, attempt, latency, outcome, closed });
     }
 
-    /// Takes the right to answer a request; from here on nothing more begins for it.
-    fn close(&mut self, id: RequestId) -> Option<oneshot::Sender<Answer>> {
+    /// Takes the right to answer a request, with this code; from here on nothing more begins for it.
+    fn close(&mut self, id: RequestId, code: u16) -> Option<oneshot::Sender<Answer>> {
         let live = self.live.get_mut(&id)?;
         live.wanted.set(false);
         let answer = live.answer.take();
+        if let (Some(capture), Some(pending)) = (&self.parts.capture, live.pending.take()) {
+            capture.end(&pending, &live.message, code);
+        }
         self.forget(id);
         answer
     }
@@ -261,7 +294,10 @@
         }
     }
 
-    fn list(&mut self, scope: Scope, hosts: Vec<Host>) {
+    fn list(&mut self, scope: Scope, seq: Option<u64>, hosts: Vec<Host>) {
+        if let Some(capture) = self.parts.capture.as_ref().filter(|_| scope != Scope::Failed) {
+            capture.news(scope, seq, &hosts);
+        }
         let whole = matches!(scope, Scope::Full | Scope::Cached);
         let entries: Vec<Backend> = hosts.into_iter().map(|host| self.backend(host)).collect();
         if whole {
@@ -282,11 +318,7 @@
     /// Notes where a backend is, and whether something new may go there.
     fn backend(&mut self, host: Host) -> Backend {
         let id = BackendId(number_of(&host.host));
-        let state = match host.health.as_str() {
-            "up" if host.dial.is_some() => State::Up,
-            "removed" => State::Gone,
-            _ => State::Draining, // draining, unknown or nowhere: nothing new goes there
-        };
+        let state = host.state();
         if let Some(address) = host.dial {
             let same = |e: &Rc<Endpoint>| e.address == address && e.born_ms == host.born_ms;
             if !self.endpoints.get(&id).is_some_and(same) {
@@ -307,12 +339,12 @@
             cell: host.block.map(CellId),
             state,
             rating: host.share.unwrap_or(1.0),
-            since: self.clock.born(host.born_ms),
+            since: self.parts.clock.born(host.born_ms),
         }
     }
 
     fn handle(&mut self, event: Event) {
-        let now = self.clock.at(Instant::now());
+        let now = self.parts.clock.now();
         let mut actions = std::mem::take(&mut self.actions);
         self.balancer.handle(now, event, &mut actions);
         for action in actions.drain(..) {
@@ -325,17 +357,17 @@
         match action {
             Action::Send { request, backend, timeout } => self.send(request, backend, timeout),
             Action::Refuse { request, retry_after } => {
-                if let Some(answer) = self.close(request) {
+                if let Some(answer) = self.close(request, REFUSED) {
                     let _ = answer.send(Answer::Refused(retry_after));
                 }
             }
             Action::Fail(request) => {
-                if let Some(answer) = self.close(request) {
+                if let Some(answer) = self.close(request, FAILED) {
                     let _ = answer.send(Answer::Failed);
                 }
             }
             Action::Timer { token, at } => {
-                self.due.push(Reverse((self.clock.instant(at), Due::Module(token))));
+                self.due.push(Reverse((self.parts.clock.instant(at), Due::Module(token))));
             }
             Action::Broadcast(bytes) => {
                 if let Some(peers) = &self.parts.peers {
@@ -365,6 +397,9 @@
         };
         live.attempts += 1;
         live.out += 1;
+        if let (Some(capture), Some(pending)) = (&self.parts.capture, &mut live.pending) {
+            capture.sent(pending, backend);
+        }
         let Some(endpoint) = self.endpoints.get(&backend).filter(|e| live.wanted.get() && e.is_open()) else {
             return report.tell(Outcome::Moot, None);
         };
--- a/src/bin/sandgap/frontend.rs
+++ b/src/bin/sandgap/frontend.rs
@@ -22,9 +22,10 @@
 use wharfhitch::settings::{Names, number_of};
 use wharfhitch::{Class, ClassId, Effect, Key, RequestId, TenantId};
 
-use crate::driver::{Answer, Arrival, Inbox, Input};
+use crate::capture::Capture;
+use crate::driver::{Answer, Arrival, Inbox, Input, REFUSED};
 use crate::note;
-use crate::upstream::{BODY, Outgoing, Upstreams, strip};
+use crate::upstream::{BODY, Outgoing, Upstreams, sid, strip};
 
 /// A head must be whole after this span, and a connection's first request with its body: a peer that sends
 /// no proper request is owed an error or a close within 3 s. It also bounds how long a connection stands idle,
@@ -66,6 +67,7 @@
     pub most: usize,
     /// Whether the module has a list.
     pub ready: Rc<Cell<bool>>,
+    pub capture: Option<Rc<Capture>>,
     next: Cell<u64>,
     draining: Cell<bool>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
@@ -75,7 +77,7 @@
 impl Frontend {
     pub fn new(
         inbox: Inbox, names: Names, classes: Vec<Class>, upstreams: Rc<Upstreams>, most: usize,
-        ready: Rc<Cell<bool>>,
+        ready: Rc<Cell<bool>>, capture: Option<Rc<Capture>>,
     ) -> Rc<Self> {
         Rc::new(Frontend {
             inbox,
@@ -84,6 +86,7 @@
             upstreams,
             most,
             ready,
+            capture,
             next: Cell::new(0),
             draining: Cell::new(false),
             clients: RefCell::default(),
@@ -173,11 +176,8 @@
             let (front, client) = (self.clone(), client.clone());
             async move {
                 client.busy.set(true);
-                let mut response = if over {
-                    plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
-                } else {
-                    front.respond(request, &client).await
-                };
+                let mut response =
+                    if over { front.turn_away(request) } else { front.respond(request, &client).await };
                 if over || front.draining.get() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 } else {
@@ -216,6 +216,18 @@
         }
     }
 
+    /// Refuses a request on a connection over the budget; the module never sees it.
+    fn turn_away(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (head, _) = request.into_parts();
+        let asked = self.check(&head.method, &head.uri, &head.headers);
+        if let (Some(capture), Ok(asked)) = (&self.capture, asked) {
+            let pending = capture.begin(asked.class, asked.tenant, asked.patience);
+            let (method, uri, headers, body) = (head.method, head.uri, head.headers, Bytes::new());
+            capture.turned_away(&pending, &Outgoing { method, uri, headers, body }, REFUSED);
+        }
+        plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
+    }
+
     async fn respond(&self, request: Request<Incoming>, client: &Client) -> Response<Full<Bytes>> {
         let came = Instant::now();
         if request.uri().path() == "/up" {
@@ -242,13 +254,14 @@
         let id = RequestId(self.next.replace(self.next.get() + 1));
         let (answer, answered) = oneshot::channel();
         let message = Outgoing { method: head.method, uri: target(&head.uri), headers, body };
-        let Asked { class, tenant, key, hint, .. } = asked;
+        let Asked { class, tenant, key, hint, patience } = asked;
         self.inbox.put(Input::Request(Box::new(Arrival {
             id,
             class,
             tenant,
             key,
             hint,
+            patience,
             deadline,
             message,
             answer,
@@ -308,10 +321,9 @@
         };
         let patience = number("x-timeout")?.ok_or(bad("X-Timeout is missing"))?;
         let patience = Duration::from_secs_f64(patience.min(self.classes[class].deadline / 1000.0));
-        let query = uri.query().unwrap_or_default();
-        let sid = query.split('&').find_map(|p| p.strip_prefix("sid="));
         let hint = number("x-cost")?.map(|us| us / 1000.0);
-        Ok(Asked { class: ClassId(class), tenant, key: sid.map(|s| Key(number_of(s))), hint, patience })
+        let key = sid(uri).map(|s| Key(number_of(s)));
+        Ok(Asked { class: ClassId(class), tenant, key, hint, patience })
     }
 }
 
--- a/src/bin/sandgap/log.rs
+++ b/src/bin/sandgap/log.rs
@@ -3,8 +3,23 @@
 use std::cell::Cell;
 use std::fmt::Arguments;
 use std::io::Write as _;
+use std::sync::OnceLock;
 use std::time::{Duration, Instant};
 
+use crate::outlet::{Outlet, write_whole};
+
+/// Bytes that wait for a standard error that is not read: of the log's own lines, and of a capture.
+const LOG_MOST: usize = 64 << 10;
+const CAPTURE_MOST: usize = crate::capture::RING + (192 << 10);
+/// Bytes of one write.
+const BATCH: usize = 4096;
+/// The lanes of standard error.
+const LOG: usize = 0;
+pub const CAPTURE: usize = 1;
+
+/// Standard error behind a thread of its own, where a feature writes there.
+static OUTLET: OnceLock<Outlet> = OnceLock::new();
+
 const BURST: u32 = 20; // lines in a second; the rest are counted and left out
 
 thread_local! {
@@ -32,7 +47,33 @@
 
 /// Writes a line. Unlike `eprintln!` it survives a log that nobody reads any more.
 fn write(text: Arguments) {
-    let _ = writeln!(std::io::stderr(), "sandgap: {text}");
+    let Some(outlet) = OUTLET.get() else {
+        let _ = writeln!(std::io::stderr(), "sandgap: {text}");
+        return;
+    };
+    let dropped = outlet.take_dropped(LOG);
+    if dropped > 0 {
+        outlet.put(LOG, format!("sandgap: {dropped} lines lost\n").into_bytes());
+    }
+    outlet.put(LOG, format!("sandgap: {text}\n").into_bytes());
+    outlet.wake();
+}
+
+/// From here on a thread writes to standard error, and nothing else waits for its reader.
+pub fn behind_thread() -> std::io::Result<&'static Outlet> {
+    if let Some(outlet) = OUTLET.get() {
+        return Ok(outlet);
+    }
+    let write = |lines: &[u8]| write_whole(&mut std::io::stderr(), lines);
+    let outlet = Outlet::start("stderr", &[LOG_MOST, CAPTURE_MOST], BATCH, write)?;
+    Ok(OUTLET.get_or_init(|| outlet))
+}
+
+/// Waits until what has been handed over is written, if a thread writes it.
+pub fn finish(most: Duration) {
+    if let Some(outlet) = OUTLET.get() {
+        outlet.finish(most); // what a reader that never comes was owed is lost with the process
+    }
 }
 
 /// Logs a formatted line, rate-limited.
--- a/src/bin/sandgap/main.rs
+++ b/src/bin/sandgap/main.rs
@@ -1,10 +1,12 @@
 //! The reverse proxy: clients, backends, discovery and peers on sockets, every decision in the module.
 
+mod capture;
 mod config;
 mod discovery;
 mod driver;
 mod frontend;
 mod log;
+mod outlet;
 mod peers;
 mod upstream;
 
@@ -21,15 +23,19 @@
 use wharfhitch::properties::Features;
 use wharfhitch::{Balancer, Scope};
 
+use capture::Capture;
 use config::Config;
-use driver::{Driver, Inbox, Input, Parts};
+use driver::{Clock, Driver, Inbox, Input, Parts};
 
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch.
 const RESERVE: usize = 32;
 /// If discovery has said nothing by then, the remembered list is served from.
 const PATIENCE: Duration = Duration::from_millis(500);
 
-async fn run(config: Config, path: PathBuf) -> Result<(), String> {
+/// Longest wait at the end for what the features still have to write: nobody may be reading it.
+const LAST_WORDS: Duration = Duration::from_millis(500);
+
+async fn run(config: Config, path: PathBuf, features: Features) -> Result<(), String> {
     let at = |what: &str| {
         let what = what.to_owned();
         move |e: std::io::Error| format!("{what}: {e}")
@@ -38,6 +44,14 @@
     let mut hup = signal(SignalKind::hangup()).map_err(at("SIGHUP"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(at("SIGINT"))?;
     let listener = frontend::listen(config.listen).map_err(at(&format!("listen on {}", config.listen)))?;
+    let clock = Clock::new();
+    let capture = if features.capture.enabled {
+        let (node, given, names) = (&config.name, config.given.to_string(), config.names.clone());
+        let capture = Capture::new(&features.capture, node, config.seed, &given, names, clock)?;
+        Some(Rc::new(capture))
+    } else {
+        None
+    };
     let (inbox, inputs) = Inbox::new();
     let peers = match config.peers {
         Some(addresses) => {
@@ -55,6 +69,8 @@
     let watch = Rc::new(Notify::new());
     let place = discovery::Place::new(config.discovery);
     let parts = Parts {
+        clock,
+        capture: capture.clone(),
         inbox: inbox.clone(),
         upstreams: upstreams.clone(),
         peers,
@@ -67,7 +83,9 @@
     let pushed = config.settings.discovery == wharfhitch::Discovery::Pushed;
     let balancer = Balancer::new(config.settings, config.seed);
     let driver = spawn_local(Driver::new(balancer, config.names.clone(), parts).run(inputs));
-    inbox.put(Input::List(Scope::Cached, discovery::remembered(&config.known).unwrap_or_default()));
+    let known = discovery::remembered(&config.known);
+    let (seq, hosts) = known.map_or((None, Vec::new()), |(seq, hosts)| (Some(seq), hosts));
+    inbox.put(Input::List { scope: Scope::Cached, seq, hosts });
     let list = discovery::Discovery::new(place.clone(), inbox.clone());
     spawn_local(async move {
         while hup.recv().await.is_some() {
@@ -89,20 +107,30 @@
     });
     // The module sends to a backend only while it has a free slot there, but clients come as they like: most
     // of the budget is theirs. Beyond `most` an eighth more are let in, only to be refused.
-    let front = frontend::Frontend::new(inbox, config.names, classes, upstreams, budget * 5 / 8, ready);
+    let most = budget * 5 / 8;
+    let front =
+        frontend::Frontend::new(inbox, config.names, classes, upstreams, most, ready, capture.clone());
     let address = listener.local_addr().map_err(at("the listener"))?;
     note!("{} listens on {address}", config.name);
+    let told = capture.clone();
     let stop = async move {
         tokio::select! {
             _ = term.recv() => {}
             _ = int.recv() => {}
         }
+        if let Some(capture) = told {
+            capture.tell();
+        }
     };
     // Without its module a proxy could only fail everything: then it is better dead and started anew.
-    tokio::select! {
+    let outcome = tokio::select! {
         () = front.serve(listener, stop) => Ok(()),
         end = driver => Err(format!("the driver has ended: {end:?}")),
+    };
+    if let Some(capture) = capture {
+        capture.finish(LAST_WORDS);
     }
+    outcome
 }
 
 /// Reads the command line: nothing, or the file with the features' settings.
@@ -118,22 +146,24 @@
 }
 
 fn start() -> Result<(), String> {
-    features(std::env::args_os().skip(1))?;
+    let features = features(std::env::args_os().skip(1))?;
     let path = PathBuf::from(std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?);
     let config = config::read(&path)?;
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-    let outcome = LocalSet::new().block_on(&runtime, run(config, path));
+    let outcome = LocalSet::new().block_on(&runtime, run(config, path, features));
     runtime.shutdown_background();
     outcome
 }
 
 fn main() -> ExitCode {
-    match start() {
+    let code = match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
             note!("{text}");
             ExitCode::FAILURE
         }
-    }
+    };
+    log::finish(LAST_WORDS);
+    code
 }
--- a/src/bin/sandgap/upstream.rs
+++ b/src/bin/sandgap/upstream.rs
@@ -344,6 +344,11 @@
     })
 }
 
+/// The query parameter `sid`, as it came.
+pub fn sid(uri: &Uri) -> Option<&str> {
+    uri.query().unwrap_or_default().split('&').find_map(|p| p.strip_prefix("sid="))
+}
+
 /// Takes out the headers that concern one connection alone, and the length, which is set anew.
 pub fn strip(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
@@ -372,6 +377,11 @@
 }
 
 impl Outgoing {
+    /// What the request is about, where it says so.
+    pub fn sid(&self) -> Option<&str> {
+        sid(&self.uri)
+    }
+
     /// The request for one attempt; `X-Timeout` tells how long this proxy will wait.
     fn request(&self, until: Instant) -> Option<Request<Full<Bytes>>> {
         let mut request = Request::new(Full::new(self.body.clone()));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 //! and carry out the [`Action`]s that it returns.
 #![doc = include_str!("../README.md")]
 
+#[cfg(feature = "capture")]
+pub mod capture;
 mod choice;
 #[cfg(feature = "properties")]
 pub mod client;
--- a/src/properties.rs
+++ b/src/properties.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 use std::io::Read as _;
 use std::ops::RangeInclusive;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use crate::client;
@@ -44,6 +44,17 @@
 pub struct Features {
     /// `client.*`
     pub client: client::Settings,
+    /// `capture.*`
+    pub capture: Capture,
+}
+
+/// Whether and where the proxy keeps what it saw and chose.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Capture {
+    /// Whether it does.
+    pub enabled: bool,
+    /// Where its segments go to files too.
+    pub dir: Option<PathBuf>,
 }
 
 impl Features {
@@ -63,7 +74,7 @@
     /// Reads the text of a file; `file` is its name in errors.
     pub fn parse(file: &str, text: &str) -> Result<Self, Error> {
         let mut entries = Entries::parse(file, text)?;
-        let features = Features { client: entries.client()? };
+        let features = Features { client: entries.client()?, capture: entries.capture()? };
         entries.finish()?;
         Ok(features)
     }
@@ -116,6 +127,13 @@
         })
     }
 
+    fn capture(&mut self) -> Result<Capture, Error> {
+        Ok(Capture {
+            enabled: self.take("capture.enabled", flag)?.unwrap_or(false),
+            dir: self.take("capture.dir", |text| Ok(PathBuf::from(text)))?,
+        })
+    }
+
     fn error(&self, line: usize, key: &str, what: impl Into<String>) -> Error {
         Error { file: self.file.into(), line: Some(line), key: Some(key.into()), what: what.into() }
     }
@@ -208,6 +226,15 @@
         }
     }
 
+    #[test]
+    fn the_capture_is_off_unless_it_is_switched_on() {
+        let of = |text: &str| Features::parse("f", text).expect(text).capture;
+        assert_eq!(of(""), Capture { enabled: false, dir: None });
+        let set = of("capture.enabled = true\ncapture.dir = /var/lib/x y");
+        assert_eq!(set, Capture { enabled: true, dir: Some("/var/lib/x y".into()) });
+        assert!(error("capture.enabled = 1").contains("f:1: capture.enabled: '1' is neither"));
+    }
+
     #[test]
     fn a_file_that_cannot_be_read_is_named() {
         let error = Features::read(Path::new("/no/such/file")).expect_err("nothing there").to_string();
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -1,9 +1,9 @@
 //! A proxy process on loopback, with a small discovery and small backends for it. All ports are the system's
 //! choice, and all waits end on a condition or after a generous limit.
 #![allow(dead_code)] // each test file uses its own part
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Lines, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
@@ -279,6 +279,8 @@
     pub descriptors: Option<u32>,
     /// The text of the features' settings; `None` starts the proxy without the flag.
     pub properties: Option<String>,
+    /// Whether standard error is left unread once the proxy listens.
+    pub unread: bool,
 }
 
 impl Default for Setup {
@@ -292,6 +294,7 @@
             may_tell: None,
             descriptors: None,
             properties: None,
+            unread: false,
         }
     }
 }
@@ -327,6 +330,7 @@
     pub log: Arc<Mutex<String>>,
     file: std::path::PathBuf,
     properties: Option<std::path::PathBuf>,
+    unread: Option<Lines<BufReader<ChildStderr>>>,
 }
 
 static COUNT: AtomicUsize = AtomicUsize::new(0);
@@ -362,14 +366,17 @@
         let address = lines.by_ref().map_while(Result::ok).find_map(|line| {
             line.split_once("listens on ").map(|(_, address)| address.parse().expect("an address"))
         });
-        let kept = log.clone();
-        thread::spawn(move || {
-            for line in lines.map_while(Result::ok) {
-                eprintln!("{line}");
-                kept.lock().expect("no panic").push_str(&(line + "\n"));
-            }
-        });
-        Proxy { child, address: address.expect("the proxy listens"), log, file, properties }
+        let mut unread = Some(lines);
+        if let Some(lines) = unread.take_if(|_| !setup.unread) {
+            let kept = log.clone();
+            thread::spawn(move || {
+                for line in lines.map_while(Result::ok) {
+                    eprintln!("{line}");
+                    kept.lock().expect("no panic").push_str(&(line + "\n"));
+                }
+            });
+        }
+        Proxy { child, address: address.expect("the proxy listens"), log, file, properties, unread }
     }
 
     /// Starts a proxy and waits until it is up.
@@ -383,6 +390,12 @@
         Client::new(self).ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").is_some_and(|m| m.status() == 200)
     }
 
+    /// Reads what has been left unread, up to the end.
+    pub fn read_at_last(&mut self) -> String {
+        let lines = self.unread.take().expect("nobody else reads");
+        lines.map_while(Result::ok).map(|line| line + "\n").collect()
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
