--- a/src/bin/canvascart/main.rs
+++ b/src/bin/canvascart/main.rs
@@ -2,6 +2,7 @@
 
 mod capture;
 mod client;
+mod drill;
 mod replay;
 
 use std::path::{Path, PathBuf};
@@ -25,6 +26,9 @@
     /// Reads what a proxy has captured.
     #[command(subcommand)]
     Capture(capture::Command),
+    /// Rehearses slow or failing servers at a proxy.
+    #[command(subcommand)]
+    Drill(drill::Command),
 }
 
 /// The file with the features' settings.
@@ -49,6 +53,7 @@
     let outcome = match Arguments::parse().command {
         Command::Client(arguments) => client::run(arguments),
         Command::Capture(command) => capture::run(command),
+        Command::Drill(command) => drill::run(command),
     };
     ExitCode::from(outcome.unwrap_or_else(|text| {
         eprintln!("canvascart: {text}");
--- a/src/bin/sandgap/frontend.rs
+++ b/src/bin/sandgap/frontend.rs
@@ -23,6 +23,7 @@
 use wharfhitch::{Class, ClassId, Effect, Key, RequestId, TenantId};
 
 use crate::capture::Capture;
+use crate::drills::Drills;
 use crate::driver::{Answer, Arrival, Inbox, Input, REFUSED};
 use crate::note;
 use crate::upstream::{BODY, Outgoing, Upstreams, sid, strip};
@@ -57,6 +58,13 @@
     close: Notify,
 }
 
+/// The features that have a part in how requests are answered; each is there only where it is on.
+#[derive(Clone, Default)]
+pub struct Features {
+    pub capture: Option<Rc<Capture>>,
+    pub drills: Option<Rc<Drills>>,
+}
+
 /// What all connections share.
 pub struct Frontend {
     pub inbox: Inbox,
@@ -67,7 +75,7 @@
     pub most: usize,
     /// Whether the module has a list.
     pub ready: Rc<Cell<bool>>,
-    pub capture: Option<Rc<Capture>>,
+    pub features: Features,
     next: Cell<u64>,
     draining: Cell<bool>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
@@ -77,7 +85,7 @@
 impl Frontend {
     pub fn new(
         inbox: Inbox, names: Names, classes: Vec<Class>, upstreams: Rc<Upstreams>, most: usize,
-        ready: Rc<Cell<bool>>, capture: Option<Rc<Capture>>,
+        ready: Rc<Cell<bool>>, features: Features,
     ) -> Rc<Self> {
         Rc::new(Frontend {
             inbox,
@@ -86,7 +94,7 @@
             upstreams,
             most,
             ready,
-            capture,
+            features,
             next: Cell::new(0),
             draining: Cell::new(false),
             clients: RefCell::default(),
@@ -220,7 +228,7 @@
     fn turn_away(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let (head, _) = request.into_parts();
         let asked = self.check(&head.method, &head.uri, &head.headers);
-        if let (Some(capture), Ok(asked)) = (&self.capture, asked) {
+        if let (Some(capture), Ok(asked)) = (&self.features.capture, asked) {
             let pending = capture.begin(asked.class, asked.tenant, asked.patience);
             let (method, uri, headers, body) = (head.method, head.uri, head.headers, Bytes::new());
             capture.turned_away(&pending, &Outgoing { method, uri, headers, body }, REFUSED);
@@ -253,6 +261,7 @@
         strip(&mut headers);
         let id = RequestId(self.next.replace(self.next.get() + 1));
         let (answer, answered) = oneshot::channel();
+        let named = self.features.drills.as_ref().and_then(|_| headers.get("x-request-id").cloned());
         let message = Outgoing { method: head.method, uri: target(&head.uri), headers, body };
         let Asked { class, tenant, key, hint, patience } = asked;
         self.inbox.put(Input::Request(Box::new(Arrival {
@@ -270,20 +279,10 @@
         let mut leaves = Leaves { inbox: &self.inbox, id, waits: true };
         let answer = answered.await;
         leaves.waits = false;
-        match answer {
-            Ok(Answer::Served(reply)) => {
-                let mut response = Response::new(Full::new(reply.body));
-                *response.headers_mut() = reply.headers;
-                response
-            }
-            Ok(Answer::Refused(after)) => {
-                let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "try again");
-                if let Some(after) = after.and_then(|ms| format!("{:.3}", ms / 1000.0).parse().ok()) {
-                    response.headers_mut().insert(header::RETRY_AFTER, after);
-                }
-                response
-            }
-            Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
+        let response = finished(answer);
+        match &self.features.drills {
+            Some(drills) => drills.meet(class.0, named.as_ref(), response).await,
+            None => response,
         }
     }
 
@@ -366,7 +365,26 @@
     uri.path_and_query().map_or_else(Uri::default, |p| Uri::from(p.clone()))
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+/// The module's final answer, as the client gets it.
+fn finished(answer: Result<Answer, oneshot::error::RecvError>) -> Response<Full<Bytes>> {
+    match answer {
+        Ok(Answer::Served(reply)) => {
+            let mut response = Response::new(Full::new(reply.body));
+            *response.headers_mut() = reply.headers;
+            response
+        }
+        Ok(Answer::Refused(after)) => {
+            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "try again");
+            if let Some(after) = after.and_then(|ms| format!("{:.3}", ms / 1000.0).parse().ok()) {
+                response.headers_mut().insert(header::RETRY_AFTER, after);
+            }
+            response
+        }
+        Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
+    }
+}
+
+pub fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response
--- a/src/bin/sandgap/log.rs
+++ b/src/bin/sandgap/log.rs
@@ -45,6 +45,11 @@
     }
 }
 
+/// Writes a line however many came; the buffer before standard error bounds them.
+pub fn each(text: Arguments) {
+    write(text);
+}
+
 /// Writes a line. Unlike `eprintln!` it survives a log that nobody reads any more.
 fn write(text: Arguments) {
     let Some(outlet) = OUTLET.get() else {
--- a/src/bin/sandgap/main.rs
+++ b/src/bin/sandgap/main.rs
@@ -3,6 +3,7 @@
 mod capture;
 mod config;
 mod discovery;
+mod drills;
 mod driver;
 mod frontend;
 mod log;
@@ -12,11 +13,13 @@
 
 use std::cell::Cell;
 use std::ffi::OsString;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
@@ -25,6 +28,7 @@
 
 use capture::Capture;
 use config::Config;
+use drills::Drills;
 use driver::{Clock, Driver, Inbox, Input, Parts};
 
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch.
@@ -35,10 +39,22 @@
 /// Longest wait at the end for what the features still have to write: nobody may be reading it.
 const LAST_WORDS: Duration = Duration::from_millis(500);
 
+/// The drills and their side port, if the settings have both a secret and a port.
+fn drills(config: &Config, features: &Features) -> io::Result<(Option<Rc<Drills>>, Option<TcpListener>)> {
+    let settings = &features.drills;
+    let (Some(secret), Some(port)) = (&settings.secret, settings.port) else { return Ok((None, None)) };
+    log::behind_thread()?; // each affected request has a line
+    let side_port = frontend::listen((config.listen.ip(), port).into())?;
+    let classes = config.names.classes.clone();
+    // Chance of their own: the module's draws stay as they are.
+    let drills = Drills::new(secret.clone(), settings.most, classes, !config.seed);
+    Ok((Some(drills), Some(side_port)))
+}
+
 async fn run(config: Config, path: PathBuf, features: Features) -> Result<(), String> {
     let at = |what: &str| {
         let what = what.to_owned();
-        move |e: std::io::Error| format!("{what}: {e}")
+        move |e: io::Error| format!("{what}: {e}")
     };
     let mut term = signal(SignalKind::terminate()).map_err(at("SIGTERM"))?;
     let mut hup = signal(SignalKind::hangup()).map_err(at("SIGHUP"))?;
@@ -52,6 +68,7 @@
     } else {
         None
     };
+    let (drills, side_port) = drills(&config, &features).map_err(at("the side port"))?;
     let (inbox, inputs) = Inbox::new();
     let peers = match config.peers {
         Some(addresses) => {
@@ -108,10 +125,15 @@
     // The module sends to a backend only while it has a free slot there, but clients come as they like: most
     // of the budget is theirs. Beyond `most` an eighth more are let in, only to be refused.
     let most = budget * 5 / 8;
-    let front =
-        frontend::Frontend::new(inbox, config.names, classes, upstreams, most, ready, capture.clone());
+    let on = frontend::Features { capture: capture.clone(), drills: drills.clone() };
+    let front = frontend::Frontend::new(inbox, config.names, classes, upstreams, most, ready, on);
     let address = listener.local_addr().map_err(at("the listener"))?;
     note!("{} listens on {address}", config.name);
+    if let (Some(drills), Some(side_port)) = (&drills, side_port) {
+        let address = side_port.local_addr().map_err(at("the side port"))?;
+        note!("drills on {address}");
+        spawn_local(drills.clone().serve(side_port));
+    }
     let told = capture.clone();
     let stop = async move {
         tokio::select! {
@@ -121,6 +143,9 @@
         if let Some(capture) = told {
             capture.tell();
         }
+        if let Some(drills) = drills {
+            drills.end();
+        }
     };
     // Without its module a proxy could only fail everything: then it is better dead and started anew.
     let outcome = tokio::select! {
--- a/src/client/http.rs
+++ b/src/client/http.rs
@@ -159,7 +159,9 @@
 }
 
 /// One request on a connection of its own, and its whole answer with the wait that it names.
-async fn exchange(target: &str, request: Request<Full<Bytes>>) -> Result<(Answer, Option<Duration>), String> {
+pub async fn exchange(
+    target: &str, request: Request<Full<Bytes>>,
+) -> Result<(Answer, Option<Duration>), String> {
     let stream = TcpStream::connect(target).await.map_err(|e| format!("no connection: {e}"))?;
     stream.set_nodelay(true).map_err(|e| format!("no connection: {e}"))?;
     let (mut sender, connection) =
--- a/src/properties.rs
+++ b/src/properties.rs
@@ -46,6 +46,8 @@
     pub client: client::Settings,
     /// `capture.*`
     pub capture: Capture,
+    /// `drills.*`
+    pub drills: Drills,
 }
 
 /// Whether and where the proxy keeps what it saw and chose.
@@ -57,6 +59,46 @@
     pub dir: Option<PathBuf>,
 }
 
+/// Who may start drills, where, and for how long.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Drills {
+    /// What the side port wants to hear; without it drills are off.
+    pub secret: Option<Secret>,
+    /// The side port, on the host on which the proxy listens; 0 lets the system choose one.
+    pub port: Option<u16>,
+    /// The longest drill.
+    pub most: Duration,
+}
+
+impl Default for Drills {
+    fn default() -> Self {
+        Drills { secret: None, port: None, most: Duration::from_secs(300) }
+    }
+}
+
+/// A word that is neither shown nor logged.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(String);
+
+impl Secret {
+    /// Any row of visible ASCII characters.
+    pub fn new(text: &str) -> Result<Self, String> {
+        let good = !text.is_empty() && text.bytes().all(|b| b.is_ascii_graphic());
+        good.then(|| Secret(text.to_owned())).ok_or("a secret is a row of visible ASCII characters".into())
+    }
+
+    /// The word itself.
+    pub fn bytes(&self) -> &[u8] {
+        self.0.as_bytes()
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("Secret(…)")
+    }
+}
+
 impl Features {
     /// Reads a file whole.
     pub fn read(path: &Path) -> Result<Self, Error> {
@@ -74,7 +116,8 @@
     /// Reads the text of a file; `file` is its name in errors.
     pub fn parse(file: &str, text: &str) -> Result<Self, Error> {
         let mut entries = Entries::parse(file, text)?;
-        let features = Features { client: entries.client()?, capture: entries.capture()? };
+        let (client, capture, drills) = (entries.client()?, entries.capture()?, entries.drills()?);
+        let features = Features { client, capture, drills };
         entries.finish()?;
         Ok(features)
     }
@@ -134,6 +177,15 @@
         })
     }
 
+    fn drills(&mut self) -> Result<Drills, Error> {
+        let most = self.take("drills.max_seconds", whole(1..=86_400))?;
+        Ok(Drills {
+            secret: self.take("drills.secret", Secret::new)?,
+            port: self.take("drills.port", whole(0..=65_535))?,
+            most: most.map_or(Drills::default().most, Duration::from_secs),
+        })
+    }
+
     fn error(&self, line: usize, key: &str, what: impl Into<String>) -> Error {
         Error { file: self.file.into(), line: Some(line), key: Some(key.into()), what: what.into() }
     }
@@ -235,6 +287,20 @@
         assert!(error("capture.enabled = 1").contains("f:1: capture.enabled: '1' is neither"));
     }
 
+    #[test]
+    fn drills_are_off_without_a_secret_and_it_is_never_shown() {
+        let of = |text: &str| Features::parse("f", text).expect(text).drills;
+        assert_eq!(of(""), Drills { secret: None, port: None, most: Duration::from_secs(300) });
+        let set = of("drills.secret = open=sesame\ndrills.port = 9100\ndrills.max_seconds = 9");
+        assert_eq!((set.port, set.most), (Some(9100), Duration::from_secs(9)));
+        assert_eq!(set.secret.as_ref().map(Secret::bytes), Some(&b"open=sesame"[..]));
+        assert!(!format!("{set:?}").contains("sesame"));
+        assert!(!error("drills.secret = open sesame").contains("sesame"));
+        for line in ["drills.port = 65536", "drills.port = -1", "drills.max_seconds = 0"] {
+            assert!(error(line).contains("no whole number from"), "{line}");
+        }
+    }
+
     #[test]
     fn a_file_that_cannot_be_read_is_named() {
         let error = Features::read(Path::new("/no/such/file")).expect_err("nothing there").to_string();
