--- a/src/bin/sandgap/capture.rs
+++ b/src/bin/sandgap/capture.rs
@@ -117,7 +117,7 @@
         let mut ring = self.ring.borrow_mut();
         ring.put(self.clock.now(), &line);
         if ring.told {
-            self.outlet.put(CAPTURE, line);
+            self.outlet.put(CAPTURE, &line);
             self.outlet.wake();
         }
     }
@@ -127,7 +127,7 @@
         let mut ring = self.ring.borrow_mut();
         let lines = ring.news(&News { seq, at: self.clock.now(), scope, hosts: hosts.len() }, hosts);
         if ring.told {
-            self.outlet.put(CAPTURE, lines.into_bytes());
+            self.outlet.put(CAPTURE, lines.as_bytes());
             self.outlet.wake();
         }
     }
@@ -138,7 +138,7 @@
         ring.told = true;
         ring.seal();
         for segment in ring.take().filter(|s| !s.is_empty()) {
-            self.outlet.put(CAPTURE, segment);
+            self.outlet.put_piece(CAPTURE, segment);
         }
         self.outlet.wake();
     }
--- a/src/bin/sandgap/drills.rs
+++ b/src/bin/sandgap/drills.rs
@@ -5,6 +5,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -23,6 +24,7 @@
 use wharfhitch::capture::Field;
 use wharfhitch::properties::Secret;
 
+use crate::figures::Drilled;
 use crate::frontend::plain;
 use crate::{log, note};
 
@@ -74,13 +76,13 @@
     deed: Deed,
     share: Share,
     until: Instant,
-    name: Rc<str>,
+    name: Arc<str>,
 }
 
 /// What a request of a drill's share meets.
 struct Hit {
     deed: Deed,
-    name: Rc<str>,
+    name: Arc<str>,
 }
 
 /// The drills that run, one a class at most.
@@ -143,7 +145,9 @@
         let Some(hit) = self.draw(class) else { return answer };
         let id = id.and_then(|id| id.to_str().ok());
         log::each(format_args!("drill={} id={}", hit.name, Field(id)));
-        self.act(&hit, answer).await
+        let mut answer = self.act(&hit, answer).await;
+        answer.extensions_mut().insert(Drilled(hit.name));
+        answer
     }
 
     /// Whether a request of this class, which has its answer, is of a drill's share.
--- a/src/bin/sandgap/frontend.rs
+++ b/src/bin/sandgap/frontend.rs
@@ -25,6 +25,7 @@
 use crate::capture::Capture;
 use crate::drills::Drills;
 use crate::driver::{Answer, Arrival, Inbox, Input, REFUSED};
+use crate::figures::Figures;
 use crate::note;
 use crate::upstream::{BODY, Outgoing, Upstreams, sid, strip};
 
@@ -63,6 +64,7 @@
 pub struct Features {
     pub capture: Option<Rc<Capture>>,
     pub drills: Option<Rc<Drills>>,
+    pub figures: Option<Rc<Figures>>,
 }
 
 /// What all connections share.
@@ -184,8 +186,13 @@
             let (front, client) = (self.clone(), client.clone());
             async move {
                 client.busy.set(true);
+                let figures = front.features.figures.as_ref();
+                let flight = figures.and_then(|f| f.begin(&request, &front.names));
                 let mut response =
                     if over { front.turn_away(request) } else { front.respond(request, &client).await };
+                if let Some(flight) = flight {
+                    flight.end(response.status().as_u16(), response.extensions().get());
+                }
                 if over || front.draining.get() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 } else {
@@ -291,8 +298,7 @@
         &self, method: &Method, uri: &Uri, headers: &HeaderMap,
     ) -> Result<Asked, (StatusCode, &'static str)> {
         let bad = |text| (StatusCode::BAD_REQUEST, text);
-        let name = uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-        let class = self.names.classes.iter().position(|c| c == name);
+        let class = self.names.classes.iter().position(|c| c == class_of(uri));
         let class = class.ok_or((StatusCode::NOT_FOUND, "no such class"))?;
         let wanted = if self.classes[class].effect == Effect::Safe { Method::GET } else { Method::POST };
         if *method != wanted {
@@ -360,6 +366,11 @@
     }
 }
 
+/// The name of a request's class.
+pub fn class_of(uri: &Uri) -> &str {
+    uri.path().trim_start_matches('/').split('/').next().unwrap_or_default()
+}
+
 /// Path and query alone, as they came, also of a request in absolute form.
 fn target(uri: &Uri) -> Uri {
     uri.path_and_query().map_or_else(Uri::default, |p| Uri::from(p.clone()))
--- a/src/bin/sandgap/log.rs
+++ b/src/bin/sandgap/log.rs
@@ -16,6 +16,7 @@
 /// The lanes of standard error.
 const LOG: usize = 0;
 pub const CAPTURE: usize = 1;
+pub const FIGURES: usize = 2;
 
 /// Standard error behind a thread of its own, where a feature writes there.
 static OUTLET: OnceLock<Outlet> = OnceLock::new();
@@ -58,9 +59,9 @@
     };
     let dropped = outlet.take_dropped(LOG);
     if dropped > 0 {
-        outlet.put(LOG, format!("sandgap: {dropped} lines lost\n").into_bytes());
+        outlet.put(LOG, format!("sandgap: {dropped} lines lost\n").as_bytes());
     }
-    outlet.put(LOG, format!("sandgap: {text}\n").into_bytes());
+    outlet.put(LOG, format!("sandgap: {text}\n").as_bytes());
     outlet.wake();
 }
 
@@ -69,8 +70,10 @@
     if let Some(outlet) = OUTLET.get() {
         return Ok(outlet);
     }
-    let write = |lines: &[u8]| write_whole(&mut std::io::stderr(), lines);
-    let outlet = Outlet::start("stderr", &[LOG_MOST, CAPTURE_MOST], BATCH, write)?;
+    // Where nobody reads any more, it is lost.
+    let write = |lines: &[u8]| write_whole(&mut std::io::stderr(), lines).unwrap_or_default();
+    let most = [LOG_MOST, CAPTURE_MOST, crate::figures::MOST];
+    let outlet = Outlet::start("stderr", &most, BATCH, write)?;
     Ok(OUTLET.get_or_init(|| outlet))
 }
 
--- a/src/bin/sandgap/main.rs
+++ b/src/bin/sandgap/main.rs
@@ -5,6 +5,7 @@
 mod discovery;
 mod drills;
 mod driver;
+mod figures;
 mod frontend;
 mod log;
 mod outlet;
@@ -30,6 +31,7 @@
 use config::Config;
 use drills::Drills;
 use driver::{Clock, Driver, Inbox, Input, Parts};
+use figures::Figures;
 
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch.
 const RESERVE: usize = 32;
@@ -125,7 +127,15 @@
     // The module sends to a backend only while it has a free slot there, but clients come as they like: most
     // of the budget is theirs. Beyond `most` an eighth more are let in, only to be refused.
     let most = budget * 5 / 8;
-    let on = frontend::Features { capture: capture.clone(), drills: drills.clone() };
+    let figures = if features.figures.enabled {
+        let figures = Figures::new(&features.figures, &config.names).map_err(at("the figures"))?;
+        spawn_local(figures.clone().follow());
+        Some(figures)
+    } else {
+        None
+    };
+    let on =
+        frontend::Features { capture: capture.clone(), drills: drills.clone(), figures: figures.clone() };
     let front = frontend::Frontend::new(inbox, config.names, classes, upstreams, most, ready, on);
     let address = listener.local_addr().map_err(at("the listener"))?;
     note!("{} listens on {address}", config.name);
@@ -155,6 +165,9 @@
     if let Some(capture) = capture {
         capture.finish(LAST_WORDS);
     }
+    if let Some(figures) = figures {
+        figures.finish(LAST_WORDS);
+    }
     outcome
 }
 
--- a/src/properties.rs
+++ b/src/properties.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::io::Read as _;
+use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -48,6 +49,47 @@
     pub capture: Capture,
     /// `drills.*`
     pub drills: Drills,
+    /// `figures.*`
+    pub figures: Figures,
+}
+
+/// How a line of figures is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Format {
+    /// StatsD, with tags as DogStatsD has them.
+    Statsd,
+    /// InfluxDB's line protocol.
+    Influx,
+}
+
+/// Whether the proxy tells figures, how and where.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Figures {
+    /// Whether it does.
+    pub enabled: bool,
+    /// In which form.
+    pub format: Format,
+    /// How often.
+    pub flush: Duration,
+    /// Bytes of a datagram.
+    pub batch_bytes: usize,
+    /// A file to which they go in place of standard error.
+    pub file: Option<PathBuf>,
+    /// Where they go as datagrams in place of standard error.
+    pub udp: Option<SocketAddr>,
+}
+
+impl Default for Figures {
+    fn default() -> Self {
+        Figures {
+            enabled: false,
+            format: Format::Statsd,
+            flush: Duration::from_millis(1000),
+            batch_bytes: 1400,
+            file: None,
+            udp: None,
+        }
+    }
 }
 
 /// Whether and where the proxy keeps what it saw and chose.
@@ -117,7 +159,7 @@
     pub fn parse(file: &str, text: &str) -> Result<Self, Error> {
         let mut entries = Entries::parse(file, text)?;
         let (client, capture, drills) = (entries.client()?, entries.capture()?, entries.drills()?);
-        let features = Features { client, capture, drills };
+        let features = Features { client, capture, drills, figures: entries.figures()? };
         entries.finish()?;
         Ok(features)
     }
@@ -186,6 +228,20 @@
         })
     }
 
+    fn figures(&mut self) -> Result<Figures, Error> {
+        let default = Figures::default();
+        // One line has to fit into a datagram, and a datagram into an IP packet.
+        let batch = self.take("figures.batch_bytes", whole(512..=65_507))?;
+        Ok(Figures {
+            enabled: self.take("figures.enabled", flag)?.unwrap_or(default.enabled),
+            format: self.take("figures.format", format)?.unwrap_or(default.format),
+            flush: self.take("figures.flush_ms", span)?.unwrap_or(default.flush),
+            batch_bytes: batch.unwrap_or(default.batch_bytes),
+            file: self.take("figures.file", |text| Ok(PathBuf::from(text)))?,
+            udp: self.take("figures.udp", address)?,
+        })
+    }
+
     fn error(&self, line: usize, key: &str, what: impl Into<String>) -> Error {
         Error { file: self.file.into(), line: Some(line), key: Some(key.into()), what: what.into() }
     }
@@ -203,6 +259,19 @@
     text.parse().map_err(|_| format!("'{text}' is neither true nor false"))
 }
 
+fn format(text: &str) -> Result<Format, String> {
+    match text {
+        "statsd" => Ok(Format::Statsd),
+        "influx" => Ok(Format::Influx),
+        _ => Err(format!("'{text}' is neither statsd nor influx")),
+    }
+}
+
+fn address(text: &str) -> Result<SocketAddr, String> {
+    let address = text.parse().ok().filter(|a: &SocketAddr| a.port() > 0);
+    address.ok_or(format!("'{text}' is no IP address with a port"))
+}
+
 fn whole<T: TryFrom<u64>>(range: RangeInclusive<u64>) -> impl Fn(&str) -> Result<T, String> {
     move |text| {
         let number = text.parse().ok().filter(|n| range.contains(n)).and_then(|n| T::try_from(n).ok());
@@ -301,6 +370,35 @@
         }
     }
 
+    #[test]
+    fn the_figures_settings_are_read_and_have_their_defaults() {
+        let of = |text: &str| Features::parse("f", text).expect(text).figures;
+        let default = of("");
+        assert!(!default.enabled && default.format == Format::Statsd);
+        assert_eq!((default.flush, default.batch_bytes), (Duration::from_millis(1000), 1400));
+        assert_eq!((default.file, default.udp), (None, None));
+        let set = of("figures.enabled = true\nfigures.format = influx\nfigures.flush_ms = 50\n\
+            figures.batch_bytes = 512\nfigures.file = /var/log/x\nfigures.udp = 127.0.0.1:8125");
+        let wanted = Figures {
+            enabled: true,
+            format: Format::Influx,
+            flush: Duration::from_millis(50),
+            batch_bytes: 512,
+            file: Some("/var/log/x".into()),
+            udp: "127.0.0.1:8125".parse().ok(),
+        };
+        assert_eq!(set, wanted);
+        for (line, word) in [
+            ("figures.format = graphite", "neither statsd nor influx"),
+            ("figures.flush_ms = 0", "from 1 to"),
+            ("figures.batch_bytes = 511", "from 512 to"),
+            ("figures.udp = 127.0.0.1", "no IP address with a port"),
+            ("figures.udp = 127.0.0.1:0", "no IP address with a port"),
+        ] {
+            assert!(error(line).contains(word), "{line}: {}", error(line));
+        }
+    }
+
     #[test]
     fn a_file_that_cannot_be_read_is_named() {
         let error = Features::read(Path::new("/no/such/file")).expect_err("nothing there").to_string();
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -330,7 +330,8 @@
     pub log: Arc<Mutex<String>>,
     file: std::path::PathBuf,
     properties: Option<std::path::PathBuf>,
-    unread: Option<Lines<BufReader<ChildStderr>>>,
+    /// Standard error, where it is left unread.
+    pub unread: Option<Lines<BufReader<ChildStderr>>>,
 }
 
 static COUNT: AtomicUsize = AtomicUsize::new(0);
