--- a/src/bin/sandgap/capture.rs
+++ b/src/bin/sandgap/capture.rs
@@ -115,7 +115,9 @@
     fn put(&self, record: &Record) {
         let line = format!("{record}\n").into_bytes();
         let mut ring = self.ring.borrow_mut();
-        ring.put(self.clock.now(), &line);
+        if !ring.told || ring.files.is_some() {
+            ring.put(self.clock.now(), &line);
+        }
         if ring.told {
             self.outlet.put(CAPTURE, &line);
             self.outlet.wake();
--- a/src/bin/sandgap/drills.rs
+++ b/src/bin/sandgap/drills.rs
@@ -5,7 +5,6 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -24,7 +23,6 @@
 use wharfhitch::capture::Field;
 use wharfhitch::properties::Secret;
 
-use crate::figures::Drilled;
 use crate::frontend::plain;
 use crate::{log, note};
 
@@ -76,13 +74,14 @@
     deed: Deed,
     share: Share,
     until: Instant,
-    name: Arc<str>,
+    name: Rc<str>,
 }
 
 /// What a request of a drill's share meets.
-struct Hit {
+pub struct Hit {
     deed: Deed,
-    name: Arc<str>,
+    /// The drill's name.
+    pub name: Rc<str>,
 }
 
 /// The drills that run, one a class at most.
@@ -137,20 +136,15 @@
         })
     }
 
-    /// Lets a drill of this class act on an answer, if there is one and the request is of its share. `id` is
-    /// what the request is called.
-    pub async fn meet(
-        &self, class: usize, id: Option<&HeaderValue>, answer: Response<Full<Bytes>>,
-    ) -> Response<Full<Bytes>> {
-        let Some(hit) = self.draw(class) else { return answer };
+    /// Whether a drill of this class acts on a request that has its answer. `id` is what the request is called.
+    pub fn meet(&self, class: usize, id: Option<&HeaderValue>) -> Option<Hit> {
+        let hit = self.draw(class)?;
         let id = id.and_then(|id| id.to_str().ok());
         log::each(format_args!("drill={} id={}", hit.name, Field(id)));
-        let mut answer = self.act(&hit, answer).await;
-        answer.extensions_mut().insert(Drilled(hit.name));
-        answer
+        Some(hit)
     }
 
-    /// Whether a request of this class, which has its answer, is of a drill's share.
+    /// Whether a request of this class is of a drill's share.
     fn draw(&self, class: usize) -> Option<Hit> {
         let mut running = self.running.borrow_mut();
         let slot = running.get_mut(class)?;
@@ -164,7 +158,8 @@
         hit.then(|| Hit { deed: drill.deed, name: drill.name.clone() })
     }
 
-    async fn act(&self, hit: &Hit, answer: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+    /// Lets a drill act on an answer.
+    pub async fn act(&self, hit: &Hit, answer: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
         let Deed::Delay(delay) = hit.deed else {
             return plain(StatusCode::INTERNAL_SERVER_ERROR, "a drill");
         };
--- a/src/bin/sandgap/figures.rs
+++ b/src/bin/sandgap/figures.rs
@@ -3,7 +3,7 @@
 //!
 //! Threads write the lines out. Nothing here waits for them, and what they can't get rid of is bounded.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::fmt;
@@ -12,7 +12,6 @@
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use hyper::Request;
@@ -39,10 +38,6 @@
 /// The value for what the settings do not name.
 const OTHER: &str = "other";
 
-/// A drill's name, which the front end hangs on the answers that the drill acts on.
-#[derive(Clone, Debug)]
-pub struct Drilled(pub Arc<str>);
-
 /// Which class and tenant: places in the names, `None` for what the settings do not name.
 type Who = (Option<usize>, Option<usize>);
 
@@ -51,7 +46,7 @@
 struct Series {
     who: Who,
     code: u16,
-    drill: Option<Arc<str>>,
+    drill: Option<Rc<str>>,
 }
 
 #[derive(Default)]
@@ -113,7 +108,8 @@
         let who =
             (place(&names.classes, class_of(uri)), tenant.and_then(|tenant| place(&names.tenants, tenant)));
         *self.state.borrow_mut().inflight.entry(who).or_default() += 1;
-        Some(Flight { figures: self.clone(), who, began: Instant::now(), ended: false })
+        let (drill, ended) = (RefCell::default(), Cell::new(false));
+        Some(Flight { figures: self.clone(), who, began: Instant::now(), drill, ended })
     }
 
     fn end(&self, series: Series, took: Duration) {
@@ -237,25 +233,28 @@
     figures: Rc<Figures>,
     who: Who,
     began: Instant,
-    ended: bool,
+    drill: RefCell<Option<Rc<str>>>,
+    ended: Cell<bool>,
 }
 
 impl Flight {
-    /// It has this answer.
-    pub fn end(mut self, code: u16, drill: Option<&Drilled>) {
-        self.tell(code, drill.map(|d| d.0.clone()));
+    /// A drill acts on its answer.
+    pub fn drilled(&self, drill: &Rc<str>) {
+        self.drill.replace(Some(drill.clone()));
     }
 
-    fn tell(&mut self, code: u16, drill: Option<Arc<str>>) {
-        self.ended = true;
-        self.figures.end(Series { who: self.who, code, drill }, self.began.elapsed());
+    /// It has this answer.
+    pub fn end(&self, code: u16) {
+        self.ended.set(true);
+        let series = Series { who: self.who, code, drill: self.drill.take() };
+        self.figures.end(series, self.began.elapsed());
     }
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        if !self.ended {
-            self.tell(GONE, None);
+        if !self.ended.get() {
+            self.end(GONE);
         }
     }
 }
@@ -358,11 +357,12 @@
     fn statsd_lines_sum_requests_and_read_what_is_in_flight() {
         let (figures, lines, names) = figures(Format::Statsd);
         for _ in 0..3 {
-            begin(&figures, &names, "/lookup?sid=1", "biblio-estrie").expect("a request").end(200, None);
+            begin(&figures, &names, "/lookup?sid=1", "biblio-estrie").expect("a request").end(200);
         }
         let open = begin(&figures, &names, "/lookup?sid=1", "biblio-estrie");
-        let drilled = Drilled("lookup-abort".into());
-        begin(&figures, &names, "/evil,code:1|c", "nobody").expect("a request").end(500, Some(&drilled));
+        let drilled = begin(&figures, &names, "/evil,code:1|c", "nobody").expect("a request");
+        drilled.drilled(&"lookup-abort".into());
+        drilled.end(500);
         assert!(begin(&figures, &names, "/up", "nobody").is_none());
         let said = all(&figures, &lines);
         let tags = "class:lookup,tenant:biblio-estrie";
@@ -392,7 +392,7 @@
         let (figures, lines, names) = figures(Format::Influx);
         for _ in 0..2 {
             let request = begin(&figures, &names, "/lookup", "biblio-estrie");
-            request.expect("a request").end(200, None);
+            request.expect("a request").end(200);
         }
         figures.end(Series { who: (Some(1), None), code: 503, drill: None }, Duration::from_millis(2));
         let said = all(&figures, &lines);
@@ -417,7 +417,7 @@
         };
         let outlet = Outlet::start("test", &[700], 1, write).expect("a thread");
         let (figures, names) = figures_by(Format::Statsd, outlet.clone());
-        let end = |code| begin(&figures, &names, "/lookup", "nobody").expect("a request").end(code, None);
+        let end = |code| begin(&figures, &names, "/lookup", "nobody").expect("a request").end(code);
         end(200);
         outlet.wake();
         let first = lines.recv_timeout(LONG).expect("the first line");
--- a/src/bin/sandgap/frontend.rs
+++ b/src/bin/sandgap/frontend.rs
@@ -25,7 +25,7 @@
 use crate::capture::Capture;
 use crate::drills::Drills;
 use crate::driver::{Answer, Arrival, Inbox, Input, REFUSED};
-use crate::figures::Figures;
+use crate::figures::{Figures, Flight};
 use crate::note;
 use crate::upstream::{BODY, Outgoing, Upstreams, sid, strip};
 
@@ -188,10 +188,13 @@
                 client.busy.set(true);
                 let figures = front.features.figures.as_ref();
                 let flight = figures.and_then(|f| f.begin(&request, &front.names));
-                let mut response =
-                    if over { front.turn_away(request) } else { front.respond(request, &client).await };
+                let mut response = if over {
+                    front.turn_away(request)
+                } else {
+                    front.respond(request, &client, flight.as_ref()).await
+                };
                 if let Some(flight) = flight {
-                    flight.end(response.status().as_u16(), response.extensions().get());
+                    flight.end(response.status().as_u16());
                 }
                 if over || front.draining.get() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -243,7 +246,9 @@
         plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
     }
 
-    async fn respond(&self, request: Request<Incoming>, client: &Client) -> Response<Full<Bytes>> {
+    async fn respond(
+        &self, request: Request<Incoming>, client: &Client, flight: Option<&Flight>,
+    ) -> Response<Full<Bytes>> {
         let came = Instant::now();
         if request.uri().path() == "/up" {
             let up = self.ready.get() && !self.draining.get();
@@ -287,10 +292,12 @@
         let answer = answered.await;
         leaves.waits = false;
         let response = finished(answer);
-        match &self.features.drills {
-            Some(drills) => drills.meet(class.0, named.as_ref(), response).await,
-            None => response,
+        let Some(drills) = &self.features.drills else { return response };
+        let Some(hit) = drills.meet(class.0, named.as_ref()) else { return response };
+        if let Some(flight) = flight {
+            flight.drilled(&hit.name);
         }
+        drills.act(&hit, response).await
     }
 
     /// Reads what the module has to know; what can't be right goes no further.
--- a/src/bin/sandgap/main.rs
+++ b/src/bin/sandgap/main.rs
@@ -33,7 +33,8 @@
 use driver::{Clock, Driver, Inbox, Input, Parts};
 use figures::Figures;
 
-/// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch.
+/// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch; and
+/// the features' own: the drills' side port with its connections, the figures' socket, the files being written.
 const RESERVE: usize = 32;
 /// If discovery has said nothing by then, the remembered list is served from.
 const PATIENCE: Duration = Duration::from_millis(500);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! wharfhitch decides, for one reverse proxy, which HTTP server gets which request and when.
 //!
 //! It does no input or output of its own: feed [`Balancer::handle`] with what the proxy sees
-//! and carry out the [`Action`]s that it returns.
+//! and carry out the [`Action`]s that it returns. What else the programs share stands behind crate features.
 #![doc = include_str!("../README.md")]
 
 #[cfg(feature = "capture")]
--- a/tests/figures.rs
+++ b/tests/figures.rs
@@ -190,7 +190,21 @@
     let run = Command::new(env!("CARGO_BIN_EXE_canvascart")).args(drill).args(deed).output().unwrap();
     assert!(run.status.success());
     served(&mut Client::new(&proxy), 1000);
+    // One whose client does not wait for its delayed answer is affected too.
+    let run = Command::new(env!("CARGO_BIN_EXE_canvascart"))
+        .args(drill)
+        .args(["--delay", "60s", "--share", "100%", "--for", "120s"])
+        .output()
+        .unwrap();
+    assert!(run.status.success());
+    let mut left = Client::new(&proxy);
+    left.send(&page("r-left"));
+    wait_for("the drill", || proxy.log.lock().unwrap().contains("drill=page-delay-60000ms id=r-left"));
+    left.leave();
+    assert!(left.is_closed());
     let log = end(&mut proxy);
+    let gone = "class:page,tenant:acme,code:499,drill:page-delay-60000ms";
+    assert_eq!(sum(&log, "canvascart.requests", gone), 1);
     assert_eq!(sum(&log, "canvascart.requests", &format!("{SERVED},drill:page-delay-1ms")), 100);
     assert_eq!(sum(&log, "canvascart.requests", SERVED), 900);
 }
