--- a/src/bin/canvascart/capture.rs
+++ b/src/bin/canvascart/capture.rs
@@ -15,6 +15,8 @@
 const NO_CAPTURE: u8 = 3;
 /// Bytes of a line; a longer one is none of a capture's.
 const MOST: usize = 1 << 20;
+/// Bytes of a time that a log's keeper puts before a line.
+const STAMP: usize = 40;
 
 #[derive(clap::Subcommand)]
 pub enum Command {
@@ -75,7 +77,7 @@
                 break;
             }
             let line = String::from_utf8_lossy(&bytes);
-            let line = line.trim_end_matches(['\n', '\r']);
+            let line = unstamped(line.trim_end_matches(['\n', '\r']));
             match Line::parse(line).is_some_and(|parsed| contents.take(number, parsed)) {
                 true => {}
                 false if !line.is_empty() && Line::looks_alike(line) && input.fill_buf()?.is_empty() => {
@@ -120,6 +122,12 @@
     }
 }
 
+/// A line without the time that a log's keeper has put before it in brackets.
+fn unstamped(line: &str) -> &str {
+    let stamp = line.strip_prefix('[').and_then(|l| l.split_once("] "));
+    stamp.filter(|(stamp, _)| stamp.len() <= STAMP && !stamp.contains(' ')).map_or(line, |(_, rest)| rest)
+}
+
 /// Replays a file; returns how many decisions differ.
 fn replay(file: &Path) -> Result<usize, String> {
     let input = BufReader::new(File::open(file).map_err(|e| e.to_string())?);
--- a/tests/capture.rs
+++ b/tests/capture.rs
@@ -99,6 +99,10 @@
     assert!(said.contains("  then: s-9 200\n  now:  s-0 200\n"), "{said}");
     assert!(said.contains("  then: s-0:error 503\n  now:  s-0:error 502\n"), "{said}");
     assert!(said.contains(&format!("2 of {count} decisions differ")), "{said}");
+    // As a log's keeper hands it on, with the time before each line.
+    let stamped: String = log.lines().map(|l| format!("[23.18] {l}\n")).collect();
+    let run = replay(&stamped);
+    assert_eq!((run.status.code(), text(&run.stdout)), (Some(0), text(&same.stdout)));
     // Cut in its last line.
     let cut = replay(log.trim_end().trim_end_matches(char::is_numeric));
     let said = text(&cut.stdout);
@@ -109,6 +113,29 @@
     assert!(said.ends_with(" 1 truncated\n"), "{said}");
 }
 
+#[test]
+fn with_one_server_clients_that_come_at_once_make_no_difference_either() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let (_discovery, proxy) = proxy(&backend, &setup(ON));
+    std::thread::scope(|scope| {
+        for c in 0..8 {
+            let proxy = &proxy;
+            scope.spawn(move || {
+                let mut client = Client::new(proxy);
+                for n in 0..30 {
+                    let id = format!("r-{c}-{n}");
+                    let request = if n % 3 == 0 { submit(&id, "5", "x") } else { page(&id) };
+                    assert_eq!(client.ask(&request).expect("an answer").status(), 200);
+                }
+            });
+        }
+    });
+    let log = end(proxy, 240);
+    let run = replay(&log);
+    let said = text(&run.stdout);
+    assert!(run.status.code() == Some(0) && said.starts_with("0 of 240 decisions differ"), "{said}");
+}
+
 const HEAD: &str = "h 1 seed=000000000000002a node=n0 start=1764583465000 segment=3\n";
 const SETTINGS: &str = "s {\"classes\":[{\"name\":\"page\",\"effect\":\"idempotent\",\"deadline\":900}]}\n";
 const LIST: &str = "l seq=7 at=90000.000 whole hosts=1\nb s-a site=- class=- block=- share=- born=0 up\n";
