--- a/src/bin/canvascart/client.rs
+++ b/src/bin/canvascart/client.rs
@@ -59,11 +59,7 @@
         body: arguments.body.into(),
     };
     let mut client = Client::new(settings, fastrand::u64(..))?;
-    let runtime =
-        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-    let outcome = runtime.block_on(client.call(&ask));
-    runtime.shutdown_background(); // a look-up of a name must not outlast the deadline
-    let outcome = outcome?;
+    let outcome = crate::block_on(client.call(&ask))??;
     for (n, tried) in outcome.tries.iter().enumerate() {
         eprintln!("try {}: {tried}", n + 1);
     }
--- a/src/bin/canvascart/drill.rs
+++ b/src/bin/canvascart/drill.rs
@@ -1,5 +1,7 @@
 //! `canvascart drill`: starts and stops drills at a proxy's side port.
 
+use std::io::Write as _;
+
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{AUTHORIZATION, HOST, HeaderValue};
@@ -107,16 +109,13 @@
         .header(AUTHORIZATION, bearer)
         .body(Full::new(Bytes::from(body.to_string())))
         .map_err(|e| e.to_string())?;
-    let runtime =
-        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-    let answer = runtime.block_on(async { timeout(WAIT, exchange(&address, request)).await });
-    runtime.shutdown_background();
+    let answer = crate::block_on(async { timeout(WAIT, exchange(&address, request)).await })?;
     match answer.unwrap_or_else(|_| Err("no answer in time".into())) {
         Ok((answer, _)) => {
             let text = String::from_utf8_lossy(&answer.body);
             if answer.status == 200 {
-                println!("{}", text.trim_end());
-                return Ok(0);
+                let said = writeln!(std::io::stdout(), "{}", text.trim_end());
+                return said.map(|()| 0).map_err(|e| format!("standard output: {e}"));
             }
             eprintln!("canvascart: {address} refuses: {}", text.trim_end());
             Ok(REFUSED)
--- a/src/bin/canvascart/main.rs
+++ b/src/bin/canvascart/main.rs
@@ -46,6 +46,16 @@
     }
 }
 
+/// Runs a future to its end on a runtime of its own. What it leaves behind, such as the look-up of a name, does
+/// not outlast it.
+fn block_on<F: Future>(future: F) -> Result<F::Output, String> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let output = runtime.block_on(future);
+    runtime.shutdown_background();
+    Ok(output)
+}
+
 /// What the command line or a file gets wrong, as clap's own errors.
 const USAGE: u8 = 2;
 
--- a/src/client/http.rs
+++ b/src/client/http.rs
@@ -1,5 +1,22 @@
 //! Calls over HTTP/1.1. Each try opens a connection of its own and keeps none: there is no stale one that a
 //! request could be lost on, or sent on twice.
+//!
+//! ```no_run
+//! use wharfhitch::client::http::{Ask, Client};
+//! use wharfhitch::client::{Class, Settings};
+//!
+//! # async fn borrow(seed: u64) -> Result<(), String> {
+//! let settings = Settings { target: Some("127.0.0.1:9000".into()), ..Settings::default() };
+//! let mut client = Client::new(settings, seed)?;
+//! let (tenant, sid) = ("biblio-estrie".into(), "7f3a9c21e0b4d655".into());
+//! let outcome = client.call(&Ask { class: Class::Checkout, tenant, sid, body: "a book".into() }).await?;
+//! match outcome.answer {
+//!     Some(answer) if answer.status == 200 => println!("borrowed"),
+//!     _ => println!("not borrowed: {}", outcome.stop),
+//! }
+//! # Ok(())
+//! # }
+//! ```
 
 use std::fmt;
 use std::time::Duration;
