--- a/src/bin/sandgap/frontend.rs
+++ b/src/bin/sandgap/frontend.rs
@@ -237,8 +237,9 @@
     /// Refuses a request on a connection over the budget; the module never sees it.
     fn turn_away(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let (head, _) = request.into_parts();
-        let asked = self.check(&head.method, &head.uri, &head.headers);
-        if let (Some(capture), Ok(asked)) = (&self.features.capture, asked) {
+        if let Some(capture) = &self.features.capture
+            && let Ok(asked) = self.check(&head.method, &head.uri, &head.headers)
+        {
             let pending = capture.begin(asked.class, asked.tenant, asked.patience);
             let (method, uri, headers, body) = (head.method, head.uri, head.headers, Bytes::new());
             capture.turned_away(&pending, &Outgoing { method, uri, headers, body }, REFUSED);
