Lay the repository out as a workspace of packages by concern

Need: later subsystems (lab, tenancy, store, etcd, JSON-RPC) need crates of their own to stand on, and the proxy's parts could only be used by the one program they were compiled into.

Change: files move by git mv to crates/{wharfhitch,settings,capture,client,wirehost,engine,sandgap,canvascart}. The engine is yesterday's src/bin/sandgap less its main, as a library; sandgap is a thin main over it, and `canvascart proxy` (hidden) runs the same, so that tests and tools need nothing else built. The JSON settings, the features' properties, a capture's lines and the client's rules are crates instead of features of one library. Tests run in a profile of their own without the long link.

--- a/check.sh
+++ b/check.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# Everything that has to hold before a change lands: format, lints, tests, docs, the library alone.
+# Everything that has to hold before a change lands: format, lints, tests, docs, the module alone.
 set -euo pipefail
 cd "$(dirname "$0")"
 cargo fmt --all -- --check
-cargo clippy --locked --all-targets --all-features -- -D warnings
-cargo clippy --locked --lib --no-default-features -- -D warnings
-cargo test --locked --release
-RUSTDOCFLAGS="-D warnings" cargo doc --locked --no-deps
+cargo clippy --locked --workspace --all-targets --profile ci -- -D warnings
+cargo clippy --locked -p wharfhitch --profile ci -- -D warnings
+cargo test --locked --workspace --profile ci
+RUSTDOCFLAGS="-D warnings" cargo doc --locked --workspace --no-deps --profile ci
--- a/src/bin/canvascart/capture.rs
+++ b/crates/canvascart/src/capture.rs
@@ -5,7 +5,7 @@
 use std::io::{self, BufRead, BufReader, Write as _};
 use std::path::{Path, PathBuf};
 
-use wharfhitch::capture::{Decision, Head, Line, News, Record, Server};
+use ::capture::{Decision, Head, Line, News, Record, Server};
 
 use crate::replay::Replay;
 
--- a/src/bin/canvascart/client.rs
+++ b/crates/canvascart/src/client.rs
@@ -2,10 +2,10 @@
 
 use std::io::Write as _;
 
+use ::client::http::{Ask, Client, Outcome};
+use ::client::{Class, Stop};
 use clap::ValueEnum;
-use wharfhitch::client::http::{Ask, Client, Outcome};
-use wharfhitch::client::{Class, Stop};
-use wharfhitch::properties::host_and_port;
+use settings::properties::host_and_port;
 
 /// The answer is neither served nor a refusal, or there is none.
 const FAILED: u8 = 1;
--- a/src/bin/canvascart/drill.rs
+++ b/crates/canvascart/src/drill.rs
@@ -2,14 +2,14 @@
 
 use std::io::Write as _;
 
+use ::client::http::exchange;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{AUTHORIZATION, HOST, HeaderValue};
 use hyper::{Method, Request};
 use serde_json::json;
+use settings::properties::{Secret, host_and_port};
 use tokio::time::{Duration, timeout};
-use wharfhitch::client::http::exchange;
-use wharfhitch::properties::{Secret, host_and_port};
 
 /// The proxy refuses.
 const REFUSED: u8 = 1;
--- a/src/bin/canvascart/main.rs
+++ b/crates/canvascart/src/main.rs
@@ -5,11 +5,12 @@
 mod drill;
 mod replay;
 
+use std::ffi::OsString;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use wharfhitch::properties::Features;
+use settings::properties::Features;
 
 /// Tools for those who run and use the proxy.
 #[derive(Parser)]
@@ -29,6 +30,12 @@
     /// Rehearses slow or failing servers at a proxy.
     #[command(subcommand)]
     Drill(drill::Command),
+    /// Runs a proxy, as the program sandgap does: for tests and the lab, which need nothing else built.
+    #[command(hide = true)]
+    Proxy {
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        arguments: Vec<OsString>,
+    },
 }
 
 /// The file with the features' settings.
@@ -64,6 +71,7 @@
         Command::Client(arguments) => client::run(arguments),
         Command::Capture(command) => capture::run(command),
         Command::Drill(command) => drill::run(command),
+        Command::Proxy { arguments } => return engine::process::main(arguments.into_iter()),
     };
     ExitCode::from(outcome.unwrap_or_else(|text| {
         eprintln!("canvascart: {text}");
--- a/src/bin/canvascart/replay.rs
+++ b/crates/canvascart/src/replay.rs
@@ -3,8 +3,8 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use wharfhitch::capture::{Head, News, Record, Server, Tried};
-use wharfhitch::settings::{self, Names, index_of, number_of};
+use ::capture::{Head, News, Record, Server, Tried};
+use settings::{Names, index_of, number_of};
 use wharfhitch::{
     Action, Backend, BackendId, Balancer, CellId, ClassId, Event, Key, KindId, Millis, Outcome, RequestId,
     TenantId, ZoneId,
--- a/tests/capture.rs
+++ b/crates/canvascart/tests/capture.rs
@@ -1,4 +1,5 @@
 //! The capture of a running proxy, and `canvascart capture replay`.
+#[path = "../../engine/tests/sockets/mod.rs"]
 mod sockets;
 
 use std::process::{Command, Output};
--- a/tests/client.rs
+++ b/crates/canvascart/tests/client.rs
@@ -1,4 +1,5 @@
 //! `canvascart client` against stubs on loopback, and against the proxy.
+#[path = "../../engine/tests/sockets/mod.rs"]
 mod sockets;
 
 use std::net::{SocketAddr, TcpListener};
--- a/tests/drills.rs
+++ b/crates/canvascart/tests/drills.rs
@@ -1,4 +1,5 @@
 //! Drills on a running proxy, through `canvascart drill` and its side port.
+#[path = "../../engine/tests/sockets/mod.rs"]
 mod sockets;
 
 use std::io::{Read, Write};
--- a/tests/figures.rs
+++ b/crates/canvascart/tests/figures.rs
@@ -1,4 +1,5 @@
 //! The figures of a running proxy, wherever they go.
+#[path = "../../engine/tests/sockets/mod.rs"]
 mod sockets;
 
 use std::net::{SocketAddr, UdpSocket};
--- a/src/capture.rs
+++ b/crates/capture/src/lib.rs
@@ -17,7 +17,7 @@
 use std::borrow::Cow;
 use std::fmt::{self, Write as _};
 
-use crate::{Millis, Outcome, Scope, State};
+use wharfhitch::{Millis, Outcome, Scope, State};
 
 /// Bytes of a field from outside; the rest is cut, which `%~` marks.
 pub const FIELD: usize = 128;
--- a/src/client/http.rs
+++ b/crates/client/src/http.rs
@@ -2,8 +2,8 @@
 //! request could be lost on, or sent on twice.
 //!
 //! ```no_run
-//! use wharfhitch::client::http::{Ask, Client};
-//! use wharfhitch::client::{Class, Settings};
+//! use client::http::{Ask, Client};
+//! use client::{Class, Settings};
 //!
 //! # async fn borrow(seed: u64) -> Result<(), String> {
 //! let settings = Settings { target: Some("127.0.0.1:9000".into()), ..Settings::default() };
@@ -30,7 +30,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use super::{Call, Class, Ended, Next, Settings, Stop, Try, retry_after, timeout_text};
+use crate::{Call, Class, Ended, Next, Settings, Stop, Try, retry_after, timeout_text};
 
 /// Bytes of an answer's or a request's body, by the protocol.
 pub const BODY: usize = 64 << 10;
--- a/src/client.rs
+++ b/crates/client/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`Call`] holds the rules and does no input or output of its own; `http` carries them out over HTTP/1.1.
 //! Times are spans since the call began.
 
-#[cfg(feature = "client")]
+#[cfg(feature = "http")]
 pub mod http;
 
 use std::fmt;
--- a/src/bin/sandgap/capture.rs
+++ b/crates/engine/src/capture.rs
@@ -9,9 +9,9 @@
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::time::Duration;
 
-use wharfhitch::capture::{Field, Head, News, Record, Server, Tried};
-use wharfhitch::properties::Capture as Settings;
-use wharfhitch::settings::{Names, number_of};
+use ::capture::{Field, Head, News, Record, Server, Tried};
+use settings::properties::Capture as Settings;
+use settings::{Names, number_of};
 use wharfhitch::{BackendId, ClassId, Millis, Outcome, Scope, State, TenantId};
 
 use crate::discovery::Host;
@@ -335,7 +335,7 @@
 
 #[cfg(test)]
 mod tests {
-    use wharfhitch::capture::Line;
+    use ::capture::Line;
 
     use super::*;
 
--- a/src/bin/sandgap/config.rs
+++ b/crates/engine/src/config.rs
@@ -5,8 +5,8 @@
 
 use serde::Deserialize;
 use serde_json::Value;
+use settings::{Connections, Names, number_of};
 use wharfhitch::Settings;
-use wharfhitch::settings::{self, Connections, Names, number_of};
 
 /// The file as it stands; unknown keys are passed over.
 #[derive(Deserialize)]
--- a/src/bin/sandgap/drills.rs
+++ b/crates/engine/src/drills.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ::capture::Field;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -16,12 +17,11 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Deserialize;
+use settings::properties::Secret;
 use subtle::ConstantTimeEq;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::{Instant, sleep, timeout};
-use wharfhitch::capture::Field;
-use wharfhitch::properties::Secret;
 
 use crate::frontend::plain;
 use crate::{log, note};
--- a/src/bin/sandgap/driver.rs
+++ b/crates/engine/src/driver.rs
@@ -7,9 +7,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rustc_hash::FxHashMap;
+use settings::{Names, index_of, number_of};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
-use wharfhitch::settings::{Names, index_of, number_of};
 use wharfhitch::{
     Action, Backend, BackendId, Balancer, CellId, ClassId, Event, Key, KindId, Millis, Outcome, RequestId,
     Scope, State, TenantId, ZoneId,
--- a/src/bin/sandgap/figures.rs
+++ b/crates/engine/src/figures.rs
@@ -15,9 +15,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use hyper::Request;
+use settings::Names;
+use settings::properties::{Figures as Settings, Format};
 use tokio::time::{Instant, MissedTickBehavior, interval};
-use wharfhitch::properties::{Figures as Settings, Format};
-use wharfhitch::settings::Names;
 
 use crate::capture::GONE;
 use crate::frontend::class_of;
--- a/src/bin/sandgap/frontend.rs
+++ b/crates/engine/src/frontend.rs
@@ -16,10 +16,10 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use settings::{Names, number_of};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
-use wharfhitch::settings::{Names, number_of};
 use wharfhitch::{Class, ClassId, Effect, Key, RequestId, TenantId};
 
 use crate::capture::Capture;
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,20 @@
+//! The reverse proxy as a library: clients, backends, discovery and peers on sockets, every decision in the
+//! module `wharfhitch`.
+//!
+//! It decides nothing about requests: the driver feeds the module with what the sockets see and does what it says,
+//! in order. [`process::main`] is a whole proxy, started as the platform starts it.
+
+mod capture;
+mod config;
+mod discovery;
+mod drills;
+mod driver;
+mod figures;
+mod frontend;
+mod log;
+mod outlet;
+mod peers;
+pub mod process;
+mod upstream;
+
+use log::note;
--- a/src/bin/sandgap/log.rs
+++ b/crates/engine/src/log.rs
@@ -85,7 +85,7 @@
 }
 
 /// Logs a formatted line, rate-limited.
-#[macro_export]
 macro_rules! note {
     ($($part:tt)*) => { $crate::log::line(format_args!($($part)*)) };
 }
+pub(crate) use note;
--- a/src/bin/sandgap/main.rs
+++ b/crates/engine/src/process.rs
@@ -1,16 +1,4 @@
-//! The reverse proxy: clients, backends, discovery and peers on sockets, every decision in the module.
-
-mod capture;
-mod config;
-mod discovery;
-mod drills;
-mod driver;
-mod figures;
-mod frontend;
-mod log;
-mod outlet;
-mod peers;
-mod upstream;
+//! One proxy as a process: reads the command line and the configuration, and wires the parts together.
 
 use std::cell::Cell;
 use std::ffi::OsString;
@@ -20,18 +8,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use settings::properties::Features;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
-use wharfhitch::properties::Features;
 use wharfhitch::{Balancer, Scope};
 
-use capture::Capture;
-use config::Config;
-use drills::Drills;
-use driver::{Clock, Driver, Inbox, Input, Parts};
-use figures::Figures;
+use crate::capture::Capture;
+use crate::config::Config;
+use crate::drills::Drills;
+use crate::driver::{Clock, Driver, Inbox, Input, Parts};
+use crate::figures::Figures;
+use crate::{config, discovery, frontend, log, note, peers, upstream};
 
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch; and
 /// the features' own: the drills' side port with its connections, the figures' socket, the files being written.
@@ -184,8 +173,8 @@
     }
 }
 
-fn start() -> Result<(), String> {
-    let features = features(std::env::args_os().skip(1))?;
+fn start(arguments: impl Iterator<Item = OsString>) -> Result<(), String> {
+    let features = features(arguments)?;
     let path = PathBuf::from(std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?);
     let config = config::read(&path)?;
     let runtime =
@@ -195,8 +184,10 @@
     outcome
 }
 
-fn main() -> ExitCode {
-    let code = match start() {
+/// Runs a proxy to its end, with the arguments that follow the program's name; the platform's part is in the
+/// environment, as its deployment page says. Errors go to standard error.
+pub fn main(arguments: impl Iterator<Item = OsString>) -> ExitCode {
+    let code = match start(arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
             note!("{text}");
--- a/src/bin/sandgap/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -221,7 +221,7 @@
 }
 
 impl Upstreams {
-    pub fn new(connections: &wharfhitch::settings::Connections, sockets: usize) -> Self {
+    pub fn new(connections: &settings::Connections, sockets: usize) -> Self {
         let span = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3.6e6) / 1000.0);
         Upstreams {
             dial_timeout: span(connections.dial_timeout),
--- a/tests/sockets/mod.rs
+++ b/crates/engine/tests/sockets/mod.rs
@@ -348,7 +348,13 @@
     pub fn start(discovery: &Discovery, setup: &Setup) -> Self {
         let file = config_file(&config(discovery.address, setup));
         let properties = setup.properties.as_deref().map(config_file);
-        let program = env!("CARGO_BIN_EXE_sandgap");
+        // Whichever program of the package under test runs a proxy.
+        let (program, verb) =
+            match (option_env!("CARGO_BIN_EXE_sandgap"), option_env!("CARGO_BIN_EXE_canvascart")) {
+                (Some(program), _) => (program, None),
+                (None, Some(program)) => (program, Some("proxy")),
+                (None, None) => panic!("the package under test has no program that runs a proxy"),
+            };
         let mut command = match setup.descriptors {
             Some(limit) => {
                 let mut shell = Command::new("sh");
@@ -357,6 +363,7 @@
             }
             None => Command::new(program),
         };
+        command.args(verb);
         if let Some(file) = &properties {
             command.arg("--properties").arg(file);
         }
--- a/tests/proxy.rs
+++ b/crates/sandgap/tests/proxy.rs
@@ -1,4 +1,5 @@
 //! The proxy on loopback sockets, one failure a test.
+#[path = "../../engine/tests/sockets/mod.rs"]
 mod sockets;
 
 use std::io::{Read, Write};
--- a/tests/settings_file.rs
+++ b/crates/sandgap/tests/settings_file.rs
@@ -1,4 +1,5 @@
 //! The file with the features' settings, through the command line of the proxy.
+#[path = "../../engine/tests/sockets/mod.rs"]
 mod sockets;
 
 use std::process::{Command, Output};
@@ -41,7 +42,7 @@
 
 #[test]
 fn the_file_in_service_is_good() {
-    let service = include_str!("../deploy/canvascart.properties").to_owned();
+    let service = include_str!("../../../deploy/canvascart.properties").to_owned();
     let backend = Backend::new(Deed::Write(ok("served")));
     let discovery = Discovery::new();
     discovery.say(&all_up(&[&backend]));
--- a/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -1,8 +1,10 @@
-//! The start-up parameters, from JSON to [`Settings`].
+//! The operators' settings: the platform's start-up parameters, from JSON to [`Settings`], and the file of the
+//! features in [`properties`]. It reads and checks; nothing is decided here.
 
-use serde_json::Value;
+pub mod properties;
 
-use crate::{Class, Discovery, Effect, Group, Limits, Millis, Prices, Rating, Settings, Tenant, ZoneId};
+use serde_json::Value;
+use wharfhitch::{Class, Discovery, Effect, Group, Limits, Millis, Prices, Rating, Settings, Tenant, ZoneId};
 
 /// The names that later lines refer to.
 #[derive(Clone, Debug, Default)]
--- a/src/properties.rs
+++ b/crates/settings/src/properties.rs
@@ -11,8 +11,6 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use crate::client;
-
 /// Bytes of a file; a longer one is no settings file.
 const MOST: u64 = 64 << 10;
 
--- /dev/null
+++ b/crates/wharfhitch/src/lib.rs
@@ -0,0 +1,15 @@
+//! wharfhitch decides, for one reverse proxy, which HTTP server gets which request and when.
+//!
+//! It does no input or output of its own: feed a [`Balancer`] through [`Balancer::handle`] with the [`Event`]s
+//! that the proxy sees, and carry out the [`Action`]s that it returns. It holds no clock either: the time comes
+//! with each event, and chance from one seed.
+//!
+//! `choice.rs` decides, `state.rs` is what it knows, `interface.rs` is its events, actions and settings.
+
+mod choice;
+mod interface;
+mod state;
+
+pub use choice::threshold;
+pub use interface::*;
+pub use state::Balancer;
--- a/src/bin/wharfhitch-wirehost/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -11,7 +11,7 @@
     State, TenantId, ZoneId,
 };
 
-use wharfhitch::settings::{self, Names, index_of, number_of};
+use settings::{Names, index_of, number_of};
 
 /// Whether this version reads messages of that name.
 pub fn known(name: &str) -> bool {
