Part the engine into layers, so that no file uses one above it

Need: eight files imported each other in a circle (log, capture, discovery, driver, frontend, drills, figures, peers); none could be used, tested or replaced without the others.

Change: what they shared stands in files of its own below them: message.rs (what is passed on), hosts.rs (the list as written), clock.rs, inbox.rs (arrivals in, one answer out, the answers' codes).

--- a/crates/engine/src/capture.rs
+++ b/crates/engine/src/capture.rs
@@ -14,17 +14,19 @@
 use settings::{Names, number_of};
 use wharfhitch::{BackendId, ClassId, Millis, Outcome, Scope, State, TenantId};
 
-use crate::discovery::Host;
-use crate::driver::Clock;
+use crate::clock::Clock;
+use crate::hosts::Host;
 use crate::log::{self, CAPTURE};
+use crate::message::Outgoing;
 use crate::note;
 use crate::outlet::Outlet;
-use crate::upstream::Outgoing;
 
 const SEGMENTS: usize = 4;
 const SEGMENT: usize = 192 << 10;
 /// Bytes of the whole ring.
-pub const RING: usize = SEGMENTS * SEGMENT;
+const RING: usize = SEGMENTS * SEGMENT;
+/// At the end all of it goes to standard error at once, behind what is still on its way there.
+const _: () = assert!(RING + SEGMENT <= log::CAPTURE_MOST);
 /// A segment's opening leaves at least half of it for records: of a longer list the rest is left out.
 const OPENING: usize = SEGMENT / 2;
 /// Files of one proxy in `capture.dir`; the oldest ones go.
@@ -48,9 +50,6 @@
     }
 }
 
-/// The code of a request whose client left before its answer.
-pub const GONE: u16 = 499;
-
 /// The proxy's capture.
 pub struct Capture {
     names: Names,
--- /dev/null
+++ b/crates/engine/src/clock.rs
@@ -0,0 +1,45 @@
+//! The module's clock.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::time::Instant;
+use wharfhitch::Millis;
+
+/// The module's clock is monotonic and starts with the process; Unix time is converted here alone, by an
+/// offset taken once, so that the same start always gives the same time.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix_start: Millis,
+}
+
+impl Clock {
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix_start: unix.as_secs_f64() * 1000.0 }
+    }
+
+    /// The time on the module's clock.
+    pub fn now(&self) -> Millis {
+        self.at(Instant::now())
+    }
+
+    /// Unix time at the start.
+    pub fn unix_start(&self) -> Millis {
+        self.unix_start
+    }
+
+    fn at(&self, instant: Instant) -> Millis {
+        instant.saturating_duration_since(self.start).as_secs_f64() * 1000.0
+    }
+
+    /// The instant of a time on the module's clock.
+    pub fn instant(&self, at: Millis) -> Instant {
+        self.start + Duration::from_secs_f64(at.clamp(0.0, 1e12) / 1000.0)
+    }
+
+    /// A server's start on the module's clock, from Unix time in ms; `None` if long ago.
+    pub fn born(&self, born_ms: f64) -> Option<Millis> {
+        (born_ms.is_finite() && born_ms > 0.0).then_some(born_ms - self.unix_start)
+    }
+}
--- a/crates/engine/src/discovery.rs
+++ b/crates/engine/src/discovery.rs
@@ -11,14 +11,13 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
-use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
-use wharfhitch::{Scope, State};
+use wharfhitch::Scope;
 
-use crate::driver::{Inbox, Input};
+use crate::hosts::List;
+use crate::inbox::{Inbox, Input};
 use crate::note;
 
 /// A watch sends an empty line every 2 s. One that is silent for longer may hang on a dead machine, and what
@@ -28,83 +27,6 @@
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 const MOST: usize = 4 << 20; // bytes of a line
 
-/// One line of the list.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Host {
-    pub host: String,
-    /// Where it is reached; `None` if that can't be read.
-    pub dial: Option<SocketAddr>,
-    pub site: Option<String>,
-    pub class: Option<String>,
-    pub block: Option<u64>,
-    pub health: String,
-    pub share: Option<f64>,
-    /// Unix time in milliseconds; 0 for long ago.
-    pub born_ms: f64,
-}
-
-impl Host {
-    /// Reads what can be read: one odd entry must not hide what the rest of the list says.
-    fn read(entry: &Value) -> Option<Self> {
-        let text = |key: &str| entry[key].as_str().map(str::to_owned);
-        let Some(host) = text("host") else {
-            note!("discovery: an entry without a name");
-            return None;
-        };
-        let dial = entry["dial"].as_str().and_then(|d| d.parse().ok());
-        if dial.is_none() && entry["health"] != "removed" {
-            note!("discovery: {host} has no address");
-        }
-        Some(Host {
-            host,
-            dial,
-            site: text("site"),
-            class: text("class"),
-            block: entry["block"].as_u64(),
-            health: text("health").unwrap_or_default(),
-            share: entry["share"].as_f64(),
-            born_ms: entry["born_ms"].as_f64().unwrap_or(0.0),
-        })
-    }
-
-    /// Whether something new may go there.
-    pub fn state(&self) -> State {
-        match self.health.as_str() {
-            "up" if self.dial.is_some() => State::Up,
-            "removed" => State::Gone,
-            _ => State::Draining, // draining, unknown or nowhere: nothing new goes there
-        }
-    }
-}
-
-/// The whole list or what has changed.
-#[derive(Debug, Deserialize)]
-struct List {
-    seq: u64,
-    whole: bool,
-    hosts: Vec<Value>,
-}
-
-impl List {
-    fn entries(&self) -> Vec<Host> {
-        self.hosts.iter().filter_map(Host::read).collect()
-    }
-}
-
-/// Reads the list that the configuration remembers; a broken one is as good as none.
-pub fn remembered(known: &Value) -> Option<(u64, Vec<Host>)> {
-    if known.is_null() {
-        return None;
-    }
-    match List::deserialize(known) {
-        Ok(list) => Some((list.seq, list.entries())),
-        Err(e) => {
-            note!("the remembered list is of no use: {e}");
-            None
-        }
-    }
-}
-
 /// Where discovery is; a new configuration may name another address.
 pub struct Place {
     address: Cell<SocketAddr>,
--- a/crates/engine/src/drills.rs
+++ b/crates/engine/src/drills.rs
@@ -23,7 +23,7 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::frontend::plain;
+use crate::message::plain;
 use crate::{log, note};
 
 /// Connections to the side port at once; more are closed unanswered.
--- a/crates/engine/src/driver.rs
+++ b/crates/engine/src/driver.rs
@@ -4,128 +4,31 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use rustc_hash::FxHashMap;
 use settings::{Names, index_of, number_of};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 use wharfhitch::{
-    Action, Backend, BackendId, Balancer, CellId, ClassId, Event, Key, KindId, Millis, Outcome, RequestId,
-    Scope, State, TenantId, ZoneId,
+    Action, Backend, BackendId, Balancer, CellId, Event, KindId, Millis, Outcome, RequestId, Scope, State,
+    ZoneId,
 };
 
-use crate::capture::{self, Capture, Pending};
-use crate::discovery::{self, Host, Place};
+use crate::capture::{Capture, Pending};
+use crate::clock::Clock;
+use crate::discovery::{self, Place};
+use crate::hosts::Host;
+use crate::inbox::{Answer, Arrival, FAILED, GONE, Inbox, Input, REFUSED, SERVED};
+use crate::message::{Outgoing, Reply};
 use crate::note;
 use crate::peers::Peers;
-use crate::upstream::{Endpoint, Outgoing, Reply, Upstreams};
+use crate::upstream::{Endpoint, Upstreams};
 
 /// What the client is told has to be on its way this long before the client gives up, whatever happens.
 const LAST_RESORT: Duration = Duration::from_millis(4);
-/// The codes of the final answers.
-pub const SERVED: u16 = 200;
-pub const REFUSED: u16 = 503;
-pub const FAILED: u16 = 502;
 const SWEEP: Duration = Duration::from_secs(1); // between looks at idle connections
 
-/// What happens outside the module.
-pub enum Input {
-    /// A whole request has been read.
-    Request(Box<Arrival>),
-    /// Its client has left.
-    Gone(RequestId),
-    /// An attempt has ended.
-    Ended { request: RequestId, attempt: u32, latency: Millis, outcome: Outcome, reply: Option<Reply> },
-    /// News of the list, with discovery's version of it.
-    List { scope: Scope, seq: Option<u64>, hosts: Vec<Host> },
-    /// Another proxy's message.
-    Datagram { from: u32, bytes: Vec<u8> },
-}
-
-impl Input {
-    /// A list that was asked for and did not come.
-    pub fn no_list() -> Self {
-        Input::List { scope: Scope::Failed, seq: None, hosts: Vec::new() }
-    }
-}
-
-/// A client's request.
-pub struct Arrival {
-    pub id: RequestId,
-    pub class: ClassId,
-    pub tenant: Option<TenantId>,
-    pub key: Option<Key>,
-    pub hint: Option<Millis>,
-    /// How long the client waits in all.
-    pub patience: Duration,
-    /// When the client gives up.
-    pub deadline: Instant,
-    pub message: Outgoing,
-    pub answer: oneshot::Sender<Answer>,
-}
-
-/// The one final answer.
-pub enum Answer {
-    Served(Reply),
-    /// Trying again is harmless, after a while if one is named.
-    Refused(Option<Millis>),
-    Failed,
-}
-
-/// Where all parts put what they have seen.
-#[derive(Clone)]
-pub struct Inbox(mpsc::UnboundedSender<Input>);
-
-impl Inbox {
-    /// An inbox and the end that the driver reads. Its length is bounded by the budget of sockets: each
-    /// connection holds one request, and each request a few attempts.
-    pub fn new() -> (Self, mpsc::UnboundedReceiver<Input>) {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        (Inbox(sender), receiver)
-    }
-
-    pub fn put(&self, input: Input) {
-        let _ = self.0.send(input); // fails only while the process ends
-    }
-}
-
-/// The module's clock is monotonic and starts with the process; Unix time is converted here alone, by an
-/// offset taken once, so that the same start always gives the same time.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-    unix_start: Millis,
-}
-
-impl Clock {
-    pub fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix_start: unix.as_secs_f64() * 1000.0 }
-    }
-
-    pub fn now(&self) -> Millis {
-        self.at(Instant::now())
-    }
-
-    /// Unix time at the start.
-    pub fn unix_start(&self) -> Millis {
-        self.unix_start
-    }
-
-    fn at(&self, instant: Instant) -> Millis {
-        instant.saturating_duration_since(self.start).as_secs_f64() * 1000.0
-    }
-
-    fn instant(&self, at: Millis) -> Instant {
-        self.start + Duration::from_secs_f64(at.clamp(0.0, 1e12) / 1000.0)
-    }
-
-    fn born(&self, born_ms: f64) -> Option<Millis> {
-        (born_ms.is_finite() && born_ms > 0.0).then_some(born_ms - self.unix_start)
-    }
-}
-
 /// A request that lacks its answer or has attempts out.
 struct Live {
     answer: Option<oneshot::Sender<Answer>>,
@@ -217,7 +120,7 @@
         match input {
             Input::Request(arrival) => self.request(*arrival),
             Input::Gone(id) => {
-                if self.close(id, capture::GONE).is_some() {
+                if self.close(id, GONE).is_some() {
                     self.handle(Event::Abandoned(id));
                 }
             }
--- a/crates/engine/src/figures.rs
+++ b/crates/engine/src/figures.rs
@@ -19,14 +19,12 @@
 use settings::properties::{Figures as Settings, Format};
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use crate::capture::GONE;
-use crate::frontend::class_of;
-use crate::log::{self, FIGURES};
+use crate::inbox::GONE;
+use crate::log::{self, FIGURES, FIGURES_MOST as MOST};
+use crate::message::class_of;
 use crate::note;
 use crate::outlet::{Outlet, write_whole};
 
-/// Bytes that wait in all, whatever they wait for.
-pub const MOST: usize = 240 << 10;
 /// From so many bytes on the threads get to work before the flush.
 const EARLY: usize = 32 << 10;
 /// Bytes of one write to a file.
--- a/crates/engine/src/frontend.rs
+++ b/crates/engine/src/frontend.rs
@@ -24,10 +24,11 @@
 
 use crate::capture::Capture;
 use crate::drills::Drills;
-use crate::driver::{Answer, Arrival, Inbox, Input, REFUSED};
 use crate::figures::{Figures, Flight};
+use crate::inbox::{Answer, Arrival, Inbox, Input, REFUSED};
+use crate::message::{BODY, Outgoing, class_of, plain, sid, strip, target};
 use crate::note;
-use crate::upstream::{BODY, Outgoing, Upstreams, sid, strip};
+use crate::upstream::Upstreams;
 
 /// A head must be whole after this span, and a connection's first request with its body: a peer that sends
 /// no proper request is owed an error or a close within 3 s. It also bounds how long a connection stands idle,
@@ -374,16 +375,6 @@
     }
 }
 
-/// The name of a request's class.
-pub fn class_of(uri: &Uri) -> &str {
-    uri.path().trim_start_matches('/').split('/').next().unwrap_or_default()
-}
-
-/// Path and query alone, as they came, also of a request in absolute form.
-fn target(uri: &Uri) -> Uri {
-    uri.path_and_query().map_or_else(Uri::default, |p| Uri::from(p.clone()))
-}
-
 /// The module's final answer, as the client gets it.
 fn finished(answer: Result<Answer, oneshot::error::RecvError>) -> Response<Full<Bytes>> {
     match answer {
@@ -403,12 +394,6 @@
     }
 }
 
-pub fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
-    *response.status_mut() = status;
-    response
-}
-
 /// Listens on the one address.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
--- /dev/null
+++ b/crates/engine/src/inbox.rs
@@ -0,0 +1,78 @@
+//! What the parts tell the driver, and what a front gets back: arrivals in, one final answer out.
+
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+use wharfhitch::{ClassId, Key, Millis, Outcome, RequestId, Scope, TenantId};
+
+use crate::hosts::Host;
+use crate::message::{Outgoing, Reply};
+
+/// The codes of the final answers.
+pub const SERVED: u16 = 200;
+pub const REFUSED: u16 = 503;
+pub const FAILED: u16 = 502;
+/// The code of a request whose client left before its answer.
+pub const GONE: u16 = 499;
+
+/// What happens outside the module.
+pub enum Input {
+    /// A whole request has been read.
+    Request(Box<Arrival>),
+    /// Its client has left.
+    Gone(RequestId),
+    /// An attempt has ended.
+    Ended { request: RequestId, attempt: u32, latency: Millis, outcome: Outcome, reply: Option<Reply> },
+    /// News of the list, with discovery's version of it.
+    List { scope: Scope, seq: Option<u64>, hosts: Vec<Host> },
+    /// Another proxy's message.
+    Datagram { from: u32, bytes: Vec<u8> },
+}
+
+impl Input {
+    /// A list that was asked for and did not come.
+    pub fn no_list() -> Self {
+        Input::List { scope: Scope::Failed, seq: None, hosts: Vec::new() }
+    }
+}
+
+/// A client's request.
+pub struct Arrival {
+    pub id: RequestId,
+    pub class: ClassId,
+    pub tenant: Option<TenantId>,
+    pub key: Option<Key>,
+    pub hint: Option<Millis>,
+    /// How long the client waits in all.
+    pub patience: Duration,
+    /// When the client gives up.
+    pub deadline: Instant,
+    pub message: Outgoing,
+    pub answer: oneshot::Sender<Answer>,
+}
+
+/// The one final answer.
+pub enum Answer {
+    Served(Reply),
+    /// Trying again is harmless, after a while if one is named.
+    Refused(Option<Millis>),
+    Failed,
+}
+
+/// Where all parts put what they have seen.
+#[derive(Clone)]
+pub struct Inbox(mpsc::UnboundedSender<Input>);
+
+impl Inbox {
+    /// An inbox and the end that the driver reads. Its length is bounded by the budget of sockets: each
+    /// connection holds one request, and each request a few attempts.
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<Input>) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        (Inbox(sender), receiver)
+    }
+
+    pub fn put(&self, input: Input) {
+        let _ = self.0.send(input); // fails only while the process ends
+    }
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,13 +5,17 @@
 //! in order. [`process::main`] is a whole proxy, started as the platform starts it.
 
 mod capture;
+mod clock;
 mod config;
 mod discovery;
 mod drills;
 mod driver;
 mod figures;
 mod frontend;
+mod hosts;
+mod inbox;
 mod log;
+mod message;
 mod outlet;
 mod peers;
 pub mod process;
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -8,9 +8,10 @@
 
 use crate::outlet::{Outlet, write_whole};
 
-/// Bytes that wait for a standard error that is not read: of the log's own lines, and of a capture.
+/// Bytes that wait for a standard error that is not read: of the log's own lines, of a capture, of figures.
 const LOG_MOST: usize = 64 << 10;
-const CAPTURE_MOST: usize = crate::capture::RING + (192 << 10);
+pub const CAPTURE_MOST: usize = 960 << 10;
+pub const FIGURES_MOST: usize = 240 << 10;
 /// Bytes of one write.
 const BATCH: usize = 4096;
 /// The lanes of standard error.
@@ -72,7 +73,7 @@
     }
     // Where nobody reads any more, it is lost.
     let write = |lines: &[u8]| write_whole(&mut std::io::stderr(), lines).unwrap_or_default();
-    let most = [LOG_MOST, CAPTURE_MOST, crate::figures::MOST];
+    let most = [LOG_MOST, CAPTURE_MOST, FIGURES_MOST];
     let outlet = Outlet::start("stderr", &most, BATCH, write)?;
     Ok(OUTLET.get_or_init(|| outlet))
 }
--- /dev/null
+++ b/crates/engine/src/message.rs
@@ -0,0 +1,109 @@
+//! What is passed on between clients and backends, and what the protocol says of it.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use tokio::time::Instant;
+
+/// Bytes of a body, by the protocol.
+pub const BODY: usize = 64 << 10;
+/// A client's request in the form in which it goes on.
+pub struct Outgoing {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// A backend's whole answer.
+pub struct Reply {
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// The query parameter `sid`, as it came.
+pub fn sid(uri: &Uri) -> Option<&str> {
+    uri.query().unwrap_or_default().split('&').find_map(|p| p.strip_prefix("sid="))
+}
+
+/// Takes out the headers that concern one connection alone, and the length, which is set anew.
+pub fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    let fixed = [
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::EXPECT,
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+        HeaderName::from_static("keep-alive"),
+        HeaderName::from_static("proxy-connection"),
+    ];
+    for name in named.iter().chain(&fixed) {
+        headers.remove(name);
+    }
+}
+
+impl Outgoing {
+    /// What the request is about, where it says so.
+    pub fn sid(&self) -> Option<&str> {
+        sid(&self.uri)
+    }
+
+    /// The request for one attempt; `X-Timeout` tells how long this proxy will wait.
+    pub fn request(&self, until: Instant) -> Option<Request<Full<Bytes>>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let left = until.saturating_duration_since(Instant::now()).as_secs_f64();
+        let left = HeaderValue::from_str(&format!("{left:.3}")).ok()?;
+        request.headers_mut().insert("x-timeout", left);
+        Some(request)
+    }
+}
+
+/// The name of a request's class.
+pub fn class_of(uri: &Uri) -> &str {
+    uri.path().trim_start_matches('/').split('/').next().unwrap_or_default()
+}
+
+/// Path and query alone, as they came, also of a request in absolute form.
+pub fn target(uri: &Uri) -> Uri {
+    uri.path_and_query().map_or_else(Uri::default, |p| Uri::from(p.clone()))
+}
+
+/// An answer of the proxy's own.
+pub fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn headers_of_one_connection_go_no_further() {
+        let mut headers = HeaderMap::new();
+        for (name, value) in
+            [("connection", "x-own, close"), ("x-own", "1"), ("x-kept", "2"), ("te", "trailers")]
+        {
+            headers.insert(name, HeaderValue::from_static(value));
+        }
+        strip(&mut headers);
+        assert_eq!(headers.len(), 1);
+        assert!(headers.contains_key("x-kept"));
+    }
+}
--- a/crates/engine/src/peers.rs
+++ b/crates/engine/src/peers.rs
@@ -6,7 +6,7 @@
 use tokio::net::UdpSocket;
 
 use crate::config::PeerAddresses;
-use crate::driver::{Inbox, Input};
+use crate::inbox::{Inbox, Input};
 use crate::note;
 
 const MOST: usize = 256; // bytes of a message, by the protocol
--- a/crates/engine/src/process.rs
+++ b/crates/engine/src/process.rs
@@ -16,11 +16,13 @@
 use wharfhitch::{Balancer, Scope};
 
 use crate::capture::Capture;
+use crate::clock::Clock;
 use crate::config::Config;
 use crate::drills::Drills;
-use crate::driver::{Clock, Driver, Inbox, Input, Parts};
+use crate::driver::{Driver, Parts};
 use crate::figures::Figures;
-use crate::{config, discovery, frontend, log, note, peers, upstream};
+use crate::inbox::{Inbox, Input};
+use crate::{config, discovery, frontend, hosts, log, note, peers, upstream};
 
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch; and
 /// the features' own: the drills' side port with its connections, the figures' socket, the files being written.
@@ -92,7 +94,7 @@
     let pushed = config.settings.discovery == wharfhitch::Discovery::Pushed;
     let balancer = Balancer::new(config.settings, config.seed);
     let driver = spawn_local(Driver::new(balancer, config.names.clone(), parts).run(inputs));
-    let known = discovery::remembered(&config.known);
+    let known = hosts::remembered(&config.known);
     let (seq, hosts) = known.map_or((None, Vec::new()), |(seq, hosts)| (Some(seq), hosts));
     inbox.put(Input::List { scope: Scope::Cached, seq, hosts });
     let list = discovery::Discovery::new(place.clone(), inbox.clone());
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -14,8 +14,8 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body as _;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Request, StatusCode, Uri};
+use hyper::header;
+use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -24,27 +24,13 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use wharfhitch::Outcome;
 
-/// Bytes of a body, by the protocol.
-pub const BODY: usize = 64 << 10;
+use crate::message::{BODY, Outgoing, Reply, strip};
+
 /// A pooled connection is retired after this part of the span after which a backend closes it.
 const IDLE_PART: f64 = 0.7;
 /// Longest wait until a connection is ready for its next request.
 const READY: Duration = Duration::from_secs(1);
 
-/// A client's request in the form in which it goes on.
-pub struct Outgoing {
-    pub method: Method,
-    pub uri: Uri,
-    pub headers: HeaderMap,
-    pub body: Bytes,
-}
-
-/// A backend's whole answer.
-pub struct Reply {
-    pub headers: HeaderMap,
-    pub body: Bytes,
-}
-
 /// One process of a backend at one address. A restart or a new address makes a new one.
 pub struct Endpoint {
     pub address: SocketAddr,
@@ -344,57 +330,6 @@
     })
 }
 
-/// The query parameter `sid`, as it came.
-pub fn sid(uri: &Uri) -> Option<&str> {
-    uri.query().unwrap_or_default().split('&').find_map(|p| p.strip_prefix("sid="))
-}
-
-/// Takes out the headers that concern one connection alone, and the length, which is set anew.
-pub fn strip(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    let fixed = [
-        header::CONNECTION,
-        header::CONTENT_LENGTH,
-        header::EXPECT,
-        header::PROXY_AUTHENTICATE,
-        header::PROXY_AUTHORIZATION,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-        HeaderName::from_static("keep-alive"),
-        HeaderName::from_static("proxy-connection"),
-    ];
-    for name in named.iter().chain(&fixed) {
-        headers.remove(name);
-    }
-}
-
-impl Outgoing {
-    /// What the request is about, where it says so.
-    pub fn sid(&self) -> Option<&str> {
-        sid(&self.uri)
-    }
-
-    /// The request for one attempt; `X-Timeout` tells how long this proxy will wait.
-    fn request(&self, until: Instant) -> Option<Request<Full<Bytes>>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.headers.clone();
-        let left = until.saturating_duration_since(Instant::now()).as_secs_f64();
-        let left = HeaderValue::from_str(&format!("{left:.3}")).ok()?;
-        request.headers_mut().insert("x-timeout", left);
-        Some(request)
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -434,17 +369,4 @@
         assert!(meter.admit());
         assert!(!Meter::default().admit(), "nothing is written between requests");
     }
-
-    #[test]
-    fn headers_of_one_connection_go_no_further() {
-        let mut headers = HeaderMap::new();
-        for (name, value) in
-            [("connection", "x-own, close"), ("x-own", "1"), ("x-kept", "2"), ("te", "trailers")]
-        {
-            headers.insert(name, HeaderValue::from_static(value));
-        }
-        strip(&mut headers);
-        assert_eq!(headers.len(), 1);
-        assert!(headers.contains_key("x-kept"));
-    }
 }
