Part the module's records and plumbing from its judgements

Need: choice.rs and state.rs imported each other, and judgements (within_share, score, warmth, owned, and what settles counters) stood in state.rs, outside the file that `policy` names.

--- a/crates/wharfhitch/src/choice.rs
+++ b/crates/wharfhitch/src/choice.rs
@@ -1,31 +1,41 @@
 //! Every decision of one proxy, in the order in which a request meets them: queue and threshold; speeds
 //! and slots; health; attempts, time-outs, final answers; cold starts and drains; discovery and peers.
 //!
-//! Types, settings, events and actions: `src/interface.rs`. Records and plumbing: `src/state.rs`. Mechanism
-//! and extensions: `docs/design.md`; formula numbers are those of the paper named there. Times are in ms.
+//! Types, settings, events and actions: `src/interface.rs`. Records: `src/records.rs`. Plumbing that decides
+//! nothing: `src/state.rs`, `src/bands.rs`, `src/message.rs`. Mechanism and extensions: `docs/design.md`;
+//! formula numbers are those of the paper named there. Times are in ms.
+
+use std::collections::VecDeque;
+
+use rustc_hash::FxHashMap;
+
+use crate::bands::Bands;
+use crate::hash::draw;
 use crate::interface::*;
-use crate::state::*;
+use crate::message::{HEAD, MESSAGE, pack, unpack};
+use crate::records::{Attempt, Health, Kind, Peer, Request, Server, Start, average};
+use crate::state::Balancer;
 
 const TICK: Millis = 20.0; // how often waiting and running requests are looked over: within a rule's slack
 const REVIEW: u64 = 5; // ticks between looks at all servers
 const LEAST: Millis = 6.0; // a running request is answered for this long before it is of no more use
 const MARGIN: Millis = 2.0 * TICK + 5.0; // a final answer goes out this long before it is due
-pub(crate) const BANDS: usize = 48; // speed bands: servers of like speed tie, and ties are broken at random
-pub(crate) const BAND_RATIO: f64 = 1.2; // speeds within this ratio tie: finer differences are noise
+const BANDS: usize = 48; // speed bands: servers of like speed tie, and ties are broken at random
+const BAND_RATIO: f64 = 1.2; // speeds within this ratio tie: finer differences are noise
 const SAMPLES: f64 = 12.0; // answers over which a server's latency is averaged
 const OUTLIER: f64 = 2.0; // times its mean to which an answer counts in the mean of a kind
 const KIND_WEIGHT: f64 = 6.0; // a server with fewer answers than this is judged mostly by its kind's mean
 const CLASS_SAMPLES: f64 = 100.0; // answers over which a class's or a kind's latency is averaged
-pub(crate) const SPREAD_SAMPLES: f64 = 1000.0; // answers over which their spread is averaged: tails are rare
-pub(crate) const RATE_SPAN: Millis = 2000.0; // span over which the arrival rate is averaged
+const SPREAD_SAMPLES: f64 = 1000.0; // answers over which their spread is averaged: tails are rare
+const RATE_SPAN: Millis = 2000.0; // span over which the arrival rate is averaged
 const LOOK: usize = 6; // requests looked at before a decision gives up on finding one that may go
 const CROWDED: f64 = 1.6; // latency over its calm level at which a kind counts as crowded
 const CALM_CREEP: f64 = 1.001; // by which the calm level may rise in a review: a tenth in ten seconds
 const THROTTLE_MIN: f64 = 0.3; // the least part of its slots that a crowded kind keeps
-pub(crate) const UNMEASURED: f64 = 0.5; // part of a new kind's slots, lest a jam from the start pass for calm
+const UNMEASURED: f64 = 0.5; // part of a new kind's slots, lest a jam from the start pass for calm
 const LATE: f64 = 0.5; // part of the aim past which an answer says that the pooled servers are crowded
 const WINDOW_CUT: f64 = 0.9; // by which such an answer shrinks the in-flight window
-pub(crate) const WINDOW_LEAST: f64 = 4.0; // requests that a proxy may always have out
+const WINDOW_LEAST: f64 = 4.0; // requests that a proxy may always have out
 const OWN_LEAST: f64 = 8.0; // own slots under which proxies share all, for answers of exponential spread
 const FULLNESS: f64 = 1.1; // requests a core may hold: a little over one keeps it busy between answers
 const BORROW: usize = 3; // bands by which another proxy's slot counts slower: both may take it at once
@@ -36,7 +46,7 @@
 const FAIL_CHANCE: f64 = 1e-4; // a row of failures as rare as this is no chance, however many fail elsewhere
 const FAIL_COMMON: f64 = 0.5; // more than this part failing everywhere excuses no server further
 const FAULT_SAMPLES: f64 = 100.0; // answers over which a server's part of failures is averaged
-pub(crate) const BACKOFF: Millis = 250.0; // first closing; doubles with each failed trial
+const BACKOFF: Millis = 250.0; // first closing; doubles with each failed trial
 const BACKOFF_MAX: Millis = 4000.0; // longest closing: a mended server is found again within this
 const HANG: f64 = 5.0; // silence of this many expected latencies marks a server as hung
 const HANG_RARE: f64 = 0.003; // part lost at sound servers too from which one silent attempt proves no hang
@@ -48,10 +58,11 @@
 const DISTRUST: f64 = 0.5; // nor with more than this part, if as few attempts are served
 const RETRY_SHARE: f64 = 0.15; // further attempts per arrival: what a proxy may add in a storm
 const COLD_SHARE: f64 = 0.5; // part of what pushes a cold server over that the proxies together send it
+const MOST_SLOTS: u32 = 1024; // of a server: a bound on work, whatever a list says
 const COLD_PART: f64 = 0.25; // part of a cold server's budget that one request may take
 const NEWS: f64 = 0.3; // part of a request's time within which others' word must come to show idleness
 const TELL_SHARE: f64 = 0.6; // full messages a proxy may spend for each request it gets
-pub(crate) const STALE: Millis = 500.0; // what a peer told longer ago no longer counts
+const STALE: Millis = 500.0; // what a peer told longer ago no longer counts
 
 /// The largest τ in 0..=m(R−1) for which (3.3) is negative.
 ///
@@ -90,6 +101,57 @@
 
 #[allow(clippy::too_many_arguments)]
 impl Balancer {
+    /// Starts a proxy that knows nothing yet; `seed` is the only source of chance.
+    pub fn new(cfg: Settings, seed: u64) -> Self {
+        let longest_aim = cfg.classes.iter().map(|c| c.aim).fold(0.0, f64::max);
+        let first_guess = (longest_aim / 4.0).max(1.0);
+        Balancer {
+            start: Start { backoff: BACKOFF, throttle: UNMEASURED },
+            rng: fastrand::Rng::with_seed(seed),
+            servers: Vec::new(),
+            index: FxHashMap::default(),
+            names: FxHashMap::default(),
+            bands: Bands::new(BANDS, BAND_RATIO),
+            requests: FxHashMap::default(),
+            queues: vec![VecDeque::new(); cfg.classes.len() * 2],
+            waiting: 0,
+            running: Vec::new(),
+            lost: (0.0, 5.0),
+            silent: 0,
+            ghosts: VecDeque::new(),
+            class_ms: cfg.classes.iter().map(|c| (c.aim / 4.0, 0.0)).collect(),
+            kinds: vec![Kind::new(UNMEASURED)],
+            mean: first_guess,
+            slowest: 0.0,
+            longest_aim,
+            mean_room: 1.0,
+            blocked: vec![0.0; cfg.classes.len()],
+            common: vec![0.0; cfg.classes.len() + 1],
+            spread: (2.0, 0.2 * SPREAD_SAMPLES),
+            window: WINDOW_LEAST,
+            rating: 0.0,
+            gain: if cfg.warm_keys { 2.0 } else { 1.0 },
+            temper: [(1.0, 1.0), (1.0, 1.0)],
+            arrivals: 0.0,
+            rate: 0.0,
+            rate_at: 0.0,
+            allowance: vec![1.0; cfg.tenants.len()],
+            retries: 2.0,
+            hints: vec![(1.0, 0.0); cfg.classes.len()],
+            doubt: false,
+            success: 1.0,
+            ticks: 0,
+            peers: (0..cfg.proxies).map(|_| None).collect(),
+            zones: vec![None; cfg.proxies as usize],
+            credit: 0.0,
+            told_at: 0.0,
+            news: STALE,
+            subscribed: false,
+            ask_at: 0.0,
+            cfg,
+        }
+    }
+
     /// Takes in one event and appends what is to be done, in order. `now` never runs backwards.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         if self.ticks == 0 {
@@ -135,6 +197,23 @@
         self.enqueue(id, false);
     }
 
+    /// Takes one request off a tenant's allowance, if there is any left.
+    fn within_share(&mut self, tenant: usize) -> bool {
+        let Some(left) = self.allowance.get_mut(tenant) else { return true };
+        let within = *left >= 1.0;
+        *left -= f64::from(u8::from(within));
+        within
+    }
+
+    /// A request's expected work relative to its class, and its aim as a span.
+    fn size_and_aim(&mut self, class: usize, hint: Option<Millis>) -> (f64, Millis) {
+        let c = &self.cfg.classes[class];
+        let Some(hint) = hint.filter(|h| h.is_finite() && *h > 0.0) else { return (1.0, c.aim) };
+        let (mean, weight) = self.hints[class];
+        average(&mut self.hints[class], if weight > 0.0 { hint.min(10.0 * mean) } else { hint }, 100.0);
+        ((hint / self.hints[class].0).clamp(0.05, 50.0), (c.aim + c.aim_stretch * hint).min(c.deadline))
+    }
+
     /// The server that a key's requests prefer: the same at every proxy, without a word between them.
     fn home(&mut self, key: Key, now: Millis) -> Option<usize> {
         let up = |s: &Server| s.told.is_none() && (s.health.closed <= now || self.doubt);
@@ -142,6 +221,12 @@
         (0..self.servers.len()).filter(|&k| up(&self.servers[k])).min_by(near)
     }
 
+    /// Weighted rendezvous hashing; the exponent and mantissa of a float stand in for its logarithm.
+    fn score(&self, k: usize, key: u64) -> f64 {
+        let u = draw(self.servers[k].info.id.0, key) + 1e-12;
+        (1023.0 - u.to_bits() as f64 / (1u64 << 52) as f64) * self.servers[k].weight
+    }
+
     /// Sends waiting requests while the threshold lets them go, the most pressing first.
     fn pump(&mut self, now: Millis, out: &mut Vec<Action>) {
         // A queue whose head must wait is passed over: those behind it are no more pressing. Only with homes
@@ -198,7 +283,7 @@
         if let Some((first, group, until)) = self.bound(r) {
             // Resent only where its repeat is dropped, and only while it is remembered.
             let (all, first) = (&self.servers, &self.servers[first]);
-            let near = |k: &usize| all[*k].drops_repeats_of(first, group) && all[*k].open();
+            let near = |k: &usize| all[*k].drops_repeats_of(first, group) && self.bands.is_open(*k);
             let fits = |k: &usize| near(k) && self.suits(*k, r, now);
             let best = (0..all.len()).filter(fits).min_by(|a, b| all[*a].cost.total_cmp(&all[*b].cost));
             return best.filter(|_| now < until);
@@ -277,8 +362,15 @@
         self.place(k, now);
     }
 
+    /// The part of its capacity that a server surely has: it warms at least evenly.
+    fn warmth(&self, k: usize, now: Millis) -> f64 {
+        let l = &self.cfg.limits;
+        let age = self.servers[k].info.since.map_or(1.0, |since| ((now - since) / l.cold).clamp(0.0, 1.0));
+        l.start_capacity + (1.0 - l.start_capacity) * age
+    }
+
     /// Judges anew whether a server is open, and to whom.
-    pub(crate) fn place(&mut self, k: usize, now: Millis) {
+    fn place(&mut self, k: usize, now: Millis) {
         let (s, ticks) = (&self.servers[k], self.ticks / REVIEW);
         let (band, warmth) = (s.band, s.warmth);
         let ill = s.health.closed > now || s.blame > 1 && now - s.progress > STALE;
@@ -302,7 +394,7 @@
         };
         let slots = if usable { s.mine * warmth } else { 0.0 };
         self.servers[k].free = free;
-        self.bands.file(&mut self.servers, k, band, slots, open);
+        self.bands.file(k, band, slots, open);
     }
 
     /// Whether this proxy's part of all slots is too small to do without the others': a few servers of one's
@@ -330,6 +422,20 @@
         self.window = window.clamp(WINDOW_LEAST, self.servers.len().max(4) as f64);
     }
 
+    /// How many of a server's slots are this proxy's own: each has one owner among the proxies of the
+    /// server's zone, or among all where there is none, by a hash that all of them share.
+    fn owned(&self, k: usize, slots: u32) -> u32 {
+        let info = &self.servers[k].info;
+        let near = |i: &u32| self.zones[*i as usize].is_none() || self.zones[*i as usize] == info.zone;
+        let any = (0..self.cfg.proxies).any(|i| near(&i));
+        let score = |slot: u32, i: u32| draw(info.id.0 ^ u64::from(slot), u64::from(i));
+        let owner = |slot: &u32| {
+            let proxies = (0..self.cfg.proxies).filter(|i| near(i) || !any);
+            proxies.max_by(|&a, &b| score(*slot, a).total_cmp(&score(*slot, b))) == Some(self.cfg.me)
+        };
+        (0..slots.min(MOST_SLOTS)).filter(owner).count() as u32
+    }
+
     /// How many slots a server has, and which of them are this proxy's own.
     fn size(&mut self, k: usize) {
         let s = &self.servers[k];
@@ -371,8 +477,54 @@
         }
     }
 
+    /// What is the gain of a warm server? Compares answers from homes with the others, each for its
+    /// server's speed.
+    fn learn_gain(&mut self, k: usize, class: usize, latency: Millis, home: bool, samples: f64) {
+        if self.cfg.warm_keys {
+            let s = &self.servers[k];
+            let sample = latency * s.warmth / (s.slow.0.max(0.05) * self.class_ms[class].0);
+            average(&mut self.temper[usize::from(home)], sample.min(20.0), samples);
+            self.gain = (self.temper[0].0 / self.temper[1].0.max(0.01)).clamp(1.1, 8.0);
+        }
+    }
+
+    /// How long a request usually takes.
+    fn usual(&self, r: &Request) -> Millis {
+        self.class_ms[r.class].0 * r.size
+    }
+
+    /// The mean latency over all classes, by their answers.
+    fn mean_latency(&self) -> Millis {
+        let all = |(s, w): (f64, f64), c: &(f64, f64)| (s + c.0 * (c.1 + 0.01), w + c.1 + 0.01);
+        let (sum, weight) = self.class_ms.iter().fold((0.0, 0.0), all);
+        if weight > 0.0 { (sum / weight).max(0.01) } else { 1.0 }
+    }
+
     // ---- health ----
 
+    /// Notes which part of attempts fails at sound servers too, by class and in all: the lower quartile over
+    /// the listed ones that `least` answers or more tell of, so that a few ill servers don't count.
+    fn note_common(&mut self, least: f64) {
+        for class in 0..self.common.len() {
+            let health = |s: &Server| s.by_class.get(class).unwrap_or(&s.health).faulty;
+            let known = self.servers.iter().filter(|s| s.told.is_none()).map(health).filter(|f| f.1 >= least);
+            let mut parts: Vec<f64> = known.map(|f| f.0).collect();
+            parts.sort_by(f64::total_cmp);
+            self.common[class] = parts.get(parts.len() / 4).copied().unwrap_or(0.0);
+        }
+    }
+
+    /// Counts the listed servers and those of them that are closed as ill, and notes for each class the part
+    /// that is closed to it.
+    fn census(&mut self, now: Millis) -> (f64, f64) {
+        let listed: Vec<&Server> = self.servers.iter().filter(|s| s.told.is_none()).collect();
+        let up = listed.len() as f64 + 0.01;
+        for (class, part) in self.blocked.iter_mut().enumerate() {
+            *part = listed.iter().filter(|s| s.by_class[class].closed > now).count() as f64 / up;
+        }
+        (up, listed.iter().filter(|s| s.health.closed > now && !s.full).count() as f64)
+    }
+
     /// Judges a server by how an attempt ended or that it is silent, as a whole and for the class alone: some
     /// fail or ignore one class and look well by the others. Should help too where a build breaks one class
     /// or a class's own dependency fails; harms where a kind is slow by nature at one class. A class's
@@ -560,6 +712,12 @@
         }
     }
 
+    /// For a keyed request that may have run: the server tried first, who drops repeats, and until when.
+    fn bound(&self, r: &Request) -> Option<(usize, Group, Millis)> {
+        let Effect::Keyed { group, window } = self.cfg.classes[r.class].effect else { return None };
+        r.attempts.iter().find(|a| a.ran).map(|a| (a.server, group, a.sent + window))
+    }
+
     /// Whether another attempt is allowed, by the request's effect and the count of attempts.
     fn may_repeat(&self, r: &Request, now: Millis) -> bool {
         let harmless = self.cfg.classes[r.class].effect == Effect::Safe || !r.may_have_run();
@@ -569,6 +727,30 @@
 
     // ---- cold starts and drains ----
 
+    /// Brings counters up to date: arrival rate, allowances, slots of attempts given up, silent peers.
+    fn settle(&mut self, now: Millis, tick: Millis) {
+        let span = now - self.rate_at;
+        if span >= 10.0 * tick {
+            let gain = if self.rate == 0.0 { 1.0 } else { 1.0 - (-span / RATE_SPAN).exp() };
+            self.rate += gain * (self.arrivals / span - self.rate);
+            (self.arrivals, self.rate_at) = (0.0, now);
+        }
+        for (left, tenant) in self.allowance.iter_mut().zip(&self.cfg.tenants) {
+            let rate = tenant.allowance_per_s / 1000.0 / f64::from(self.cfg.proxies);
+            *left = (*left + rate * tick).min(rate * 1000.0 + 1.0);
+        }
+        while self.ghosts.front().is_some_and(|g| g.0 <= now) {
+            let (_, k) = self.ghosts.pop_front().expect("just seen");
+            self.servers[k].own -= 1;
+            self.place(k, now);
+        }
+        for from in 0..self.peers.len() {
+            if self.peers[from].as_ref().is_some_and(|p| now - p.heard > STALE) {
+                self.unhear(from).into_iter().for_each(|k| self.place(k, now));
+            }
+        }
+    }
+
     /// Looks over all servers: slots, budgets of cold ones, closings that end, how many look ill.
     fn review(&mut self, now: Millis) {
         self.mean = self.mean_latency();
@@ -621,13 +803,37 @@
                 // A new process: cold, and nothing known against it. The random start of its budget keeps
                 // the proxies from all sending their first request at once.
                 (s.restarted, s.fresh, s.tokens, s.tokens_at) = (false, true, self.rng.f64(), now);
-                s.forgive(now);
+                s.forgive(now, BACKOFF);
             }
             self.size(k);
             self.rate(k, self.warmth(k, now), now);
         }
     }
 
+    /// Takes in what another proxy tells.
+    fn hear(&mut self, now: Millis, from: usize, bytes: &[u8]) {
+        let Some((zone, blames, holds)) = unpack(bytes, &self.names).filter(|_| from < self.peers.len())
+        else {
+            return;
+        };
+        let before = self.unhear(from);
+        blames.iter().for_each(|&k| self.servers[k].blame += 1);
+        holds.iter().for_each(|&k| self.servers[k].peers += 1);
+        for &k in before.iter().chain(&holds) {
+            self.place(k, now);
+        }
+        self.zones[from] = zone;
+        self.peers[from] = Some(Peer { heard: now, holds, blames });
+    }
+
+    /// Takes back what a peer told before; returns the servers where it held something.
+    fn unhear(&mut self, from: usize) -> Vec<usize> {
+        let Some(p) = self.peers[from].take() else { return Vec::new() };
+        p.blames.iter().for_each(|&k| self.servers[k].blame -= 1);
+        p.holds.iter().for_each(|&k| self.servers[k].peers -= 1);
+        p.holds
+    }
+
     /// Tells the other proxies what this one holds where, as often as its budget of bytes allows.
     fn tell(&mut self, now: Millis, out: &mut Vec<Action>) {
         let cost = (HEAD + 2 * (self.running.len() + self.ghosts.len())) as f64;
--- a/crates/wharfhitch/src/lib.rs
+++ b/crates/wharfhitch/src/lib.rs
@@ -4,10 +4,15 @@
 //! that the proxy sees, and carry out the [`Action`]s that it returns. It holds no clock either: the time comes
 //! with each event, and chance from one seed.
 //!
-//! `choice.rs` decides, `state.rs` is what it knows, `interface.rs` is its events, actions and settings.
+//! `choice.rs` holds every decision. Below it stand what it knows (`records.rs`, `state.rs`) and plumbing that
+//! decides nothing (`bands.rs`, `message.rs`, `hash.rs`), over `interface.rs`: events, actions and settings.
 
+mod bands;
 mod choice;
+mod hash;
 mod interface;
+mod message;
+mod records;
 mod state;
 
 pub use choice::threshold;
--- a/crates/wharfhitch/tests/limits.rs
+++ b/crates/wharfhitch/tests/limits.rs
@@ -16,11 +16,32 @@
     assert!(head.contains("src/interface.rs"));
 }
 
+/// Every file of the module, from the lowest up.
+const FILES: [(&str, &str); 7] = [
+    ("interface", include_str!("../src/interface.rs")),
+    ("hash", include_str!("../src/hash.rs")),
+    ("records", include_str!("../src/records.rs")),
+    ("bands", include_str!("../src/bands.rs")),
+    ("message", include_str!("../src/message.rs")),
+    ("state", include_str!("../src/state.rs")),
+    ("choice", MODULE),
+];
+
 #[test]
 fn no_clock_thread_global_or_input() {
     for word in ["std::time", "std::thread", "std::io", "std::env", "static ", "println!", "unsafe {"] {
-        for (file, text) in [("choice", MODULE), ("state", include_str!("../src/state.rs"))] {
+        for (file, text) in FILES {
             assert!(!text.contains(word), "{word} in {file}");
         }
     }
 }
+
+/// What stands below the decisions knows nothing of them, so that the policy file names all that decides.
+#[test]
+fn no_file_uses_one_above_it() {
+    for (own, (file, text)) in FILES.iter().enumerate() {
+        for (above, _) in &FILES[own + 1..] {
+            assert!(!text.contains(&format!("crate::{above}")), "{file} uses {above}");
+        }
+    }
+}
