--- /dev/null
+++ b/crates/canvascart/src/lab.rs
@@ -0,0 +1,233 @@
+//! `canvascart lab`: plays scenarios and says what came of them.
+
+use std::io::Write as _;
+use std::num::NonZero;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use ::lab::experiment::{self, Run};
+use ::lab::scenario::Scenario;
+use ::lab::sim::decider::Sabotage;
+use ::lab::{report, shipped};
+
+/// A rule was broken.
+const BROKEN: u8 = 1;
+/// It could not be run, or its report could not be written.
+const NOT_RUN: u8 = 3;
+const CODES: &str =
+    "Exit codes: 0 all rules kept, 1 a rule broken, 2 wrong usage or scenario, 3 could not run.";
+
+#[derive(clap::Subcommand)]
+pub enum Command {
+    /// Names the scenarios that come with the lab.
+    List,
+    /// Checks a scenario, and names all that is wrong with it.
+    #[command(after_help = CODES)]
+    Check(Which),
+    /// Plays a scenario in virtual time, on the decision module alone.
+    #[command(after_help = CODES)]
+    Sim {
+        #[command(flatten)]
+        which: Which,
+        #[command(flatten)]
+        how: How,
+        /// Breaks the module in this way, to see the oracle notice.
+        #[arg(long, value_parser = sabotage)]
+        sabotage: Option<Sabotage>,
+    },
+    /// Plays a scenario under two settings, seed by seed, and prints the difference.
+    #[command(after_help = CODES)]
+    Compare {
+        /// The first setting, such as load.level=60% (several with commas); "-" for the scenario as it is.
+        a: String,
+        /// The second setting.
+        b: String,
+        #[command(flatten)]
+        which: Which,
+        /// Seeds.
+        #[arg(long, default_value_t = 10)]
+        repeat: u64,
+        /// Prints JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Plays a scenario with one setting varied, and prints a line for each value.
+    #[command(after_help = CODES)]
+    Sweep {
+        #[command(flatten)]
+        which: Which,
+        /// The setting, such as load.level, fleet.servers or proxies.count.
+        key: String,
+        /// Its values.
+        #[arg(required = true)]
+        values: Vec<String>,
+        /// Seeds for each value.
+        #[arg(long, default_value_t = 3)]
+        repeat: u64,
+        /// Plays one at a time, so that CPU times are not disturbed.
+        #[arg(long)]
+        alone: bool,
+    },
+}
+
+/// A scenario and what of it is set anew.
+#[derive(clap::Args)]
+pub struct Which {
+    /// A shipped scenario's name, or a file.
+    scenario: String,
+    /// Sets a key anew, such as load.level=80%.
+    #[arg(long = "set", value_name = "KEY=VALUE")]
+    sets: Vec<String>,
+}
+
+#[derive(clap::Args)]
+pub struct How {
+    /// What all chance is drawn from.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Runs, each under the next seed.
+    #[arg(long, default_value_t = 1)]
+    repeat: u64,
+    /// Prints JSON: one line a run.
+    #[arg(long)]
+    json: bool,
+    /// Writes a folder with figures, evidence and a page for each run.
+    #[arg(long, value_name = "DIR")]
+    out: Option<PathBuf>,
+}
+
+fn sabotage(name: &str) -> Result<Sabotage, String> {
+    let names = || Sabotage::ALL.map(|(n, _)| n).join(", ");
+    Sabotage::ALL
+        .iter()
+        .find(|(n, _)| *n == name)
+        .map(|(_, s)| *s)
+        .ok_or_else(|| format!("one of {}", names()))
+}
+
+impl Which {
+    fn read(&self, more: &[String]) -> Result<Arc<Scenario>, String> {
+        let sets: Vec<String> = self.sets.iter().chain(more).cloned().collect();
+        let text = match shipped::text(&self.scenario) {
+            Some(text) => text.to_owned(),
+            None => std::fs::read_to_string(&self.scenario).map_err(|e| {
+                let names = shipped::ALL.map(|(n, _)| n).join(", ");
+                format!("{}: {e}; the shipped scenarios are {names}", self.scenario)
+            })?,
+        };
+        experiment::with_settings(&self.scenario, &text, &sets).map(Arc::new).map_err(|e| e.to_string())
+    }
+}
+
+fn threads() -> usize {
+    std::thread::available_parallelism().map_or(1, NonZero::get)
+}
+
+fn settings(text: &str) -> Vec<String> {
+    if text == "-" { Vec::new() } else { text.split(',').map(str::to_owned).collect() }
+}
+
+/// Tells what came of runs; returns the exit code.
+fn tell(runs: &[Run], json: bool, out: Option<&Path>) -> Result<u8, String> {
+    let mut to = std::io::stdout().lock();
+    for run in runs {
+        let said =
+            if json { format!("{}\n", report::json(run)) } else { format!("{}\n", report::table(run)) };
+        to.write_all(said.as_bytes()).map_err(|e| e.to_string())?;
+        if let Some(out) = out {
+            let dir = if runs.len() > 1 { out.join(format!("seed-{}", run.seed)) } else { out.to_owned() };
+            if let Err(e) = report::write(&dir, run) {
+                eprintln!("canvascart: {}: {e}", dir.display());
+                return Ok(NOT_RUN);
+            }
+            if !json {
+                writeln!(to, "report: {}", dir.join("report.html").display()).map_err(|e| e.to_string())?;
+            }
+        }
+    }
+    Ok(if runs.iter().all(|r| r.broken.is_empty()) { 0 } else { BROKEN })
+}
+
+pub fn run(command: Command) -> Result<u8, String> {
+    match command {
+        Command::List => {
+            for (name, text) in shipped::ALL {
+                let scenario = Scenario::parse(name, text).map_err(|e| e.to_string())?;
+                println!("{name:<18} {}", scenario.title);
+            }
+            Ok(0)
+        }
+        Command::Check(which) => {
+            let s = which.read(&[])?;
+            println!(
+                "{}: good; {:.0} first tries a second at {} servers",
+                s.title,
+                1000.0 * s.rate(),
+                s.fleet.servers
+            );
+            Ok(0)
+        }
+        Command::Sim { which, how, sabotage } => {
+            let scenario = which.read(&[])?;
+            let play = |n| experiment::simulate(&scenario, &which.scenario, how.seed + n as u64, sabotage);
+            let runs = experiment::on_threads(how.repeat as usize, threads(), play);
+            tell(&runs, how.json, how.out.as_deref())
+        }
+        Command::Compare { a, b, which, repeat, json } => compare(&which, &a, &b, repeat, json),
+        Command::Sweep { which, key, values, repeat, alone } => sweep(&which, &key, &values, repeat, alone),
+    }
+}
+
+fn compare(which: &Which, a: &str, b: &str, repeat: u64, json: bool) -> Result<u8, String> {
+    let sides = [which.read(&settings(a))?, which.read(&settings(b))?];
+    // Side by side under each seed, so that what disturbs the machine disturbs both.
+    let play = |n: usize| experiment::simulate(&sides[n % 2], &which.scenario, 1 + n as u64 / 2, None);
+    let runs = experiment::on_threads(2 * repeat as usize, threads(), play);
+    let kept = runs.iter().all(|r| r.broken.is_empty());
+    let (mut first, mut second) = (Vec::new(), Vec::new());
+    for (n, run) in runs.into_iter().enumerate() {
+        if n % 2 == 0 { first.push(run) } else { second.push(run) }
+    }
+    let differences = experiment::compare(&first, &second);
+    if json {
+        println!("{}", serde_json::to_string(&differences).map_err(|e| e.to_string())?);
+    } else {
+        println!("A: {a}\nB: {b}\n{repeat} seeds; B less A with its 95 % interval\n");
+        println!("{:<16} {:>10} {:>10} {:>10}   {:<24}", "", "A", "B", "B - A", "95 %");
+        for d in &differences {
+            let e = d.difference;
+            let clear = if e.holds_zero() { "" } else { "  differs" };
+            let between = format!("{:+.4} to {:+.4}", e.low, e.high);
+            println!("{:<16} {:>10.4} {:>10.4} {:>+10.4}   {between:<24}{clear}", d.figure, d.a, d.b, e.mean);
+        }
+    }
+    Ok(if kept { 0 } else { BROKEN })
+}
+
+fn sweep(which: &Which, key: &str, values: &[String], repeat: u64, alone: bool) -> Result<u8, String> {
+    let sides =
+        values.iter().map(|v| which.read(&[format!("{key}={v}")])).collect::<Result<Vec<_>, String>>()?;
+    let many = repeat.max(1) as usize;
+    let play =
+        |n: usize| experiment::simulate(&sides[n / many], &which.scenario, 1 + (n % many) as u64, None);
+    let runs = experiment::on_threads(sides.len() * many, if alone { 1 } else { threads() }, play);
+    println!(
+        "{key:<18} {:>8} {:>7} {:>8} {:>9} {:>9} {:>10} {:>12} {:>8}",
+        "asked", "share", "refused", "p50 ms", "p99 ms", "module us", "conns/server", "broken"
+    );
+    for (value, runs) in values.iter().zip(runs.chunks(many)) {
+        let mean = |of: &dyn Fn(&Run) -> f64| runs.iter().map(of).sum::<f64>() / runs.len() as f64;
+        println!(
+            "{value:<18} {:>8.0} {:>7.3} {:>8.3} {:>9.1} {:>9.1} {:>10.1} {:>12.1} {:>8}",
+            mean(&|r| r.asks.len() as f64),
+            mean(&|r| r.score.whole.share),
+            mean(&|r| r.score.refused),
+            mean(&|r| r.score.whole.latency_ms[0]),
+            mean(&|r| r.score.whole.latency_ms[2]),
+            mean(&|r| r.module_us),
+            mean(&|r| r.counts.connections as f64 / r.scenario.fleet.servers as f64),
+            runs.iter().map(|r| r.broken.len()).sum::<usize>(),
+        );
+    }
+    Ok(if runs.iter().all(|r| r.broken.is_empty()) { 0 } else { BROKEN })
+}
--- a/crates/canvascart/src/main.rs
+++ b/crates/canvascart/src/main.rs
@@ -3,6 +3,7 @@
 mod capture;
 mod client;
 mod drill;
+mod lab;
 mod replay;
 
 use std::ffi::OsString;
@@ -30,6 +31,9 @@
     /// Rehearses slow or failing servers at a proxy.
     #[command(subcommand)]
     Drill(drill::Command),
+    /// Plays scenarios on an emulated fleet, and judges the rules.
+    #[command(subcommand)]
+    Lab(lab::Command),
     /// Runs a proxy, as the program sandgap does: for tests and the lab, which need nothing else built.
     #[command(hide = true)]
     Proxy {
@@ -71,6 +75,7 @@
         Command::Client(arguments) => client::run(arguments),
         Command::Capture(command) => capture::run(command),
         Command::Drill(command) => drill::run(command),
+        Command::Lab(command) => lab::run(command),
         Command::Proxy { arguments } => return engine::process::main(arguments.into_iter()),
     };
     ExitCode::from(outcome.unwrap_or_else(|text| {
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,26 @@
+//! An emulated fleet, load, faults and experiments for the proxy and its decision module.
+//!
+//! A [`scenario::Scenario`] says what is played. A [`world::World`] is the fleet, its list and what goes wrong, with
+//! time and seed passed in. [`sim::Sim`] drives it in virtual time and calls the decision module directly; what
+//! happened stands in a [`ledger::Ledger`], by which the oracle ([`oracle::judge`]) judges the rules and [`score`]
+//! counts the service.
+//!
+//! It decides nothing about requests and knows nothing of the platform's bench: no figure here is fitted to a
+//! recorded day.
+
+pub mod chance;
+pub mod experiment;
+pub mod ledger;
+pub mod load;
+pub mod oracle;
+mod place;
+pub mod report;
+pub mod scenario;
+pub mod score;
+pub mod settings;
+pub mod shipped;
+pub mod sim;
+pub mod units;
+pub mod world;
+
+pub use place::{Problem, ScenarioError};
--- /dev/null
+++ b/crates/lab/src/sim/decider.rs
@@ -0,0 +1,109 @@
+//! What decides in a simulated proxy: the decision module, or one made to break a rule.
+
+use rustc_hash::FxHashMap;
+use wharfhitch::{Action, BackendId, Balancer, Event, Millis, Outcome, RequestId, Settings};
+
+/// Takes events with their time and says what is to be done; [`Balancer::handle`]'s contract.
+pub trait Decider {
+    /// Takes in one event and appends what is to be done, in order.
+    fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>);
+}
+
+impl Decider for Balancer {
+    fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        Balancer::handle(self, now, event, out);
+    }
+}
+
+/// How a decider is broken, so that the oracle can be seen to notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sabotage {
+    /// Every 50th request is forgotten, and the proxy's own last resort with it.
+    LosesRequests,
+    /// What failed is sent again, whether it may have run or not.
+    RepeatsAll,
+    /// What failed is refused, whether it may have run or not.
+    RefusesAll,
+    /// The news of drains and ends is not heard.
+    IgnoresDrains,
+    /// All goes to the newest server.
+    FloodsNewest,
+}
+
+impl Sabotage {
+    /// All of them, with the names that the command line has for them.
+    pub const ALL: [(&str, Sabotage); 5] = [
+        ("loses-requests", Sabotage::LosesRequests),
+        ("repeats-all", Sabotage::RepeatsAll),
+        ("refuses-all", Sabotage::RefusesAll),
+        ("ignores-drains", Sabotage::IgnoresDrains),
+        ("floods-newest", Sabotage::FloodsNewest),
+    ];
+}
+
+/// A decision module with a fault put in.
+pub struct Saboteur {
+    inner: Balancer,
+    sabotage: Sabotage,
+    newest: Option<(Millis, BackendId)>,
+    /// Where each request went last, and how often it was sent again.
+    sent: FxHashMap<RequestId, (BackendId, u32)>,
+}
+
+impl Saboteur {
+    /// A module broken in one way.
+    pub fn new(settings: Settings, seed: u64, sabotage: Sabotage) -> Self {
+        Saboteur { inner: Balancer::new(settings, seed), sabotage, newest: None, sent: FxHashMap::default() }
+    }
+
+    /// Sends a request again to where it has just failed, twice at most.
+    fn resend(&mut self, request: RequestId, out: &mut Vec<Action>) -> bool {
+        let Some((backend, again)) = self.sent.get_mut(&request).filter(|(_, again)| *again < 2) else {
+            return false;
+        };
+        *again += 1;
+        out.push(Action::Send { request, backend: *backend, timeout: None });
+        true
+    }
+}
+
+impl Decider for Saboteur {
+    fn handle(&mut self, now: Millis, mut event: Event, out: &mut Vec<Action>) {
+        if let Event::List { entries, .. } = &mut event {
+            for e in entries.iter().filter(|e| e.since.is_some()) {
+                if self.newest.is_none_or(|(since, _)| e.since > Some(since)) {
+                    self.newest = e.since.map(|since| (since, e.id));
+                }
+            }
+            if self.sabotage == Sabotage::IgnoresDrains {
+                entries.iter_mut().for_each(|e| e.state = wharfhitch::State::Up);
+            }
+        }
+        match (self.sabotage, &event) {
+            (Sabotage::LosesRequests, Event::Request { id: RequestId(id), .. }) if id % 50 == 0 => return,
+            (
+                Sabotage::RefusesAll,
+                Event::Ended {
+                    request, outcome: Outcome::Error | Outcome::Reset | Outcome::TimedOut, ..
+                },
+            ) => out.push(Action::Refuse { request: *request, retry_after: None }),
+            (Sabotage::RepeatsAll, Event::Ended { request, outcome: Outcome::Reset, .. })
+                if self.resend(*request, out) =>
+            {
+                return;
+            }
+            (Sabotage::FloodsNewest, Event::Request { id, .. }) => {
+                if let Some((_, backend)) = self.newest {
+                    return out.push(Action::Send { request: *id, backend, timeout: None });
+                }
+            }
+            _ => {}
+        }
+        self.inner.handle(now, event, out);
+        for action in out.iter() {
+            if let Action::Send { request, backend, .. } = action {
+                self.sent.entry(*request).or_insert((*backend, 0)).0 = *backend;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim/mod.rs
@@ -0,0 +1,752 @@
+//! A run in virtual time: the decision module is called directly, and one seed gives the same bytes every time.
+//!
+//! The driver does around each module what the engine does: gates, last resorts, connections, time-outs. What waits
+//! is kept in the order of time, and in the order of scheduling within one µs.
+
+pub mod decider;
+mod proxy;
+
+use std::cmp::{Ordering, Reverse};
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rustc_hash::FxHashMap;
+use wharfhitch::{Action, Balancer, ClassId, Event, Key, Millis, Outcome, RequestId, Scope, TenantId};
+
+use crate::chance::{Use, stream};
+use crate::ledger::{Attempt, AttemptEnd, Code, End, Fall, Ledger, ProxyId, ServerId, Told, Try, TryId};
+use crate::load::{self, Ask, TryEnd};
+use crate::scenario::{Break, Effect, Scenario};
+use crate::settings;
+use crate::world::server::{Job, Offer};
+use crate::world::{Connect, Happened, Line, Listed, Verdict, World, micros};
+use decider::{Decider, Sabotage, Saboteur};
+use proxy::{Live, Memory, Proxy, request_of, server_of};
+
+/// A connection that is not up within this span has failed.
+const DIAL: Millis = 250.0;
+/// A final answer is on its way this long before its client gives up, whatever happens.
+const LAST_RESORT: Millis = 4.0;
+/// A connection is used again within this part of the span after which its server closes it.
+const IDLE_PART: f64 = 0.7;
+
+/// What a run leaves behind.
+pub struct Played {
+    /// What happened.
+    pub ledger: Ledger,
+    /// What was asked for.
+    pub asks: Vec<Ask>,
+    /// When each ask was served, if it was, and how many tries it took.
+    pub served: Vec<(Option<Millis>, u32)>,
+    /// Counts of the run.
+    pub counts: Counts,
+    /// Time that the modules took. It is measured, and so no part of what one seed fixes.
+    pub module: Duration,
+    /// Time that the whole run took, likewise.
+    pub took: Duration,
+}
+
+/// Counts of a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Events that the modules were fed.
+    pub events: u64,
+    /// Connections opened to servers.
+    pub connections: u64,
+    /// Most connections open to one server at once, idle ones included.
+    pub connections_at_once: u32,
+}
+
+struct Entry {
+    at: u64,
+    order: u64,
+    what: What,
+}
+
+impl PartialEq for Entry {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Entry {}
+
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Entry {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// What happens at a moment.
+enum What {
+    /// A client sends a try of an ask.
+    Send(usize, u32),
+    /// A try arrives at its proxy.
+    Arrive(TryId),
+    /// An answer arrives at its client.
+    Answer(TryId, TryEnd),
+    /// A client's patience ends.
+    GiveUp(TryId),
+    /// A proxy sees that a client has gone.
+    Leave(TryId),
+    /// A module's timer.
+    Module(ProxyId, u32, u64),
+    /// A proxy's last resort.
+    LastResort(ProxyId, u32, TryId),
+    /// A wish for a connection arrives at a server.
+    Dial(u64),
+    /// And what came of it at the proxy.
+    Dialled(u64, Connect),
+    /// A request arrives at a server.
+    Reach(u64),
+    /// An answer or an end arrives at a proxy.
+    Reply(u64, Outcome, bool),
+    /// An attempt's time is up.
+    Expire(u64),
+    /// A server sees that an attempt's connection is closed.
+    Closed(ServerId, u64),
+    /// News arrives at a proxy.
+    News(ProxyId, Line),
+    /// Something happens in the world by itself, as it was due at this µs.
+    World(u64),
+}
+
+/// An attempt on its way.
+struct Flight {
+    id: TryId,
+    attempt: u32,
+    /// Its place in the ledger, once its first byte is written.
+    note: Option<usize>,
+    proxy: ProxyId,
+    generation: u32,
+    server: ServerId,
+    sent: Millis,
+    fresh: bool,
+    over: bool,
+}
+
+/// A run in virtual time.
+pub struct Sim {
+    s: Arc<Scenario>,
+    seed: u64,
+    sabotage: Option<Sabotage>,
+    world: World,
+    now: Millis,
+    queue: BinaryHeap<Reverse<Entry>>,
+    order: u64,
+    world_due: u64,
+    proxies: Vec<Option<Proxy>>,
+    memories: Vec<Memory>,
+    /// Until when the front still sends to a proxy that is gone.
+    known_gone: Vec<Option<Millis>>,
+    generations: Vec<u32>,
+    asks: Vec<Ask>,
+    served: Vec<(Option<Millis>, u32)>,
+    /// Tries whose clients still wait.
+    waits: Vec<bool>,
+    ledger: Ledger,
+    flights: FxHashMap<u64, Flight>,
+    next_flight: u64,
+    at_server: FxHashMap<ServerId, u32>,
+    network: ChaCha8Rng,
+    front: ChaCha8Rng,
+    counts: Counts,
+    module: Duration,
+}
+
+impl Sim {
+    /// A run of a scenario under a seed, perhaps with modules made to break a rule.
+    pub fn new(scenario: Arc<Scenario>, seed: u64, sabotage: Option<Sabotage>) -> Self {
+        let asks = load::draw(&scenario, seed);
+        let n = scenario.proxies.count;
+        Sim {
+            world: World::new(scenario.clone(), seed),
+            seed,
+            sabotage,
+            now: 0.0,
+            queue: BinaryHeap::new(),
+            order: 0,
+            world_due: u64::MAX,
+            proxies: (0..n).map(|_| None).collect(),
+            memories: (0..n).map(|_| Memory::default()).collect(),
+            known_gone: vec![None; n],
+            generations: vec![0; n],
+            served: vec![(None, 0); asks.len()],
+            asks,
+            waits: Vec::new(),
+            ledger: Ledger::default(),
+            flights: FxHashMap::default(),
+            next_flight: 0,
+            at_server: FxHashMap::default(),
+            network: stream(seed, Use::Network),
+            front: stream(seed, Use::Clients),
+            counts: Counts::default(),
+            module: Duration::ZERO,
+            s: scenario,
+        }
+    }
+
+    /// Plays it to its end: the last ask, and what may still come of it.
+    pub fn play(mut self) -> Played {
+        let began = Instant::now();
+        let listed = self.world.listed();
+        for proxy in 0..self.proxies.len() {
+            self.memories[proxy].learn(&listed);
+            self.start(proxy);
+        }
+        for ask in 0..self.asks.len() {
+            self.schedule(self.asks[ask].at, What::Send(ask, 1));
+        }
+        let longest = self.s.classes.iter().map(|c| c.deadline.0).fold(0.0, f64::max);
+        let end = self.s.length.0 + longest + self.s.rules.answer_slack.0 + 100.0;
+        self.watch_world();
+        while let Some(Reverse(entry)) = self.queue.pop() {
+            let at = entry.at as f64 / 1000.0;
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.happen(entry.what);
+            self.watch_world();
+        }
+        self.now = end;
+        self.ledger.closed = end;
+        Played {
+            ledger: self.ledger,
+            asks: self.asks,
+            served: self.served,
+            counts: self.counts,
+            module: self.module,
+            took: began.elapsed(),
+        }
+    }
+
+    fn schedule(&mut self, at: Millis, what: What) {
+        self.order += 1;
+        self.queue.push(Reverse(Entry { at: micros(at), order: self.order, what }));
+    }
+
+    fn after(&mut self, span: Millis, what: What) {
+        self.schedule(self.now + span, what);
+    }
+
+    /// Wakes up when something next happens in the world by itself.
+    fn watch_world(&mut self) {
+        let next = self.world.next().map_or(u64::MAX, |at| micros(at.max(self.now)));
+        if next < self.world_due {
+            self.world_due = next;
+            self.order += 1;
+            self.queue.push(Reverse(Entry { at: next, order: self.order, what: What::World(next) }));
+        }
+    }
+
+    fn jitter(&mut self, span: Millis) -> Millis {
+        span * (1.0 + self.s.network.jitter.0 * (2.0 * self.network.random::<f64>() - 1.0))
+    }
+
+    /// One way between a client and its proxy.
+    fn client_way(&mut self) -> Millis {
+        self.jitter(self.s.network.client.0)
+    }
+
+    /// One way between a proxy and a server.
+    fn server_way(&mut self, proxy: ProxyId, server: ServerId) -> Millis {
+        let same = self.world.proxy_zone(proxy) == self.world.loans()[server].zone;
+        self.jitter(if same { self.s.network.same.0 } else { self.s.network.cross.0 })
+    }
+
+    fn happen(&mut self, what: What) {
+        match what {
+            What::Send(ask, number) => self.send_try(ask, number),
+            What::Arrive(id) => self.arrive(id),
+            What::Answer(id, end) => self.ended_try(id, end),
+            What::GiveUp(id) => {
+                if self.waits[id] {
+                    self.ledger.tries[id].left = Some(self.now);
+                    let way = self.client_way();
+                    self.after(way, What::Leave(id));
+                    self.ended_try(id, TryEnd::GaveUp);
+                }
+            }
+            What::Leave(id) => {
+                let proxy = self.ledger.tries[id].proxy;
+                if self.proxies[proxy].as_mut().is_some_and(|p| p.close(id)) {
+                    self.feed(proxy, Event::Abandoned(request_of(id)));
+                }
+            }
+            What::Module(proxy, generation, token) => {
+                if self.generations[proxy] == generation && self.proxies[proxy].is_some() {
+                    self.feed(proxy, Event::Timer(token));
+                }
+            }
+            What::LastResort(proxy, generation, id) => {
+                let lost = self.sabotage == Some(Sabotage::LosesRequests);
+                if self.generations[proxy] == generation && !lost && self.answer(proxy, id, Code::Failed) {
+                    self.feed(proxy, Event::Abandoned(request_of(id)));
+                }
+            }
+            What::Dial(flight) => self.dial(flight),
+            What::Dialled(flight, connect) => self.dialled(flight, connect),
+            What::Reach(flight) => self.reach(flight),
+            What::Reply(flight, outcome, keep) => self.reply(flight, outcome, keep),
+            What::Expire(flight) => self.expire(flight),
+            What::Closed(server, attempt) => {
+                self.world.cancel(self.now, server, attempt);
+                self.disconnect(server);
+            }
+            What::News(proxy, line) => self.news(proxy, line),
+            // One that an earlier wake-up has overtaken: the world is asked again at its own time.
+            What::World(due) if self.world_due != due => {}
+            What::World(_) => {
+                self.world_due = u64::MAX;
+                for happened in self.world.advance(self.now) {
+                    self.by_itself(happened);
+                }
+            }
+        }
+    }
+
+    // ---- clients ----
+
+    /// The proxy that the front picks: one of the client's zone that it holds for alive, else any.
+    fn pick_proxy(&mut self, zone: usize) -> ProxyId {
+        let alive = |p: &usize| self.known_gone[*p].is_none_or(|from| self.now < from);
+        let near: Vec<usize> =
+            (0..self.proxies.len()).filter(|p| self.world.proxy_zone(*p) == zone).filter(alive).collect();
+        let any: Vec<usize> = (0..self.proxies.len()).filter(alive).collect();
+        let among = if !near.is_empty() { near } else { any };
+        if among.is_empty() {
+            return self.front.random_range(0..self.proxies.len());
+        }
+        among[self.front.random_range(0..among.len())]
+    }
+
+    fn send_try(&mut self, ask: usize, number: u32) {
+        let (class, zone) = (self.asks[ask].class, self.asks[ask].zone);
+        let proxy = self.pick_proxy(zone);
+        let patience = load::patience(&self.s, &self.asks[ask], self.now);
+        let id = self.ledger.tries.len();
+        self.ledger.tries.push(Try {
+            ask,
+            number,
+            class,
+            once: self.s.classes[class].effect == Effect::Unsafe,
+            proxy,
+            intended: self.now,
+            sent: self.now,
+            due: self.now + patience,
+            taken: None,
+            answers: Vec::new(),
+            left: None,
+            attempts: Vec::<Attempt>::new(),
+        });
+        self.waits.push(true);
+        self.served[ask].1 = number;
+        let way = self.client_way();
+        self.after(way, What::Arrive(id));
+        self.after(patience, What::GiveUp(id));
+    }
+
+    fn ended_try(&mut self, id: TryId, end: TryEnd) {
+        if !std::mem::take(&mut self.waits[id]) {
+            return;
+        }
+        let (ask, number) = (self.ledger.tries[id].ask, self.ledger.tries[id].number);
+        if end == TryEnd::Served {
+            self.served[ask].0 = self.served[ask].0.or(Some(self.now));
+        }
+        if let Some(wait) = load::next_try(&self.s, &self.asks[ask], number, self.now, end) {
+            self.after(wait, What::Send(ask, number + 1));
+        }
+    }
+
+    // ---- proxies ----
+
+    fn start(&mut self, proxy: ProxyId) {
+        self.generations[proxy] += 1;
+        let generation = self.generations[proxy];
+        let mut seeds = stream(self.seed, Use::Modules);
+        seeds.set_word_pos(u128::from(proxy as u64) * 4096 + u128::from(generation) * 2);
+        let (settings, seed) = (settings::of(&self.s, proxy), seeds.random::<u64>());
+        let decider: Box<dyn Decider> = match self.sabotage {
+            Some(sabotage) => Box::new(Saboteur::new(settings, seed, sabotage)),
+            None => Box::new(Balancer::new(settings, seed)),
+        };
+        self.proxies[proxy] = Some(Proxy::new(decider, generation));
+        self.known_gone[proxy] = None;
+        // It knows the list as it was last told, and is told the rest as soon as its watch is up.
+        let lines = self.memories[proxy].lines();
+        self.tell(proxy, Scope::Cached, &lines);
+        let listed = self.world.listed();
+        self.memories[proxy] = Memory::default();
+        self.memories[proxy].learn(&listed);
+        self.tell(proxy, Scope::Full, &listed);
+    }
+
+    fn tell(&mut self, proxy: ProxyId, scope: Scope, lines: &[Line]) {
+        let Some(p) = self.proxies[proxy].as_mut() else { return };
+        for line in lines {
+            let (up, born) = (line.state == Listed::Up, self.world.loans()[line.server].server.born());
+            if scope != Scope::Cached {
+                self.ledger.told.push(Told { proxy, server: line.server, at: self.now, up, born });
+            }
+        }
+        let began = Instant::now();
+        let actions = p.news(self.now, &self.world, scope, lines);
+        self.module += began.elapsed();
+        self.counts.events += 1;
+        self.perform(proxy, actions);
+    }
+
+    fn news(&mut self, proxy: ProxyId, line: Line) {
+        self.memories[proxy].learn(std::slice::from_ref(&line));
+        self.tell(proxy, Scope::Delta, &[line]);
+    }
+
+    fn feed(&mut self, proxy: ProxyId, event: Event) {
+        let Some(p) = self.proxies[proxy].as_mut() else { return };
+        let began = Instant::now();
+        let actions = p.handle(self.now, event);
+        self.module += began.elapsed();
+        self.counts.events += 1;
+        self.perform(proxy, actions);
+    }
+
+    fn perform(&mut self, proxy: ProxyId, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { request, backend, timeout } => {
+                    self.send(proxy, request, server_of(backend), timeout);
+                }
+                Action::Refuse { request, retry_after } => {
+                    self.answer(proxy, request.0 as TryId, Code::Refused { retry_after });
+                }
+                Action::Fail(request) => {
+                    self.answer(proxy, request.0 as TryId, Code::Failed);
+                }
+                Action::Timer { token, at } => {
+                    let generation = self.generations[proxy];
+                    self.schedule(at.max(self.now), What::Module(proxy, generation, token));
+                }
+                // News is pushed, and proxies tell each other nothing here.
+                Action::Broadcast(_) | Action::Subscribe | Action::FetchList => {}
+            }
+        }
+    }
+
+    fn arrive(&mut self, id: TryId) {
+        let t = &self.ledger.tries[id];
+        let (proxy, due, sent, ask) = (t.proxy, t.due, t.sent, t.ask);
+        let way = self.client_way();
+        let Some(p) = self.proxies[proxy].as_mut().filter(|p| !p.ending) else {
+            return self.after(way, What::Answer(id, TryEnd::Unreachable));
+        };
+        let patience = due - sent;
+        let deadline = self.now + patience;
+        p.live.insert(id, Live { wanted: true, deadline, attempts: 0, out: 0 });
+        self.ledger.tries[id].taken = Some(self.now);
+        let generation = self.generations[proxy];
+        self.schedule(deadline - LAST_RESORT, What::LastResort(proxy, generation, id));
+        let a = &self.asks[ask];
+        let (class, tenant) = (ClassId(a.class), a.tenant.map(TenantId));
+        let (id, key) = (request_of(id), Some(Key(a.key)));
+        let budget = (patience - LAST_RESORT).max(0.0);
+        self.feed(proxy, Event::Request { id, class, tenant, key, budget, hint: None });
+    }
+
+    /// Gives a request its final answer, unless it has one.
+    fn answer(&mut self, proxy: ProxyId, id: TryId, code: Code) -> bool {
+        let first = self.proxies[proxy].as_mut().is_some_and(|p| p.close(id));
+        if first {
+            self.ledger.tries[id].answers.push((self.now, code));
+            let way = self.client_way();
+            let end = match code {
+                Code::Served { .. } => TryEnd::Served,
+                Code::Refused { retry_after } => TryEnd::Refused(retry_after),
+                Code::Failed | Code::Broken => TryEnd::Failed,
+            };
+            self.after(way, What::Answer(id, end));
+        }
+        first
+    }
+
+    // ---- attempts ----
+
+    fn send(&mut self, proxy: ProxyId, request: RequestId, server: ServerId, timeout: Option<Millis>) {
+        let (id, now) = (request.0 as TryId, self.now);
+        let Some(p) = self.proxies[proxy].as_mut() else { return };
+        // A broken module may name what it does not hold, or a server that nobody knows.
+        let (Some(live), true) = (p.live.get_mut(&id), server < self.world.loans().len()) else { return };
+        let attempt = live.attempts;
+        live.attempts += 1;
+        live.out += 1;
+        let (wanted, deadline) = (live.wanted, live.deadline);
+        let flight = self.next_flight;
+        self.next_flight += 1;
+        let until = timeout.map_or(deadline, |t| deadline.min(now + t));
+        let open = p.is_open(server) || self.sabotage == Some(Sabotage::IgnoresDrains);
+        let (reuse, old) = p.reuse(server, now - IDLE_PART * self.s.fleet.idle.0);
+        let generation = p.generation;
+        (0..old).for_each(|_| self.disconnect(server));
+        let record = Flight {
+            id,
+            attempt,
+            note: None,
+            proxy,
+            generation,
+            server,
+            sent: now,
+            fresh: !reuse,
+            over: false,
+        };
+        self.flights.insert(flight, record);
+        if !wanted || !open {
+            return self.after(0.0, What::Reply(flight, Outcome::Moot, false));
+        }
+        self.schedule(until, What::Expire(flight));
+        if reuse {
+            self.write(flight);
+        } else {
+            let way = self.server_way(proxy, server);
+            self.after(way, What::Dial(flight));
+        }
+    }
+
+    fn dial(&mut self, flight: u64) {
+        let Some(f) = self.flights.get(&flight) else { return };
+        let (proxy, server, sent) = (f.proxy, f.server, f.sent);
+        let connect = self.world.connect(self.now, proxy, server);
+        if connect == Connect::Up {
+            self.counts.connections += 1;
+            let open = self.at_server.entry(server).or_default();
+            *open += 1;
+            self.counts.connections_at_once = self.counts.connections_at_once.max(*open);
+        }
+        let way = self.server_way(proxy, server);
+        match connect {
+            Connect::Silent => self.schedule(sent + DIAL, What::Dialled(flight, connect)),
+            _ => self.after(way, What::Dialled(flight, connect)),
+        }
+    }
+
+    fn disconnect(&mut self, server: ServerId) {
+        self.world.disconnect(server);
+        if let Some(open) = self.at_server.get_mut(&server) {
+            *open = open.saturating_sub(1);
+        }
+    }
+
+    fn dialled(&mut self, flight: u64, connect: Connect) {
+        let Some(f) = self.flights.get(&flight) else { return };
+        let server = f.server;
+        if f.over {
+            if connect == Connect::Up {
+                self.disconnect(server);
+            }
+            self.flights.remove(&flight);
+            return;
+        }
+        if connect != Connect::Up {
+            return self.reply(flight, Outcome::ConnectFailed, false);
+        }
+        self.write(flight);
+    }
+
+    /// Writes a request, unless its server takes no more or its answer has been given.
+    fn write(&mut self, flight: u64) {
+        let Some(f) = self.flights.get_mut(&flight) else { return };
+        let (id, proxy, server) = (f.id, f.proxy, f.server);
+        let open = self.sabotage == Some(Sabotage::IgnoresDrains);
+        let Some(p) = self.proxies[proxy].as_ref().filter(|p| p.generation == f.generation) else { return };
+        if !(open || p.is_open(server)) || !p.live.get(&id).is_some_and(|l| l.wanted) {
+            self.reply(flight, Outcome::Moot, false);
+            return self.disconnect(server);
+        }
+        f.note = Some(self.ledger.send(id, server, self.now));
+        let way = self.server_way(proxy, server);
+        self.after(way, What::Reach(flight));
+    }
+
+    fn reach(&mut self, flight: u64) {
+        let Some(f) = self.flights.get(&flight) else { return };
+        let (proxy, server, id) = (f.proxy, f.server, f.id);
+        if self.world.parted(self.now, self.world.proxy_zone(proxy), self.world.loans()[server].zone) {
+            return;
+        }
+        let ask = &self.asks[self.ledger.tries[id].ask];
+        let handshake = if f.fresh { self.s.fleet.handshake.0 } else { 0.0 };
+        let job = Job { attempt: flight, work: ask.work + handshake, key: ask.key };
+        let up = matches!(
+            self.world.loans()[server].server.life(),
+            crate::world::server::Life::Up | crate::world::server::Life::Draining
+        );
+        let way = self.server_way(proxy, server);
+        let (offer, verdict) = self.world.offer(self.now, server, job);
+        match (offer, verdict) {
+            (_, Some(_)) => {
+                self.ran(flight);
+                self.after(way, What::Reply(flight, Outcome::Error, true));
+            }
+            (Offer::Taken, None) => {}
+            (Offer::TurnedAway, None) if up => self.after(way, What::Reply(flight, Outcome::Full, true)),
+            // Its process is gone: the connection breaks under the request.
+            (Offer::TurnedAway | Offer::PushedOver, None) => {
+                self.after(way, What::Reply(flight, Outcome::Reset, false));
+            }
+        }
+    }
+
+    fn ran(&mut self, flight: u64) {
+        if let Some(f) = self.flights.get(&flight)
+            && let Some(note) = f.note
+        {
+            self.ledger.ran(f.id, note, self.now);
+        }
+    }
+
+    /// The end of an attempt arrives at its proxy; `keep` tells whether the connection may be used again.
+    fn reply(&mut self, flight: u64, outcome: Outcome, keep: bool) {
+        let Some(f) = self.flights.remove(&flight) else { return };
+        let same = self.generations[f.proxy] == f.generation;
+        let (Some(p), false) = (self.proxies[f.proxy].as_mut().filter(|_| same), f.over) else {
+            return self.disconnect(f.server);
+        };
+        if keep && p.is_open(f.server) {
+            p.idle.entry(f.server).or_default().push(self.now);
+        } else if f.note.is_some() {
+            self.disconnect(f.server);
+        }
+        self.tell_end(&f, outcome);
+    }
+
+    fn tell_end(&mut self, f: &Flight, outcome: Outcome) {
+        if let Some(note) = f.note {
+            let end = match outcome {
+                Outcome::Served => AttemptEnd::Answered,
+                o if o.may_have_run() => AttemptEnd::MayHaveRun,
+                _ => AttemptEnd::NeverRan,
+            };
+            self.ledger.end(f.id, note, self.now, end);
+        }
+        let Some(live) = self.proxies[f.proxy].as_mut().and_then(|p| p.live.get_mut(&f.id)) else { return };
+        live.out -= 1;
+        let was_open = live.wanted;
+        if outcome == Outcome::Served && was_open {
+            let genuine = f.note.is_some_and(|n| self.ledger.tries[f.id].attempts[n].ran.is_some());
+            self.answer(f.proxy, f.id, Code::Served { genuine });
+        } else if let Some(p) = self.proxies[f.proxy].as_mut() {
+            p.forget(f.id);
+        }
+        let closed = !was_open || outcome == Outcome::Served;
+        let (request, attempt, latency) = (request_of(f.id), f.attempt, self.now - f.sent);
+        self.feed(f.proxy, Event::Ended { request, attempt, latency, outcome, closed });
+    }
+
+    /// An attempt is given up: its connection is closed, which its server sees a little later.
+    fn expire(&mut self, flight: u64) {
+        let Some(f) = self.flights.get_mut(&flight).filter(|f| !f.over) else { return };
+        if self.generations[f.proxy] != f.generation {
+            return;
+        }
+        f.over = true;
+        let (proxy, server, written) = (f.proxy, f.server, f.note.is_some());
+        let end = Flight { over: true, ..*f };
+        let way = self.server_way(proxy, server);
+        if written {
+            self.after(way, What::Closed(server, flight));
+        }
+        self.tell_end(&end, if written { Outcome::TimedOut } else { Outcome::ConnectFailed });
+    }
+
+    // ---- the world ----
+
+    fn by_itself(&mut self, happened: Happened) {
+        match happened {
+            Happened::Done { attempt, verdict } => self.done(attempt, verdict),
+            Happened::Lost { attempt } => {
+                let Some(f) = self.flights.get(&attempt) else { return };
+                let way = self.server_way(f.proxy, f.server);
+                self.after(way, What::Reply(attempt, Outcome::Reset, false));
+            }
+            Happened::Listed(line) => {
+                for proxy in 0..self.proxies.len() {
+                    let at = self.world.news_at(self.now, proxy);
+                    self.schedule(at, What::News(proxy, line.clone()));
+                }
+            }
+            Happened::Fell { server, warmth } => {
+                self.ledger.falls.push(Fall { server, at: self.now, warmth });
+            }
+            Happened::Kill(proxy) => self.end_process(proxy, Some(self.s.proxies.notice.0)),
+            Happened::Terminate(proxy) => {
+                self.known_gone[proxy] = Some(self.now);
+                if let Some(p) = self.proxies[proxy].as_mut() {
+                    p.ending = true;
+                }
+            }
+            Happened::Start(proxy) => {
+                if self.proxies[proxy].is_some() {
+                    self.end_process(proxy, None);
+                }
+                self.start(proxy);
+            }
+        }
+    }
+
+    fn done(&mut self, flight: u64, verdict: Verdict) {
+        self.ran(flight);
+        let Some(f) = self.flights.get(&flight) else { return };
+        let (proxy, server) = (f.proxy, f.server);
+        if self.world.parted(self.now, self.world.proxy_zone(proxy), self.world.loans()[server].zone) {
+            return; // the answer is lost on the way
+        }
+        let way = self.server_way(proxy, server);
+        let (outcome, keep) = match verdict {
+            Verdict::Silent => return,
+            Verdict::Served => (Outcome::Served, true),
+            Verdict::Error => (Outcome::Error, true),
+            Verdict::Reset(Break::Before | Break::Inside) => (Outcome::Reset, false),
+            Verdict::Reset(Break::After) => (Outcome::Served, false),
+        };
+        self.after(way, What::Reply(flight, outcome, keep));
+    }
+
+    /// A proxy's process ends with all that it holds; the front notices after a while.
+    fn end_process(&mut self, proxy: ProxyId, notice: Option<Millis>) {
+        let Some(p) = self.proxies[proxy].take() else { return };
+        self.ledger.ends.push(End { proxy, at: self.now, wanted: true });
+        self.known_gone[proxy] = notice.map(|n| self.now + n);
+        // In order, so that one seed gives one run.
+        let mut held: Vec<TryId> = p.live.iter().filter(|(_, l)| l.wanted).map(|(id, _)| *id).collect();
+        held.sort_unstable();
+        for id in held {
+            let way = self.client_way();
+            self.after(way, What::Answer(id, TryEnd::Failed));
+        }
+        let mut out: Vec<(u64, ServerId)> = self
+            .flights
+            .iter()
+            .filter(|(_, f)| f.proxy == proxy && f.generation == p.generation && !f.over && f.note.is_some())
+            .map(|(flight, f)| (*flight, f.server))
+            .collect();
+        out.sort_unstable();
+        for (flight, server) in out {
+            let way = self.server_way(proxy, server);
+            self.after(way, What::Closed(server, flight));
+        }
+        let mut idle: Vec<(ServerId, usize)> = p.idle.iter().map(|(s, i)| (*s, i.len())).collect();
+        idle.sort_unstable();
+        for (server, many) in idle {
+            (0..many).for_each(|_| self.disconnect(server));
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim/proxy.rs
@@ -0,0 +1,164 @@
+//! One simulated proxy: what the engine does around the decision module, on virtual time.
+
+use std::collections::BTreeMap;
+
+use rustc_hash::FxHashMap;
+use wharfhitch::{
+    Action, Backend, BackendId, CellId, Event, KindId, Millis, RequestId, Scope, State, ZoneId,
+};
+
+use super::decider::Decider;
+use crate::ledger::{ServerId, TryId};
+use crate::world::{Line, Listed, World};
+
+/// A request that lacks its answer or has attempts out.
+pub struct Live {
+    /// Whether it still lacks its final answer.
+    pub wanted: bool,
+    /// When its client gives up.
+    pub deadline: Millis,
+    /// Attempts so far, as the module numbers them.
+    pub attempts: u32,
+    /// Those of them that are out.
+    pub out: u32,
+}
+
+/// A proxy's process; each start makes a new one.
+pub struct Proxy {
+    /// What decides.
+    pub decider: Box<dyn Decider>,
+    /// Counts its starts, so that nothing of an earlier one reaches a later one.
+    pub generation: u32,
+    /// Takes no new connections: it has been told to end.
+    pub ending: bool,
+    /// What it holds.
+    pub live: FxHashMap<TryId, Live>,
+    /// Servers to which something new may go, as told.
+    open: FxHashMap<ServerId, bool>,
+    /// Idle connections, by server: since when each is idle, the one used last at the end.
+    pub idle: FxHashMap<ServerId, Vec<Millis>>,
+    actions: Vec<Action>,
+}
+
+/// What a proxy keeps over its starts: the list as it was last told.
+#[derive(Default)]
+pub struct Memory {
+    /// By server; in order, so that every run tells it alike.
+    pub list: BTreeMap<ServerId, Listed>,
+}
+
+impl Memory {
+    /// Takes in what the proxy is told.
+    pub fn learn(&mut self, lines: &[Line]) {
+        for line in lines {
+            match line.state {
+                Listed::Removed => self.list.remove(&line.server),
+                state => self.list.insert(line.server, state),
+            };
+        }
+    }
+
+    /// All of it.
+    pub fn lines(&self) -> Vec<Line> {
+        self.list.iter().map(|(server, state)| Line { server: *server, state: *state }).collect()
+    }
+}
+
+/// A line as the module is told it.
+fn backend(world: &World, line: &Line) -> Backend {
+    let loan = &world.loans()[line.server];
+    let machine = loan.server.machine();
+    Backend {
+        id: BackendId(line.server as u64 + 1),
+        zone: Some(ZoneId(loan.zone as u32)),
+        kind: Some(KindId(loan.kind as u32)),
+        cell: Some(CellId(line.server as u64 / 4)),
+        state: match line.state {
+            Listed::Up => State::Up,
+            Listed::Draining => State::Draining,
+            Listed::Removed => State::Gone,
+        },
+        // The size as registered: the kind's, not the single machine's.
+        rating: machine.cores * world.scenario().fleet.kinds[loan.kind].speed,
+        since: loan.server.born(),
+    }
+}
+
+/// The server that the module means.
+pub fn server_of(backend: BackendId) -> ServerId {
+    (backend.0 as usize).wrapping_sub(1)
+}
+
+impl Proxy {
+    /// A process that has just started.
+    pub fn new(decider: Box<dyn Decider>, generation: u32) -> Self {
+        Proxy {
+            decider,
+            generation,
+            ending: false,
+            live: FxHashMap::default(),
+            open: FxHashMap::default(),
+            idle: FxHashMap::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Feeds the module; returns what it wants done, in order.
+    pub fn handle(&mut self, now: Millis, event: Event) -> Vec<Action> {
+        let mut actions = std::mem::take(&mut self.actions);
+        actions.clear();
+        self.decider.handle(now, event, &mut actions);
+        std::mem::take(&mut actions)
+    }
+
+    /// News of the list.
+    pub fn news(&mut self, now: Millis, world: &World, scope: Scope, lines: &[Line]) -> Vec<Action> {
+        for line in lines {
+            self.open.insert(line.server, line.state == Listed::Up);
+            if line.state != Listed::Up {
+                self.idle.remove(&line.server);
+            }
+        }
+        let entries = lines.iter().map(|line| backend(world, line)).collect();
+        self.handle(now, Event::List { scope, entries })
+    }
+
+    /// Whether something new may go to a server.
+    pub fn is_open(&self, server: ServerId) -> bool {
+        self.open.get(&server).copied().unwrap_or(false)
+    }
+
+    /// Takes the connection to a server that was used last, if it has not been idle since before `oldest`; tells also
+    /// how many that were too old have been closed.
+    pub fn reuse(&mut self, server: ServerId, oldest: Millis) -> (bool, usize) {
+        let Some(idle) = self.idle.get_mut(&server) else { return (false, 0) };
+        match idle.last() {
+            Some(since) if *since > oldest => {
+                idle.pop();
+                (true, 0)
+            }
+            // The one used last is too old, and so are all others.
+            _ => (false, self.idle.remove(&server).map_or(0, |idle| idle.len())),
+        }
+    }
+
+    /// Takes the right to answer a request; `false` if it has had its answer.
+    pub fn close(&mut self, id: TryId) -> bool {
+        let Some(live) = self.live.get_mut(&id) else { return false };
+        let was = std::mem::take(&mut live.wanted);
+        self.forget(id);
+        was
+    }
+
+    /// Forgets a request that has had its answer and has no attempts out.
+    pub fn forget(&mut self, id: TryId) {
+        if self.live.get(&id).is_some_and(|l| !l.wanted && l.out == 0) {
+            self.live.remove(&id);
+        }
+    }
+}
+
+/// A try as the module knows it.
+pub fn request_of(id: TryId) -> RequestId {
+    RequestId(id as u64)
+}
--- /dev/null
+++ b/crates/lab/src/world/mod.rs
@@ -0,0 +1,485 @@
+//! The world that proxies meet: servers, the list of them, and what goes wrong, in the order of time.
+//!
+//! It holds no clock and no sockets. A driver tells it what reaches a server, asks when something next happens by
+//! itself ([`World::next`]), and takes what has happened ([`World::advance`]). The same world stands behind virtual
+//! time and behind real sockets.
+
+mod plan;
+pub mod server;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Normal};
+use rustc_hash::FxHashMap;
+use wharfhitch::Millis;
+
+use crate::chance::{Use, pick, stream};
+use crate::ledger::{ProxyId, ServerId};
+use crate::scenario::{Break, FaultKind, Scenario};
+use plan::Step;
+use server::{Job, Life, Machine, Offer, Server};
+
+/// A time as whole µs, rounded up: what is due at a time has come about by then. A time that was made of whole µs
+/// gives them back.
+pub fn micros(at: Millis) -> u64 {
+    (at * 1000.0 - 1e-4).ceil() as u64
+}
+
+/// What the list says of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// It takes work.
+    Up,
+    /// It finishes what it holds.
+    Draining,
+    /// It is gone.
+    Removed,
+}
+
+/// A line of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    /// Which server.
+    pub server: ServerId,
+    /// Its state.
+    pub state: Listed,
+}
+
+/// What a server does with a request that it has taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It answers.
+    Served,
+    /// It answers with an error.
+    Error,
+    /// The connection breaks.
+    Reset(Break),
+    /// It never answers, and the connection stays open.
+    Silent,
+}
+
+/// What becomes of a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Connect {
+    /// It is up.
+    Up,
+    /// It is refused.
+    Refused,
+    /// Nothing comes back.
+    Silent,
+}
+
+/// What has happened by itself.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Happened {
+    /// A server has done an attempt, and this is what comes of it.
+    Done {
+        /// The attempt.
+        attempt: u64,
+        /// What its server does.
+        verdict: Verdict,
+    },
+    /// A server's process has ended or fallen over with this attempt in it.
+    Lost {
+        /// The attempt.
+        attempt: u64,
+    },
+    /// The list has changed.
+    Listed(Line),
+    /// A cold server was pushed over.
+    Fell {
+        /// Which.
+        server: ServerId,
+        /// The part of its capacity that it had.
+        warmth: f64,
+    },
+    /// A proxy is killed outright.
+    Kill(ProxyId),
+    /// A proxy is told to end.
+    Terminate(ProxyId),
+    /// A proxy is started anew.
+    Start(ProxyId),
+}
+
+/// A server with its place in the world.
+pub struct Loan {
+    /// Its model.
+    pub server: Server,
+    /// Its zone, a place in the fleet's.
+    pub zone: usize,
+    /// Its kind, a place in the fleet's.
+    pub kind: usize,
+    /// What the list says of it.
+    pub listed: Listed,
+    /// Counts its changes, so that what was due before them is no longer.
+    epoch: u64,
+}
+
+/// All servers, the list and the faults.
+pub struct World {
+    scenario: Arc<Scenario>,
+    loans: Vec<Loan>,
+    due: BinaryHeap<Reverse<(u64, ServerId, u64)>>,
+    plan: BinaryHeap<Reverse<(u64, usize, Step)>>,
+    steps: usize,
+    /// The servers or proxies that each fault strikes, while it lasts.
+    struck: Vec<Vec<usize>>,
+    /// Servers that a deploy has not replaced yet, those of its own making left out.
+    old: usize,
+    fleet: ChaCha8Rng,
+    faults: ChaCha8Rng,
+    news: ChaCha8Rng,
+    /// When each proxy's latest news comes: order is kept.
+    latest: Vec<Millis>,
+    pending: Vec<Happened>,
+}
+
+impl World {
+    /// The world at its start: every server is warm and listed.
+    pub fn new(scenario: Arc<Scenario>, seed: u64) -> Self {
+        let mut world = World {
+            loans: Vec::new(),
+            due: BinaryHeap::new(),
+            plan: BinaryHeap::new(),
+            steps: 0,
+            struck: vec![Vec::new(); scenario.faults.len()],
+            old: scenario.fleet.servers,
+            fleet: stream(seed, Use::Fleet),
+            faults: stream(seed, Use::Faults),
+            news: stream(seed, Use::List),
+            latest: vec![0.0; scenario.proxies.count],
+            pending: Vec::new(),
+            scenario,
+        };
+        for n in 0..world.scenario.fleet.servers {
+            let zone = n % world.scenario.fleet.zones.len();
+            world.add(zone, world.kind_of(n), None, 0.0);
+        }
+        for (at, step) in plan::steps(&world.scenario) {
+            world.schedule(at, step);
+        }
+        world
+    }
+
+    /// The kind of the server of this number: each kind gets its share, spread evenly.
+    fn kind_of(&self, n: usize) -> usize {
+        let kinds = &self.scenario.fleet.kinds;
+        let place = (n as f64 * 0.618_033_988_749_894_9).fract();
+        let mut sum = 0.0;
+        kinds
+            .iter()
+            .position(|k| {
+                sum += k.share.0;
+                place < sum
+            })
+            .unwrap_or(kinds.len() - 1)
+    }
+
+    fn machine(&mut self, kind: usize) -> Machine {
+        let f = &self.scenario.fleet;
+        let k = &f.kinds[kind];
+        let cores = f64::from(k.cores);
+        let spread = Normal::new(1.0, k.speed_spread.0).expect("the range has been checked");
+        let speed = k.speed * spread.sample(&mut self.fleet).clamp(0.3, 3.0);
+        Machine {
+            cores,
+            speed,
+            slots: ((k.slots_per_core * cores).round() as usize).max(1),
+            queue: (k.queue_per_core * cores).round() as usize,
+            connections: f.connections_per_core * k.cores,
+            cold: (f.cold_from.0, f.cold.0),
+            crowding: (f.crowded_from, f.crowding.0),
+            keys: (f.key_gain.0, f.keys_per_core * k.cores as usize, f.key_span.0),
+            fall: (self.scenario.rules.fall_multiple, self.scenario.rules.fall.0),
+        }
+    }
+
+    fn add(&mut self, zone: usize, kind: usize, born: Option<Millis>, now: Millis) -> ServerId {
+        let server = Server::new(self.machine(kind), born, now);
+        self.loans.push(Loan { server, zone, kind, listed: Listed::Up, epoch: 0 });
+        self.loans.len() - 1
+    }
+
+    fn schedule(&mut self, at: Millis, step: Step) {
+        self.plan.push(Reverse((micros(at), self.steps, step)));
+        self.steps += 1;
+    }
+
+    /// All servers that there have been.
+    pub fn loans(&self) -> &[Loan] {
+        &self.loans
+    }
+
+    /// What is played.
+    pub fn scenario(&self) -> &Scenario {
+        &self.scenario
+    }
+
+    /// A server's name, the same at every proxy.
+    pub fn name(&self, server: ServerId) -> String {
+        format!("s-{server:06}")
+    }
+
+    /// The zone in which a proxy stands.
+    pub fn proxy_zone(&self, proxy: ProxyId) -> usize {
+        proxy % self.scenario.fleet.zones.len()
+    }
+
+    /// Whether nothing passes between two zones now.
+    pub fn parted(&self, now: Millis, a: usize, b: usize) -> bool {
+        let zones = &self.scenario.fleet.zones;
+        let is = |name: &Option<String>, zone: usize| name.as_deref() == Some(zones[zone].as_str());
+        self.active(now, FaultKind::Partition)
+            .any(|(_, f)| is(&f.from, a) && is(&f.to, b) || is(&f.from, b) && is(&f.to, a))
+    }
+
+    fn active(
+        &self, now: Millis, kind: FaultKind,
+    ) -> impl Iterator<Item = (usize, &crate::scenario::Fault)> + use<'_> {
+        let holds =
+            move |f: &crate::scenario::Fault| f.kind == kind && f.at.0 <= now && now < f.at.0 + f.span.0;
+        self.scenario.faults.iter().enumerate().filter(move |(_, f)| holds(f))
+    }
+
+    /// When the word of a change of now reaches a proxy; later words never come before earlier ones.
+    pub fn news_at(&mut self, now: Millis, proxy: ProxyId) -> Millis {
+        let list = &self.scenario.list;
+        let mut at = now + list.delay.0 + list.spread.0 * self.news.random::<f64>();
+        at = at.max(self.latest[proxy]);
+        for kind in [FaultKind::ListSilent, FaultKind::ListStale] {
+            for f in self.scenario.faults.iter().filter(|f| f.kind == kind) {
+                if f.at.0 <= at && at < f.at.0 + f.span.0 {
+                    at = f.at.0 + f.span.0;
+                }
+            }
+        }
+        self.latest[proxy] = at;
+        at
+    }
+
+    /// When something next happens by itself.
+    pub fn next(&self) -> Option<Millis> {
+        let due = self.due.peek().map(|Reverse((at, ..))| *at);
+        let planned = self.plan.peek().map(|Reverse((at, ..))| *at);
+        if !self.pending.is_empty() {
+            return Some(0.0);
+        }
+        [due, planned].into_iter().flatten().min().map(|at| at as f64 / 1000.0)
+    }
+
+    /// Notes that a server has changed: what it does next is due anew.
+    fn touch(&mut self, id: ServerId) {
+        let loan = &mut self.loans[id];
+        loan.epoch += 1;
+        if let Some(at) = loan.server.next() {
+            self.due.push(Reverse((micros(at), id, loan.epoch)));
+        }
+    }
+
+    /// Takes what has happened up to now, in the order of time.
+    pub fn advance(&mut self, now: Millis) -> Vec<Happened> {
+        let until = micros(now);
+        loop {
+            let due = self.due.peek().map(|Reverse((at, ..))| *at).filter(|at| *at <= until);
+            let planned = self.plan.peek().map(|Reverse((at, ..))| *at).filter(|at| *at <= until);
+            match (due, planned) {
+                (None, None) => return std::mem::take(&mut self.pending),
+                (due, Some(at)) if due.is_none_or(|due| at <= due) => {
+                    if let Some(Reverse((at, _, step))) = self.plan.pop() {
+                        self.step(at as f64 / 1000.0, step);
+                    }
+                }
+                _ => {
+                    let Some(Reverse((at, id, epoch))) = self.due.pop() else { continue };
+                    if self.loans[id].epoch == epoch {
+                        self.finish(at as f64 / 1000.0, id);
+                    }
+                }
+            }
+        }
+    }
+
+    fn finish(&mut self, at: Millis, id: ServerId) {
+        for job in self.loans[id].server.finished(at) {
+            let verdict = self.verdict(at);
+            self.pending.push(Happened::Done { attempt: job.attempt, verdict });
+        }
+        self.touch(id);
+    }
+
+    /// What becomes of an answer.
+    fn verdict(&mut self, at: Millis) -> Verdict {
+        let share = |f: &crate::scenario::Fault| f.share.map_or(0.0, |s| s.0);
+        let lost = self.active(at, FaultKind::LostAnswers).map(|(_, f)| share(f)).sum::<f64>();
+        let resets: Vec<(f64, Break)> = self
+            .active(at, FaultKind::Resets)
+            .map(|(_, f)| (share(f), f.place.unwrap_or(Break::Before)))
+            .collect();
+        // No draw without a fault: the days of two scenarios stay alike up to it.
+        if lost > 0.0 && self.faults.random::<f64>() < lost {
+            return Verdict::Silent;
+        }
+        for (share, place) in resets {
+            if self.faults.random::<f64>() < share {
+                return Verdict::Reset(place);
+            }
+        }
+        Verdict::Served
+    }
+
+    /// A proxy opens a connection.
+    pub fn connect(&mut self, now: Millis, proxy: ProxyId, server: ServerId) -> Connect {
+        if self.parted(now, self.proxy_zone(proxy), self.loans[server].zone) {
+            return Connect::Silent;
+        }
+        let refuses =
+            self.active(now, FaultKind::RefuseConnects).any(|(i, _)| self.struck[i].contains(&server));
+        let loan = &mut self.loans[server].server;
+        if refuses || matches!(loan.life(), Life::Down | Life::Fallen) || !loan.connect() {
+            return Connect::Refused;
+        }
+        Connect::Up
+    }
+
+    /// A connection to a server has ended.
+    pub fn disconnect(&mut self, server: ServerId) {
+        self.loans[server].server.disconnect();
+    }
+
+    /// A request has reached a server whole. An error, where there is one, comes at once.
+    pub fn offer(&mut self, now: Millis, server: ServerId, job: Job) -> (Offer, Option<Verdict>) {
+        let errors: f64 = self
+            .active(now, FaultKind::Errors)
+            .filter(|(i, _)| self.struck[*i].contains(&server))
+            .map(|(_, f)| f.factor.unwrap_or(0.0))
+            .sum();
+        if errors > 0.0 && self.faults.random::<f64>() < errors {
+            return (Offer::Taken, Some(Verdict::Error));
+        }
+        let warmth = self.loans[server].server.warmth(now);
+        let offer = self.loans[server].server.offer(now, job);
+        if offer == Offer::PushedOver {
+            self.pending.push(Happened::Fell { server, warmth });
+            self.lose(server);
+        }
+        self.touch(server);
+        (offer, None)
+    }
+
+    fn lose(&mut self, server: ServerId) {
+        let held = self.loans[server].server.lose_all();
+        self.pending.extend(held.into_iter().map(|attempt| Happened::Lost { attempt }));
+    }
+
+    /// A proxy has given an attempt up: its connection is closed. Tells whether the server was spared it.
+    pub fn cancel(&mut self, now: Millis, server: ServerId, attempt: u64) -> bool {
+        let cancels = self.scenario.fleet.cancels;
+        let spared = self.loans[server].server.cancel(now, attempt, cancels);
+        self.touch(server);
+        spared
+    }
+
+    fn list(&mut self, server: ServerId, state: Listed) {
+        self.loans[server].listed = state;
+        self.pending.push(Happened::Listed(Line { server, state }));
+    }
+
+    /// Servers that run and take work.
+    fn up(&self) -> Vec<ServerId> {
+        (0..self.loans.len()).filter(|&s| self.loans[s].server.life() == Life::Up).collect()
+    }
+
+    fn step(&mut self, at: Millis, step: Step) {
+        let scenario = self.scenario.clone();
+        match step {
+            Step::Begin(fault) => {
+                let f = &scenario.faults[fault];
+                let up = self.up();
+                let share = f.share.map_or(1.0, |s| s.0);
+                let many = ((share * up.len() as f64).round() as usize).max(1);
+                let places = pick(&mut self.faults, up.len(), many);
+                self.struck[fault] = places.into_iter().map(|i| up[i]).collect();
+                self.strike(at, fault, true);
+            }
+            Step::End(fault) => {
+                self.strike(at, fault, false);
+                self.struck[fault].clear();
+            }
+            Step::Replace(fault, many) => self.replace(at, fault, many),
+            Step::Leave(fault) => {
+                let up = self.up();
+                if up.len() > 1 {
+                    let server = up[pick(&mut self.faults, up.len(), 1)[0]];
+                    self.leave(at, fault, server);
+                }
+            }
+            Step::Stop(server) => {
+                let held = self.loans[server].server.stop(at);
+                self.pending.extend(held.into_iter().map(|attempt| Happened::Lost { attempt }));
+                self.list(server, Listed::Removed);
+                self.touch(server);
+            }
+            Step::Proxies(fault) => {
+                let f = &scenario.faults[fault];
+                let share = f.share.map_or(0.0, |s| s.0);
+                let many = ((share * scenario.proxies.count as f64).round() as usize).max(1);
+                for proxy in pick(&mut self.faults, scenario.proxies.count, many) {
+                    self.pending.push(match f.kind {
+                        FaultKind::ProxyKill => Happened::Kill(proxy),
+                        _ => Happened::Terminate(proxy),
+                    });
+                    self.schedule(at + f.span.0, Step::Start(proxy));
+                }
+            }
+            Step::Start(proxy) => self.pending.push(Happened::Start(proxy)),
+        }
+    }
+
+    /// A fault that changes servers begins or ends.
+    fn strike(&mut self, at: Millis, fault: usize, begins: bool) {
+        let f = &self.scenario.faults[fault];
+        let (kind, factor) = (f.kind, f.factor.unwrap_or(1.0));
+        for server in self.struck[fault].clone() {
+            match kind {
+                FaultKind::Slow => self.loans[server].server.set_slow(at, if begins { factor } else { 1.0 }),
+                FaultKind::Hang => self.loans[server].server.set_hung(at, begins),
+                _ => continue,
+            }
+            self.touch(server);
+        }
+    }
+
+    /// Replaces servers of the start by cold ones: a new machine has a new name.
+    fn replace(&mut self, at: Millis, fault: usize, many: usize) {
+        let old: Vec<ServerId> = self.up().into_iter().filter(|&s| s < self.old).collect();
+        for place in pick(&mut self.faults, old.len(), many) {
+            let server = old[place];
+            let (zone, kind) = (self.loans[server].zone, self.loans[server].kind);
+            let successor = self.add(zone, kind, Some(at), at);
+            self.list(successor, Listed::Up);
+            self.leave(at, fault, server);
+        }
+    }
+
+    fn leave(&mut self, at: Millis, fault: usize, server: ServerId) {
+        self.loans[server].server.drain();
+        self.list(server, Listed::Draining);
+        let drain = self.scenario.faults[fault].drain.map_or(0.0, |d| d.0);
+        self.schedule(at + drain, Step::Stop(server));
+    }
+
+    /// The list as it now stands.
+    pub fn listed(&self) -> Vec<Line> {
+        let lines = self.loans.iter().enumerate().filter(|(_, l)| l.listed != Listed::Removed);
+        lines.map(|(server, l)| Line { server, state: l.listed }).collect()
+    }
+
+    /// Requests that each server holds, in work and waiting, for reports.
+    pub fn held(&self) -> FxHashMap<ServerId, (usize, usize)> {
+        self.loans.iter().enumerate().map(|(s, l)| (s, l.server.held())).collect()
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world/server.rs
@@ -0,0 +1,458 @@
+//! One loan server: cores that share what is in work evenly, a waiting room, a cold start, keys kept warm.
+//!
+//! It holds no clock: every call brings the time, which never runs backwards. Work is in ms of a standard core.
+
+use std::collections::VecDeque;
+
+use rustc_hash::FxHashMap;
+use wharfhitch::Millis;
+
+use crate::scenario::Cancels;
+
+/// What a server is made of.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    /// Its cores.
+    pub cores: f64,
+    /// The speed of a core; 1 is the standard.
+    pub speed: f64,
+    /// Requests in work at once.
+    pub slots: usize,
+    /// Requests that may wait beside them.
+    pub queue: usize,
+    /// Connections that it holds.
+    pub connections: u32,
+    /// The part of its capacity that it starts with, and how long it takes to have all of it.
+    pub cold: (f64, Millis),
+    /// Requests held for each core above which it slows down, and the part that each further one costs.
+    pub crowding: (f64, f64),
+    /// The part of the work that a warm key saves, how many keys it remembers and for how long.
+    pub keys: (f64, usize, Millis),
+    /// A cold server falls over at this multiple of its present capacity, taken over this span.
+    pub fall: (f64, Millis),
+}
+
+/// A request at a server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Job {
+    /// The attempt, as numbered by the driver.
+    pub attempt: u64,
+    /// Its work, without what a warm key saves.
+    pub work: f64,
+    /// What it is about.
+    pub key: u64,
+}
+
+/// Why a server is not as it was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    /// It runs.
+    Up,
+    /// It finishes what it holds and turns new requests away.
+    Draining,
+    /// Its process has ended.
+    Down,
+    /// It was pushed over while cold and stays down.
+    Fallen,
+}
+
+/// What became of a request that has just come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// It is in work or waits.
+    Taken,
+    /// It was turned away unseen.
+    TurnedAway,
+    /// It was the one that pushed the cold server over: all that it held is lost.
+    PushedOver,
+}
+
+struct Working {
+    job: Job,
+    /// The pace at which it is done.
+    until: f64,
+}
+
+/// A loan server.
+pub struct Server {
+    machine: Machine,
+    /// When its process started; `None` if long ago.
+    born: Option<Millis>,
+    life: Life,
+    /// Work that each request in work has had so far, counted on from the process's start.
+    pace: f64,
+    /// The time up to which that is counted.
+    at: Millis,
+    working: Vec<Working>,
+    waiting: VecDeque<Job>,
+    /// How many times slower it runs than it should.
+    slow: f64,
+    hung: bool,
+    connections: u32,
+    keys: FxHashMap<u64, Millis>,
+    key_order: VecDeque<(u64, Millis)>,
+    /// Work sent lately beyond what it may be sent.
+    pressure: f64,
+    pressure_at: Millis,
+}
+
+impl Server {
+    /// A server whose process started at `born`, or long ago.
+    pub fn new(machine: Machine, born: Option<Millis>, now: Millis) -> Self {
+        Server {
+            machine,
+            born,
+            life: Life::Up,
+            pace: 0.0,
+            at: now,
+            working: Vec::new(),
+            waiting: VecDeque::new(),
+            slow: 1.0,
+            hung: false,
+            connections: 0,
+            keys: FxHashMap::default(),
+            key_order: VecDeque::new(),
+            pressure: 0.0,
+            pressure_at: now,
+        }
+    }
+
+    /// Whether it runs.
+    pub fn life(&self) -> Life {
+        self.life
+    }
+
+    /// What it is made of.
+    pub fn machine(&self) -> &Machine {
+        &self.machine
+    }
+
+    /// When its process started; `None` if long ago.
+    pub fn born(&self) -> Option<Millis> {
+        self.born
+    }
+
+    /// Requests in work, and those that wait.
+    pub fn held(&self) -> (usize, usize) {
+        (self.working.len(), self.waiting.len())
+    }
+
+    /// The part of its capacity that it has at a time: cold ones warm evenly.
+    pub fn warmth(&self, at: Millis) -> f64 {
+        let (from, span) = self.machine.cold;
+        match self.born {
+            Some(born) if span > 0.0 => from + (1.0 - from) * ((at - born) / span).clamp(0.0, 1.0),
+            _ => 1.0,
+        }
+    }
+
+    /// The warmth summed over a stretch of time.
+    fn warm_span(&self, from: Millis, to: Millis) -> f64 {
+        let Some(born) = self.born else { return to - from };
+        let warm_at = (born + self.machine.cold.1).clamp(from, to);
+        let mean = (self.warmth(from) + self.warmth(warm_at)) / 2.0;
+        mean * (warm_at - from) + (to - warm_at)
+    }
+
+    /// Work that each request in work gets in a ms, were the server warm.
+    fn rate(&self) -> f64 {
+        let m = &self.machine;
+        let (n, held) = (self.working.len() as f64, (self.working.len() + self.waiting.len()) as f64);
+        if n == 0.0 || self.hung || matches!(self.life, Life::Down | Life::Fallen) {
+            return 0.0;
+        }
+        let beyond = (held / m.cores - m.crowding.0).max(0.0);
+        (m.cores / n).min(1.0) * m.speed / self.slow / (1.0 + m.crowding.1 * beyond)
+    }
+
+    fn advance(&mut self, now: Millis) {
+        self.pace += self.rate() * self.warm_span(self.at, now);
+        self.at = now;
+    }
+
+    /// When the next request is done, if nothing else happens before.
+    pub fn next(&self) -> Option<Millis> {
+        let rate = self.rate();
+        let first = self.working.iter().map(|w| w.until).min_by(f64::total_cmp).filter(|_| rate > 0.0)?;
+        let need = (first - self.pace).max(0.0) / rate;
+        let warmth = self.warmth(self.at);
+        let (from, span) = self.machine.cold;
+        let warm_at = self.born.map_or(self.at, |born| (born + span).max(self.at));
+        let until_warm = self.warm_span(self.at, warm_at);
+        Some(if need >= until_warm {
+            warm_at + (need - until_warm)
+        } else {
+            // The warmth rises evenly: warmth·x + slope·x²/2 = need.
+            let slope = (1.0 - from) / span;
+            self.at + 2.0 * need / (warmth + (warmth * warmth + 2.0 * slope * need).sqrt())
+        })
+    }
+
+    /// Takes the requests that are done by now, in the order in which they were done.
+    pub fn finished(&mut self, now: Millis) -> Vec<Job> {
+        self.advance(now);
+        let mut done = Vec::new();
+        loop {
+            let due = |w: &Working| w.until <= self.pace + 1e-6;
+            let first = self.working.iter().enumerate().filter(|(_, w)| due(w));
+            let first = first.min_by(|a, b| a.1.until.total_cmp(&b.1.until)).map(|(i, _)| i);
+            let Some(i) = first else { return done };
+            let job = self.working.remove(i).job;
+            self.remember(now, job.key);
+            done.push(job);
+            self.fill(now);
+        }
+    }
+
+    /// Moves waiting requests into work.
+    fn fill(&mut self, now: Millis) {
+        while self.working.len() < self.machine.slots {
+            let Some(job) = self.waiting.pop_front() else { return };
+            let saved = if self.knows(now, job.key) { self.machine.keys.0 } else { 0.0 };
+            let until = self.pace + job.work * (1.0 - saved);
+            self.working.push(Working { job, until });
+        }
+    }
+
+    fn knows(&self, now: Millis, key: u64) -> bool {
+        self.keys.get(&key).is_some_and(|at| now - at <= self.machine.keys.2)
+    }
+
+    fn remember(&mut self, now: Millis, key: u64) {
+        if self.machine.keys.0 == 0.0 {
+            return;
+        }
+        self.keys.insert(key, now);
+        self.key_order.push_back((key, now));
+        while self.keys.len() > self.machine.keys.1 || self.key_order.len() > 4 * self.machine.keys.1 {
+            let Some((key, at)) = self.key_order.pop_front() else { return };
+            if self.keys.get(&key) == Some(&at) {
+                self.keys.remove(&key);
+            }
+        }
+    }
+
+    /// Counts work that reaches the server, also what it turns away; tells whether it falls over. The budget is
+    /// `multiple` times the present capacity over a span, with two mean requests of slack for chance.
+    fn press(&mut self, now: Millis, work: f64) -> bool {
+        let m = &self.machine;
+        let allowed = m.fall.0 * self.warmth(now) * m.cores * m.speed;
+        self.pressure = (self.pressure - allowed * (now - self.pressure_at)).max(0.0) + work;
+        self.pressure_at = now;
+        self.warmth(now) < 1.0 && self.pressure > allowed * m.fall.1 + 2.0 * work
+    }
+
+    /// A request has come.
+    pub fn offer(&mut self, now: Millis, job: Job) -> Offer {
+        self.advance(now);
+        if matches!(self.life, Life::Down | Life::Fallen) {
+            return Offer::TurnedAway;
+        }
+        if self.press(now, job.work) {
+            self.life = Life::Fallen;
+            return Offer::PushedOver;
+        }
+        if self.life == Life::Draining || self.waiting.len() >= self.machine.queue.max(1) && self.is_full() {
+            return Offer::TurnedAway;
+        }
+        self.waiting.push_back(job);
+        self.fill(now);
+        Offer::Taken
+    }
+
+    fn is_full(&self) -> bool {
+        self.working.len() >= self.machine.slots
+    }
+
+    /// An attempt has been given up: its connection is closed. Tells whether it was spared.
+    pub fn cancel(&mut self, now: Millis, attempt: u64, cancels: Cancels) -> bool {
+        self.advance(now);
+        if cancels == Cancels::Nothing {
+            return false;
+        }
+        let before = self.waiting.len() + self.working.len();
+        self.waiting.retain(|job| job.attempt != attempt);
+        if cancels == Cancels::All {
+            self.working.retain(|w| w.job.attempt != attempt);
+            self.fill(now);
+        }
+        self.waiting.len() + self.working.len() < before
+    }
+
+    /// A connection comes up; `false` if the server holds as many as it can.
+    pub fn connect(&mut self) -> bool {
+        let fits = self.connections < self.machine.connections;
+        self.connections += u32::from(fits);
+        fits
+    }
+
+    /// A connection has ended.
+    pub fn disconnect(&mut self) {
+        self.connections = self.connections.saturating_sub(1);
+    }
+
+    /// Finishes what it holds from here on.
+    pub fn drain(&mut self) {
+        if self.life == Life::Up {
+            self.life = Life::Draining;
+        }
+    }
+
+    /// Its process ends; returns the attempts that it held.
+    pub fn stop(&mut self, now: Millis) -> Vec<u64> {
+        self.advance(now);
+        if self.life != Life::Fallen {
+            self.life = Life::Down;
+        }
+        self.lose_all()
+    }
+
+    /// The attempts that it holds are lost.
+    pub fn lose_all(&mut self) -> Vec<u64> {
+        self.connections = 0;
+        let working = self.working.drain(..).map(|w| w.job.attempt);
+        working.chain(self.waiting.drain(..).map(|j| j.attempt)).collect()
+    }
+
+    /// Runs this many times slower than it should.
+    pub fn set_slow(&mut self, now: Millis, slow: f64) {
+        self.advance(now);
+        self.slow = slow;
+    }
+
+    /// Works on nothing while it is hung.
+    pub fn set_hung(&mut self, now: Millis, hung: bool) {
+        self.advance(now);
+        self.hung = hung;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn machine() -> Machine {
+        Machine {
+            cores: 2.0,
+            speed: 1.0,
+            slots: 2,
+            queue: 2,
+            connections: 3,
+            cold: (0.2, 1000.0),
+            crowding: (100.0, 0.0),
+            keys: (0.5, 2, 1000.0),
+            fall: (3.0, 1000.0),
+        }
+    }
+
+    fn job(attempt: u64, work: f64) -> Job {
+        Job { attempt, work, key: attempt }
+    }
+
+    fn ids(jobs: Vec<Job>) -> Vec<u64> {
+        jobs.into_iter().map(|j| j.attempt).collect()
+    }
+
+    #[test]
+    fn work_takes_its_time_and_what_does_not_fit_waits_or_is_turned_away() {
+        let mut s = Server::new(machine(), None, 0.0);
+        for n in 0..4 {
+            assert_eq!(s.offer(0.0, job(n, 10.0)), Offer::Taken);
+        }
+        assert_eq!(s.offer(0.0, job(4, 10.0)), Offer::TurnedAway);
+        assert_eq!(s.next(), Some(10.0));
+        assert_eq!(ids(s.finished(10.0)), [0, 1]);
+        assert_eq!(s.next(), Some(20.0));
+        assert_eq!(ids(s.finished(25.0)), [2, 3]);
+        assert_eq!(s.next(), None);
+    }
+
+    #[test]
+    fn more_in_work_than_cores_share_them() {
+        let mut s = Server::new(Machine { slots: 4, ..machine() }, None, 0.0);
+        for n in 0..4 {
+            s.offer(0.0, job(n, 10.0));
+        }
+        assert_eq!(s.next(), Some(20.0));
+    }
+
+    #[test]
+    fn a_cold_server_warms_evenly() {
+        let mut s = Server::new(machine(), Some(0.0), 0.0);
+        s.offer(0.0, job(1, 60.0));
+        // 0.2·x + 0.0004·x² = 60 at x ≈ 211.1
+        let at = s.next().expect("it works");
+        assert!((0.2 * at + 0.0004 * at * at - 60.0).abs() < 1e-9, "{at}");
+        assert_eq!(ids(s.finished(at)), [1]);
+        let mut s = Server::new(machine(), Some(0.0), 0.0);
+        s.offer(0.0, job(1, 700.0)); // 600 by the time it is warm, the rest at full speed
+        assert!((s.next().expect("it works") - 1100.0).abs() < 1e-9);
+    }
+
+    #[test]
+    fn a_cold_server_falls_over_by_its_budget_and_a_warm_one_does_not() {
+        for (born, fate) in [(Some(0.0), Offer::PushedOver), (None, Offer::TurnedAway)] {
+            let mut s = Server::new(machine(), born, 0.0);
+            let offers: Vec<Offer> = (0..200).map(|n| s.offer(0.0, job(n, 10.0))).collect();
+            assert_eq!(*offers.last().expect("some"), if born.is_some() { Offer::TurnedAway } else { fate });
+            assert_eq!(offers.contains(&Offer::PushedOver), born.is_some());
+        }
+    }
+
+    #[test]
+    fn a_warm_key_saves_work_for_a_while() {
+        let mut s = Server::new(machine(), None, 0.0);
+        s.offer(0.0, job(1, 10.0));
+        assert_eq!(s.finished(10.0).len(), 1);
+        s.offer(10.0, job(1, 10.0));
+        assert_eq!(s.next(), Some(15.0));
+        assert_eq!(s.finished(15.0).len(), 1);
+        s.offer(2000.0, job(1, 10.0));
+        assert_eq!(s.next(), Some(2010.0));
+    }
+
+    #[test]
+    fn what_a_cancel_spares_is_as_set() {
+        for (cancels, left) in
+            [(Cancels::Nothing, (2, 1)), (Cancels::Waiting, (2, 0)), (Cancels::All, (1, 0))]
+        {
+            let mut s = Server::new(machine(), None, 0.0);
+            for n in 0..3 {
+                s.offer(0.0, job(n, 10.0));
+            }
+            s.cancel(1.0, 0, cancels);
+            s.cancel(1.0, 2, cancels);
+            assert_eq!(s.held(), left, "{cancels:?}");
+        }
+    }
+
+    #[test]
+    fn a_hung_server_says_nothing_until_it_is_well() {
+        let mut s = Server::new(machine(), None, 0.0);
+        s.offer(0.0, job(1, 10.0));
+        s.set_hung(5.0, true);
+        assert_eq!(s.next(), None);
+        s.set_hung(105.0, false);
+        assert_eq!(s.next(), Some(110.0));
+        s.set_slow(105.0, 2.0);
+        assert_eq!(s.next(), Some(115.0));
+    }
+
+    #[test]
+    fn a_stopped_server_names_what_it_held() {
+        let mut s = Server::new(machine(), None, 0.0);
+        s.offer(0.0, job(1, 10.0));
+        s.drain();
+        assert_eq!(s.offer(0.0, job(2, 10.0)), Offer::TurnedAway);
+        assert_eq!(s.stop(5.0), [1]);
+        assert_eq!((s.life(), s.next()), (Life::Down, None));
+    }
+
+    #[test]
+    fn connections_are_counted() {
+        let mut s = Server::new(machine(), None, 0.0);
+        assert!((0..3).all(|_| s.connect()) && !s.connect());
+        s.disconnect();
+        assert!(s.connect());
+    }
+}
