Play scenarios on real sockets with real proxy processes

Need: virtual time calls the module alone; what the engine does on sockets, and what a process costs, showed nowhere.

Change: `canvascart lab run` starts proxies (this program's own, or any command), one emulated loan server for each listed one with an address of its own for each proxy, an agent of the list for each proxy, and an open-loop load whose latencies count from the intended send. The world is the one of `lab sim`. Faults act on sockets: resets before, inside and after an answer, silence, refused connects, kills and planned restarts, partitions, garbage, slow readers. Memory, descriptors and CPU of the proxies are read; a run whose load came late is void; an interrupt leaves a report marked partial and no process behind.

--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -1,6 +1,6 @@
 //! `canvascart lab`: plays scenarios and says what came of them.
 
-use std::io::Write as _;
+use std::io::{IsTerminal as _, Write as _};
 use std::num::NonZero;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -8,7 +8,8 @@
 use ::lab::experiment::{self, Run};
 use ::lab::scenario::Scenario;
 use ::lab::sim::decider::Sabotage;
-use ::lab::{report, shipped};
+use ::lab::{real, report, shipped};
+use indicatif::{ProgressBar, ProgressStyle};
 
 /// A rule was broken.
 const BROKEN: u8 = 1;
@@ -24,6 +25,17 @@
     /// Checks a scenario, and names all that is wrong with it.
     #[command(after_help = CODES)]
     Check(Which),
+    /// Plays a scenario on real sockets: proxy processes, and an emulated fleet on 127.0.0.1 around them.
+    #[command(after_help = CODES)]
+    Run {
+        #[command(flatten)]
+        which: Which,
+        #[command(flatten)]
+        how: How,
+        /// Starts a proxy; it finds its configuration by NODE_CONFIG. Without it, the proxy in this program.
+        #[arg(long, value_name = "COMMAND")]
+        proxy: Option<String>,
+    },
     /// Plays a scenario in virtual time, on the decision module alone.
     #[command(after_help = CODES)]
     Sim {
@@ -173,11 +185,86 @@
             let runs = experiment::on_threads(how.repeat as usize, threads(), play);
             tell(&runs, how.json, how.out.as_deref())
         }
+        Command::Run { which, how, proxy } => run_real(&which, &how, proxy.as_deref()),
         Command::Compare { a, b, which, repeat, json } => compare(&which, &a, &b, repeat, json),
         Command::Sweep { which, key, values, repeat, alone } => sweep(&which, &key, &values, repeat, alone),
     }
 }
 
+/// What starts a proxy: a command of the caller's, or this program itself.
+fn proxy_command(given: Option<&str>) -> Result<Vec<String>, String> {
+    if let Some(given) = given {
+        return Ok(given.split_whitespace().map(str::to_owned).collect());
+    }
+    let own = std::env::current_exe().map_err(|e| format!("this program's own path: {e}"))?;
+    Ok(vec![own.display().to_string(), "proxy".into()])
+}
+
+/// Shows how far a run is: a bar on a terminal, a line now and then elsewhere.
+fn progress(what: &str, quiet: bool) -> impl FnMut(f64) + 'static {
+    let bar = (!quiet && std::io::stderr().is_terminal()).then(|| {
+        let style = ProgressStyle::with_template("{msg} [{bar:40}] {percent} %");
+        let bar = ProgressBar::new(1000).with_message(what.to_owned());
+        style.map_or(bar.clone(), |style| bar.with_style(style))
+    });
+    let (what, mut said) = (what.to_owned(), 0);
+    move |part| {
+        let tenths = (part * 10.0) as u32;
+        match &bar {
+            Some(bar) => bar.set_position((part * 1000.0) as u64),
+            None if !quiet && tenths > said => {
+                said = tenths;
+                eprintln!("{what}: {} %", tenths * 10);
+            }
+            None => {}
+        }
+    }
+}
+
+fn run_real(which: &Which, how: &How, proxy: Option<&str>) -> Result<u8, String> {
+    let scenario = which.read(&[])?;
+    let command = proxy_command(proxy)?;
+    let mut worst = 0;
+    for seed in how.seed..how.seed + how.repeat.max(1) {
+        let plain = Path::new(&which.scenario).file_stem().and_then(|s| s.to_str()).unwrap_or("run");
+        let dir = match &how.out {
+            Some(out) if how.repeat > 1 => out.join(format!("seed-{seed}")),
+            Some(out) => out.clone(),
+            None => std::env::temp_dir().join("canvascart-lab").join(format!("{plain}-{seed}")),
+        };
+        let tick = progress(&scenario.title, how.json);
+        let played = real::play(&scenario, &which.scenario, seed, &command, &dir, tick);
+        let written = played.and_then(|(run, measured)| report::write(&dir, &run).map(|()| (run, measured)));
+        let (run, measured) = match written {
+            Ok(played) => played,
+            Err(e) => {
+                eprintln!("canvascart: {}: {e}", which.scenario);
+                return Ok(NOT_RUN);
+            }
+        };
+        if how.json {
+            println!("{}", report::json(&run));
+        } else {
+            println!("{}", report::table(&run));
+            println!("proxies: {:.0} us of CPU a request", measured.cpu_us);
+            println!(
+                "load sent late by {:.2} ms, at the 99th percentile {:.2} ms",
+                measured.late_ms.0, measured.late_ms.1
+            );
+            println!("report: {}", dir.join("report.html").display());
+        }
+        worst = worst.max(match (&run.void, run.broken.is_empty()) {
+            (_, false) => BROKEN,
+            (Some(_), true) => NOT_RUN,
+            (None, true) => 0,
+        });
+        if run.partial {
+            break;
+        }
+    }
+    Ok(worst)
+}
+
 fn compare(which: &Which, a: &str, b: &str, repeat: u64, json: bool) -> Result<u8, String> {
     let sides = [which.read(&settings(a))?, which.read(&settings(b))?];
     // Side by side under each seed, so that what disturbs the machine disturbs both.
--- a/crates/canvascart/tests/lab.rs
+++ b/crates/canvascart/tests/lab.rs
@@ -91,3 +91,72 @@
             .unwrap();
     assert_eq!(same[0]["difference"]["mean"], 0.0);
 }
+
+/// A short scenario with a deploy and a killed proxy, whose proxies are this program's own.
+const SHORT: [&str; 8] = [
+    "--set",
+    "length=3s",
+    "--set",
+    "load.rate=60 /s",
+    "--set",
+    "fault=[{kind = \"rolling-deploy\", at = \"500 ms\", for = \"1 s\", share = \"25 %\", batch = \"9 %\", drain = \
+     \"500 ms\"}, {kind = \"proxy-kill\", at = \"1500 ms\", for = \"500 ms\", share = \"30 %\"}, {kind = \"garbage\", \
+     at = \"0 s\", for = \"2 s\", rate = \"20 /s\"}]",
+    "--seed",
+    "2",
+];
+
+#[test]
+fn a_run_on_real_sockets_keeps_the_rules_and_serves_nearly_all() {
+    let dir = folder("run");
+    let out = dir.to_str().unwrap();
+    let run = lab(&[&["run", "quiet", "--out", out, "--json"], &SHORT[..]].concat());
+    let text = String::from_utf8_lossy(&run.stdout).into_owned();
+    let json: serde_json::Value =
+        serde_json::from_str(&text).unwrap_or_else(|e| panic!("{e}: {}", said(&run)));
+    assert_eq!(json["broken"], serde_json::json!([]), "{}", json["broken"]);
+    let served = &json["service"]["whole"];
+    let (asked, served) = (served["asked"].as_f64().unwrap(), served["served"].as_f64().unwrap());
+    // What the killed proxy held is lost to its clients; little of it may not be asked for again.
+    assert!(asked > 100.0 && served >= 0.97 * asked, "{served} of {asked}");
+    let lines = std::fs::read_to_string(dir.join("tries.jsonl")).unwrap();
+    assert!(lines.lines().count() as f64 >= asked);
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+#[test]
+fn a_proxy_that_cannot_be_started_is_an_exit_code_of_its_own() {
+    for (proxy, word) in [("/no/such/proxy", "/no/such/proxy: "), ("false", "ended at its start")] {
+        let dir = folder(&format!("no-proxy-{}", proxy.len()));
+        let run = lab(&["run", "quiet", "--proxy", proxy, "--out", dir.to_str().unwrap()]);
+        assert!(run.status.code() == Some(3) && said(&run).contains(word), "{word}: {}", said(&run));
+        std::fs::remove_dir_all(dir).unwrap();
+    }
+}
+
+#[test]
+fn a_run_that_is_interrupted_reports_what_there_is_and_ends_its_processes() {
+    let dir = folder("interrupted");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_canvascart"));
+    command.args(["lab", "run", "quiet", "--json", "--set", "length=60s", "--out", dir.to_str().unwrap()]);
+    let child = command.stdout(std::process::Stdio::piped()).spawn().unwrap();
+    // An interrupt is kept from before the first proxy starts.
+    let log = dir.join("proxy-2.log");
+    let end = std::time::Instant::now() + std::time::Duration::from_secs(20);
+    while !std::fs::read_to_string(&log).is_ok_and(|l| l.contains("listens on")) {
+        assert!(std::time::Instant::now() < end, "the proxies start");
+        std::thread::sleep(std::time::Duration::from_millis(10));
+    }
+    let interrupt = Command::new("kill").args(["-INT", &child.id().to_string()]).status().unwrap();
+    assert!(interrupt.success());
+    let run = child.wait_with_output().unwrap();
+    let json: serde_json::Value = serde_json::from_slice(&run.stdout).unwrap();
+    assert_eq!(json["partial"], true);
+    assert!(dir.join("report.html").exists());
+    let config = dir.join("proxy-0.json");
+    let address =
+        serde_json::from_str::<serde_json::Value>(&std::fs::read_to_string(config).unwrap()).unwrap();
+    let address = address["listen"].as_str().unwrap().to_owned();
+    assert!(std::net::TcpStream::connect(address).is_err(), "the proxy has ended");
+    std::fs::remove_dir_all(dir).unwrap();
+}
--- /dev/null
+++ b/crates/lab/src/real/mod.rs
@@ -0,0 +1,197 @@
+//! A run on real sockets: proxy processes, and the world on 127.0.0.1 around them.
+//!
+//! The load is open: arrivals are drawn ahead, and latencies count from when a request was meant to be sent. A run in
+//! which the lab itself came late is void and says so.
+
+mod clients;
+pub mod http;
+mod list;
+mod proxies;
+mod servers;
+mod stage;
+
+use std::cell::Cell;
+use std::io;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep};
+
+use crate::experiment::Run;
+use crate::load;
+use crate::scenario::Scenario;
+use crate::world::Listed;
+use clients::Clients;
+use list::Agent;
+use proxies::Proxy;
+pub use proxies::settings_json;
+use servers::Servers;
+use stage::{Cue, Stage};
+
+/// The protocol's time limits are this much longer on sockets.
+const SOCKET_SLACK: f64 = 50.0;
+/// With first tries sent later than this, at the 99th percentile, the lab was the bottleneck.
+const LATE: f64 = 25.0;
+/// From when all proxies are up to the first request.
+const LEAD: Duration = Duration::from_millis(200);
+
+/// What is measured beside the service, on real sockets.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Measured {
+    /// CPU time of all proxies for each request that they were sent, in µs.
+    pub cpu_us: f64,
+    /// How late first tries were sent, in ms: median and 99th percentile.
+    pub late_ms: (f64, f64),
+}
+
+/// Plays a scenario on real sockets. `command` starts a proxy, which finds its configuration by `NODE_CONFIG`; files go
+/// into `dir`. `tick` is called with the share that has been played.
+///
+/// # Errors
+/// A proxy or a socket could not be had; what has been started is ended.
+pub fn play(
+    scenario: &Arc<Scenario>, name: &str, seed: u64, command: &[String], dir: &Path,
+    tick: impl FnMut(f64) + 'static,
+) -> io::Result<(Run, Measured)> {
+    std::fs::create_dir_all(dir)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let outcome = LocalSet::new().block_on(&runtime, run(scenario.clone(), name, seed, command, dir, tick));
+    runtime.shutdown_background();
+    outcome
+}
+
+async fn run(
+    scenario: Arc<Scenario>, name: &str, seed: u64, command: &[String], dir: &Path,
+    mut tick: impl FnMut(f64) + 'static,
+) -> io::Result<(Run, Measured)> {
+    // From here on an interrupt is kept until it is asked for, also while proxies start.
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut rules = (*scenario).clone();
+    rules.rules.answer_slack.0 += SOCKET_SLACK;
+    rules.rules.drain_grace.0 += SOCKET_SLACK;
+    let scenario = Arc::new(rules);
+    let asks = load::draw(&scenario, seed);
+    // Time begins once all proxies are up; until then it stands at zero.
+    let begin = Instant::now() + Duration::from_secs(3600);
+    let stage = Stage::new(scenario.clone(), seed, asks, begin);
+    let servers = Servers::new(stage.clone());
+    let listed = stage.world.borrow().listed();
+    for line in &listed {
+        servers.open(line.server)?;
+    }
+    let mut proxies = Vec::new();
+    let mut agents = Vec::new();
+    for number in 0..scenario.proxies.count {
+        let agent = Agent::new(stage.clone(), servers.clone(), number);
+        let discovery = agent.listen().await?;
+        let proxy = Proxy::new(stage.clone(), number, command.to_vec(), discovery, agent.clone(), seed, dir)?;
+        agents.push(agent);
+        proxies.push(proxy);
+    }
+    for proxy in &proxies {
+        proxy.start().await?;
+    }
+    stage.begin(Instant::now() + LEAD);
+    let failed: Rc<Cell<Option<io::Error>>> = Rc::default();
+    let turning = spawn_local(stage.clone().turn(cues(&agents, &proxies, &servers, &failed)));
+    for proxy in &proxies {
+        spawn_local(proxy.clone().watch());
+    }
+    let clients = Clients::new(stage.clone(), proxies.clone(), seed);
+    spawn_local(clients.clone().garbage());
+    let length = scenario.length.0;
+    let told = stage.clone();
+    spawn_local(async move {
+        loop {
+            tick((told.now() / length).min(1.0));
+            sleep(Duration::from_millis(200)).await;
+        }
+    });
+    let cpu = |proxies: &[Rc<Proxy>]| proxies.iter().map(|p| p.cpu()).sum::<f64>();
+    let before = cpu(&proxies);
+    let partial = tokio::select! {
+        () = clients.clone().play() => false,
+        _ = interrupt.recv() => true,
+    };
+    let used = cpu(&proxies) - before;
+    stage.ledger.borrow_mut().closed = stage.now();
+    // The stage is not looked at any more: what ends from here on ends because the run does.
+    let ledger = stage.ledger.borrow().clone();
+    turning.abort();
+    for proxy in &proxies {
+        proxy.stop().await;
+    }
+    if let Some(e) = failed.take() {
+        return Err(e);
+    }
+    let served: Vec<Option<f64>> = stage.served.borrow().iter().map(|(at, _)| *at).collect();
+    let sent = ledger.tries.len().max(1) as f64;
+    let mut late = clients.late.borrow().clone();
+    late.sort_by(f64::total_cmp);
+    let at = |q: f64| late.get(((late.len() as f64 * q) as usize).min(late.len().saturating_sub(1))).copied();
+    let late_ms = (at(0.5).unwrap_or(0.0), at(0.99).unwrap_or(0.0));
+    let mut run = Run::new(scenario, name, seed, ledger, stage.asks.clone(), &served);
+    run.partial = partial;
+    run.void = (late_ms.1 > LATE).then(|| {
+        format!(
+            "the load generator was late by {:.1} ms at the 99th percentile, {LATE} ms are allowed",
+            late_ms.1
+        )
+    });
+    Ok((run, Measured { cpu_us: 1e6 * used / sent, late_ms }))
+}
+
+/// What the parts do when the world says so.
+fn cues(
+    agents: &[Rc<Agent>], proxies: &[Rc<Proxy>], servers: &Rc<Servers>, failed: &Rc<Cell<Option<io::Error>>>,
+) -> impl FnMut(Cue) + use<> {
+    let (agents, proxies, servers, failed) =
+        (agents.to_vec(), proxies.to_vec(), servers.clone(), failed.clone());
+    move |cue| {
+        let outcome = match cue {
+            Cue::Listed(line) => {
+                let outcome = match line.state {
+                    Listed::Up => servers.open(line.server),
+                    Listed::Draining => Ok(()),
+                    Listed::Removed => {
+                        servers.end(line.server);
+                        Ok(())
+                    }
+                };
+                agents.iter().for_each(|a| a.send(line.clone()));
+                outcome
+            }
+            Cue::Refusing(server, true) => {
+                servers.close(server);
+                Ok(())
+            }
+            Cue::Refusing(server, false) => servers.open_again(server),
+            Cue::Kill(proxy) => {
+                let proxy = proxies[proxy].clone();
+                spawn_local(async move { proxy.kill().await });
+                Ok(())
+            }
+            Cue::Terminate(proxy) => {
+                proxies[proxy].terminate();
+                Ok(())
+            }
+            Cue::Start(proxy) => {
+                let (proxy, failed) = (proxies[proxy].clone(), failed.clone());
+                spawn_local(async move {
+                    proxy.stop().await;
+                    if let Err(e) = proxy.start().await {
+                        failed.set(Some(e));
+                    }
+                });
+                Ok(())
+            }
+        };
+        if let Err(e) = outcome {
+            failed.set(Some(e));
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/real/proxies.rs
@@ -0,0 +1,301 @@
+//! Proxy processes: started by a command, watched, killed and told to end.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::time::{Instant, sleep, timeout};
+
+use super::http::{Start, Wire};
+use super::list::Agent;
+use super::stage::Stage;
+use crate::chance::{Use, stream};
+use crate::ledger::{End, ProxyId, Usage};
+use crate::scenario::{Effect, Scenario};
+
+/// A proxy that is not up within this span never will be.
+const UP: Duration = Duration::from_secs(10);
+/// Between two looks at a process.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// One proxy, whatever process it is.
+pub struct Proxy {
+    stage: Rc<Stage>,
+    number: ProxyId,
+    command: Vec<String>,
+    /// Where clients reach it, the same after a restart.
+    pub address: SocketAddr,
+    discovery: SocketAddr,
+    agent: Rc<Agent>,
+    file: PathBuf,
+    log: PathBuf,
+    seed: u64,
+    starts: Cell<u64>,
+    child: RefCell<Option<Child>>,
+    /// It has been killed or told to end.
+    wanted: Cell<bool>,
+    /// Until when the front still sends to it though it is gone.
+    pub known_gone: Cell<Option<f64>>,
+    /// CPU time of all its processes so far, in seconds.
+    cpu: Cell<f64>,
+    cpu_before: Cell<f64>,
+}
+
+/// The settings object as the platform's protocol writes it.
+pub fn settings_json(s: &Scenario, proxy: ProxyId) -> Value {
+    let of = crate::settings::of(s, proxy);
+    let class = |c: &crate::scenario::Class| {
+        json!({
+            "name": c.name,
+            "promise": c.aim.0,
+            "deadline": c.deadline.0,
+            "worth": c.worth,
+            "lateShare": c.late_worth.0,
+            "effect": if c.effect == Effect::Safe { "idempotent" } else { "at_most_once" },
+        })
+    };
+    let tenants = s.tenants.iter().zip(&of.tenants);
+    json!({
+        "classes": s.classes.iter().map(class).collect::<Vec<_>>(),
+        "accounts": tenants
+            .map(|(t, a)| json!({ "name": t.name, "share": t.share.0, "allowancePerS": a.allowance_per_s }))
+            .collect::<Vec<_>>(),
+        "zones": s.fleet.zones,
+        "flavors": s.fleet.kinds.iter().map(|k| k.name.as_str()).collect::<Vec<_>>(),
+        "zone": s.fleet.zones[proxy % s.fleet.zones.len()],
+        "myNumber": proxy,
+        "nInstances": s.proxies.count,
+        "overShareWorth": of.over_share_worth,
+        "worthBy": "request",
+        "discovery": "pushed",
+        "weightSource": "nominal",
+        "extra": { "warmKeys": of.warm_keys },
+        "ceilings": {
+            "retryAfter": of.retry_after.is_some(),
+            "maxRetryAfter": s.proxies.retry_after.0,
+            "dialTimeout": 250.0,
+            "idleClose": s.fleet.idle.0,
+            "mayTell": false,
+            "maxAttempts": s.rules.max_attempts,
+        },
+        "rules": {
+            "startCapacity": of.limits.start_capacity,
+            "cold": of.limits.cold,
+            "fallMultiple": of.limits.fall_multiple,
+            "fall": of.limits.fall,
+            "drainGrace": s.rules.drain_grace.0,
+            "answerSlack": s.rules.answer_slack.0,
+        },
+        "prices": { "crossZone": of.prices.cross_zone },
+    })
+}
+
+/// A free port on loopback, kept free by nobody: a proxy takes it at once.
+fn free() -> io::Result<SocketAddr> {
+    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
+}
+
+impl Proxy {
+    /// A proxy that is still to be started; its files go into `dir`.
+    ///
+    /// # Errors
+    /// No port is free.
+    pub fn new(
+        stage: Rc<Stage>, number: ProxyId, command: Vec<String>, discovery: SocketAddr, agent: Rc<Agent>,
+        seed: u64, dir: &Path,
+    ) -> io::Result<Rc<Self>> {
+        Ok(Rc::new(Proxy {
+            address: free()?,
+            file: dir.join(format!("proxy-{number}.json")),
+            log: dir.join(format!("proxy-{number}.log")),
+            stage,
+            number,
+            command,
+            discovery,
+            agent,
+            seed,
+            starts: Cell::new(0),
+            child: RefCell::new(None),
+            wanted: Cell::new(false),
+            known_gone: Cell::new(None),
+            cpu: Cell::new(0.0),
+            cpu_before: Cell::new(0.0),
+        }))
+    }
+
+    /// Starts a process and waits until it is up.
+    ///
+    /// # Errors
+    /// It can't be started, ends at once, or does not come up.
+    pub async fn start(&self) -> io::Result<()> {
+        self.starts.set(self.starts.get() + 1);
+        let mut seeds = stream(self.seed, Use::Modules);
+        seeds.set_word_pos(self.number as u128 * 4096 + u128::from(self.starts.get()) * 2);
+        let config = json!({
+            "name": format!("proxy-{}", self.number),
+            "listen": self.address,
+            "discovery": self.discovery,
+            "seed": format!("{:016x}", seeds.random::<u64>()),
+            "limits": {
+                "cores": 1.0,
+                "memory_mb": self.stage.scenario.proxies.memory_mb,
+                "sockets": self.stage.scenario.proxies.sockets,
+            },
+            "known": self.agent.known(),
+            "settings": settings_json(&self.stage.scenario, self.number),
+        });
+        std::fs::write(&self.file, config.to_string())?;
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let (program, arguments) =
+            self.command.split_first().ok_or_else(|| io::Error::other("there is no proxy to start"))?;
+        let child = Command::new(program)
+            .args(arguments)
+            .env("NODE_CONFIG", &self.file)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|e| io::Error::new(e.kind(), format!("{program}: {e}")))?;
+        *self.child.borrow_mut() = Some(child);
+        self.wanted.set(false);
+        self.cpu_before.set(self.cpu.get());
+        let end = Instant::now() + UP;
+        while !self.is_up().await {
+            if let Some(status) = self.ended() {
+                let why = format!(
+                    "proxy {} ended at its start ({status}): see {}",
+                    self.number,
+                    self.log.display()
+                );
+                return Err(io::Error::other(why));
+            }
+            if Instant::now() >= end {
+                return Err(io::Error::other(format!("proxy {} did not come up", self.number)));
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+        self.known_gone.set(None);
+        Ok(())
+    }
+
+    async fn is_up(&self) -> bool {
+        let asked = async {
+            let mut wire = Wire::new(TcpStream::connect(self.address).await.ok()?);
+            wire.write(b"GET /up HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n").await.ok()?;
+            wire.read(false).await.ok().map(|m| m.start == Start::Answer(200))
+        };
+        timeout(Duration::from_secs(1), asked).await.ok().flatten().unwrap_or(false)
+    }
+
+    /// How its process ended, if it has.
+    fn ended(&self) -> Option<String> {
+        let mut child = self.child.borrow_mut();
+        let status = child.as_mut()?.try_wait().ok().flatten()?;
+        *child = None;
+        Some(status.to_string())
+    }
+
+    fn signal(&self, signal: Signal) {
+        let child = self.child.borrow();
+        let pid = child.as_ref().and_then(Child::id).and_then(|id| Pid::from_raw(i32::try_from(id).ok()?));
+        if let Some(pid) = pid {
+            self.wanted.set(true);
+            let _ = kill_process(pid, signal); // it may just have ended
+        }
+    }
+
+    /// Kills it outright; the front notices after a while.
+    pub async fn kill(&self) {
+        self.signal(Signal::KILL);
+        let child = self.child.borrow_mut().take();
+        if let Some(mut child) = child {
+            let _ = child.wait().await;
+        }
+        let now = self.stage.now();
+        self.stage.ledger.borrow_mut().ends.push(End { proxy: self.number, at: now, wanted: true });
+        self.known_gone.set(Some(now + self.stage.scenario.proxies.notice.0));
+    }
+
+    /// Tells it to end; the front sends nothing new from now on.
+    pub fn terminate(&self) {
+        self.known_gone.set(Some(self.stage.now()));
+        self.signal(Signal::TERM);
+    }
+
+    /// Looks at its process now and then: what it takes, and whether it has ended.
+    pub async fn watch(self: Rc<Self>) {
+        loop {
+            sleep(LOOK).await;
+            self.look();
+        }
+    }
+
+    fn look(&self) {
+        let pid = self.child.borrow().as_ref().and_then(Child::id);
+        if let Some(pid) = pid {
+            let at = self.stage.now();
+            let memory_mb = resident_mb(pid).unwrap_or(0.0);
+            let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
+            if let Some(seconds) = cpu_seconds(pid) {
+                self.cpu.set(self.cpu_before.get() + seconds);
+            }
+            let mut ledger = self.stage.ledger.borrow_mut();
+            let proxy = self.number;
+            match ledger.usage.iter_mut().find(|u| u.proxy == proxy) {
+                Some(u) => {
+                    u.memory_mb = u.memory_mb.max(memory_mb);
+                    u.descriptors = u.descriptors.max(descriptors);
+                    u.at = at;
+                }
+                None => ledger.usage.push(Usage { proxy, at, memory_mb, descriptors }),
+            }
+        }
+        if self.ended().is_some() {
+            let (proxy, at, wanted) = (self.number, self.stage.now(), self.wanted.get());
+            self.stage.ledger.borrow_mut().ends.push(End { proxy, at, wanted });
+            self.known_gone.set(self.known_gone.get().or(Some(at + self.stage.scenario.proxies.notice.0)));
+        }
+    }
+
+    /// CPU time of all its processes so far, in seconds.
+    pub fn cpu(&self) -> f64 {
+        self.look();
+        self.cpu.get()
+    }
+
+    /// Ends it and waits for that, for a while.
+    pub async fn stop(&self) {
+        self.signal(Signal::TERM);
+        let child = self.child.borrow_mut().take();
+        if let Some(mut child) = child
+            && timeout(Duration::from_secs(5), child.wait()).await.is_err()
+        {
+            let _ = child.kill().await;
+        }
+    }
+}
+
+fn resident_mb(pid: u32) -> Option<f64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+    line.split_whitespace().next()?.parse::<f64>().ok().map(|kb| kb / 1024.0)
+}
+
+/// User and system time of a process; the kernel counts them in hundredths of a second.
+fn cpu_seconds(pid: u32) -> Option<f64> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    let rest = stat.rsplit_once(") ")?.1;
+    let mut fields = rest.split(' ').skip(11);
+    let (user, system): (f64, f64) = (fields.next()?.parse().ok()?, fields.next()?.parse().ok()?);
+    Some((user + system) / 100.0)
+}
--- /dev/null
+++ b/crates/lab/src/real/servers.rs
@@ -0,0 +1,262 @@
+//! Loan servers on real sockets. Each proxy reaches each server at an address of its own, so that the stage knows who
+//! sent what, and a partition can part them.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use rustc_hash::FxHashMap;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::{oneshot, watch};
+use tokio::task::{AbortHandle, spawn_local};
+
+use super::http::{Start, Wire};
+use super::stage::{Fate, Stage};
+use crate::ledger::{AttemptEnd, ProxyId, ServerId};
+use crate::scenario::Break;
+use crate::world::server::{Job, Offer};
+use crate::world::{Connect, Listed, Verdict};
+
+/// The body of a server's answer: it names the request that it was made for.
+pub fn body_for(id: &str) -> String {
+    format!("made for {id}")
+}
+
+/// Wait after a failed accept, lest it spin.
+const PAUSE: std::time::Duration = std::time::Duration::from_millis(10);
+
+fn written(written: std::io::Result<()>) -> Next {
+    if written.is_ok() { Next::More } else { Next::Close }
+}
+
+/// All listeners.
+pub struct Servers {
+    stage: Rc<Stage>,
+    addresses: RefCell<FxHashMap<(ProxyId, ServerId), SocketAddr>>,
+    /// The task behind each address while it accepts.
+    tasks: RefCell<FxHashMap<(ProxyId, ServerId), AbortHandle>>,
+    /// Told when a server's process ends: idle connections end with it.
+    ends: RefCell<FxHashMap<ServerId, watch::Sender<bool>>>,
+}
+
+/// What follows an exchange.
+#[derive(PartialEq, Eq)]
+enum Next {
+    /// The next one on the same connection.
+    More,
+    /// The connection's end.
+    Close,
+    /// A reset.
+    Break,
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(1024)
+}
+
+impl Servers {
+    /// No servers yet.
+    pub fn new(stage: Rc<Stage>) -> Rc<Self> {
+        Rc::new(Servers {
+            stage,
+            addresses: RefCell::default(),
+            tasks: RefCell::default(),
+            ends: RefCell::default(),
+        })
+    }
+
+    /// Opens a server's listeners, one for each proxy.
+    ///
+    /// # Errors
+    /// What the sockets say.
+    pub fn open(self: &Rc<Self>, server: ServerId) -> std::io::Result<()> {
+        for proxy in 0..self.stage.scenario.proxies.count {
+            let known = self.addresses.borrow().get(&(proxy, server)).copied();
+            let listener = listen(known.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0))))?;
+            self.addresses.borrow_mut().insert((proxy, server), listener.local_addr()?);
+            let task = spawn_local(self.clone().accept(listener, proxy, server));
+            self.tasks.borrow_mut().insert((proxy, server), task.abort_handle());
+        }
+        Ok(())
+    }
+
+    /// Opens a server's listeners again, unless its process has ended meanwhile.
+    ///
+    /// # Errors
+    /// What the sockets say.
+    pub fn open_again(self: &Rc<Self>, server: ServerId) -> std::io::Result<()> {
+        let listed = self.stage.world.borrow().loans()[server].listed;
+        if listed == Listed::Removed { Ok(()) } else { self.open(server) }
+    }
+
+    /// A server's process has ended: no connection is taken any more, and idle ones end.
+    pub fn end(&self, server: ServerId) {
+        self.close(server);
+        if let Some(end) = self.ends.borrow_mut().remove(&server) {
+            let _ = end.send(true); // nobody may be connected
+        }
+    }
+
+    /// Closes a server's listeners; connections that are up stay.
+    pub fn close(&self, server: ServerId) {
+        self.tasks.borrow_mut().retain(|(_, s), task| {
+            if *s == server {
+                task.abort();
+            }
+            *s != server
+        });
+    }
+
+    /// Where a proxy reaches a server.
+    pub fn address(&self, proxy: ProxyId, server: ServerId) -> Option<SocketAddr> {
+        self.addresses.borrow().get(&(proxy, server)).copied()
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener, proxy: ProxyId, server: ServerId) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(PAUSE).await; // out of descriptors: the run is about to say so
+                continue;
+            };
+            let wire = Wire::new(stream);
+            let connect = self.stage.world.borrow_mut().connect(self.stage.now(), proxy, server);
+            match connect {
+                Connect::Refused => wire.reset(),
+                Connect::Up | Connect::Silent => {
+                    let end = self
+                        .ends
+                        .borrow_mut()
+                        .entry(server)
+                        .or_insert_with(|| watch::channel(false).0)
+                        .subscribe();
+                    spawn_local(self.clone().connection(wire, proxy, server, connect == Connect::Up, end));
+                }
+            }
+        }
+    }
+
+    async fn connection(
+        self: Rc<Self>, mut wire: Wire, proxy: ProxyId, server: ServerId, counted: bool,
+        mut end: watch::Receiver<bool>,
+    ) {
+        let mut fresh = true;
+        let next = loop {
+            // Between requests the end of the process ends it; within one the world says what becomes of it.
+            tokio::select! {
+                biased;
+                begun = wire.begun() => if begun.is_err() { break Next::Close },
+                _ = end.changed() => break Next::Break,
+            }
+            match self.exchange(&mut wire, proxy, server, fresh).await {
+                Next::More => fresh = false,
+                next => break next,
+            }
+        };
+        if counted {
+            self.stage.world.borrow_mut().disconnect(server);
+        }
+        if next == Next::Break {
+            wire.reset();
+        }
+    }
+
+    /// Serves one request that has begun to come.
+    async fn exchange(&self, wire: &mut Wire, proxy: ProxyId, server: ServerId, fresh: bool) -> Next {
+        let stage = &self.stage;
+        let sent = stage.now(); // for drains a send counts from its first byte
+        let Ok(message) = wire.read(true).await else { return Next::Close };
+        let Start::Request(..) = message.start else { return Next::Close };
+        let Some(name) = message.header("x-request-id").map(str::to_owned) else {
+            return written(wire.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await);
+        };
+        let id = stage.ids.borrow().get(&name).copied();
+        let Some(id) = id else {
+            let what = format!("id {name:?} was never sent by a client");
+            stage.ledger.borrow_mut().strangers.push((server, sent, what));
+            return written(wire.write(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n").await);
+        };
+        let note = stage.ledger.borrow_mut().send(id, server, sent);
+        let parted = {
+            let world = stage.world.borrow();
+            world.parted(stage.now(), world.proxy_zone(proxy), world.loans()[server].zone)
+        };
+        if parted {
+            wire.ended().await; // nothing passes: it waits until the proxy gives it up
+            stage.end(id, note, AttemptEnd::MayHaveRun);
+            return Next::Close;
+        }
+        let ask = &stage.asks[stage.ledger.borrow().tries[id].ask];
+        let (attempt, fate) = stage.hold(id, note);
+        let handshake = if fresh { stage.scenario.fleet.handshake.0 } else { 0.0 };
+        let job = Job { attempt, work: ask.work + handshake, key: ask.key };
+        let (offer, error) = stage.world.borrow_mut().offer(stage.now(), server, job);
+        stage.touched();
+        match (offer, error) {
+            (_, Some(verdict)) => stage.tell(attempt, Fate::Verdict(verdict), true),
+            (Offer::Taken, None) => {}
+            (Offer::TurnedAway, None) => {
+                stage.end(id, note, AttemptEnd::NeverRan);
+                let full = b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
+                return written(wire.write(full).await);
+            }
+            (Offer::PushedOver, None) => stage.tell(attempt, Fate::Lost, false),
+        }
+        self.answer(wire, server, &name, (id, note, attempt), fate).await
+    }
+
+    async fn answer(
+        &self, wire: &mut Wire, server: ServerId, name: &str, (id, note, attempt): (usize, usize, u64),
+        fate: oneshot::Receiver<Fate>,
+    ) -> Next {
+        let stage = &self.stage;
+        let fate = tokio::select! {
+            biased;
+            fate = fate => fate.unwrap_or(Fate::Lost),
+            // The proxy gives the attempt up.
+            () = wire.ended() => {
+                stage.cancel(server, attempt);
+                stage.end(id, note, AttemptEnd::MayHaveRun);
+                return Next::Close;
+            }
+        };
+        let body = body_for(name);
+        let whole = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let half = whole.len() - body.len() / 2;
+        match fate {
+            Fate::Verdict(Verdict::Served) => {
+                stage.end(id, note, AttemptEnd::Answered);
+                written(wire.write(whole.as_bytes()).await)
+            }
+            Fate::Verdict(Verdict::Error) => {
+                stage.end(id, note, AttemptEnd::MayHaveRun);
+                written(wire.write(b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n").await)
+            }
+            Fate::Verdict(Verdict::Silent) => {
+                wire.ended().await;
+                stage.end(id, note, AttemptEnd::MayHaveRun);
+                Next::Close
+            }
+            Fate::Verdict(Verdict::Reset(Break::After)) => {
+                stage.end(id, note, AttemptEnd::Answered);
+                let _ = wire.write(whole.as_bytes()).await;
+                Next::Close
+            }
+            Fate::Verdict(Verdict::Reset(place)) => {
+                stage.end(id, note, AttemptEnd::MayHaveRun);
+                if place == Break::Inside {
+                    let _ = wire.write(&whole.as_bytes()[..half]).await;
+                    // What is on its way must arrive before the break does.
+                    tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+                }
+                Next::Break
+            }
+            Fate::Lost => {
+                stage.end(id, note, AttemptEnd::MayHaveRun);
+                Next::Break
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/real/stage.rs
@@ -0,0 +1,181 @@
+//! What the parts of a run on real sockets share: the world, the ledger and one monotonic clock for both.
+//!
+//! Everything runs on one thread, so that no lock orders what happened; a borrow is never held over a wait.
+
+use std::cell::{Cell, OnceCell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rustc_hash::FxHashMap;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, sleep_until};
+use wharfhitch::Millis;
+
+use crate::ledger::{AttemptEnd, Ledger, ProxyId, ServerId, TryId};
+use crate::load::Ask;
+use crate::scenario::Scenario;
+use crate::world::{Happened, Verdict, World};
+
+/// What an attempt's connection is to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// As the server says.
+    Verdict(Verdict),
+    /// Its process is gone: the connection breaks.
+    Lost,
+}
+
+/// What concerns single parts and not the stage.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Cue {
+    /// The list has changed, and a server's listeners with it.
+    Listed(crate::world::Line),
+    /// A server refuses connections from here on, or takes them again.
+    Refusing(ServerId, bool),
+    /// A proxy is killed.
+    Kill(ProxyId),
+    /// A proxy is told to end.
+    Terminate(ProxyId),
+    /// A proxy is started anew.
+    Start(ProxyId),
+}
+
+/// An attempt that a server holds.
+struct Held {
+    id: TryId,
+    note: usize,
+    fate: oneshot::Sender<Fate>,
+}
+
+/// All that the parts share.
+pub struct Stage {
+    /// What is played.
+    pub scenario: Arc<Scenario>,
+    /// The fleet.
+    pub world: RefCell<World>,
+    /// What happened.
+    pub ledger: RefCell<Ledger>,
+    /// What is asked for.
+    pub asks: Vec<Ask>,
+    /// When each ask was served, and how many tries it took.
+    pub served: RefCell<Vec<(Option<Millis>, u32)>>,
+    /// Which try an id belongs to.
+    pub ids: RefCell<FxHashMap<String, TryId>>,
+    start: Cell<Instant>,
+    /// Unix time of the start in ms, taken once: the same process must always be told with the same birth.
+    unix_start: OnceCell<Millis>,
+    held: RefCell<FxHashMap<u64, Held>>,
+    next: Cell<u64>,
+    changed: Notify,
+}
+
+impl Stage {
+    /// A stage whose time begins at `start`.
+    pub fn new(scenario: Arc<Scenario>, seed: u64, asks: Vec<Ask>, start: Instant) -> Rc<Self> {
+        Rc::new(Stage {
+            world: RefCell::new(World::new(scenario.clone(), seed)),
+            ledger: RefCell::default(),
+            served: RefCell::new(vec![(None, 0); asks.len()]),
+            asks,
+            ids: RefCell::default(),
+            start: Cell::new(start),
+            unix_start: OnceCell::new(),
+            held: RefCell::default(),
+            next: Cell::new(0),
+            changed: Notify::new(),
+            scenario,
+        })
+    }
+
+    /// Time begins at this instant.
+    pub fn begin(&self, start: Instant) {
+        self.start.set(start);
+        self.changed.notify_one();
+    }
+
+    /// Time since the start, in ms; before it, zero.
+    pub fn now(&self) -> Millis {
+        Instant::now().saturating_duration_since(self.start.get()).as_secs_f64() * 1000.0
+    }
+
+    /// Unix time in ms of a time of a run that has begun.
+    pub fn unix(&self, at: Millis) -> Millis {
+        let start = self.unix_start.get_or_init(|| {
+            let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            unix.as_secs_f64() * 1000.0 - self.now()
+        });
+        start + at
+    }
+
+    /// The instant of a time.
+    pub fn instant(&self, at: Millis) -> Instant {
+        self.start.get() + Duration::from_secs_f64(at.clamp(0.0, 1e12) / 1000.0)
+    }
+
+    /// A request has reached a server whole; its fate comes by the receiver.
+    pub fn hold(&self, id: TryId, note: usize) -> (u64, oneshot::Receiver<Fate>) {
+        let (fate, told) = oneshot::channel();
+        let attempt = self.next.replace(self.next.get() + 1);
+        self.held.borrow_mut().insert(attempt, Held { id, note, fate });
+        (attempt, told)
+    }
+
+    /// An attempt's fate is told; `ran` if its server has done it.
+    pub fn tell(&self, attempt: u64, fate: Fate, ran: bool) {
+        let Some(held) = self.held.borrow_mut().remove(&attempt) else { return };
+        if ran {
+            self.ledger.borrow_mut().ran(held.id, held.note, self.now());
+        }
+        let _ = held.fate.send(fate); // a connection that has ended meanwhile needs none
+    }
+
+    /// An attempt's connection was closed by its proxy; what the server need not do any more it does not do.
+    pub fn cancel(&self, server: ServerId, attempt: u64) {
+        let spared = self.world.borrow_mut().cancel(self.now(), server, attempt);
+        if spared {
+            self.held.borrow_mut().remove(&attempt);
+        }
+        self.changed.notify_one();
+    }
+
+    /// Notes how an attempt ended.
+    pub fn end(&self, id: TryId, note: usize, end: AttemptEnd) {
+        self.ledger.borrow_mut().end(id, note, self.now(), end);
+    }
+
+    /// Something has been done to the world: what happens next may come sooner.
+    pub fn touched(&self) {
+        self.changed.notify_one();
+    }
+
+    /// Lets the world happen, for as long as it is polled; `cue` gets what concerns other parts.
+    pub async fn turn(self: Rc<Self>, mut cue: impl FnMut(Cue)) {
+        loop {
+            let next = self.world.borrow().next().map(|at| self.instant(at));
+            match next {
+                Some(at) => tokio::select! {
+                    () = sleep_until(at) => {}
+                    () = self.changed.notified() => {}
+                },
+                None => self.changed.notified().await,
+            }
+            let happened = self.world.borrow_mut().advance(self.now());
+            for h in happened {
+                match h {
+                    Happened::Done { attempt, verdict } => self.tell(attempt, Fate::Verdict(verdict), true),
+                    Happened::Lost { attempt } => self.tell(attempt, Fate::Lost, false),
+                    Happened::Fell { server, warmth } => {
+                        let at = self.now();
+                        self.ledger.borrow_mut().falls.push(crate::ledger::Fall { server, at, warmth });
+                    }
+                    Happened::Listed(line) => cue(Cue::Listed(line)),
+                    Happened::Refusing { server, on } => cue(Cue::Refusing(server, on)),
+                    Happened::Kill(proxy) => cue(Cue::Kill(proxy)),
+                    Happened::Terminate(proxy) => cue(Cue::Terminate(proxy)),
+                    Happened::Start(proxy) => cue(Cue::Start(proxy)),
+                }
+            }
+        }
+    }
+}
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -686,6 +686,8 @@
             Happened::Fell { server, warmth } => {
                 self.ledger.falls.push(Fall { server, at: self.now, warmth });
             }
+            // Each connect asks the world.
+            Happened::Refusing { .. } => {}
             Happened::Kill(proxy) => self.end_process(proxy, Some(self.s.proxies.notice.0)),
             Happened::Terminate(proxy) => {
                 self.known_gone[proxy] = Some(self.now);
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -97,6 +97,13 @@
         /// The part of its capacity that it had.
         warmth: f64,
     },
+    /// A server refuses new connections from here on, or takes them again.
+    Refusing {
+        /// Which.
+        server: ServerId,
+        /// Whether it refuses.
+        on: bool,
+    },
     /// A proxy is killed outright.
     Kill(ProxyId),
     /// A proxy is told to end.
@@ -447,6 +454,10 @@
             match kind {
                 FaultKind::Slow => self.loans[server].server.set_slow(at, if begins { factor } else { 1.0 }),
                 FaultKind::Hang => self.loans[server].server.set_hung(at, begins),
+                FaultKind::RefuseConnects => {
+                    self.pending.push(Happened::Refusing { server, on: begins });
+                    continue;
+                }
                 _ => continue,
             }
             self.touch(server);
