Count only listed servers as room that a proxy has of its own

`pools` judged whether a proxy can do with its own slots by all servers that it had ever known: a deploy makes that number grow, and the module left the pooled way although as few servers were there as before.

Change: the number and the mean size of servers count those that take work. A test fails without it (1 sent at once instead of 4).

--- a/crates/wharfhitch/src/choice.rs
+++ b/crates/wharfhitch/src/choice.rs
@@ -125,6 +125,7 @@
             slowest: 0.0,
             longest_aim,
             mean_room: 1.0,
+            listed: 0,
             blocked: vec![0.0; cfg.classes.len()],
             common: vec![0.0; cfg.classes.len() + 1],
             spread: (2.0, 0.2 * SPREAD_SAMPLES),
@@ -400,7 +401,7 @@
     /// Whether this proxy's part of all slots is too small to do without the others': a few servers of one's
     /// own leave long waits, in proportion to (1 + cv²) / slots (Pollaczek and Khinchine).
     fn pools(&self) -> bool {
-        let own = self.mean_room * self.servers.len() as f64 / f64::from(self.cfg.proxies);
+        let own = self.mean_room * f64::from(self.listed) / f64::from(self.cfg.proxies);
         !self.cfg.may_tell && self.cfg.proxies > 1 && own < OWN_LEAST * self.spread.0 / 2.0
     }
 
@@ -754,7 +755,8 @@
     /// Looks over all servers: slots, budgets of cold ones, closings that end, how many look ill.
     fn review(&mut self, now: Millis) {
         self.mean = self.mean_latency();
-        self.mean_room = self.servers.iter().map(|s| s.room).sum::<f64>() / self.servers.len().max(1) as f64;
+        let rooms = self.servers.iter().filter(|s| s.told.is_none()).map(|s| s.room).sum::<f64>();
+        self.mean_room = rooms / f64::from(self.listed.max(1));
         for kind in self.kinds.iter_mut().filter(|k| k.slow.1 >= 3.0 * KIND_WEIGHT) {
             // Overfilled servers are slow all alike and look as if they had more cores: against that jam a
             // kind whose latency has left its calm level gets fewer slots until it is back.
--- a/crates/wharfhitch/src/state.rs
+++ b/crates/wharfhitch/src/state.rs
@@ -35,7 +35,8 @@
     pub(crate) common: Vec<f64>,  // part of attempts that fails at sound servers: of each class, then of all
     pub(crate) spread: (f64, f64), // mean square of latency over its expected value, and its weight
     pub(crate) window: f64,       // requests that this proxy may have out where it shares all servers
-    pub(crate) mean_room: f64,    // slots of a mean server
+    pub(crate) mean_room: f64,    // slots of a mean listed server
+    pub(crate) listed: u32,       // servers that take work, as far as the list says
     pub(crate) mean: Millis,      // mean latency over all classes
     pub(crate) slowest: f64,      // calm latency of the slowest kind
     pub(crate) rating: f64,       // sum of the ratings of listed servers
@@ -145,8 +146,9 @@
                 listed.push(k);
             }
         }
-        let ratings = self.servers.iter().filter(|s| s.told.is_none()).map(|s| s.info.rating);
-        self.rating = ratings.sum::<f64>().max(1e-6);
+        let up = self.servers.iter().filter(|s| s.told.is_none());
+        let (rating, many) = up.fold((0.0, 0u32), |(sum, n), s| (sum + s.info.rating, n + 1));
+        (self.rating, self.listed) = (rating.max(1e-6), many);
         listed
     }
 }
--- a/crates/wharfhitch/tests/choice.rs
+++ b/crates/wharfhitch/tests/choice.rs
@@ -368,6 +368,25 @@
     assert!(late <= 6, "late ones, of 1200 ms, do not: {late}");
 }
 
+#[test]
+fn servers_that_have_left_are_no_room() {
+    // A deploy replaced twelve servers thrice; the module counted all 48 and held its own part of the few that were
+    // left for enough to do without the others'.
+    let sent_at_once = |deploys: u64| {
+        let small = |id| Backend { rating: 1.0, ..server(id) };
+        let mut hand = Hand::new(settings(6), (1..=12).map(small).collect());
+        hand.train(0, 60, |_| 40.0);
+        for deploy in 1..=deploys {
+            hand.give(full((1..=12).map(|id| small(100 * deploy + id)).collect()));
+            hand.pass(1000.0);
+        }
+        hand.train(1000, 60, |_| 40.0);
+        hand.pass(1000.0);
+        (2000..2040).map(|id| sends(&hand.give(request(id, 0, 2000.0))).len()).sum::<usize>()
+    };
+    assert_eq!(sent_at_once(3), sent_at_once(0));
+}
+
 #[test]
 fn failures_that_all_servers_share_close_none_of_them() {
     // page8769: a tenth of all connections broke, every server was closed in turn, and all was refused.
