--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -47,12 +47,13 @@
         #[arg(long, value_parser = sabotage)]
         sabotage: Option<Sabotage>,
     },
-    /// Plays a scenario under two settings, seed by seed, and prints the difference.
+    /// Plays a scenario under two settings or with two proxies, seed by seed, and prints the difference.
     #[command(after_help = CODES)]
     Compare {
-        /// The first setting, such as load.level=60% (several with commas); "-" for the scenario as it is.
+        /// The first side: settings such as load.level=60% (several with commas), "-" for the scenario as it is, or
+        /// proxy:COMMAND for a proxy on real sockets ("proxy:-" for the one in this program).
         a: String,
-        /// The second setting.
+        /// The second side.
         b: String,
         #[command(flatten)]
         which: Which,
@@ -265,16 +266,57 @@
     Ok(worst)
 }
 
+/// One side of a comparison: settings on the decision module in virtual time, or a proxy on real sockets.
+enum Side {
+    Settings(Arc<Scenario>),
+    Proxy(Arc<Scenario>, Vec<String>),
+}
+
+impl Side {
+    /// Reads `key=value,...`, `-`, or `proxy:COMMAND`.
+    fn read(text: &str, which: &Which) -> Result<Self, String> {
+        match text.strip_prefix("proxy:") {
+            Some(command) => {
+                Ok(Side::Proxy(which.read(&[])?, proxy_command((command != "-").then_some(command))?))
+            }
+            None => Ok(Side::Settings(which.read(&settings(text))?)),
+        }
+    }
+
+    fn play(&self, name: &str, seed: u64, dir: &Path) -> Result<Run, String> {
+        match self {
+            Side::Settings(scenario) => Ok(experiment::simulate(scenario, name, seed, None)),
+            Side::Proxy(scenario, command) => real::play(scenario, name, seed, command, dir, |_| ())
+                .map(|(run, _)| run)
+                .map_err(|e| format!("{}: {e}", command.join(" "))),
+        }
+    }
+}
+
 fn compare(which: &Which, a: &str, b: &str, repeat: u64, json: bool) -> Result<u8, String> {
-    let sides = [which.read(&settings(a))?, which.read(&settings(b))?];
-    // Side by side under each seed, so that what disturbs the machine disturbs both.
-    let play = |n: usize| experiment::simulate(&sides[n % 2], &which.scenario, 1 + n as u64 / 2, None);
-    let runs = experiment::on_threads(2 * repeat as usize, threads(), play);
-    let kept = runs.iter().all(|r| r.broken.is_empty());
+    let sides = [Side::read(a, which)?, Side::read(b, which)?];
+    let dir = std::env::temp_dir().join("canvascart-lab").join(format!("compare-{}", std::process::id()));
+    // Side by side under each seed, so that what disturbs the machine disturbs both; real runs one at a time.
+    let virtual_time = sides.iter().all(|s| matches!(s, Side::Settings(_)));
+    let play = |n: usize| sides[n % 2].play(&which.scenario, 1 + n as u64 / 2, &dir.join(n.to_string()));
+    let threads = if virtual_time { threads() } else { 1 };
     let (mut first, mut second) = (Vec::new(), Vec::new());
-    for (n, run) in runs.into_iter().enumerate() {
+    for (n, run) in experiment::on_threads(2 * repeat as usize, threads, play).into_iter().enumerate() {
+        let run = match run {
+            Ok(run) => run,
+            Err(e) => {
+                eprintln!("canvascart: {e}");
+                return Ok(NOT_RUN);
+            }
+        };
+        if let Some(why) = &run.void {
+            eprintln!("canvascart: a run is void: {why}");
+            return Ok(NOT_RUN);
+        }
         if n % 2 == 0 { first.push(run) } else { second.push(run) }
     }
+    let broken = |runs: &[Run]| runs.iter().map(|r| r.broken.len()).sum::<usize>();
+    let (broken_a, broken_b) = (broken(&first), broken(&second));
     let differences = experiment::compare(&first, &second);
     if json {
         println!("{}", serde_json::to_string(&differences).map_err(|e| e.to_string())?);
@@ -287,8 +329,9 @@
             let between = format!("{:+.4} to {:+.4}", e.low, e.high);
             println!("{:<16} {:>10.4} {:>10.4} {:>+10.4}   {between:<24}{clear}", d.figure, d.a, d.b, e.mean);
         }
+        println!("{:<16} {broken_a:>10} {broken_b:>10}", "broken rules");
     }
-    Ok(if kept { 0 } else { BROKEN })
+    Ok(if broken_a + broken_b == 0 { 0 } else { BROKEN })
 }
 
 fn sweep(which: &Which, key: &str, values: &[String], repeat: u64, alone: bool) -> Result<u8, String> {
--- a/crates/engine/src/process.rs
+++ b/crates/engine/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::ffi::OsString;
-use std::io;
+use std::io::{self, Write as _};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -163,21 +163,53 @@
     outcome
 }
 
-/// Reads the command line: nothing, or the file with the features' settings.
-fn features(mut arguments: impl Iterator<Item = OsString>) -> Result<Features, String> {
-    let usage = "usage: sandgap [--properties FILE]";
-    let Some(flag) = arguments.next() else { return Ok(Features::default()) };
+/// What is said to one who asks for help.
+const HELP: &str = "\
+A reverse proxy that spreads requests over HTTP servers.
+
+usage: sandgap [--properties FILE]
+
+  --properties FILE  settings of the features, one key = value a line (docs/features.md)
+  --help             this text
+  --version          the version
+
+The file that NODE_CONFIG names tells it where to listen, where discovery is, and the settings that the
+module decides by; deploy/sandgap.example.json is one to start from. SIGTERM ends it once every request it
+has taken is answered, SIGHUP makes it read where discovery is anew.
+";
+
+/// What the command line asks for.
+enum Asked {
+    /// A proxy with these features.
+    Proxy(Features),
+    /// A text on standard output, and nothing else.
+    Text(String),
+}
+
+/// Reads the command line: nothing, the file with the features' settings, or a wish for help.
+fn asked(mut arguments: impl Iterator<Item = OsString>) -> Result<Asked, String> {
+    let usage = "usage: sandgap [--properties FILE]; --help says more";
+    let Some(flag) = arguments.next() else { return Ok(Asked::Proxy(Features::default())) };
     match (flag.to_str(), arguments.next(), arguments.next()) {
         (Some("--properties"), Some(file), None) => {
-            Features::read(Path::new(&file)).map_err(|e| e.to_string())
+            Features::read(Path::new(&file)).map(Asked::Proxy).map_err(|e| e.to_string())
+        }
+        (Some("--help" | "-h"), None, None) => Ok(Asked::Text(HELP.into())),
+        (Some("--version" | "-V"), None, None) => {
+            Ok(Asked::Text(format!("sandgap {}\n", env!("CARGO_PKG_VERSION"))))
         }
         _ => Err(usage.into()),
     }
 }
 
 fn start(arguments: impl Iterator<Item = OsString>) -> Result<(), String> {
-    let features = features(arguments)?;
-    let path = PathBuf::from(std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?);
+    let features = match asked(arguments)? {
+        Asked::Proxy(features) => features,
+        // Whoever asked and does not read on needs no more of it.
+        Asked::Text(text) => return io::stdout().write_all(text.as_bytes()).or(Ok(())),
+    };
+    let unset = "NODE_CONFIG is not set: it names the configuration, such as deploy/sandgap.example.json";
+    let path = PathBuf::from(std::env::var_os("NODE_CONFIG").ok_or(unset)?);
     let config = config::read(&path)?;
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
--- a/crates/sandgap/tests/settings_file.rs
+++ b/crates/sandgap/tests/settings_file.rs
@@ -49,3 +49,49 @@
     let proxy = Proxy::up(&discovery, &Setup { properties: Some(service), ..Setup::default() });
     assert_eq!(Client::new(&proxy).ask(&page("r-1")).expect("an answer").text(), "served");
 }
+
+#[test]
+fn help_and_version_are_no_errors() {
+    for (flag, word) in [
+        ("--help", "NODE_CONFIG"),
+        ("-h", "usage: sandgap"),
+        ("--version", "sandgap 0."),
+        ("-V", "sandgap 0."),
+    ] {
+        let run =
+            Command::new(env!("CARGO_BIN_EXE_sandgap")).arg(flag).env_remove("NODE_CONFIG").output().unwrap();
+        let said = String::from_utf8_lossy(&run.stdout).into_owned();
+        assert!(run.status.success() && said.contains(word) && run.stderr.is_empty(), "{flag}: {said}");
+    }
+}
+
+#[test]
+fn the_example_configuration_starts_a_proxy_that_serves() {
+    let backend = Backend::new(Deed::Write(ok("served")));
+    let example = include_str!("../../../deploy/sandgap.example.json");
+    let text = example.replace("127.0.0.1:9000", "127.0.0.1:0");
+    let text = text.replace("127.0.0.1:9100", &backend.address.to_string());
+    assert_ne!(text, example);
+    let file = config_file(&text.replace("127.0.0.1:8500", "127.0.0.1:1"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sandgap"));
+    let mut child = command.env("NODE_CONFIG", &file).stderr(std::process::Stdio::piped()).spawn().unwrap();
+    let lines = std::io::BufRead::lines(std::io::BufReader::new(child.stderr.take().unwrap()));
+    let address =
+        lines.map_while(Result::ok).find_map(|l| l.split_once("listens on ").map(|(_, a)| a.to_owned()));
+    let address: std::net::SocketAddr = address.expect("it listens").parse().unwrap();
+    let ask = |text: &str| {
+        use std::io::{Read as _, Write as _};
+        let mut stream = std::net::TcpStream::connect(address).unwrap();
+        stream.write_all(text.as_bytes()).unwrap();
+        let mut said = String::new();
+        stream.read_to_string(&mut said).map(|_| said).unwrap_or_default()
+    };
+    wait_for("/up", || ask("GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").contains(" 200 "));
+    let lookup = "GET /lookup?sid=1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\nX-Request-ID: r-1\r\n\
+                  X-Tenant-Id: example-library\r\nX-Timeout: 2.000\r\n\r\n";
+    let said = ask(lookup);
+    child.kill().unwrap();
+    child.wait().unwrap();
+    let _ = std::fs::remove_file(&file);
+    assert!(said.contains(" 200 ") && said.ends_with("served"), "{said}");
+}
