Box the features that the command line asks for

Need: clippy finds the two variants of what is asked for of very different size.

Change: the larger one is boxed. Measured: clippy is clean.

--- a/crates/engine/src/process.rs
+++ b/crates/engine/src/process.rs
@@ -181,7 +181,7 @@
 /// What the command line asks for.
 enum Asked {
     /// A proxy with these features.
-    Proxy(Features),
+    Proxy(Box<Features>),
     /// A text on standard output, and nothing else.
     Text(String),
 }
@@ -189,10 +189,10 @@
 /// Reads the command line: nothing, the file with the features' settings, or a wish for help.
 fn asked(mut arguments: impl Iterator<Item = OsString>) -> Result<Asked, String> {
     let usage = "usage: sandgap [--properties FILE]; --help says more";
-    let Some(flag) = arguments.next() else { return Ok(Asked::Proxy(Features::default())) };
+    let Some(flag) = arguments.next() else { return Ok(Asked::Proxy(Box::default())) };
     match (flag.to_str(), arguments.next(), arguments.next()) {
         (Some("--properties"), Some(file), None) => {
-            Features::read(Path::new(&file)).map(Asked::Proxy).map_err(|e| e.to_string())
+            Features::read(Path::new(&file)).map(|f| Asked::Proxy(f.into())).map_err(|e| e.to_string())
         }
         (Some("--help" | "-h"), None, None) => Ok(Asked::Text(HELP.into())),
         (Some("--version" | "-V"), None, None) => {
@@ -204,7 +204,7 @@
 
 fn start(arguments: impl Iterator<Item = OsString>) -> Result<(), String> {
     let features = match asked(arguments)? {
-        Asked::Proxy(features) => features,
+        Asked::Proxy(features) => *features,
         // Whoever asked and does not read on needs no more of it.
         Asked::Text(text) => return io::stdout().write_all(text.as_bytes()).or(Ok(())),
     };
