Give calm servers more slots than their size says while requests wait

Candidates: skew of the front, crossings, the lab's queue (each excluded, docs/findings/own-slots.md). Slots are worked out from ratings, and with two kinds of machine that gives 1.2 of 2 cores; a kind's part could only shrink.

Change: while requests wait and its latency stays calm, a kind is given up to four times what its size says, by a tenth a review, and gives it back by the same measure as before when it is crowded. Not where a proxy pools all servers, so small fleets are as before; a cold server's budget still goes by its size.

--- a/crates/wharfhitch/src/choice.rs
+++ b/crates/wharfhitch/src/choice.rs
@@ -32,6 +32,8 @@
 const CROWDED: f64 = 1.6; // latency over its calm level at which a kind counts as crowded
 const CALM_CREEP: f64 = 1.001; // by which the calm level may rise in a review: a tenth in ten seconds
 const THROTTLE_MIN: f64 = 0.3; // the least part of its slots that a crowded kind keeps
+const THROTTLE_MOST: f64 = 4.0; // and the most that one gets whose servers stay calm while requests wait
+const THROTTLE_STEP: f64 = 1.1; // by which it gets more in a review: twice as much in 0.8 s
 const UNMEASURED: f64 = 0.5; // part of a new kind's slots, lest a jam from the start pass for calm
 const LATE: f64 = 0.5; // part of the aim past which an answer says that the pooled servers are crowded
 const WINDOW_CUT: f64 = 0.9; // by which such an answer shrinks the in-flight window
@@ -757,6 +759,7 @@
         self.mean = self.mean_latency();
         let rooms = self.servers.iter().filter(|s| s.told.is_none()).map(|s| s.room).sum::<f64>();
         self.mean_room = rooms / f64::from(self.listed.max(1));
+        let short = self.waiting > 0 && !self.pools();
         for kind in self.kinds.iter_mut().filter(|k| k.slow.1 >= 3.0 * KIND_WEIGHT) {
             // Overfilled servers are slow all alike and look as if they had more cores: against that jam a
             // kind whose latency has left its calm level gets fewer slots until it is back.
@@ -765,8 +768,12 @@
             kind.calm = latency.min(kind.calm * CALM_CREEP);
             kind.core = if kind.lone.1 >= KIND_WEIGHT { kind.lone.0 } else { kind.calm };
             let calm = kind.calm.max(kind.core * (1.0 + 0.5 / kind.cores));
-            let step = (CROWDED * calm / latency).clamp(0.95, 1.02);
-            kind.throttle = (kind.throttle * step).clamp(THROTTLE_MIN, 1.0);
+            let grow = if short { THROTTLE_STEP } else { 1.02 };
+            let step = (CROWDED * calm / latency).clamp(0.95, grow);
+            // A size tells little of how many requests a machine can hold. While some wait here and its
+            // kind is calm, it is given more; what it has been given it keeps while it stays calm.
+            let most = if short { THROTTLE_MOST } else { kind.throttle.max(1.0) };
+            kind.throttle = (kind.throttle * step).clamp(THROTTLE_MIN, most);
         }
         self.slowest = self.kinds.iter().map(|k| k.core).filter(|c| c.is_finite()).fold(0.0, f64::max);
         self.note_common(KIND_WEIGHT);
@@ -781,7 +788,8 @@
             if s.fresh && warmth < 1.0 {
                 // An equal part of what its like can do, cut to what it surely can: so it stands in any case.
                 let kind = &self.kinds[s.kind]; // by its calm latency: waits in a crowd are not work
-                let capacity = s.room / FULLNESS / kind.core.min(self.mean * kind.slow.0.max(0.2));
+                let room = s.room / kind.throttle.max(1.0); // by its size: more is for warm ones
+                let capacity = room / FULLNESS / kind.core.min(self.mean * kind.slow.0.max(0.2));
                 let rate = COLD_SHARE * self.cfg.limits.fall_multiple * warmth * capacity
                     / f64::from(self.cfg.proxies);
                 s.tokens = (s.tokens + rate * (now - s.tokens_at)).min((rate * 300.0).max(1.0));
--- a/crates/wharfhitch/tests/choice.rs
+++ b/crates/wharfhitch/tests/choice.rs
@@ -387,6 +387,24 @@
     assert_eq!(sent_at_once(3), sent_at_once(0));
 }
 
+#[test]
+fn calm_servers_get_more_than_their_size_says_while_requests_wait() {
+    // Fleets that a proxy does not pool were held to what their ratings say: four servers of size 1 got five requests
+    // at once, and the rest waited for servers that had nothing to do.
+    let small = |id| Backend { rating: 1.0, ..server(id) };
+    let out_at_once = |latency: fn(u64, usize) -> Millis| {
+        let mut hand = Hand::new(settings(1), (1..=4).map(small).collect());
+        let (_, still) = hand.drive(20_000, 8, latency);
+        still.len()
+    };
+    // A request each 8 ms that takes 120 ms wherever it goes: fifteen at a time.
+    let calm = out_at_once(|_, _| 120.0);
+    assert!(calm >= 14, "{calm} are out at once");
+    // One core each: a further request makes all there slower, and no more than crowding allows goes there.
+    let crowded = out_at_once(|_, before| 120.0 * (1.0 + before as f64));
+    assert!(crowded <= 10, "{crowded} are out at once");
+}
+
 #[test]
 fn failures_that_all_servers_share_close_none_of_them() {
     // page8769: a tenth of all connections broke, every server was closed in turn, and all was refused.
