Measure the price of a request beside a direct connection and a pass-through

Need: what the proxy costs on a request was only known from outside, by hand.

Change: `canvascart lab price` loads a responder directly, a bare hyper pass-through and the proxy in turn, from the same closed load in the same run, at several fleet sizes: requests a second, CPU and memory of the target's process, latency. In virtual time a connection that was given up is closed once and not twice.

--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -1,11 +1,14 @@
 //! `canvascart lab`: plays scenarios and says what came of them.
 
 use std::io::{IsTerminal as _, Write as _};
+use std::net::SocketAddr;
 use std::num::NonZero;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::Duration;
 
 use ::lab::experiment::{self, Run};
+use ::lab::price::{self, Price};
 use ::lab::scenario::Scenario;
 use ::lab::sim::decider::Sabotage;
 use ::lab::{real, report, shipped};
@@ -64,6 +67,28 @@
         #[arg(long)]
         json: bool,
     },
+    /// Measures what a request costs through the proxy, beside a direct connection and a bare pass-through.
+    #[command(after_help = CODES)]
+    Price {
+        /// Servers behind it, one run for each number.
+        #[arg(long, value_delimiter = ',', default_value = "10,100,1000")]
+        servers: Vec<usize>,
+        /// Connections, each of which sends its next request when it has its answer.
+        #[arg(long, default_value_t = 64)]
+        connections: usize,
+        /// Seconds of each measurement.
+        #[arg(long, default_value_t = 3)]
+        seconds: u64,
+        /// Rounds, all targets in turn.
+        #[arg(long, default_value_t = 3)]
+        repeat: usize,
+        /// Starts a proxy; without it, the one in this program.
+        #[arg(long, value_name = "COMMAND")]
+        proxy: Option<String>,
+    },
+    /// The processes that a price is measured with.
+    #[command(subcommand, hide = true)]
+    Peer(Peer),
     /// Plays a scenario with one setting varied, and prints a line for each value.
     #[command(after_help = CODES)]
     Sweep {
@@ -83,6 +108,17 @@
     },
 }
 
+#[derive(clap::Subcommand)]
+pub enum Peer {
+    /// Answers each request at once; tells its addresses in a line of JSON.
+    Responder {
+        #[arg(long)]
+        count: usize,
+    },
+    /// Passes requests on to the addresses in a line of JSON, and decides nothing.
+    PassThrough,
+}
+
 /// A scenario and what of it is set anew.
 #[derive(clap::Args)]
 pub struct Which {
@@ -188,6 +224,10 @@
         }
         Command::Run { which, how, proxy } => run_real(&which, &how, proxy.as_deref()),
         Command::Compare { a, b, which, repeat, json } => compare(&which, &a, &b, repeat, json),
+        Command::Price { servers, connections, seconds, repeat, proxy } => {
+            prices(&servers, connections, Duration::from_secs(seconds), repeat, proxy.as_deref())
+        }
+        Command::Peer(peer) => run_peer(peer),
         Command::Sweep { which, key, values, repeat, alone } => sweep(&which, &key, &values, repeat, alone),
     }
 }
@@ -266,6 +306,63 @@
     Ok(worst)
 }
 
+fn run_peer(peer: Peer) -> Result<u8, String> {
+    // A line on standard output, and then nothing any more.
+    let say = |addresses: &[SocketAddr]| println!("{}", serde_json::json!(addresses));
+    let ended = match peer {
+        Peer::Responder { count } => price::responder(count, say),
+        Peer::PassThrough => {
+            let mut line = String::new();
+            std::io::stdin().read_line(&mut line).map_err(|e| e.to_string())?;
+            let addresses = serde_json::from_str(&line).map_err(|e| e.to_string())?;
+            price::pass_through(addresses, |address| say(&[address]))
+        }
+    };
+    ended.map(|()| 0).map_err(|e| e.to_string())
+}
+
+fn prices(
+    servers: &[usize], connections: usize, span: Duration, repeat: usize, proxy: Option<&str>,
+) -> Result<u8, String> {
+    let own = std::env::current_exe().map_err(|e| format!("this program's own path: {e}"))?;
+    let command = proxy_command(proxy)?;
+    let dir = std::env::temp_dir().join("canvascart-lab").join(format!("price-{}", std::process::id()));
+    println!("{} cores; {connections} busy connections; mean of {repeat} rounds, least to most", threads());
+    println!(
+        "{:>7} {:<13} {:>9} {:>22} {:>9} {:>9} {:>10} {:>5}",
+        "servers", "target", "req/s", "CPU us a request", "p50 us", "p99 us", "memory MB", "bad"
+    );
+    for &count in servers {
+        let mut rounds = Vec::new();
+        for _ in 0..repeat.max(1) {
+            match price::measure(&own, &command, count, connections, span, &dir) {
+                Ok(round) => rounds.push(round),
+                Err(e) => {
+                    eprintln!("canvascart: {count} servers: {e}");
+                    return Ok(NOT_RUN);
+                }
+            }
+        }
+        for target in 0..rounds[0].len() {
+            let all: Vec<&Price> = rounds.iter().map(|r| &r[target]).collect();
+            let mean = |of: fn(&Price) -> f64| all.iter().map(|p| of(p)).sum::<f64>() / all.len() as f64;
+            let cpu = all.iter().map(|p| p.cpu_us);
+            let (least, most) = cpu.fold((f64::INFINITY, 0.0f64), |(a, b), x| (a.min(x), b.max(x)));
+            println!(
+                "{count:>7} {:<13} {:>9.0} {:>22} {:>9.0} {:>9.0} {:>10.1} {:>5}",
+                all[0].target,
+                mean(|p| p.rate),
+                format!("{:.1} ({least:.1} to {most:.1})", mean(|p| p.cpu_us)),
+                mean(|p| p.latency_us.0),
+                mean(|p| p.latency_us.1),
+                mean(|p| p.memory_mb),
+                all.iter().map(|p| p.bad).sum::<u64>(),
+            );
+        }
+    }
+    Ok(0)
+}
+
 /// One side of a comparison: settings on the decision module in virtual time, or a proxy on real sockets.
 enum Side {
     Settings(Arc<Scenario>),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod load;
 pub mod oracle;
 mod place;
+pub mod price;
 pub mod real;
 pub mod report;
 pub mod scenario;
--- a/crates/lab/src/real/mod.rs
+++ b/crates/lab/src/real/mod.rs
@@ -28,7 +28,7 @@
 use clients::Clients;
 use list::Agent;
 use proxies::Proxy;
-pub use proxies::settings_json;
+pub use proxies::{cpu_seconds, resident_mb, settings_json};
 use servers::Servers;
 use stage::{Cue, Stage};
 
--- a/crates/lab/src/real/proxies.rs
+++ b/crates/lab/src/real/proxies.rs
@@ -285,14 +285,15 @@
     }
 }
 
-fn resident_mb(pid: u32) -> Option<f64> {
+/// Resident memory of a process in MiB, from the system's own table.
+pub fn resident_mb(pid: u32) -> Option<f64> {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
     let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
     line.split_whitespace().next()?.parse::<f64>().ok().map(|kb| kb / 1024.0)
 }
 
 /// User and system time of a process; the kernel counts them in hundredths of a second.
-fn cpu_seconds(pid: u32) -> Option<f64> {
+pub fn cpu_seconds(pid: u32) -> Option<f64> {
     let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
     let rest = stat.rsplit_once(") ")?.1;
     let mut fields = rest.split(' ').skip(11);
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -566,7 +566,11 @@
         let Some(f) = self.flights.get_mut(&flight) else { return };
         let (id, proxy, server) = (f.id, f.proxy, f.server);
         let open = self.sabotage == Some(Sabotage::IgnoresDrains);
-        let Some(p) = self.proxies[proxy].as_ref().filter(|p| p.generation == f.generation) else { return };
+        let generation = f.generation;
+        let Some(p) = self.proxies[proxy].as_ref().filter(|p| p.generation == generation) else {
+            self.flights.remove(&flight); // its process has ended while the connection came up
+            return self.disconnect(server);
+        };
         if !(open || p.is_open(server)) || !p.live.get(&id).is_some_and(|l| l.wanted) {
             self.reply(flight, Outcome::Moot, false);
             return self.disconnect(server);
@@ -618,7 +622,7 @@
         let Some(f) = self.flights.remove(&flight) else { return };
         let same = self.generations[f.proxy] == f.generation;
         let (Some(p), false) = (self.proxies[f.proxy].as_mut().filter(|_| same), f.over) else {
-            return self.disconnect(f.server);
+            return; // given up before, with its connection
         };
         if keep && p.is_open(f.server) {
             p.idle.entry(f.server).or_default().push(self.now);
