Say once in the lab when a fault lasts and which proxy the front picks

Need: the test for a fault's time stood in five places, and the front's pick in both drivers of the world.

Change: Fault::holds and load::pick_proxy; a method that nothing used is gone.

--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -30,14 +30,10 @@
 /// How much of the plain rate is asked for at a time, by waves, steps and launches.
 fn factor(s: &Scenario, at: Millis) -> f64 {
     let wave = 1.0 + s.load.swing.0 * (std::f64::consts::TAU * at / s.load.period.0).sin();
-    let steps = s.faults.iter().filter(|f| f.kind == FaultKind::LoadStep && holds(f.at.0, f.span.0, at));
+    let steps = s.faults.iter().filter(|f| f.kind == FaultKind::LoadStep && f.holds(at));
     wave * steps.filter_map(|f| f.factor).product::<f64>()
 }
 
-fn holds(from: Millis, span: Millis, at: Millis) -> bool {
-    from <= at && at < from + span
-}
-
 /// A place in a list of weights.
 fn weighted(rng: &mut impl Rng, weights: &[f64]) -> usize {
     let mut left = rng.random::<f64>() * weights.iter().sum::<f64>();
@@ -78,7 +74,7 @@
         }
         let mut key = zipf.sample(&mut rng) as u64;
         // The new title is a key that nobody asked for before.
-        for (n, launch) in launches.iter().enumerate().filter(|(_, l)| holds(l.at.0, l.span.0, at)) {
+        for (n, launch) in launches.iter().enumerate().filter(|(_, l)| l.holds(at)) {
             if rng.random::<f64>() < launch.share.map_or(0.0, |s| s.0) {
                 key = s.load.keys + 1 + n as u64;
             }
@@ -121,7 +117,7 @@
         TryEnd::Refused(_) | TryEnd::Unreachable => true,
         TryEnd::Failed | TryEnd::GaveUp => class.effect == Effect::Safe,
     };
-    let impatient = s.faults.iter().any(|f| f.kind == FaultKind::Impatient && holds(f.at.0, f.span.0, now));
+    let impatient = s.faults.iter().any(|f| f.kind == FaultKind::Impatient && f.holds(now));
     let wait = match end {
         _ if impatient => 0.0,
         TryEnd::Refused(Some(after)) if ask.honours => after.max(s.clients.backoff.0),
@@ -136,3 +132,14 @@
     let class = &s.classes[ask.class];
     (s.clients.patience.0 * class.deadline.0).min(ask.at + class.deadline.0 - now)
 }
+
+/// The proxy that the front before them picks: one of the client's zone that it holds for alive, else any such one,
+/// else any at all.
+pub fn pick_proxy(
+    rng: &mut impl Rng, proxies: usize, zones: usize, zone: usize, alive: impl Fn(usize) -> bool,
+) -> usize {
+    let any: Vec<usize> = (0..proxies).filter(|p| alive(*p)).collect();
+    let near: Vec<usize> = any.iter().copied().filter(|p| p % zones == zone).collect();
+    let among = if near.is_empty() { any } else { near };
+    if among.is_empty() { rng.random_range(0..proxies) } else { among[rng.random_range(0..among.len())] }
+}
--- a/crates/lab/src/real/clients.rs
+++ b/crates/lab/src/real/clients.rs
@@ -77,17 +77,9 @@
     }
 
     fn pick(&self, zone: usize) -> ProxyId {
-        let now = self.stage.now();
-        let zones = self.stage.scenario.fleet.zones.len();
-        let alive = |p: &usize| self.proxies[*p].known_gone.get().is_none_or(|from| now < from);
-        let near: Vec<usize> = (0..self.proxies.len()).filter(|p| p % zones == zone).filter(alive).collect();
-        let any: Vec<usize> = (0..self.proxies.len()).filter(alive).collect();
-        let among = if !near.is_empty() { near } else { any };
-        let mut chance = self.chance.borrow_mut();
-        if among.is_empty() {
-            return chance.random_range(0..self.proxies.len());
-        }
-        among[chance.random_range(0..among.len())]
+        let (now, zones) = (self.stage.now(), self.stage.scenario.fleet.zones.len());
+        let alive = |p: usize| self.proxies[p].known_gone.get().is_none_or(|from| now < from);
+        load::pick_proxy(&mut *self.chance.borrow_mut(), self.proxies.len(), zones, zone, alive)
     }
 
     async fn ask(&self, ask: usize) {
@@ -228,9 +220,7 @@
 
     fn reads_slowly(&self) -> bool {
         let now = self.stage.now();
-        let holds = |f: &&crate::scenario::Fault| {
-            f.kind == FaultKind::SlowReaders && f.at.0 <= now && now < f.at.0 + f.span.0
-        };
+        let holds = |f: &&crate::scenario::Fault| f.kind == FaultKind::SlowReaders && f.holds(now);
         let share: f64 =
             self.stage.scenario.faults.iter().filter(holds).filter_map(|f| f.share).map(|s| s.0).sum();
         share > 0.0 && self.chance.borrow_mut().random::<f64>() < share
--- a/crates/lab/src/real/list.rs
+++ b/crates/lab/src/real/list.rs
@@ -148,7 +148,7 @@
     fn silent(&self) -> bool {
         let now = self.stage.now();
         let faults = &self.stage.scenario.faults;
-        faults.iter().any(|f| f.kind == FaultKind::ListSilent && f.at.0 <= now && now < f.at.0 + f.span.0)
+        faults.iter().any(|f| f.kind == FaultKind::ListSilent && f.holds(now))
     }
 
     async fn watch(&self, wire: &mut Wire, after: Option<u64>) -> std::io::Result<()> {
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -344,6 +344,13 @@
     pub rate: Option<Rate>,
 }
 
+impl Fault {
+    /// Whether it lasts at a time.
+    pub fn holds(&self, at: wharfhitch::Millis) -> bool {
+        self.at.0 <= at && at < self.at.0 + self.span.0
+    }
+}
+
 /// Where in an answer a connection breaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -317,17 +317,10 @@
 
     // ---- clients ----
 
-    /// The proxy that the front picks: one of the client's zone that it holds for alive, else any.
     fn pick_proxy(&mut self, zone: usize) -> ProxyId {
-        let alive = |p: &usize| self.known_gone[*p].is_none_or(|from| self.now < from);
-        let near: Vec<usize> =
-            (0..self.proxies.len()).filter(|p| self.world.proxy_zone(*p) == zone).filter(alive).collect();
-        let any: Vec<usize> = (0..self.proxies.len()).filter(alive).collect();
-        let among = if !near.is_empty() { near } else { any };
-        if among.is_empty() {
-            return self.front.random_range(0..self.proxies.len());
-        }
-        among[self.front.random_range(0..among.len())]
+        let (now, gone) = (self.now, &self.known_gone);
+        let alive = |p: usize| gone[p].is_none_or(|from| now < from);
+        load::pick_proxy(&mut self.front, gone.len(), self.s.fleet.zones.len(), zone, alive)
     }
 
     fn send_try(&mut self, ask: usize, number: u32) {
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -14,7 +14,6 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Normal};
-use rustc_hash::FxHashMap;
 use wharfhitch::Millis;
 
 use crate::chance::{Use, pick, stream};
@@ -247,8 +246,7 @@
     fn active(
         &self, now: Millis, kind: FaultKind,
     ) -> impl Iterator<Item = (usize, &crate::scenario::Fault)> + use<'_> {
-        let holds =
-            move |f: &crate::scenario::Fault| f.kind == kind && f.at.0 <= now && now < f.at.0 + f.span.0;
+        let holds = move |f: &crate::scenario::Fault| f.kind == kind && f.holds(now);
         self.scenario.faults.iter().enumerate().filter(move |(_, f)| holds(f))
     }
 
@@ -259,7 +257,7 @@
         at = at.max(self.latest[proxy]);
         for kind in [FaultKind::ListSilent, FaultKind::ListStale] {
             for f in self.scenario.faults.iter().filter(|f| f.kind == kind) {
-                if f.at.0 <= at && at < f.at.0 + f.span.0 {
+                if f.holds(at) {
                     at = f.at.0 + f.span.0;
                 }
             }
@@ -488,9 +486,4 @@
         let lines = self.loans.iter().enumerate().filter(|(_, l)| l.listed != Listed::Removed);
         lines.map(|(server, l)| Line { server, state: l.listed }).collect()
     }
-
-    /// Requests that each server holds, in work and waiting, for reports.
-    pub fn held(&self) -> FxHashMap<ServerId, (usize, usize)> {
-        self.loans.iter().enumerate().map(|(s, l)| (s, l.server.held())).collect()
-    }
 }
