Break connections in mid-work in the lab, and part zones so that connects get no answer

'where = "during"' breaks within the span that the work takes alone, what it spares is the fleet's 'cancels'; a parted listener's queue is filled, so that the system drops what would connect. The runs on sockets log what they do by tracing, tenants get HDR files, a panic of a run's thread is no longer taken for fewer runs.

--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -2,6 +2,7 @@
 //!
 //! Every run stands alone, so repeats go to several threads; what comes out does not depend on how many.
 
+use std::panic::resume_unwind;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
@@ -100,7 +101,7 @@
             }
         };
         let workers: Vec<_> = (0..threads.clamp(1, jobs.max(1))).map(|_| scope.spawn(worker)).collect();
-        workers.into_iter().flat_map(|w| w.join().unwrap_or_default()).collect()
+        workers.into_iter().flat_map(|w| w.join().unwrap_or_else(|panic| resume_unwind(panic))).collect()
     });
     results.sort_by_key(|(n, _)| *n);
     results.into_iter().map(|(_, result)| result).collect()
--- a/crates/lab/src/real/mod.rs
+++ b/crates/lab/src/real/mod.rs
@@ -6,6 +6,7 @@
 mod clients;
 pub mod http;
 mod list;
+mod plug;
 mod proxies;
 mod servers;
 mod stage;
@@ -19,7 +20,7 @@
 
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::experiment::Run;
 use crate::load;
@@ -103,6 +104,7 @@
     }
     let clients = Clients::new(stage.clone(), proxies.clone(), seed);
     spawn_local(clients.clone().garbage());
+    spawn_local(log_faults(stage.clone()));
     let length = scenario.length.0;
     let told = stage.clone();
     spawn_local(async move {
@@ -142,9 +144,27 @@
             late_ms.1
         )
     });
+    for broken in &run.broken {
+        tracing::warn!(at_ms = broken.at, rule = ?broken.rule, "rule broken: {broken}");
+    }
+    let share = run.score.whole.share;
+    tracing::info!(seed, share, broken = run.broken.len(), partial, void = run.void, "run is over");
     Ok((run, Measured { cpu_us: 1e6 * used / sent, late_ms }))
 }
 
+/// Logs each fault's begin and end at its time.
+async fn log_faults(stage: Rc<Stage>) {
+    let faults = &stage.scenario.faults;
+    let begins = faults.iter().map(|f| (f.at.0, f.kind, "fault begins"));
+    let ends = faults.iter().map(|f| (f.at.0 + f.span.0, f.kind, "fault ends"));
+    let mut marks: Vec<_> = begins.chain(ends).collect();
+    marks.sort_by(|a, b| a.0.total_cmp(&b.0));
+    for (at_ms, kind, what) in marks {
+        sleep_until(stage.instant(at_ms)).await;
+        tracing::info!(at_ms, ?kind, "{what}");
+    }
+}
+
 /// What the parts do when the world says so.
 fn cues(
     agents: &[Rc<Agent>], proxies: &[Rc<Proxy>], servers: &Rc<Servers>, failed: &Rc<Cell<Option<io::Error>>>,
@@ -170,6 +190,10 @@
                 Ok(())
             }
             Cue::Refusing(server, false) => servers.open_again(server),
+            Cue::Parted => {
+                servers.look_for_partitions();
+                Ok(())
+            }
             Cue::Kill(proxy) => {
                 let proxy = proxies[proxy].clone();
                 spawn_local(async move { proxy.kill().await });
--- a/crates/lab/src/real/proxies.rs
+++ b/crates/lab/src/real/proxies.rs
@@ -185,6 +185,7 @@
             sleep(Duration::from_millis(5)).await;
         }
         self.known_gone.set(None);
+        tracing::info!(proxy = self.number, address = %self.address, starts = self.starts.get(), "proxy is up");
         Ok(())
     }
 
@@ -224,11 +225,14 @@
         let now = self.stage.now();
         self.stage.ledger.borrow_mut().ends.push(End { proxy: self.number, at: now, wanted: true });
         self.known_gone.set(Some(now + self.stage.scenario.proxies.notice.0));
+        tracing::info!(at_ms = now, proxy = self.number, "proxy was killed");
     }
 
     /// Tells it to end; the front sends nothing new from now on.
     pub fn terminate(&self) {
-        self.known_gone.set(Some(self.stage.now()));
+        let now = self.stage.now();
+        self.known_gone.set(Some(now));
+        tracing::info!(at_ms = now, proxy = self.number, "proxy is told to end");
         self.signal(Signal::TERM);
     }
 
@@ -260,7 +264,11 @@
                 None => ledger.usage.push(Usage { proxy, at, memory_mb, descriptors }),
             }
         }
-        if self.ended().is_some() {
+        if let Some(status) = self.ended() {
+            if !self.wanted.get() {
+                let (at_ms, log) = (self.stage.now(), self.log.display());
+                tracing::warn!(at_ms, proxy = self.number, status, %log, "proxy ended by itself");
+            }
             let (proxy, at, wanted) = (self.number, self.stage.now(), self.wanted.get());
             self.stage.ledger.borrow_mut().ends.push(End { proxy, at, wanted });
             self.known_gone.set(self.known_gone.get().or(Some(at + self.stage.scenario.proxies.notice.0)));
--- a/crates/lab/src/real/servers.rs
+++ b/crates/lab/src/real/servers.rs
@@ -11,6 +11,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 
 use super::http::{Start, Wire};
+use super::plug::{BACKLOG, Plug};
 use super::stage::{Fate, Stage};
 use crate::ledger::{AttemptEnd, ProxyId, ServerId};
 use crate::scenario::Break;
@@ -37,6 +38,8 @@
     tasks: RefCell<FxHashMap<(ProxyId, ServerId), AbortHandle>>,
     /// Told when a server's process ends: idle connections end with it.
     ends: RefCell<FxHashMap<ServerId, watch::Sender<bool>>>,
+    /// Changes when zones are parted, or no longer.
+    parts: watch::Sender<()>,
 }
 
 /// What follows an exchange.
@@ -54,7 +57,7 @@
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
-    socket.listen(1024)
+    socket.listen(BACKLOG as u32)
 }
 
 impl Servers {
@@ -65,6 +68,7 @@
             addresses: RefCell::default(),
             tasks: RefCell::default(),
             ends: RefCell::default(),
+            parts: watch::channel(()).0,
         })
     }
 
@@ -110,14 +114,34 @@
         });
     }
 
+    /// Zones are parted, or no longer: each listener looks whether that concerns it.
+    pub fn look_for_partitions(&self) {
+        self.parts.send_replace(());
+    }
+
+    fn parted(&self, proxy: ProxyId, server: ServerId) -> bool {
+        let world = self.stage.world.borrow();
+        world.parted(self.stage.now(), world.proxy_zone(proxy), world.loans()[server].zone)
+    }
+
     /// Where a proxy reaches a server.
     pub fn address(&self, proxy: ProxyId, server: ServerId) -> Option<SocketAddr> {
         self.addresses.borrow().get(&(proxy, server)).copied()
     }
 
     async fn accept(self: Rc<Self>, listener: TcpListener, proxy: ProxyId, server: ServerId) {
+        let mut parts = self.parts.subscribe();
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
+            if self.parted(proxy, server) {
+                let plug = Plug::new(&listener).await;
+                while self.parted(proxy, server) && parts.changed().await.is_ok() {}
+                drop(plug); // without one its connections come up and stay silent
+            }
+            let accepted = tokio::select! {
+                _ = parts.changed() => continue,
+                accepted = listener.accept() => accepted,
+            };
+            let Ok((stream, _)) = accepted else {
                 tokio::time::sleep(PAUSE).await; // out of descriptors: the run is about to say so
                 continue;
             };
@@ -179,11 +203,7 @@
             return written(wire.write(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n").await);
         };
         let note = stage.ledger.borrow_mut().send(id, server, sent);
-        let parted = {
-            let world = stage.world.borrow();
-            world.parted(stage.now(), world.proxy_zone(proxy), world.loans()[server].zone)
-        };
-        if parted {
+        if self.parted(proxy, server) {
             wire.ended().await; // nothing passes: it waits until the proxy gives it up
             stage.end(id, note, AttemptEnd::MayHaveRun);
             return Next::Close;
--- a/crates/lab/src/real/stage.rs
+++ b/crates/lab/src/real/stage.rs
@@ -33,6 +33,8 @@
     Listed(crate::world::Line),
     /// A server refuses connections from here on, or takes them again.
     Refusing(ServerId, bool),
+    /// Zones are parted, or no longer.
+    Parted,
     /// A proxy is killed.
     Kill(ProxyId),
     /// A proxy is told to end.
@@ -45,7 +47,8 @@
 struct Held {
     id: TryId,
     note: usize,
-    fate: oneshot::Sender<Fate>,
+    /// Taken once it has been told: the server may work on after that.
+    fate: Option<oneshot::Sender<Fate>>,
 }
 
 /// All that the parts share.
@@ -117,7 +120,7 @@
     pub fn hold(&self, id: TryId, note: usize) -> (u64, oneshot::Receiver<Fate>) {
         let (fate, told) = oneshot::channel();
         let attempt = self.next.replace(self.next.get() + 1);
-        self.held.borrow_mut().insert(attempt, Held { id, note, fate });
+        self.held.borrow_mut().insert(attempt, Held { id, note, fate: Some(fate) });
         (attempt, told)
     }
 
@@ -127,7 +130,21 @@
         if ran {
             self.ledger.borrow_mut().ran(held.id, held.note, self.now());
         }
-        let _ = held.fate.send(fate); // a connection that has ended meanwhile needs none
+        if let Some(told) = held.fate {
+            let _ = told.send(fate); // a connection that has ended meanwhile needs none
+        }
+    }
+
+    /// An attempt's connection breaks; `spared` if its server does not go on with it.
+    fn break_off(&self, attempt: u64, spared: bool) {
+        let mut held = self.held.borrow_mut();
+        let fate = held.get_mut(&attempt).and_then(|h| h.fate.take());
+        if spared {
+            held.remove(&attempt);
+        }
+        if let Some(fate) = fate {
+            let _ = fate.send(Fate::Lost);
+        }
     }
 
     /// An attempt's connection was closed by its proxy; what the server need not do any more it does not do.
@@ -165,12 +182,18 @@
                 match h {
                     Happened::Done { attempt, verdict } => self.tell(attempt, Fate::Verdict(verdict), true),
                     Happened::Lost { attempt } => self.tell(attempt, Fate::Lost, false),
+                    Happened::Broken { attempt, spared } => self.break_off(attempt, spared),
                     Happened::Fell { server, warmth } => {
                         let at = self.now();
+                        tracing::warn!(at_ms = at, server, warmth, "cold server was pushed over");
                         self.ledger.borrow_mut().falls.push(crate::ledger::Fall { server, at, warmth });
                     }
-                    Happened::Listed(line) => cue(Cue::Listed(line)),
+                    Happened::Listed(line) => {
+                        tracing::debug!(at_ms = self.now(), server = line.server, state = ?line.state, "list changes");
+                        cue(Cue::Listed(line));
+                    }
                     Happened::Refusing { server, on } => cue(Cue::Refusing(server, on)),
+                    Happened::Parted => cue(Cue::Parted),
                     Happened::Kill(proxy) => cue(Cue::Kill(proxy)),
                     Happened::Terminate(proxy) => cue(Cue::Terminate(proxy)),
                     Happened::Start(proxy) => cue(Cue::Start(proxy)),
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -7,7 +7,7 @@
 //! | `windows.jsonl` | a line a window of time |
 //! | `tries.jsonl` | a line a try with its attempts |
 //! | `broken.jsonl` | a line a broken rule |
-//! | `latency-CLASS.hdr` | latencies in µs, HdrHistogram's V2 form |
+//! | `latency-CLASS.hdr`, `latency-tenant-TENANT.hdr` | latencies in µs, HdrHistogram's V2 form |
 //! | `report.html` | tables and plots |
 
 mod page;
@@ -160,8 +160,10 @@
     let tries = run.ledger.tries.iter().enumerate().map(|(id, t)| try_json(id, t, class(t)));
     lines(&dir.join("tries.jsonl"), tries)?;
     lines(&dir.join("broken.jsonl"), run.broken.iter().map(broken_json))?;
-    for part in &run.score.classes {
-        let mut file = BufWriter::new(File::create(dir.join(format!("latency-{}.hdr", part.name)))?);
+    let classes = run.score.classes.iter().map(|part| (format!("latency-{}.hdr", part.name), part));
+    let tenants = run.score.tenants.iter().map(|part| (format!("latency-tenant-{}.hdr", part.name), part));
+    for (name, part) in classes.chain(tenants) {
+        let mut file = BufWriter::new(File::create(dir.join(name))?);
         V2Serializer::new().serialize(part.histogram(), &mut file).map_err(io::Error::other)?;
         file.flush()?;
     }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -355,6 +355,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Break {
+    /// While its server still works on the request, or lets it wait: what the break spares the server is as for any
+    /// client that goes away.
+    During,
     /// Before the answer's first byte; the request has run.
     Before,
     /// Between the answer's first byte and its last.
--- a/crates/lab/src/shipped.rs
+++ b/crates/lab/src/shipped.rs
@@ -1,7 +1,7 @@
 //! The scenarios that come with the lab. None holds figures of a recorded day.
 
 /// Name and text of each.
-pub const ALL: [(&str, &str); 16] = [
+pub const ALL: [(&str, &str); 17] = [
     ("quiet", include_str!("../scenarios/quiet.toml")),
     ("evening", include_str!("../scenarios/evening.toml")),
     ("deploy-81", include_str!("../scenarios/deploy-81.toml")),
@@ -18,6 +18,7 @@
     ("partition", include_str!("../scenarios/partition.toml")),
     ("launch", include_str!("../scenarios/launch.toml")),
     ("reset-overload", include_str!("../scenarios/reset-overload.toml")),
+    ("reset-in-work", include_str!("../scenarios/reset-in-work.toml")),
 ];
 
 /// The text of a shipped scenario.
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -110,6 +110,8 @@
     Reach(u64),
     /// An answer or an end arrives at a proxy.
     Reply(u64, Outcome, bool),
+    /// A proxy sees that an attempt's connection has broken, and its server may still hold it.
+    Broken(u64),
     /// An attempt's time is up.
     Expire(u64),
     /// A server sees that an attempt's connection is closed.
@@ -298,6 +300,7 @@
             What::Dialled(flight, connect) => self.dialled(flight, connect),
             What::Reach(flight) => self.reach(flight),
             What::Reply(flight, outcome, keep) => self.reply(flight, outcome, keep),
+            What::Broken(flight) => self.broken(flight),
             What::Expire(flight) => self.expire(flight),
             What::Closed(server, attempt) => {
                 self.world.cancel(self.now, server, attempt);
@@ -664,6 +667,18 @@
         self.tell_end(&end, if written { Outcome::TimedOut } else { Outcome::ConnectFailed });
     }
 
+    /// An attempt's connection has broken while its server held it: over here, and perhaps not there.
+    fn broken(&mut self, flight: u64) {
+        let Some(f) = self.flights.get_mut(&flight).filter(|f| !f.over) else { return };
+        if self.generations[f.proxy] != f.generation {
+            return;
+        }
+        f.over = true;
+        let (server, end) = (f.server, Flight { over: true, ..*f });
+        self.disconnect(server);
+        self.tell_end(&end, Outcome::Reset);
+    }
+
     // ---- the world ----
 
     fn by_itself(&mut self, happened: Happened) {
@@ -674,6 +689,11 @@
                 let way = self.server_way(f.proxy, f.server);
                 self.after(way, What::Reply(attempt, Outcome::Reset, false));
             }
+            Happened::Broken { attempt, .. } => {
+                let Some(f) = self.flights.get(&attempt) else { return };
+                let way = self.server_way(f.proxy, f.server);
+                self.after(way, What::Broken(attempt));
+            }
             Happened::Listed(line) => {
                 for proxy in 0..self.proxies.len() {
                     let at = self.world.news_at(self.now, proxy);
@@ -684,7 +704,7 @@
                 self.ledger.falls.push(Fall { server, at: self.now, warmth });
             }
             // Each connect asks the world.
-            Happened::Refusing { .. } => {}
+            Happened::Refusing { .. } | Happened::Parted => {}
             Happened::Kill(proxy) => self.end_process(proxy, Some(self.s.proxies.notice.0)),
             Happened::Terminate(proxy) => {
                 self.known_gone[proxy] = Some(self.now);
@@ -713,7 +733,7 @@
             Verdict::Silent => return,
             Verdict::Served => (Outcome::Served, true),
             Verdict::Error => (Outcome::Error, true),
-            Verdict::Reset(Break::Before | Break::Inside) => (Outcome::Reset, false),
+            Verdict::Reset(Break::During | Break::Before | Break::Inside) => (Outcome::Reset, false),
             Verdict::Reset(Break::After) => (Outcome::Served, false),
         };
         self.after(way, What::Reply(flight, outcome, keep));
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -87,6 +87,13 @@
         /// The attempt.
         attempt: u64,
     },
+    /// An attempt's connection breaks while its server holds it.
+    Broken {
+        /// The attempt.
+        attempt: u64,
+        /// Whether the server drops it; else it works on, and [`Happened::Done`] follows.
+        spared: bool,
+    },
     /// The list has changed.
     Listed(Line),
     /// A cold server was pushed over.
@@ -103,6 +110,8 @@
         /// Whether it refuses.
         on: bool,
     },
+    /// Zones are parted, or no longer: [`World::parted`] says which.
+    Parted,
     /// A proxy is killed outright.
     Kill(ProxyId),
     /// A proxy is told to end.
@@ -323,6 +332,7 @@
         let resets: Vec<(f64, Break)> = self
             .active(at, FaultKind::Resets)
             .map(|(_, f)| (share(f), f.place.unwrap_or(Break::Before)))
+            .filter(|(_, place)| *place != Break::During)
             .collect();
         // No draw without a fault: the days of two scenarios stay alike up to it.
         if lost > 0.0 && self.faults.random::<f64>() < lost {
@@ -366,7 +376,11 @@
             return (Offer::Taken, Some(Verdict::Error));
         }
         let warmth = self.loans[server].server.warmth(now);
+        let (attempt, work) = (job.attempt, job.work);
         let offer = self.loans[server].server.offer(now, job);
+        if offer == Offer::Taken {
+            self.plan_break(now, server, attempt, work);
+        }
         if offer == Offer::PushedOver {
             self.pending.push(Happened::Fell { server, warmth });
             self.lose(server);
@@ -375,6 +389,19 @@
         (offer, None)
     }
 
+    /// Draws whether an attempt's connection is to break in the middle of its work, and plans it for a time within
+    /// the span that the work takes a machine that has nothing else to do.
+    fn plan_break(&mut self, now: Millis, server: ServerId, attempt: u64, work: f64) {
+        let during = |f: &crate::scenario::Fault| f.place == Some(Break::During);
+        let resets = self.active(now, FaultKind::Resets).filter(|(_, f)| during(f));
+        let share: f64 = resets.map(|(_, f)| f.share.map_or(0.0, |s| s.0)).sum();
+        if share > 0.0 && self.faults.random::<f64>() < share {
+            let alone = work / self.loans[server].server.machine().speed;
+            let at = now + alone * self.faults.random::<f64>();
+            self.schedule(at, Step::Break(server, attempt));
+        }
+    }
+
     fn lose(&mut self, server: ServerId) {
         let held = self.loans[server].server.lose_all();
         self.pending.extend(held.into_iter().map(|attempt| Happened::Lost { attempt }));
@@ -441,6 +468,13 @@
                 }
             }
             Step::Start(proxy) => self.pending.push(Happened::Start(proxy)),
+            // What has been done meanwhile can break no more.
+            Step::Break(server, attempt) if self.loans[server].server.holds(attempt) => {
+                let spared = self.cancel(at, server, attempt);
+                self.pending.push(Happened::Broken { attempt, spared });
+            }
+            Step::Break(..) => {}
+            Step::Part => self.pending.push(Happened::Parted),
         }
     }
 
--- a/crates/lab/src/world/plan.rs
+++ b/crates/lab/src/world/plan.rs
@@ -22,6 +22,10 @@
     Proxies(usize),
     /// A proxy is started.
     Start(ProxyId),
+    /// Zones are parted, or no longer.
+    Part,
+    /// An attempt's connection breaks while its server holds it.
+    Break(ServerId, u64),
 }
 
 /// The steps that are known from the start.
@@ -49,12 +53,15 @@
                 steps.push((f.at.0, Step::Begin(i)));
                 steps.push((f.at.0 + f.span.0, Step::End(i)));
             }
+            FaultKind::Partition => {
+                steps.push((f.at.0, Step::Part));
+                steps.push((f.at.0 + f.span.0, Step::Part));
+            }
             // These strike messages, the list or the load: they hold while their time does.
             FaultKind::Resets
             | FaultKind::LostAnswers
             | FaultKind::ListSilent
             | FaultKind::ListStale
-            | FaultKind::Partition
             | FaultKind::LoadStep
             | FaultKind::Launch
             | FaultKind::Impatient
--- a/crates/lab/src/world/server.rs
+++ b/crates/lab/src/world/server.rs
@@ -146,6 +146,12 @@
         }
     }
 
+    /// Whether an attempt is in work here or waits.
+    pub fn holds(&self, attempt: u64) -> bool {
+        let mut held = self.working.iter().map(|w| &w.job).chain(&self.waiting);
+        held.any(|job| job.attempt == attempt)
+    }
+
     /// The warmth summed over a stretch of time.
     fn warm_span(&self, from: Millis, to: Millis) -> f64 {
         let Some(born) = self.born else { return to - from };
--- a/crates/lab/tests/sim.rs
+++ b/crates/lab/tests/sim.rs
@@ -82,3 +82,20 @@
     assert!(broken.is_empty(), "{} of {}", broken[0], broken.len());
     assert!(p.ledger.told.iter().filter(|t| !t.up).count() > 100 * 20, "drains were told");
 }
+
+/// Attempts that were over for their proxies before their servers had done them.
+fn worked_on(played: &Played) -> usize {
+    let attempts = played.ledger.tries.iter().flat_map(|t| &t.attempts);
+    attempts.filter(|a| a.ended.zip(a.ran).is_some_and(|((ended, _), ran)| ended < ran)).count()
+}
+
+#[test]
+fn what_breaks_in_mid_work_is_worked_off_unless_a_break_spares_it() {
+    let text = shipped::text("reset-in-work").unwrap();
+    let answers = shipped::text("reset-overload").unwrap();
+    let spared = text.replace("cancels = \"nothing\"", "cancels = \"all\"");
+    // In all three some are given up when their clients' time is over; beyond those only breaks leave work behind.
+    let [during, before, spared] = [text, answers, &spared].map(|text| worked_on(&play(text, 1).1));
+    assert!(during > 3 * before.max(spared), "{during} in mid-work, {before} at answers, {spared} spared");
+    assert!(during > 50, "{during}");
+}
