Show each rule broken on real sockets by a proxy built to break it; log by tracing

The oracle was seen failing only on saboteurs in virtual time. A rogue proxy reads the same configuration and list, decides nothing and breaks a rule in one of eleven ways; the twelfth breaks none. New tests on sockets: restart, slow readers, breaks inside answers and in mid-work, a partition, a void run.

--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -9,6 +9,7 @@
 
 use ::lab::experiment::{self, Run};
 use ::lab::price::{self, Price};
+use ::lab::rogue::{self, Wrong};
 use ::lab::scenario::Scenario;
 use ::lab::sim::decider::Sabotage;
 use ::lab::{real, report, shipped};
@@ -89,6 +90,12 @@
     /// The processes that a price is measured with.
     #[command(subcommand, hide = true)]
     Peer(Peer),
+    /// A proxy that is built to break a rule, to see the oracle notice: a command for `run --proxy`.
+    #[command(hide = true)]
+    Rogue {
+        #[arg(value_parser = wrong)]
+        wrong: Wrong,
+    },
     /// Plays a scenario with one setting varied, and prints a line for each value.
     #[command(after_help = CODES)]
     Sweep {
@@ -105,6 +112,12 @@
         /// Plays one at a time, so that CPU times are not disturbed.
         #[arg(long)]
         alone: bool,
+        /// Prints JSON: one line a value.
+        #[arg(long)]
+        json: bool,
+        /// Writes a folder for each run, by value and seed.
+        #[arg(long, value_name = "DIR")]
+        out: Option<PathBuf>,
     },
 }
 
@@ -145,13 +158,18 @@
     out: Option<PathBuf>,
 }
 
+/// Finds what a name stands for.
+fn named<T: Copy>(all: &[(&str, T)], name: &str) -> Result<T, String> {
+    let names = || all.iter().map(|(n, _)| *n).collect::<Vec<_>>().join(", ");
+    all.iter().find(|(n, _)| *n == name).map(|(_, t)| *t).ok_or_else(|| format!("one of {}", names()))
+}
+
 fn sabotage(name: &str) -> Result<Sabotage, String> {
-    let names = || Sabotage::ALL.map(|(n, _)| n).join(", ");
-    Sabotage::ALL
-        .iter()
-        .find(|(n, _)| *n == name)
-        .map(|(_, s)| *s)
-        .ok_or_else(|| format!("one of {}", names()))
+    named(&Sabotage::ALL, name)
+}
+
+fn wrong(name: &str) -> Result<Wrong, String> {
+    named(&Wrong::ALL, name)
 }
 
 impl Which {
@@ -186,7 +204,7 @@
         if let Some(out) = out {
             let dir = if runs.len() > 1 { out.join(format!("seed-{}", run.seed)) } else { out.to_owned() };
             if let Err(e) = report::write(&dir, run) {
-                eprintln!("canvascart: {}: {e}", dir.display());
+                tracing::error!(dir = %dir.display(), error = %e, "the report could not be written");
                 return Ok(NOT_RUN);
             }
             if !json {
@@ -228,7 +246,26 @@
             prices(&servers, connections, Duration::from_secs(seconds), repeat, proxy.as_deref())
         }
         Command::Peer(peer) => run_peer(peer),
-        Command::Sweep { which, key, values, repeat, alone } => sweep(&which, &key, &values, repeat, alone),
+        Command::Rogue { wrong } => {
+            let config = std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG names no configuration")?;
+            rogue::run(wrong, Path::new(&config)).map(|()| 0).map_err(|e| e.to_string())
+        }
+        Command::Sweep { which, key, values, repeat, alone, json, out } => {
+            let runs = sweep(&which, &key, &values, repeat, alone)?;
+            tell_sweep(&key, &values, &runs, json);
+            if let Some(out) = out {
+                for (value, run) in runs.iter().flat_map(|(value, runs)| runs.iter().map(move |r| (value, r)))
+                {
+                    let dir = out.join(file_name(value)).join(format!("seed-{}", run.seed));
+                    if let Err(e) = report::write(&dir, run) {
+                        tracing::error!(dir = %dir.display(), error = %e, "the report could not be written");
+                        return Ok(NOT_RUN);
+                    }
+                }
+            }
+            let kept = runs.iter().flat_map(|(_, runs)| runs).all(|r| r.broken.is_empty());
+            Ok(if kept { 0 } else { BROKEN })
+        }
     }
 }
 
@@ -255,7 +292,7 @@
             Some(bar) => bar.set_position((part * 1000.0) as u64),
             None if !quiet && tenths > said => {
                 said = tenths;
-                eprintln!("{what}: {} %", tenths * 10);
+                tracing::info!(played = format_args!("{} %", tenths * 10), "{what}");
             }
             None => {}
         }
@@ -279,7 +316,7 @@
         let (run, measured) = match written {
             Ok(played) => played,
             Err(e) => {
-                eprintln!("canvascart: {}: {e}", which.scenario);
+                tracing::error!(scenario = which.scenario, error = %e, "it could not be run");
                 return Ok(NOT_RUN);
             }
         };
@@ -338,7 +375,7 @@
             match price::measure(&own, &command, count, connections, span, &dir) {
                 Ok(round) => rounds.push(round),
                 Err(e) => {
-                    eprintln!("canvascart: {count} servers: {e}");
+                    tracing::error!(servers = count, error = %e, "it could not be measured");
                     return Ok(NOT_RUN);
                 }
             }
@@ -402,12 +439,12 @@
         let run = match run {
             Ok(run) => run,
             Err(e) => {
-                eprintln!("canvascart: {e}");
+                tracing::error!(error = %e, "it could not be run");
                 return Ok(NOT_RUN);
             }
         };
         if let Some(why) = &run.void {
-            eprintln!("canvascart: a run is void: {why}");
+            tracing::error!(seed = run.seed, "a run is void: {why}");
             return Ok(NOT_RUN);
         }
         if n % 2 == 0 { first.push(run) } else { second.push(run) }
@@ -431,30 +468,60 @@
     Ok(if broken_a + broken_b == 0 { 0 } else { BROKEN })
 }
 
-fn sweep(which: &Which, key: &str, values: &[String], repeat: u64, alone: bool) -> Result<u8, String> {
+/// A value as the name of a folder.
+fn file_name(value: &str) -> String {
+    value.chars().map(|c| if c.is_ascii_alphanumeric() || matches!(c, '.' | '-') { c } else { '_' }).collect()
+}
+
+/// Plays a scenario under each value of a setting, the same seeds each time.
+fn sweep<'v>(
+    which: &Which, key: &str, values: &'v [String], repeat: u64, alone: bool,
+) -> Result<Vec<(&'v str, Vec<Run>)>, String> {
     let sides =
         values.iter().map(|v| which.read(&[format!("{key}={v}")])).collect::<Result<Vec<_>, String>>()?;
     let many = repeat.max(1) as usize;
     let play =
         |n: usize| experiment::simulate(&sides[n / many], &which.scenario, 1 + (n % many) as u64, None);
-    let runs = experiment::on_threads(sides.len() * many, if alone { 1 } else { threads() }, play);
-    println!(
-        "{key:<18} {:>8} {:>7} {:>8} {:>9} {:>9} {:>10} {:>12} {:>8}",
-        "asked", "share", "refused", "p50 ms", "p99 ms", "module us", "conns/server", "broken"
-    );
-    for (value, runs) in values.iter().zip(runs.chunks(many)) {
-        let mean = |of: &dyn Fn(&Run) -> f64| runs.iter().map(of).sum::<f64>() / runs.len() as f64;
-        println!(
-            "{value:<18} {:>8.0} {:>7.3} {:>8.3} {:>9.1} {:>9.1} {:>10.1} {:>12.1} {:>8}",
-            mean(&|r| r.asks.len() as f64),
-            mean(&|r| r.score.whole.share),
-            mean(&|r| r.score.refused),
-            mean(&|r| r.score.whole.latency_ms[0]),
-            mean(&|r| r.score.whole.latency_ms[2]),
-            mean(&|r| r.module_us),
-            mean(&|r| r.counts.connections as f64 / r.scenario.fleet.servers as f64),
-            runs.iter().map(|r| r.broken.len()).sum::<usize>(),
-        );
+    let mut runs =
+        experiment::on_threads(sides.len() * many, if alone { 1 } else { threads() }, play).into_iter();
+    Ok(values.iter().map(|v| (v.as_str(), runs.by_ref().take(many).collect())).collect())
+}
+
+/// What a sweep prints of a value: a column's name, its width and decimals in the table, and its mean over the seeds.
+type Column = (&'static str, usize, usize, fn(&Run) -> f64);
+
+const COLUMNS: [Column; 7] = [
+    ("asked", 8, 0, |r| r.asks.len() as f64),
+    ("share", 7, 3, |r| r.score.whole.share),
+    ("refused", 8, 3, |r| r.score.refused),
+    ("p50 ms", 9, 1, |r| r.score.whole.latency_ms[0]),
+    ("p99 ms", 9, 1, |r| r.score.whole.latency_ms[2]),
+    ("module us", 10, 1, |r| r.module_us),
+    ("conns/server", 12, 1, |r| r.counts.connections as f64 / r.scenario.fleet.servers as f64),
+];
+
+fn tell_sweep(key: &str, values: &[String], runs: &[(&str, Vec<Run>)], json: bool) {
+    let wide = values.iter().chain([&key.to_owned()]).map(String::len).max().unwrap_or(0).max(18);
+    if !json {
+        let heads: String = COLUMNS.iter().map(|(name, width, ..)| format!(" {name:>width$}")).collect();
+        println!("{key:<wide$}{heads} {:>8}", "broken");
+    }
+    for (value, runs) in runs {
+        let mean = |of: fn(&Run) -> f64| runs.iter().map(of).sum::<f64>() / runs.len() as f64;
+        let broken: usize = runs.iter().map(|r| r.broken.len()).sum();
+        if json {
+            let mut line =
+                serde_json::json!({ "key": key, "value": value, "seeds": runs.len(), "broken": broken });
+            for (name, _, _, of) in COLUMNS {
+                line[name.replace(' ', "_").replace('/', "_per_")] = mean(of).into();
+            }
+            println!("{line}");
+        } else {
+            let cells: String = COLUMNS
+                .iter()
+                .map(|(_, width, places, of)| format!(" {:>width$.places$}", mean(*of)))
+                .collect();
+            println!("{value:<wide$}{cells} {broken:>8}");
+        }
     }
-    Ok(if runs.iter().all(|r| r.broken.is_empty()) { 0 } else { BROKEN })
 }
--- a/crates/canvascart/src/main.rs
+++ b/crates/canvascart/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod drill;
 mod lab;
+mod log;
 mod replay;
 
 use std::ffi::OsString;
@@ -17,6 +18,8 @@
 #[derive(Parser)]
 #[command(name = "canvascart", version)]
 struct Arguments {
+    #[command(flatten)]
+    log: log::Arguments,
     #[command(subcommand)]
     command: Command,
 }
@@ -71,7 +74,12 @@
 const USAGE: u8 = 2;
 
 fn main() -> ExitCode {
-    let outcome = match Arguments::parse().command {
+    let arguments = Arguments::parse();
+    if let Err(text) = arguments.log.start() {
+        eprintln!("canvascart: {text}");
+        return ExitCode::from(USAGE);
+    }
+    let outcome = match arguments.command {
         Command::Client(arguments) => client::run(arguments),
         Command::Capture(command) => capture::run(command),
         Command::Drill(command) => drill::run(command),
--- a/crates/canvascart/tests/lab.rs
+++ b/crates/canvascart/tests/lab.rs
@@ -176,3 +176,136 @@
     let memory: f64 = row.split_whitespace().rev().nth(1).unwrap().parse().unwrap();
     assert!(memory > 1.0, "the proxy's own process was measured: {row}");
 }
+
+/// What a rogue proxy is blamed for in a calm run with a deploy; without a rule it must be blamed for nothing.
+const ROGUES: [(&str, Option<&str>); 12] = [
+    ("nothing", None),
+    ("loses-requests", Some("OneAnswer")),
+    ("answers-twice", Some("OneAnswer")),
+    ("makes-up", Some("OneAnswer")),
+    ("repeats", Some("NeverTwice")),
+    ("refuses-all", Some("NeverTwice")),
+    ("ignores-drains", Some("Drain")),
+    ("floods-newest", Some("ColdStart")),
+    ("hoards-memory", Some("Bounds")),
+    ("hoards-descriptors", Some("Bounds")),
+    ("crashes", Some("NoCrash")),
+    ("renames", Some("NoStranger")),
+];
+
+#[test]
+fn each_rule_is_seen_broken_on_real_sockets_by_a_proxy_built_to_break_it() {
+    const CALM: [&str; 12] = [
+        "--json",
+        "--set",
+        "length=4s",
+        "--set",
+        "load.rate=120 /s",
+        "--set",
+        "list.delay=50ms",
+        "--set",
+        "list.spread=50ms",
+        "--set",
+        "fault=[{kind = \"rolling-deploy\", at = \"300 ms\", for = \"500 ms\", share = \"25 %\", batch = \"9 %\", drain = \
+         \"5 s\"}]",
+        "--out",
+    ];
+    let play = |(name, rule): &(&str, Option<&str>)| {
+        let dir = folder(name);
+        let proxy = format!("{} lab rogue {name}", env!("CARGO_BIN_EXE_canvascart"));
+        let run = lab(&[&["run", "quiet", "--proxy", &proxy], &CALM[..], &[dir.to_str().unwrap()]].concat());
+        let json: serde_json::Value =
+            serde_json::from_slice(&run.stdout).unwrap_or_else(|e| panic!("{name}: {e}: {}", said(&run)));
+        let broken = json["broken"].as_array().unwrap();
+        match rule {
+            Some(rule) => {
+                assert!(broken.iter().any(|b| b["rule"] == *rule), "{name}: {broken:?}");
+                assert_eq!(run.status.code(), Some(1), "{name}");
+            }
+            None => assert!(broken.is_empty(), "{name}: {broken:?}"),
+        }
+        std::fs::remove_dir_all(dir).unwrap();
+    };
+    // A few at a time: each run has four processes.
+    for some in ROGUES.chunks(4) {
+        std::thread::scope(|scope| some.iter().for_each(|rogue| drop(scope.spawn(|| play(rogue)))));
+    }
+}
+
+#[test]
+fn restarts_slow_readers_breaks_and_a_partition_break_no_rule_on_real_sockets() {
+    let dir = folder("faults");
+    let faults = "fault=[{kind = \"proxy-restart\", at = \"600 ms\", for = \"500 ms\", share = \"30 %\"}, {kind = \
+                  \"slow-readers\", at = \"0 s\", for = \"3 s\", share = \"10 %\"}, {kind = \"resets\", at = \"200 ms\", \
+                  for = \"800 ms\", share = \"15 %\", where = \"inside\"}, {kind = \"resets\", at = \"1 s\", for = \"800 \
+                  ms\", share = \"15 %\", where = \"during\"}, {kind = \"partition\", at = \"2 s\", for = \"600 ms\", from \
+                  = \"east\", to = \"west\"}]";
+    let mut arguments = vec!["run", "quiet", "--json", "--log-format", "json", "--set", "length=3s"];
+    arguments.extend(["--set", "load.rate=80 /s", "--set", faults, "--out", dir.to_str().unwrap()]);
+    let run = lab(&arguments);
+    let json: serde_json::Value =
+        serde_json::from_slice(&run.stdout).unwrap_or_else(|e| panic!("{e}: {}", said(&run)));
+    assert_eq!(json["broken"], serde_json::json!([]), "{}", json["broken"]);
+    let whole = &json["service"]["whole"];
+    let (asked, served) = (whole["asked"].as_f64().unwrap(), whole["served"].as_f64().unwrap());
+    assert!(served >= 0.8 * asked, "{served} of {asked}");
+    // Each fault has struck: attempts broke while their servers worked on, others before the answer was whole.
+    let tries = std::fs::read_to_string(dir.join("tries.jsonl")).unwrap();
+    let tries: Vec<serde_json::Value> = tries.lines().map(|l| serde_json::from_str(l).unwrap()).collect();
+    let attempts = || tries.iter().flat_map(|t| t["attempts"].as_array().unwrap());
+    let unsure = |a: &&serde_json::Value| a["end"] == "MayHaveRun";
+    let time = |a: &serde_json::Value, key: &str| a[key].as_f64();
+    let worked_on =
+        |a: &serde_json::Value| time(a, "ran_ms").is_some_and(|ran| Some(ran) > time(a, "ended_ms"));
+    let before = |a: &&serde_json::Value| time(a, "sent_ms") < Some(1000.0);
+    assert!(attempts().filter(unsure).any(worked_on), "some broke in mid-work");
+    assert!(attempts().filter(unsure).filter(before).any(|a| !worked_on(a)), "some broke inside the answer");
+    // The log tells of what was done, a JSON object a line.
+    let log = String::from_utf8_lossy(&run.stderr).into_owned();
+    let lines: Vec<serde_json::Value> = log.lines().map(|l| serde_json::from_str(l).expect(l)).collect();
+    let count = |what: &str| lines.iter().filter(|l| l["message"] == what).count();
+    assert_eq!(
+        (count("fault begins"), count("proxy is told to end"), count("proxy is up")),
+        (5, 1, 4),
+        "{log}"
+    );
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+#[test]
+fn a_load_that_the_lab_cannot_send_in_time_makes_a_run_void_and_no_figure() {
+    let dir = folder("void");
+    let mut arguments =
+        vec!["run", "quiet", "--json", "--set", "length=500ms", "--set", "load.rate=40000 /s"];
+    arguments.extend(["--set", "clients.retries=0", "--out", dir.to_str().unwrap()]);
+    let run = lab(&arguments);
+    let json: serde_json::Value =
+        serde_json::from_slice(&run.stdout).unwrap_or_else(|e| panic!("{e}: {}", said(&run)));
+    assert!(json["void"].as_str().unwrap().contains("the load generator was late"), "{json}");
+    assert!(matches!(run.status.code(), Some(1 | 3)), "{:?}", run.status);
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+#[test]
+fn a_sweep_prints_a_line_a_value_and_leaves_a_folder_a_run() {
+    let dir = folder("sweep");
+    let mut arguments = vec!["sweep", "quiet", "load.level", "40%", "150%", "--repeat", "2", "--json"];
+    arguments.extend(["--set", "length=4s", "--out", dir.to_str().unwrap()]);
+    let run = lab(&arguments);
+    assert_eq!(run.status.code(), Some(0), "{}", said(&run));
+    let text = String::from_utf8_lossy(&run.stdout).into_owned();
+    let lines: Vec<serde_json::Value> = text.lines().map(|l| serde_json::from_str(l).unwrap()).collect();
+    let share = |n: usize| lines[n]["share"].as_f64().unwrap();
+    assert!(lines.len() == 2 && lines[0]["value"] == "40%" && share(0) > share(1) + 0.1, "{text}");
+    for folder in ["40_/seed-1", "40_/seed-2", "150_/seed-1", "150_/seed-2"] {
+        assert!(dir.join(folder).join("report.html").exists(), "{folder}");
+        assert!(dir.join(folder).join("latency-tenant-north.hdr").exists(), "{folder}");
+    }
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
+#[test]
+fn a_log_filter_that_makes_no_sense_is_a_usage_error() {
+    let run = lab(&["list", "--log", "lab=loud"]);
+    assert!(run.status.code() == Some(2) && said(&run).contains("--log lab=loud"), "{}", said(&run));
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod price;
 pub mod real;
 pub mod report;
+pub mod rogue;
 pub mod scenario;
 pub mod score;
 pub mod settings;
