Let a kind's calm level rise while each of its servers holds one request

A proxy that started under load took its calm level from the first 18 answers, which are those of the shortest requests. The usual latency then looked like a crowd's: the kind was held to a third of its slots, to which no latency could fall, and requests waited beside idle cores for up to 36 s. With one slot on each server nothing crowds, so the level now rises by a tenth in a review there.

--- a/crates/wharfhitch/src/choice.rs
+++ b/crates/wharfhitch/src/choice.rs
@@ -31,6 +31,7 @@
 const LOOK: usize = 6; // requests looked at before a decision gives up on finding one that may go
 const CROWDED: f64 = 1.6; // latency over its calm level at which a kind counts as crowded
 const CALM_CREEP: f64 = 1.001; // by which the calm level may rise in a review: a tenth in ten seconds
+const ALONE_CREEP: f64 = 1.1; // and while its servers hold one request each: twice as much in 0.8 s
 const THROTTLE_MIN: f64 = 0.3; // the least part of its slots that a crowded kind keeps
 const THROTTLE_MOST: f64 = 4.0; // and the most that one gets whose servers stay calm while requests wait
 const THROTTLE_STEP: f64 = 1.1; // by which it gets more in a review: twice as much in 0.8 s
@@ -759,13 +760,17 @@
         self.mean = self.mean_latency();
         let rooms = self.servers.iter().filter(|s| s.told.is_none()).map(|s| s.room).sum::<f64>();
         self.mean_room = rooms / f64::from(self.listed.max(1));
-        let short = self.waiting > 0 && !self.pools();
+        let pools = self.pools();
+        let short = self.waiting > 0 && !pools;
         for kind in self.kinds.iter_mut().filter(|k| k.slow.1 >= 3.0 * KIND_WEIGHT) {
             // Overfilled servers are slow all alike and look as if they had more cores: against that jam a
             // kind whose latency has left its calm level gets fewer slots until it is back.
             let latency = kind.slow.0 * self.mean;
             kind.throttle = if kind.calm.is_finite() { kind.throttle } else { 1.0 }; // at last measured
-            kind.calm = latency.min(kind.calm * CALM_CREEP);
+            // What ends first is short and may pass for calm. With one slot on each server no request crowds
+            // another: what they take then is calm.
+            let alone = !pools && FULLNESS * kind.throttle * kind.cores <= 1.0;
+            kind.calm = latency.min(kind.calm * if alone { ALONE_CREEP } else { CALM_CREEP });
             kind.core = if kind.lone.1 >= KIND_WEIGHT { kind.lone.0 } else { kind.calm };
             let calm = kind.calm.max(kind.core * (1.0 + 0.5 / kind.cores));
             let grow = if short { THROTTLE_STEP } else { 1.02 };
--- a/crates/wharfhitch/tests/choice.rs
+++ b/crates/wharfhitch/tests/choice.rs
@@ -405,6 +405,21 @@
     assert!(crowded <= 10, "{crowded} are out at once");
 }
 
+#[test]
+fn the_first_answers_of_a_kind_are_short_and_no_measure_of_its_calm() {
+    // A proxy that began under load took what ended first for the latency of a calm kind; the usual one then looked
+    // like a crowd's, and the kind was held to a third of its slots for many seconds.
+    let kind = |id| Backend { kind: Some(KindId(u32::from(id > 6))), ..server(id) };
+    let mut hand = Hand::new(settings(1), (1..=12).map(kind).collect());
+    let ended = std::cell::Cell::new(0);
+    let (sent, _) = hand.drive(6000, 4, |to, before| {
+        ended.set(ended.get() + u32::from(to <= 6));
+        let alone: f64 = if to <= 6 && ended.get() <= 25 { 20.0 } else { 80.0 };
+        alone * (before as f64 + 1.0).max(2.0) / 2.0 // two cores each
+    });
+    assert!(sent.len() > 1490, "of 1500 requests for 20 of 24 cores {} were sent", sent.len());
+}
+
 #[test]
 fn failures_that_all_servers_share_close_none_of_them() {
     // page8769: a tenth of all connections broke, every server was closed in turn, and all was refused.
