Read answers by the stream's own poll: one system call less for each request

A profile at 1,000 servers showed 4.1 reads for each request where three are needed (the request, the look whether an idle connection still stands, the answer). The metered stream read by try_read, which learns that a socket is empty only by asking again, and zeroed its whole buffer each time. Tokio's own poll_read waits for news after a short read.

--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -67,7 +67,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     meter: Rc<Meter>,
-    stream: Rc<TcpStream>,
+    stream: Rc<RefCell<TcpStream>>,
     driver: JoinHandle<()>,
 }
 
@@ -82,7 +82,7 @@
     /// The runtime may not have seen its end yet, so the socket itself is asked.
     fn is_alive(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        let quiet = match socket2::SockRef::from(&*self.stream).peek(&mut byte) {
+        let quiet = match socket2::SockRef::from(&*self.stream.borrow()).peek(&mut byte) {
             Err(e) => e.kind() == io::ErrorKind::WouldBlock,
             Ok(_) => false,
         };
@@ -149,24 +149,15 @@
 
 /// The socket under a connection, with its meter. It holds its part of the budget of sockets.
 struct Metered {
-    stream: Rc<TcpStream>,
+    stream: Rc<RefCell<TcpStream>>,
     meter: Rc<Meter>,
     _permit: OwnedSemaphorePermit,
 }
 
 impl AsyncRead for Metered {
+    // The stream's own way: after a short read it waits for news and does not ask the system once more.
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        loop {
-            std::task::ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read(buf.initialize_unfilled()) {
-                Ok(n) => {
-                    buf.advance(n);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
+        Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf)
     }
 }
 
@@ -175,25 +166,19 @@
         if !self.meter.admit() {
             return Poll::Ready(Err(io::ErrorKind::PermissionDenied.into()));
         }
-        loop {
-            std::task::ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write(bytes) {
-                Ok(n) => {
-                    self.meter.wrote(&bytes[..n]);
-                    return Poll::Ready(Ok(n));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
+        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, bytes);
+        if let Poll::Ready(Ok(n)) = written {
+            self.meter.wrote(&bytes[..n]);
         }
+        written
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
-        Poll::Ready(socket2::SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
 
@@ -257,8 +242,9 @@
             self.close_idle();
         }
         let permit = self.sockets.clone().acquire_owned().await.map_err(io::Error::other)?;
-        let stream = Rc::new(TcpStream::connect(address).await?);
+        let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
+        let stream = Rc::new(RefCell::new(stream));
         let meter = Rc::new(Meter::default());
         let io = Metered { stream: stream.clone(), meter: meter.clone(), _permit: permit };
         let (sender, connection) = http1::Builder::new()
