Set the driver's timer anew only for an earlier time

The driver made a new timer in each turn of its loop. One that is due before all others wakes the runtime by a write to its own event descriptor: nearly all such writes came from there. The timer now stands, is moved for an earlier time only, and may fire before anything is due.

--- a/crates/engine/src/driver.rs
+++ b/crates/engine/src/driver.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -91,11 +92,18 @@
     /// Takes inputs and timers for as long as the process runs.
     pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
         let mut sweep = Instant::now() + SWEEP;
+        // Setting a timer that is due before all others wakes the runtime by a system call. So it is set anew only
+        // for an earlier time, and when it has fired; it may fire before anything is due.
+        let mut alarm = pin!(sleep_until(sweep));
+        let mut fired = false;
         loop {
             let next = self.due.peek().map_or(sweep, |Reverse((at, _))| (*at).min(sweep));
+            if std::mem::take(&mut fired) || next < alarm.deadline() {
+                alarm.as_mut().reset(next);
+            }
             tokio::select! {
                 biased;
-                () = sleep_until(next) => {}
+                () = alarm.as_mut() => fired = true,
                 input = inputs.recv() => match input {
                     Some(input) => self.take(input),
                     None => return,
