--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -87,6 +87,13 @@
         #[arg(long, value_name = "COMMAND")]
         proxy: Option<String>,
     },
+    /// Tells again what runs have left in their folders, a line a run.
+    #[command(after_help = CODES)]
+    Report {
+        /// Folders of runs, or folders with such folders in them.
+        #[arg(required = true)]
+        dirs: Vec<PathBuf>,
+    },
     /// The processes that a price is measured with.
     #[command(subcommand, hide = true)]
     Peer(Peer),
@@ -245,6 +252,7 @@
         Command::Price { servers, connections, seconds, repeat, proxy } => {
             prices(&servers, connections, Duration::from_secs(seconds), repeat, proxy.as_deref())
         }
+        Command::Report { dirs } => Ok(tell_again(&dirs)),
         Command::Peer(peer) => run_peer(peer),
         Command::Rogue { wrong } => {
             let config = std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG names no configuration")?;
@@ -269,6 +277,49 @@
     }
 }
 
+/// Tells what runs have left behind; returns the exit code.
+fn tell_again(dirs: &[PathBuf]) -> u8 {
+    let mut runs = Vec::new();
+    for dir in dirs {
+        match report::read::runs(dir) {
+            Ok(found) => runs.extend(found),
+            Err(e) => {
+                tracing::error!(error = %e, "a run could not be read");
+                return NOT_RUN;
+            }
+        }
+    }
+    println!(
+        "{:<18} {:>5} {:<8} {:>8} {:>8} {:>7} {:>8} {:>9} {:>9} {:>7}  folder",
+        "scenario", "seed", "clock", "asked", "served", "share", "refused", "p50 ms", "p99 ms", "broken"
+    );
+    for run in &runs {
+        let (whole, clock) = (&run.service.whole, if run.virtual_time { "virtual" } else { "sockets" });
+        let mark = match (&run.void, run.partial) {
+            (Some(_), _) => " VOID",
+            (None, true) => " PARTIAL",
+            (None, false) => "",
+        };
+        println!(
+            "{:<18} {:>5} {clock:<8} {:>8} {:>8} {:>7.3} {:>8.3} {:>9.1} {:>9.1} {:>7}  {}{mark}",
+            run.scenario,
+            run.seed,
+            whole.asked,
+            whole.served,
+            whole.share,
+            run.service.refused,
+            whole.latency_ms[0],
+            whole.latency_ms[2],
+            run.broken.len(),
+            run.dir.display()
+        );
+        for broken in run.broken.iter().take(3) {
+            println!("  {} at {:.3} s: {}", broken.rule, broken.at_ms / 1000.0, broken.evidence);
+        }
+    }
+    if runs.iter().all(|r| r.broken.is_empty()) { 0 } else { BROKEN }
+}
+
 /// What starts a proxy: a command of the caller's, or this program itself.
 fn proxy_command(given: Option<&str>) -> Result<Vec<String>, String> {
     if let Some(given) = given {
--- a/crates/canvascart/tests/lab.rs
+++ b/crates/canvascart/tests/lab.rs
@@ -65,6 +65,11 @@
     let asked = json["service"]["whole"]["asked"].as_u64().unwrap();
     assert!(tries.lines().count() as u64 >= asked);
     assert!(dir.join("latency-checkout.hdr").exists());
+    // It can be told again, and what is no run is named.
+    let again = lab(&["report", dir.to_str().unwrap()]);
+    assert!(again.status.code() == Some(1) && said(&again).contains("Drain at"), "{}", said(&again));
+    let none = lab(&["report", "/no/such/folder"]);
+    assert!(none.status.code() == Some(3) && said(&none).contains("/no/such/folder: "), "{}", said(&none));
     // A report that can't be written is an exit code of its own.
     let nowhere = dir.join("run.json").join("x");
     assert_eq!(lab(&["sim", "shrink", "--out", nowhere.to_str().unwrap()]).status.code(), Some(3));
@@ -301,6 +306,8 @@
         assert!(dir.join(folder).join("report.html").exists(), "{folder}");
         assert!(dir.join(folder).join("latency-tenant-north.hdr").exists(), "{folder}");
     }
+    let again = said(&lab(&["report", dir.to_str().unwrap()]));
+    assert_eq!(again.lines().filter(|l| l.starts_with("quiet ")).count(), 4, "{again}");
     std::fs::remove_dir_all(dir).unwrap();
 }
 
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -11,6 +11,7 @@
 //! | `report.html` | tables and plots |
 
 mod page;
+pub mod read;
 
 use std::fmt::Write as _;
 use std::fs::{self, File};
