--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -19,6 +19,8 @@
 const BROKEN: u8 = 1;
 /// It could not be run, or its report could not be written.
 const NOT_RUN: u8 = 3;
+/// Broken rules that are told of each run of a comparison.
+const SHOWN: usize = 3;
 const CODES: &str =
     "Exit codes: 0 all rules kept, 1 a rule broken, 2 wrong usage or scenario, 3 could not run.";
 
@@ -498,6 +500,10 @@
             tracing::error!(seed = run.seed, "a run is void: {why}");
             return Ok(NOT_RUN);
         }
+        // A broken rule needs its evidence: another play may keep it.
+        for broken in run.broken.iter().take(SHOWN) {
+            tracing::error!(side = if n % 2 == 0 { a } else { b }, seed = run.seed, "rule broken: {broken}");
+        }
         if n % 2 == 0 { first.push(run) } else { second.push(run) }
     }
     let broken = |runs: &[Run]| runs.iter().map(|r| r.broken.len()).sum::<usize>();
--- a/crates/canvascart/tests/lab.rs
+++ b/crates/canvascart/tests/lab.rs
@@ -97,6 +97,16 @@
     assert_eq!(same[0]["difference"]["mean"], 0.0);
 }
 
+#[test]
+fn a_rule_that_a_compared_proxy_breaks_is_told_with_its_evidence() {
+    let rogue = format!("proxy:{} lab rogue crashes", env!("CARGO_BIN_EXE_canvascart"));
+    let mut arguments = vec!["compare", rogue.as_str(), "-", "quiet", "--repeat", "1", "--set", "length=1s"];
+    arguments.extend(["--set", "proxies.count=1", "--set", "load.rate=60 /s", "--log", "error"]);
+    let run = lab(&arguments);
+    assert_eq!(run.status.code(), Some(1), "{}", said(&run));
+    assert!(said(&run).contains("rule broken: NoCrash at"), "{}", said(&run));
+}
+
 /// A short scenario with a deploy and a killed proxy, whose proxies are this program's own.
 const SHORT: [&str; 8] = [
     "--set",
