Give a parted listener its queue back when plugging it fails

If one of the lab's own connections failed while it filled a parted listener's queue, the listener was left to hold no waiting connections for the rest of the run, and proxies would have been blamed for it. The plug now stands before the filling, so that dropping it restores the queue. Read in the code, not seen in a run; the tests of the plug and of faults on sockets pass.

--- a/crates/lab/src/real/plug.rs
+++ b/crates/lab/src/real/plug.rs
@@ -19,7 +19,7 @@
 pub struct Plug<'a> {
     listener: &'a TcpListener,
     /// They wait at the listener and are never looked at.
-    _fill: Vec<TcpStream>,
+    fill: Vec<TcpStream>,
 }
 
 impl<'a> Plug<'a> {
@@ -29,14 +29,15 @@
     /// What the sockets say.
     pub async fn new(listener: &'a TcpListener) -> io::Result<Self> {
         let address = listener.local_addr()?;
+        // From here on a failure, too, gives the listener its queue back: it drops the plug.
+        let mut plug = Plug { listener, fill: Vec::new() };
         SockRef::from(listener).listen(0)?;
-        let mut fill = Vec::new();
-        while fill.len() < MOST
+        while plug.fill.len() < MOST
             && let Ok(stream) = timeout(SOON, TcpStream::connect(address)).await
         {
-            fill.push(stream?);
+            plug.fill.push(stream?);
         }
-        Ok(Plug { listener, _fill: fill })
+        Ok(plug)
     }
 }
 
