Hold the lab's ports for its proxies, so that no other process can take one

A rogue started on a taken port ends with status 2, as seen. Change: the lab keeps each port bound, with reuse allowed and not listened on, for as long as the proxy may start there. The system gives such a port to nobody who asks for any.

--- a/crates/lab/src/price/mod.rs
+++ b/crates/lab/src/price/mod.rs
@@ -7,7 +7,7 @@
 mod peers;
 
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::thread;
@@ -18,6 +18,7 @@
 
 pub use peers::{pass_through, responder};
 
+use crate::real::port::Port;
 use crate::real::{cpu_seconds, resident_mb, settings_json};
 use crate::scenario::Scenario;
 use crate::shipped;
@@ -83,10 +84,11 @@
                 "health": "up", "share": SIZE, "born_ms": 0})
         };
         let hosts: Vec<_> = servers.iter().enumerate().map(host).collect();
-        let free = || TcpListener::bind(("127.0.0.1", 0))?.local_addr();
-        let address = free()?;
+        // Held until the proxy is up; nobody listens at the second.
+        let (port, nobody) = (Port::hold()?, Port::hold()?);
+        let address = port.address();
         let config = json!({
-            "name": "priced", "listen": address, "discovery": free()?, "seed": "1",
+            "name": "priced", "listen": address, "discovery": nobody.address(), "seed": "1",
             "limits": { "sockets": 16 * 1024 },
             "known": { "seq": 1, "whole": true, "hosts": hosts },
             "settings": settings_json(&s, 0),
--- a/crates/lab/src/real/mod.rs
+++ b/crates/lab/src/real/mod.rs
@@ -7,6 +7,7 @@
 pub mod http;
 mod list;
 mod plug;
+pub mod port;
 mod proxies;
 mod servers;
 mod stage;
--- a/crates/lab/src/real/proxies.rs
+++ b/crates/lab/src/real/proxies.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::rc::Rc;
@@ -17,6 +17,7 @@
 
 use super::http::{Start, Wire};
 use super::list::Agent;
+use super::port::Port;
 use super::stage::Stage;
 use crate::chance::{Use, stream};
 use crate::ledger::{End, ProxyId, Usage};
@@ -34,6 +35,8 @@
     command: Vec<String>,
     /// Where clients reach it, the same after a restart.
     pub address: SocketAddr,
+    /// Kept for it from before its first start until after its last.
+    _port: Port,
     discovery: SocketAddr,
     agent: Rc<Agent>,
     file: PathBuf,
@@ -99,11 +102,6 @@
     })
 }
 
-/// A free port on loopback, kept free by nobody: a proxy takes it at once.
-fn free() -> io::Result<SocketAddr> {
-    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
-}
-
 impl Proxy {
     /// A proxy that is still to be started; its files go into `dir`.
     ///
@@ -113,8 +111,10 @@
         stage: Rc<Stage>, number: ProxyId, command: Vec<String>, discovery: SocketAddr, agent: Rc<Agent>,
         seed: u64, dir: &Path,
     ) -> io::Result<Rc<Self>> {
+        let port = Port::hold()?;
         Ok(Rc::new(Proxy {
-            address: free()?,
+            address: port.address(),
+            _port: port,
             file: dir.join(format!("proxy-{number}.json")),
             log: dir.join(format!("proxy-{number}.log")),
             stage,
