Add fair shares of one process between tenants, chosen by play against other ways

Need: one process is to carry many tenants, and one's flood must not starve another. The lab plays them against other ways (lab shares). Nothing uses them yet.

--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -12,7 +12,7 @@
 use ::lab::rogue::{self, Wrong};
 use ::lab::scenario::Scenario;
 use ::lab::sim::decider::Sabotage;
-use ::lab::{real, report, shipped};
+use ::lab::{real, report, shares, shipped};
 use indicatif::{ProgressBar, ProgressStyle};
 
 /// A rule was broken.
@@ -96,6 +96,15 @@
         #[arg(required = true)]
         dirs: Vec<PathBuf>,
     },
+    /// Plays ways to share one process between tenants against each other, in virtual time.
+    Shares {
+        /// Seeds.
+        #[arg(long, default_value_t = 5)]
+        repeat: u64,
+        /// Prints JSON: one line a way.
+        #[arg(long)]
+        json: bool,
+    },
     /// The processes that a price is measured with.
     #[command(subcommand, hide = true)]
     Peer(Peer),
@@ -256,6 +265,11 @@
         }
         Command::Report { dirs } => Ok(tell_again(&dirs)),
         Command::Peer(peer) => run_peer(peer),
+        Command::Shares { repeat, json } => {
+            tell_shares("event loop's time", &shares::TIME_COLUMNS, &shares::time(repeat), json);
+            tell_shares("stock", &shares::STOCK_COLUMNS, &shares::stock(repeat), json);
+            Ok(0)
+        }
         Command::Rogue { wrong } => {
             let config = std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG names no configuration")?;
             rogue::run(wrong, Path::new(&config)).map(|()| 0).map_err(|e| e.to_string())
@@ -531,6 +545,26 @@
 }
 
 /// Plays a scenario under each value of a setting, the same seeds each time.
+/// Prints what the ways to share came to: the mean over the seeds, with the least and the most.
+fn tell_shares(what: &str, columns: &[&str], rows: &[shares::Row], json: bool) {
+    if !json {
+        let heads: String = columns.iter().map(|c| format!(" {c:>25}")).collect();
+        println!("{what:<24}{heads}");
+    }
+    for row in rows {
+        if json {
+            let figures = columns.iter().zip(&row.figures);
+            let figures: serde_json::Map<String, serde_json::Value> =
+                figures.map(|(c, f)| ((*c).to_owned(), serde_json::json!(f))).collect();
+            println!("{}", serde_json::json!({ "shared": what, "way": row.way, "mean_least_most": figures }));
+            continue;
+        }
+        let cell = |[mean, least, most]: &[f64; 3]| format!("{mean:.2} ({least:.2}..{most:.2})");
+        let cells: String = row.figures.iter().map(|f| format!(" {:>25}", cell(f))).collect();
+        println!("{:<24}{cells}", row.way);
+    }
+}
+
 fn sweep<'v>(
     which: &Which, key: &str, values: &'v [String], repeat: u64, alone: bool,
 ) -> Result<Vec<(&'v str, Vec<Run>)>, String> {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod scenario;
 pub mod score;
 pub mod settings;
+pub mod shares;
 pub mod shipped;
 pub mod sim;
 pub mod units;
