Let the engine carry several pools, each with an account of what its tenant may have

Need: the hosted service runs a decision module for each tenant in one process; the engine knew one pool. Change: a front finds a request's pool through a router and takes a final answer from it; a pool is a module with its driver and is retired when nobody holds it any more; engine::service starts pools, feeds them lists and serves listeners. A tenant's account is a seam: connections, requests, bytes, the event loop's time, turns of reading and servers in common pass through it. What it has no room for, the module refuses (Event::Unadmitted), with times to come back spread. The platform's proxy has one pool and no account, and asks neither.

--- /dev/null
+++ b/crates/engine/src/account.rs
@@ -0,0 +1,55 @@
+//! What a process of many tenants keeps of each: a seam that fronts and pools ask and tell. A proxy of one pool has none.
+
+use std::future::poll_fn;
+use std::pin::pin;
+use std::rc::Rc;
+use std::task::Waker;
+use std::time::{Duration, Instant};
+
+use wharfhitch::Millis;
+
+/// One tenant's account of what all tenants share. Calls come from one thread, in the course of serving: none may block.
+pub trait Account {
+    /// A client has connected.
+    ///
+    /// # Errors
+    /// There is no socket for it; the span in ms after which there may be one.
+    fn connect(&self) -> Result<(), Millis>;
+
+    /// A client's connection, once counted, is gone or another's.
+    fn disconnect(&self);
+
+    /// A request has come whose head and announced body take so many bytes.
+    ///
+    /// # Errors
+    /// It is over the tenant's share; the span in ms after which it may not be.
+    fn begin(&self, bytes: u64) -> Result<(), Millis>;
+
+    /// A request that has begun has its final answer, after this span.
+    fn end(&self, bytes: u64, held: Millis);
+
+    /// The event loop has worked for the tenant.
+    fn spent(&self, work: Duration);
+
+    /// Whether a client's connection may be read now; otherwise the waker is called when it may be worth another look.
+    fn may_read(&self, waker: &Waker) -> bool;
+
+    /// An attempt is to go to this server, named by a number that all tenants use for it; `false` if others' shares of
+    /// it leave no room. One that went is told of again when it has ended.
+    fn to_server(&self, server: u64) -> bool;
+
+    /// An attempt at a server has ended.
+    fn from_server(&self, server: u64);
+}
+
+/// Runs a future and tells an account of the time that each turn of it took.
+pub async fn on<F: Future>(account: Rc<dyn Account>, future: F) -> F::Output {
+    let mut future = pin!(future);
+    poll_fn(|cx| {
+        let began = Instant::now();
+        let turn = future.as_mut().poll(cx);
+        account.spent(began.elapsed());
+        turn
+    })
+    .await
+}
--- a/crates/engine/src/driver.rs
+++ b/crates/engine/src/driver.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,6 +17,7 @@
     ZoneId,
 };
 
+use crate::account::{self, Account};
 use crate::capture::{Capture, Pending};
 use crate::clock::Clock;
 use crate::discovery::{self, Place};
@@ -56,7 +58,10 @@
     pub inbox: Inbox,
     pub upstreams: Rc<Upstreams>,
     pub peers: Option<Rc<Peers>>,
-    pub discovery: Rc<Place>,
+    /// Where lists are asked for, in a pool whose module asks for them.
+    pub discovery: Option<Rc<Place>>,
+    /// The account that the pool's work is put on, in a process of many tenants.
+    pub account: Option<Rc<dyn Account>>,
     /// Told when the module wants a watch.
     pub watch: Rc<Notify>,
     /// Set once discovery has told the list.
@@ -74,6 +79,9 @@
     live: FxHashMap<RequestId, Live>,
     due: BinaryHeap<Reverse<(Instant, Due)>>,
     actions: Vec<Action>,
+    retired: bool,
+    /// What stands for the message of a request that was not read.
+    nothing: Rc<Outgoing>,
 }
 
 impl Driver {
@@ -86,10 +94,12 @@
             live: FxHashMap::default(),
             due: BinaryHeap::new(),
             actions: Vec::new(),
+            retired: false,
+            nothing: Rc::new(Outgoing::nothing()),
         }
     }
 
-    /// Takes inputs and timers for as long as the process runs.
+    /// Takes inputs and timers for as long as the process runs, or until the pool is retired and all is answered.
     pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
         let mut sweep = Instant::now() + SWEEP;
         // Setting a timer that is due before all others wakes the runtime by a system call. So it is set anew only
@@ -117,6 +127,9 @@
                     Due::LastResort(id) => self.last_resort(id),
                 }
             }
+            if self.retired && self.live.is_empty() {
+                return self.endpoints.values().for_each(|e| e.set_open(false));
+            }
             if now >= sweep {
                 self.parts.upstreams.sweep();
                 sweep = now + SWEEP;
@@ -127,6 +140,7 @@
     fn take(&mut self, input: Input) {
         match input {
             Input::Request(arrival) => self.request(*arrival),
+            Input::Unadmitted { id, wait, answer } => self.unadmitted(id, wait, answer),
             Input::Gone(id) => {
                 if self.close(id, GONE).is_some() {
                     self.handle(Event::Abandoned(id));
@@ -137,9 +151,24 @@
             }
             Input::List { scope, seq, hosts } => self.list(scope, seq, hosts),
             Input::Datagram { from, bytes } => self.handle(Event::Message { from, bytes }),
+            Input::Retire => self.retired = true,
         }
     }
 
+    fn unadmitted(&mut self, id: RequestId, wait: Millis, answer: oneshot::Sender<Answer>) {
+        let live = Live {
+            answer: Some(answer),
+            wanted: Rc::new(Cell::new(false)),
+            message: self.nothing.clone(),
+            deadline: Instant::now(),
+            attempts: 0,
+            out: 0,
+            pending: None,
+        };
+        self.live.insert(id, live);
+        self.handle(Event::Unadmitted { id, wait });
+    }
+
     fn request(&mut self, arrival: Arrival) {
         let Arrival { id, class, tenant, key, hint, patience, deadline, message, answer } = arrival;
         let last = deadline - LAST_RESORT;
@@ -287,10 +316,9 @@
             }
             Action::Subscribe => self.parts.watch.notify_one(),
             Action::FetchList => {
-                tokio::task::spawn_local(discovery::fetch(
-                    self.parts.discovery.address(),
-                    self.parts.inbox.clone(),
-                ));
+                if let Some(place) = &self.parts.discovery {
+                    tokio::task::spawn_local(discovery::fetch(place.address(), self.parts.inbox.clone()));
+                }
             }
         }
     }
@@ -319,14 +347,51 @@
         });
         let (upstreams, endpoint) = (self.parts.upstreams.clone(), endpoint.clone());
         let (wanted, message) = (live.wanted.clone(), live.message.clone());
-        tokio::task::spawn_local(async move {
-            upstreams
-                .attempt(endpoint, wanted, message, until, |outcome, reply| report.tell(outcome, reply))
-                .await;
-        });
+        let Some(account) = &self.parts.account else {
+            tokio::task::spawn_local(async move {
+                upstreams
+                    .attempt(endpoint, wanted, message, until, |outcome, reply| report.tell(outcome, reply))
+                    .await;
+            });
+            return;
+        };
+        let Some(visit) = Visit::begin(account, endpoint.address) else {
+            return report.tell(Outcome::Full, None); // the module tries elsewhere, or later
+        };
+        tokio::task::spawn_local(account::on(account.clone(), async move {
+            let told = |outcome, reply| {
+                drop(visit); // before the module hears of it, lest it send the next one into a full house
+                report.tell(outcome, reply);
+            };
+            upstreams.attempt(endpoint, wanted, message, until, told).await;
+        }));
     }
 }
 
+/// A place at a server that other tenants use, too; given back when dropped.
+struct Visit {
+    account: Rc<dyn Account>,
+    server: u64,
+}
+
+impl Visit {
+    fn begin(account: &Rc<dyn Account>, address: SocketAddr) -> Option<Self> {
+        let server = server_number(address);
+        account.to_server(server).then(|| Visit { account: account.clone(), server })
+    }
+}
+
+impl Drop for Visit {
+    fn drop(&mut self) {
+        self.account.from_server(self.server);
+    }
+}
+
+/// The number by which accounts know the server at an address, the same for all tenants.
+pub fn server_number(address: SocketAddr) -> u64 {
+    number_of(&address.to_string())
+}
+
 /// Tells how an attempt ended, exactly once: an attempt that dies on the way may have run.
 struct Report {
     inbox: Inbox,
--- a/crates/engine/src/frontend.rs
+++ b/crates/engine/src/frontend.rs
@@ -3,31 +3,34 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::io;
+use std::future::poll_fn;
+use std::io::{self, IoSlice};
 use std::net::SocketAddr;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use settings::{Names, number_of};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
-use wharfhitch::{Class, ClassId, Effect, Key, RequestId, TenantId};
+use wharfhitch::RequestId;
 
-use crate::capture::Capture;
-use crate::drills::Drills;
-use crate::figures::{Figures, Flight};
+use crate::account::Account;
+use crate::figures::Flight;
 use crate::inbox::{Answer, Arrival, Inbox, Input, REFUSED};
-use crate::message::{BODY, Outgoing, class_of, plain, sid, strip, target};
+use crate::message::{BODY, Outgoing, plain, strip, target};
 use crate::note;
+use crate::pool::{Asked, Pool};
 use crate::upstream::Upstreams;
 
 /// A head must be whole after this span, and a connection's first request with its body: a peer that sends
@@ -58,47 +61,153 @@
     used: Cell<bool>,
     since: Cell<Instant>,
     close: Notify,
+    /// On whose account it is, in a process of many tenants.
+    account: RefCell<Option<Rc<dyn Account>>>,
 }
 
-/// The features that have a part in how requests are answered; each is there only where it is on.
-#[derive(Clone, Default)]
-pub struct Features {
-    pub capture: Option<Rc<Capture>>,
-    pub drills: Option<Rc<Drills>>,
-    pub figures: Option<Rc<Figures>>,
+impl Client {
+    /// Puts the connection on the account of the tenant that its latest request names.
+    fn belongs_to(&self, account: &Rc<dyn Account>) -> Result<(), f64> {
+        let mut own = self.account.borrow_mut();
+        if own.as_ref().is_some_and(|o| Rc::ptr_eq(o, account)) {
+            return Ok(());
+        }
+        account.connect()?;
+        if let Some(old) = own.replace(account.clone()) {
+            old.disconnect();
+        }
+        Ok(())
+    }
+
+    /// Runs the connection's future and puts each turn on the account that it has then.
+    async fn work<F: Future>(&self, future: F) -> F::Output {
+        let mut future = pin!(future);
+        poll_fn(|cx| {
+            let began = std::time::Instant::now();
+            let turn = future.as_mut().poll(cx);
+            if let Some(account) = &*self.account.borrow() {
+                account.spent(began.elapsed());
+            }
+            turn
+        })
+        .await
+    }
 }
 
-/// What all connections share.
-pub struct Frontend {
-    pub inbox: Inbox,
-    pub names: Names,
-    pub classes: Vec<Class>,
+impl Drop for Client {
+    fn drop(&mut self) {
+        if let Some(account) = self.account.get_mut() {
+            account.disconnect();
+        }
+    }
+}
+
+/// A client's socket, which is read only while its account lets it.
+struct Gated {
+    stream: TcpStream,
+    client: Rc<Client>,
+}
+
+impl AsyncRead for Gated {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        if self.client.account.borrow().as_ref().is_some_and(|a| !a.may_read(cx.waker())) {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Gated {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, cx: &mut Context, parts: &[IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+/// Finds the pool of a request.
+pub trait Router: 'static {
+    /// The pool that a request's head names.
+    ///
+    /// # Errors
+    /// There is none: the status and text of the answer.
+    fn pool(&self, uri: &Uri, headers: &HeaderMap) -> Result<Rc<Pool>, (StatusCode, &'static str)>;
+
+    /// The account of connections that have not named a tenant yet, in a process of many.
+    fn strangers(&self) -> Option<Rc<dyn Account>>;
+
+    /// Whether requests can be served.
+    fn is_up(&self) -> bool;
+
+    /// The longest wait that any client is ready for.
+    fn longest(&self) -> Duration;
+
+    /// Descriptors have run out: close what can be spared.
+    fn make_room(&self);
+}
+
+/// One pool for all requests, as the platform's proxy has it.
+pub struct One {
+    pub pool: Rc<Pool>,
     pub upstreams: Rc<Upstreams>,
+}
+
+impl Router for One {
+    fn pool(&self, _: &Uri, _: &HeaderMap) -> Result<Rc<Pool>, (StatusCode, &'static str)> {
+        Ok(self.pool.clone())
+    }
+
+    fn strangers(&self) -> Option<Rc<dyn Account>> {
+        None
+    }
+
+    fn is_up(&self) -> bool {
+        self.pool.ready.get()
+    }
+
+    fn longest(&self) -> Duration {
+        self.pool.longest()
+    }
+
+    fn make_room(&self) {
+        self.upstreams.close_idle();
+    }
+}
+
+/// What all connections of one listener share.
+pub struct Frontend<R> {
+    router: R,
     /// Connections that are served; the few beyond it are only refused.
-    pub most: usize,
-    /// Whether the module has a list.
-    pub ready: Rc<Cell<bool>>,
-    pub features: Features,
-    next: Cell<u64>,
+    most: usize,
+    /// The next number of a connection or a request, shared by all listeners of a process.
+    next: Rc<Cell<u64>>,
     draining: Cell<bool>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     left: Notify,
 }
 
-impl Frontend {
-    pub fn new(
-        inbox: Inbox, names: Names, classes: Vec<Class>, upstreams: Rc<Upstreams>, most: usize,
-        ready: Rc<Cell<bool>>, features: Features,
-    ) -> Rc<Self> {
+impl<R: Router> Frontend<R> {
+    pub fn new(router: R, most: usize, next: Rc<Cell<u64>>) -> Rc<Self> {
         Rc::new(Frontend {
-            inbox,
-            names,
-            classes,
-            upstreams,
+            router,
             most,
-            ready,
-            features,
-            next: Cell::new(0),
+            next,
             draining: Cell::new(false),
             clients: RefCell::default(),
             left: Notify::new(),
@@ -125,8 +234,7 @@
         drop(listener);
         sleep(SILENT).await;
         self.close_idle(usize::MAX, Duration::ZERO);
-        let longest = self.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
-        let end = Instant::now() + Duration::from_secs_f64(longest.min(1e6) / 1000.0) + FINISH;
+        let end = Instant::now() + self.router.longest() + FINISH;
         while self.clients.borrow().values().any(|c| c.busy.get()) {
             if timeout_at(end, self.left.notified()).await.is_err() {
                 return note!("ended with connections open");
@@ -148,15 +256,24 @@
                     self.close_idle(1, FIRST);
                 }
                 let id = self.next.replace(self.next.get() + 1);
+                let account = self.router.strangers();
+                if account.as_ref().is_some_and(|a| a.connect().is_err()) {
+                    return; // it is closed; nothing has been read from it
+                }
                 let client = Rc::new(Client {
                     busy: Cell::new(false),
                     used: Cell::new(false),
                     since: Cell::new(Instant::now()),
                     close: Notify::new(),
+                    account: RefCell::new(account),
                 });
                 self.clients.borrow_mut().insert(id, client.clone());
                 tokio::task::spawn_local(async move {
-                    self.connection(stream, client).await;
+                    if client.account.borrow().is_some() {
+                        client.work(self.connection(stream, &client)).await;
+                    } else {
+                        self.connection(stream, &client).await;
+                    }
                     self.clients.borrow_mut().remove(&id);
                     self.left.notify_waiters();
                 });
@@ -164,7 +281,7 @@
             // Out of descriptors or the like: make room, wait a moment, go on.
             Err(e) => {
                 note!("accept: {e}");
-                self.upstreams.close_idle();
+                self.router.make_room();
                 self.close_idle(1, FIRST);
                 sleep(PAUSE).await;
             }
@@ -181,18 +298,20 @@
         idle.into_iter().take(most).for_each(|c| c.close.notify_one());
     }
 
-    async fn connection(self: &Rc<Self>, stream: TcpStream, client: Rc<Client>) {
+    async fn connection(self: &Rc<Self>, stream: TcpStream, client: &Rc<Client>) {
         let over = self.clients.borrow().len() > self.most;
         let service = service_fn(|request| {
             let (front, client) = (self.clone(), client.clone());
             async move {
                 client.busy.set(true);
-                let figures = front.features.figures.as_ref();
-                let flight = figures.and_then(|f| f.begin(&request, &front.names));
-                let mut response = if over {
-                    front.turn_away(request)
-                } else {
-                    front.respond(request, &client, flight.as_ref()).await
+                let pool = front.router.pool(request.uri(), request.headers());
+                let figures = pool.as_ref().ok().and_then(|p| p.features.figures.as_ref().map(|f| (f, p)));
+                let flight = figures.and_then(|(f, pool)| f.begin(&request, &pool.names));
+                let mut response = match &pool {
+                    _ if request.uri().path() == "/up" && !over => front.up(),
+                    Err((status, text)) => plain(*status, text),
+                    Ok(pool) if over => turn_away(pool, request),
+                    Ok(pool) => front.respond(pool, request, &client, flight.as_ref()).await,
                 };
                 if let Some(flight) = flight {
                     flight.end(response.status().as_u16());
@@ -211,7 +330,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD)
             .max_buf_size(HEAD_SIZE)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(Gated { stream, client: client.clone() }), service);
         tokio::pin!(connection);
         let mut cut = None;
         loop {
@@ -235,32 +354,24 @@
         }
     }
 
-    /// Refuses a request on a connection over the budget; the module never sees it.
-    fn turn_away(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let (head, _) = request.into_parts();
-        if let Some(capture) = &self.features.capture
-            && let Ok(asked) = self.check(&head.method, &head.uri, &head.headers)
-        {
-            let pending = capture.begin(asked.class, asked.tenant, asked.patience);
-            let (method, uri, headers, body) = (head.method, head.uri, head.headers, Bytes::new());
-            capture.turned_away(&pending, &Outgoing { method, uri, headers, body }, REFUSED);
-        }
-        plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
+    fn up(&self) -> Response<Full<Bytes>> {
+        let up = self.router.is_up() && !self.draining.get();
+        plain(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
     }
 
     async fn respond(
-        &self, request: Request<Incoming>, client: &Client, flight: Option<&Flight>,
+        &self, pool: &Rc<Pool>, request: Request<Incoming>, client: &Client, flight: Option<&Flight>,
     ) -> Response<Full<Bytes>> {
         let came = Instant::now();
-        if request.uri().path() == "/up" {
-            let up = self.ready.get() && !self.draining.get();
-            return plain(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
-        }
         let (head, body) = request.into_parts();
-        let asked = match self.check(&head.method, &head.uri, &head.headers) {
+        let asked = match pool.read(&head.method, &head.uri, &head.headers) {
             Ok(asked) => asked,
             Err((status, text)) => return plain(status, text),
         };
+        let _stay = match self.admit(pool, client, &head.headers, &body) {
+            Ok(stay) => stay,
+            Err(wait) => return self.refused(pool, wait).await,
+        };
         let deadline = came + asked.patience;
         let whole = if client.used.get() { deadline } else { deadline.min(client.since.get() + HEAD) };
         let body = match timeout_at(whole, Limited::new(body, BODY).collect()).await {
@@ -275,10 +386,10 @@
         strip(&mut headers);
         let id = RequestId(self.next.replace(self.next.get() + 1));
         let (answer, answered) = oneshot::channel();
-        let named = self.features.drills.as_ref().and_then(|_| headers.get("x-request-id").cloned());
+        let named = pool.features.drills.as_ref().and_then(|_| headers.get("x-request-id").cloned());
         let message = Outgoing { method: head.method, uri: target(&head.uri), headers, body };
         let Asked { class, tenant, key, hint, patience } = asked;
-        self.inbox.put(Input::Request(Box::new(Arrival {
+        pool.inbox.put(Input::Request(Box::new(Arrival {
             id,
             class,
             tenant,
@@ -290,11 +401,11 @@
             answer,
         })));
         // Hyper drops this future when the client leaves.
-        let mut leaves = Leaves { inbox: &self.inbox, id, waits: true };
+        let mut leaves = Leaves { inbox: &pool.inbox, id, waits: true };
         let answer = answered.await;
         leaves.waits = false;
         let response = finished(answer);
-        let Some(drills) = &self.features.drills else { return response };
+        let Some(drills) = &pool.features.drills else { return response };
         let Some(hit) = drills.meet(class.0, named.as_ref()) else { return response };
         if let Some(flight) = flight {
             flight.drilled(&hit.name);
@@ -302,52 +413,53 @@
         drills.act(&hit, response).await
     }
 
-    /// Reads what the module has to know; what can't be right goes no further.
-    fn check(
-        &self, method: &Method, uri: &Uri, headers: &HeaderMap,
-    ) -> Result<Asked, (StatusCode, &'static str)> {
-        let bad = |text| (StatusCode::BAD_REQUEST, text);
-        let class = self.names.classes.iter().position(|c| c == class_of(uri));
-        let class = class.ok_or((StatusCode::NOT_FOUND, "no such class"))?;
-        let wanted = if self.classes[class].effect == Effect::Safe { Method::GET } else { Method::POST };
-        if *method != wanted {
-            return Err((StatusCode::METHOD_NOT_ALLOWED, "not the method of this class"));
-        }
-        let keyed = matches!(self.classes[class].effect, Effect::Keyed { .. });
-        if keyed != one(headers, "idempotency-key")?.is_some() && *method == Method::POST {
-            return Err(bad("Idempotency-Key does not fit the class"));
-        }
-        if one(headers, "x-request-id")?.is_none_or(str::is_empty) {
-            return Err(bad("X-Request-ID is missing"));
-        }
-        let tenant = match one(headers, "x-tenant-id")? {
-            _ if self.names.tenants.is_empty() => None,
-            Some(name) => {
-                let tenant = self.names.tenants.iter().position(|t| t == name);
-                Some(TenantId(tenant.ok_or(bad("no such tenant"))?))
-            }
-            None => return Err(bad("X-Tenant-Id is missing")),
-        };
-        let number = |name: &'static str| -> Result<Option<f64>, _> {
-            let Some(text) = one(headers, name)? else { return Ok(None) };
-            let number = text.trim().parse::<f64>().ok().filter(|x| x.is_finite() && *x >= 0.0);
-            number.map(Some).ok_or(bad("a header is no number"))
-        };
-        let patience = number("x-timeout")?.ok_or(bad("X-Timeout is missing"))?;
-        let patience = Duration::from_secs_f64(patience.min(self.classes[class].deadline / 1000.0));
-        let hint = number("x-cost")?.map(|us| us / 1000.0);
-        let key = sid(uri).map(|s| Key(number_of(s)));
-        Ok(Asked { class: ClassId(class), tenant, key, hint, patience })
+    /// Puts a request on its tenant's account, in a process of many; the span in ms to wait where there is no room.
+    fn admit(
+        &self, pool: &Rc<Pool>, client: &Client, headers: &HeaderMap, body: &Incoming,
+    ) -> Result<Option<Stay>, f64> {
+        let Some(account) = &pool.account else { return Ok(None) };
+        client.belongs_to(account)?;
+        let head: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+        let body = body.size_hint().exact().unwrap_or(BODY as u64).min(BODY as u64);
+        let bytes = head as u64 + body;
+        account.begin(bytes)?;
+        Ok(Some(Stay { account: account.clone(), bytes, since: Instant::now() }))
+    }
+
+    /// The module's own refusal of a request that there is no room for. Its body is not read, so that hyper closes the
+    /// connection where there is one.
+    async fn refused(&self, pool: &Rc<Pool>, wait: f64) -> Response<Full<Bytes>> {
+        let id = RequestId(self.next.replace(self.next.get() + 1));
+        let (answer, answered) = oneshot::channel();
+        pool.inbox.put(Input::Unadmitted { id, wait, answer });
+        finished(answered.await)
+    }
+}
+
+/// Refuses a request on a connection over the budget; the module never sees it.
+fn turn_away(pool: &Pool, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (head, _) = request.into_parts();
+    if let Some(capture) = &pool.features.capture
+        && let Ok(asked) = pool.read(&head.method, &head.uri, &head.headers)
+    {
+        let pending = capture.begin(asked.class, asked.tenant, asked.patience);
+        let (method, uri, headers, body) = (head.method, head.uri, head.headers, Bytes::new());
+        capture.turned_away(&pending, &Outgoing { method, uri, headers, body }, REFUSED);
     }
+    plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
 }
 
-/// What a request's head says.
-struct Asked {
-    class: ClassId,
-    tenant: Option<TenantId>,
-    key: Option<Key>,
-    hint: Option<f64>,
-    patience: Duration,
+/// A request on its tenant's account, until it has its answer or its client has left.
+struct Stay {
+    account: Rc<dyn Account>,
+    bytes: u64,
+    since: Instant,
+}
+
+impl Drop for Stay {
+    fn drop(&mut self) {
+        self.account.end(self.bytes, self.since.elapsed().as_secs_f64() * 1000.0);
+    }
 }
 
 /// Tells the driver when the client leaves before its answer.
@@ -365,16 +477,6 @@
     }
 }
 
-/// A header that may stand once.
-fn one<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, (StatusCode, &'static str)> {
-    let mut values = headers.get_all(name).iter();
-    let value = values.next().map(|v| v.to_str()).transpose();
-    match (value, values.next()) {
-        (Ok(value), None) => Ok(value),
-        _ => Err((StatusCode::BAD_REQUEST, "a header is malformed or stands twice")),
-    }
-}
-
 /// The module's final answer, as the client gets it.
 fn finished(answer: Result<Answer, oneshot::error::RecvError>) -> Response<Full<Bytes>> {
     match answer {
--- a/crates/engine/src/hosts.rs
+++ b/crates/engine/src/hosts.rs
@@ -11,13 +11,19 @@
 /// One line of the list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Host {
+    /// Its name.
     pub host: String,
     /// Where it is reached; `None` if that can't be read.
     pub dial: Option<SocketAddr>,
+    /// Its zone.
     pub site: Option<String>,
+    /// Its kind of machine.
     pub class: Option<String>,
+    /// Its cell.
     pub block: Option<u64>,
+    /// `up`, `draining` or `removed`.
     pub health: String,
+    /// Its size, or its weight.
     pub share: Option<f64>,
     /// Unix time in milliseconds; 0 for long ago.
     pub born_ms: f64,
--- a/crates/engine/src/inbox.rs
+++ b/crates/engine/src/inbox.rs
@@ -20,6 +20,8 @@
 pub enum Input {
     /// A whole request has been read.
     Request(Box<Arrival>),
+    /// A request whose tenant is over its share, so that it is not read further. There may be room after so many ms.
+    Unadmitted { id: RequestId, wait: Millis, answer: oneshot::Sender<Answer> },
     /// Its client has left.
     Gone(RequestId),
     /// An attempt has ended.
@@ -28,6 +30,8 @@
     List { scope: Scope, seq: Option<u64>, hosts: Vec<Host> },
     /// Another proxy's message.
     Datagram { from: u32, bytes: Vec<u8> },
+    /// Nothing new comes any more: what is held is ended, and then the driver.
+    Retire,
 }
 
 impl Input {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -2,8 +2,10 @@
 //! module `wharfhitch`.
 //!
 //! It decides nothing about requests: the driver feeds the module with what the sockets see and does what it says,
-//! in order. [`process::main`] is a whole proxy, started as the platform starts it.
+//! in order. [`process::main`] is a whole proxy, started as the platform starts it; [`service`] carries several pools in
+//! one process, each a decision module with its driver.
 
+pub mod account;
 mod capture;
 mod clock;
 mod config;
@@ -18,7 +20,9 @@
 mod message;
 mod outlet;
 mod peers;
+pub mod pool;
 pub mod process;
+pub mod service;
 mod upstream;
 
 use log::note;
--- a/crates/engine/src/log.rs
+++ b/crates/engine/src/log.rs
@@ -22,6 +22,18 @@
 /// Standard error behind a thread of its own, where a feature writes there.
 static OUTLET: OnceLock<Outlet> = OnceLock::new();
 
+/// The program's name, before each line.
+static NAME: OnceLock<&str> = OnceLock::new();
+
+fn name() -> &'static str {
+    NAME.get().copied().unwrap_or("sandgap")
+}
+
+/// Gives the program another name; the first one holds.
+pub fn set_name(name: &'static str) {
+    let _ = NAME.set(name);
+}
+
 const BURST: u32 = 20; // lines in a second; the rest are counted and left out
 
 thread_local! {
@@ -55,14 +67,14 @@
 /// Writes a line. Unlike `eprintln!` it survives a log that nobody reads any more.
 fn write(text: Arguments) {
     let Some(outlet) = OUTLET.get() else {
-        let _ = writeln!(std::io::stderr(), "sandgap: {text}");
+        let _ = writeln!(std::io::stderr(), "{}: {text}", name());
         return;
     };
     let dropped = outlet.take_dropped(LOG);
     if dropped > 0 {
-        outlet.put(LOG, format!("sandgap: {dropped} lines lost\n").as_bytes());
+        outlet.put(LOG, format!("{}: {dropped} lines lost\n", name()).as_bytes());
     }
-    outlet.put(LOG, format!("sandgap: {text}\n").as_bytes());
+    outlet.put(LOG, format!("{}: {text}\n", name()).as_bytes());
     outlet.wake();
 }
 
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -55,6 +55,12 @@
 }
 
 impl Outgoing {
+    /// What stands for a message that is not read.
+    pub fn nothing() -> Self {
+        let (method, uri) = (Method::GET, Uri::default());
+        Outgoing { method, uri, headers: HeaderMap::new(), body: Bytes::new() }
+    }
+
     /// What the request is about, where it says so.
     pub fn sid(&self) -> Option<&str> {
         sid(&self.uri)
--- a/crates/engine/src/process.rs
+++ b/crates/engine/src/process.rs
@@ -6,12 +6,13 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use settings::properties::Features;
+use settings::properties;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::{LocalSet, spawn_local};
 use wharfhitch::{Balancer, Scope};
 
@@ -21,7 +22,9 @@
 use crate::drills::Drills;
 use crate::driver::{Driver, Parts};
 use crate::figures::Figures;
+use crate::frontend::{Frontend, One};
 use crate::inbox::{Inbox, Input};
+use crate::pool::{Features, Pool};
 use crate::{config, discovery, frontend, hosts, log, note, peers, upstream};
 
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch; and
@@ -34,7 +37,9 @@
 const LAST_WORDS: Duration = Duration::from_millis(500);
 
 /// The drills and their side port, if the settings have both a secret and a port.
-fn drills(config: &Config, features: &Features) -> io::Result<(Option<Rc<Drills>>, Option<TcpListener>)> {
+fn drills(
+    config: &Config, features: &properties::Features,
+) -> io::Result<(Option<Rc<Drills>>, Option<TcpListener>)> {
     let settings = &features.drills;
     let (Some(secret), Some(port)) = (&settings.secret, settings.port) else { return Ok((None, None)) };
     log::behind_thread()?; // each affected request has a line
@@ -45,7 +50,7 @@
     Ok((Some(drills), Some(side_port)))
 }
 
-async fn run(config: Config, path: PathBuf, features: Features) -> Result<(), String> {
+async fn run(config: Config, path: PathBuf, features: properties::Features) -> Result<(), String> {
     let at = |what: &str| {
         let what = what.to_owned();
         move |e: io::Error| format!("{what}: {e}")
@@ -74,7 +79,8 @@
         None => None,
     };
     let budget = config.sockets - RESERVE;
-    let upstreams = Rc::new(upstream::Upstreams::new(&config.connections, budget / 4));
+    let sockets = Arc::new(Semaphore::new(budget / 4));
+    let upstreams = Rc::new(upstream::Upstreams::new(&config.connections, sockets));
     let ready = Rc::new(Cell::new(false));
     let known_only = Rc::new(Cell::new(false));
     let watch = Rc::new(Notify::new());
@@ -85,7 +91,8 @@
         inbox: inbox.clone(),
         upstreams: upstreams.clone(),
         peers,
-        discovery: place.clone(),
+        discovery: Some(place.clone()),
+        account: None,
         watch: watch.clone(),
         ready: ready.clone(),
         remembered: known_only.clone(),
@@ -126,9 +133,10 @@
     } else {
         None
     };
-    let on =
-        frontend::Features { capture: capture.clone(), drills: drills.clone(), figures: figures.clone() };
-    let front = frontend::Frontend::new(inbox, config.names, classes, upstreams, most, ready, on);
+    let features = Features { capture: capture.clone(), drills: drills.clone(), figures: figures.clone() };
+    let names = config.names;
+    let pool = Rc::new(Pool { inbox, names, classes, ready, features, account: None, strict: true });
+    let front = Frontend::new(One { pool, upstreams }, most, Rc::default());
     let address = listener.local_addr().map_err(at("the listener"))?;
     note!("{} listens on {address}", config.name);
     if let (Some(drills), Some(side_port)) = (&drills, side_port) {
@@ -181,7 +189,7 @@
 /// What the command line asks for.
 enum Asked {
     /// A proxy with these features.
-    Proxy(Box<Features>),
+    Proxy(Box<properties::Features>),
     /// A text on standard output, and nothing else.
     Text(String),
 }
@@ -191,9 +199,9 @@
     let usage = "usage: sandgap [--properties FILE]; --help says more";
     let Some(flag) = arguments.next() else { return Ok(Asked::Proxy(Box::default())) };
     match (flag.to_str(), arguments.next(), arguments.next()) {
-        (Some("--properties"), Some(file), None) => {
-            Features::read(Path::new(&file)).map(|f| Asked::Proxy(f.into())).map_err(|e| e.to_string())
-        }
+        (Some("--properties"), Some(file), None) => properties::Features::read(Path::new(&file))
+            .map(|f| Asked::Proxy(f.into()))
+            .map_err(|e| e.to_string()),
         (Some("--help" | "-h"), None, None) => Ok(Asked::Text(HELP.into())),
         (Some("--version" | "-V"), None, None) => {
             Ok(Asked::Text(format!("sandgap {}\n", env!("CARGO_PKG_VERSION"))))
--- /dev/null
+++ b/crates/engine/src/service.rs
@@ -0,0 +1,167 @@
+//! Several pools in one process: what a hosted service starts, feeds and serves by. The platform's proxy has one pool
+//! and does without.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::time::Duration;
+
+use settings::{Connections, Names};
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, Semaphore};
+use tokio::task::{JoinError, spawn_local};
+use wharfhitch::{Balancer, Millis, Scope, Settings};
+
+use crate::account::{self, Account};
+use crate::clock::Clock;
+use crate::driver::{Driver, Parts};
+use crate::frontend::{self, Frontend};
+use crate::inbox::{Inbox, Input};
+use crate::pool::{Features, Pool};
+use crate::upstream::Upstreams;
+
+pub use crate::driver::server_number;
+pub use crate::frontend::Router;
+pub use crate::hosts::Host;
+
+/// What all pools and listeners of a process share.
+pub struct Process {
+    clock: Clock,
+    /// The budget of connections to servers.
+    sockets: Arc<Semaphore>,
+    next: Rc<Cell<u64>>,
+}
+
+/// What a pool is told at its start.
+pub struct Terms {
+    /// What the module decides by.
+    pub settings: Settings,
+    /// The names that go with it.
+    pub names: Names,
+    /// What concerns connections to servers.
+    pub connections: Connections,
+    /// What the module's draws come from.
+    pub seed: u64,
+}
+
+/// A pool that runs. Requests reach it while somebody holds its [`Pool`]; afterwards it ends what it has.
+pub struct Running {
+    /// What routers hand out.
+    pub pool: Rc<Pool>,
+    /// Where its list is told, for as long as it runs.
+    pub feed: Feed,
+    upstreams: Rc<Upstreams>,
+}
+
+impl Running {
+    /// Closes the connection to a server that has stood idle longest.
+    pub fn make_room(&self) {
+        self.upstreams.close_idle();
+    }
+}
+
+/// Tells a pool's module which servers there are.
+#[derive(Clone)]
+pub struct Feed {
+    inbox: Inbox,
+    alive: Weak<()>,
+}
+
+impl Feed {
+    /// The whole list: what it lacks has left.
+    pub fn whole(&self, hosts: Vec<Host>) {
+        self.inbox.put(Input::List { scope: Scope::Full, seq: None, hosts });
+    }
+
+    /// Whether the pool still runs.
+    pub fn is_alive(&self) -> bool {
+        self.alive.strong_count() > 0
+    }
+}
+
+impl Process {
+    /// A process that holds at most so many connections to servers.
+    pub fn new(sockets: usize) -> Self {
+        let sockets = Arc::new(Semaphore::new(sockets.min(Semaphore::MAX_PERMITS)));
+        Process { clock: Clock::new(), sockets, next: Rc::default() }
+    }
+
+    /// The time on the process's clock.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Starts a pool; it must be told a list before it is ready. `ended` is called when its driver has: without an error
+    /// once it was retired and all was answered.
+    pub fn start(
+        &self, terms: Terms, account: Option<Rc<dyn Account>>,
+        ended: impl FnOnce(Result<(), JoinError>) + 'static,
+    ) -> Running {
+        let (inbox, inputs) = Inbox::new();
+        let upstreams = Rc::new(Upstreams::new(&terms.connections, self.sockets.clone()));
+        let ready = Rc::new(Cell::new(false));
+        let parts = Parts {
+            clock: self.clock,
+            capture: None,
+            inbox: inbox.clone(),
+            upstreams: upstreams.clone(),
+            peers: None,
+            discovery: None,
+            account: account.clone(),
+            watch: Rc::new(Notify::new()),
+            ready: ready.clone(),
+            remembered: Rc::default(),
+        };
+        let classes = terms.settings.classes.clone();
+        let balancer = Balancer::new(terms.settings, terms.seed);
+        let driver = Driver::new(balancer, terms.names.clone(), parts).run(inputs);
+        let life = Rc::new(());
+        let alive = Rc::downgrade(&life);
+        let driver = match account.clone() {
+            Some(account) => spawn_local(account::on(account, driver)),
+            None => spawn_local(driver),
+        };
+        spawn_local(async move {
+            let end = driver.await;
+            drop(life);
+            ended(end);
+        });
+        let (names, features) = (terms.names, Features::default());
+        let pool = Pool { inbox: inbox.clone(), names, classes, ready, features, account, strict: false };
+        Running { pool: Rc::new(pool), feed: Feed { inbox, alive }, upstreams }
+    }
+
+    /// Serves a listener with at most so many connections until `stop`, and then until all that was taken is answered.
+    pub async fn serve<R: Router>(
+        &self, listener: TcpListener, router: R, most: usize, stop: impl Future<Output = ()>,
+    ) {
+        Frontend::new(router, most, self.next.clone()).serve(listener, stop).await;
+    }
+}
+
+impl Pool {
+    /// Whether its module has a list.
+    pub fn is_ready(&self) -> bool {
+        self.ready.get()
+    }
+
+    /// The longest wait that its clients are ready for.
+    pub fn patience(&self) -> Duration {
+        self.longest()
+    }
+}
+
+/// Listens on an address.
+///
+/// # Errors
+/// What the system says.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    frontend::listen(address)
+}
+
+/// The name that lines of the log begin with.
+pub fn log_as(name: &'static str) {
+    crate::log::set_name(name);
+}
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -192,12 +192,13 @@
 }
 
 impl Upstreams {
-    pub fn new(connections: &settings::Connections, sockets: usize) -> Self {
+    /// `sockets` is the budget of connections, which pools of one process share.
+    pub fn new(connections: &settings::Connections, sockets: Arc<Semaphore>) -> Self {
         let span = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3.6e6) / 1000.0);
         Upstreams {
             dial_timeout: span(connections.dial_timeout),
             idle_limit: span(connections.idle_close * IDLE_PART),
-            sockets: Arc::new(Semaphore::new(sockets)),
+            sockets,
             endpoints: RefCell::default(),
         }
     }
--- a/crates/engine/tests/layers.rs
+++ b/crates/engine/tests/layers.rs
@@ -2,10 +2,11 @@
 use std::path::Path;
 
 /// The parts from the lowest up.
-const LAYERS: [&str; 16] = [
+const LAYERS: [&str; 19] = [
     "outlet",
     "log",
     "clock",
+    "account",
     "config",
     "hosts",
     "message",
@@ -17,7 +18,9 @@
     "drills",
     "figures",
     "driver",
+    "pool",
     "frontend",
+    "service",
     "process",
 ];
 
--- a/crates/wharfhitch/src/choice.rs
+++ b/crates/wharfhitch/src/choice.rs
@@ -167,6 +167,7 @@
             Event::Request { id, class, tenant, key, budget, hint } => {
                 self.arrive(now, id, class.0, tenant, key, budget, hint, out);
             }
+            Event::Unadmitted { id, wait } => return self.turn_away(id, wait, out),
             Event::Started { request, .. } => self.started(request),
             Event::Ended { request, attempt, latency, outcome, closed, .. } => {
                 self.ended(now, request, attempt as usize, latency, outcome, closed, out);
@@ -657,6 +658,14 @@
         self.finish(id);
     }
 
+    /// Refuses a request that the process has no room for, and asks those turned away together back at
+    /// different times.
+    fn turn_away(&mut self, id: RequestId, wait: Millis, out: &mut Vec<Action>) {
+        let spread = 1.0 + self.rng.f64();
+        let retry_after = self.cfg.retry_after.map(|most| wait.max(1.0).min(0.5 * most) * spread);
+        out.push(Action::Refuse { request: id, retry_after });
+    }
+
     /// How long those who wait now will take to go out: a client that comes back sooner only lengthens it.
     fn queueing(&self) -> Millis {
         let slots: f64 = self.bands.bands.iter().map(|b| b.slots).sum();
--- a/crates/wharfhitch/src/interface.rs
+++ b/crates/wharfhitch/src/interface.rs
@@ -260,6 +260,14 @@
         /// Its expected work on a standard core.
         hint: Option<Millis>,
     },
+    /// A request has come in that its front has no room for, its tenant being over its share of the process. It is
+    /// owed its one final answer, and is no part of the load on the servers.
+    Unadmitted {
+        /// Its number.
+        id: RequestId,
+        /// When there may be room, as the front sees it.
+        wait: Millis,
+    },
     /// A streamed answer has begun: the client owns it now.
     Started {
         /// The request.
--- a/crates/wharfhitch/tests/choice.rs
+++ b/crates/wharfhitch/tests/choice.rs
@@ -586,3 +586,28 @@
     let [together, alone] = [0, 1].map(|i| burst(&mut shares[i], 10_000, 600).len());
     assert!(alone > together, "{alone} slots are free where the other stands elsewhere, {together} together");
 }
+
+#[test]
+fn a_request_without_room_is_refused_at_once_and_asked_back_at_different_times() {
+    let refusals = |most: Option<f64>| -> Vec<Option<f64>> {
+        let mut balancer = Balancer::new(Settings { retry_after: most, ..settings(1) }, 1);
+        let mut out = Vec::new();
+        for n in 0..50 {
+            balancer.handle(0.0, Event::Unadmitted { id: RequestId(n), wait: 100.0 }, &mut out);
+        }
+        let refused = |a: &Action| match a {
+            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        };
+        out.iter().filter_map(refused).collect()
+    };
+    let named: Vec<f64> = refusals(Some(1000.0)).into_iter().flatten().collect();
+    assert_eq!(named.len(), 50);
+    assert!(named.iter().all(|ms| (100.0..200.0).contains(ms)), "{named:?}");
+    assert!(named.iter().any(|ms| *ms < 130.0) && named.iter().any(|ms| *ms > 170.0), "{named:?}");
+    assert!(
+        refusals(Some(120.0)).iter().flatten().all(|ms| (60.0..120.0).contains(ms)),
+        "no longer than allowed"
+    );
+    assert_eq!(refusals(None), [None; 50]);
+}
