--- a/crates/canvascart/src/main.rs
+++ b/crates/canvascart/src/main.rs
@@ -6,6 +6,7 @@
 mod lab;
 mod log;
 mod replay;
+mod serve;
 
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
@@ -37,6 +38,11 @@
     /// Plays scenarios on an emulated fleet, and judges the rules.
     #[command(subcommand)]
     Lab(lab::Command),
+    /// Serves many tenants in one process, each with servers, classes and limits of its own.
+    Serve(serve::Arguments),
+    /// Tells of the configuration of `serve`.
+    #[command(subcommand)]
+    Config(serve::Config),
     /// Runs a proxy, as the program sandgap does: for tests and the lab, which need nothing else built.
     #[command(hide = true)]
     Proxy {
@@ -84,6 +90,8 @@
         Command::Capture(command) => capture::run(command),
         Command::Drill(command) => drill::run(command),
         Command::Lab(command) => lab::run(command),
+        Command::Serve(arguments) => serve::run(&arguments),
+        Command::Config(command) => serve::config(&command),
         Command::Proxy { arguments } => return engine::process::main(arguments.into_iter()),
     };
     ExitCode::from(outcome.unwrap_or_else(|text| {
--- a/crates/lab/src/place.rs
+++ b/crates/documents/src/place.rs
@@ -1,4 +1,4 @@
-//! Where in a scenario's text a key stands, so that errors can say it.
+//! Where in a document's text a key stands, so that errors can say it.
 
 use std::fmt;
 use std::ops::Range;
@@ -6,7 +6,7 @@
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
-/// One thing that is wrong with a scenario.
+/// One thing that is wrong with a document.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Problem {
     /// The line, from 1.
@@ -17,16 +17,16 @@
     pub what: String,
 }
 
-/// All that is wrong with a scenario: one line each, with file, line and key.
+/// All that is wrong with a document: one line each, with file, line and key.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub struct ScenarioError {
+pub struct DocumentError {
     /// The file, as it was named.
     pub file: String,
     /// What is wrong, in the order of the file.
     pub problems: Vec<Problem>,
 }
 
-impl fmt::Display for ScenarioError {
+impl fmt::Display for DocumentError {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         for (i, p) in self.problems.iter().enumerate() {
             let key = if p.key.is_empty() { String::new() } else { format!(" {}:", p.key) };
@@ -36,8 +36,9 @@
     }
 }
 
-/// A scenario's text with the places of its keys.
-pub(crate) struct Places {
+/// A document's text with the places of its keys.
+#[derive(Clone, Debug)]
+pub struct Places {
     file: String,
     /// Every key with those above it, and the bytes of its value. A table's number stands for its place in a list.
     keys: Vec<(String, Range<usize>)>,
@@ -46,8 +47,11 @@
 }
 
 impl Places {
-    /// Finds all keys; the text must be TOML.
-    pub fn new(file: &str, text: &str) -> Result<Self, ScenarioError> {
+    /// Finds all keys.
+    ///
+    /// # Errors
+    /// The text is not TOML.
+    pub fn new(file: &str, text: &str) -> Result<Self, DocumentError> {
         let lines = std::iter::once(0).chain(text.match_indices('\n').map(|(i, _)| i + 1)).collect();
         let mut places = Places { file: file.to_owned(), keys: Vec::new(), lines };
         let table = DeTable::parse(text).map_err(|e| places.error(&e))?;
@@ -96,7 +100,7 @@
     }
 
     /// What the reader of TOML says, with its line and the innermost key there.
-    pub fn error(&self, e: &toml::de::Error) -> ScenarioError {
+    pub fn error(&self, e: &toml::de::Error) -> DocumentError {
         let at = e.span().map_or(0, |s| s.start);
         let holds = |span: &Range<usize>| span.start <= at && at < span.end.max(span.start + 1);
         let inner = self.keys.iter().filter(|(_, span)| holds(span)).min_by_key(|(_, span)| span.len());
@@ -108,8 +112,9 @@
         }])
     }
 
-    pub fn problems(&self, mut problems: Vec<Problem>) -> ScenarioError {
+    /// An error that names these problems in the order of the file.
+    pub fn problems(&self, mut problems: Vec<Problem>) -> DocumentError {
         problems.sort_by_key(|p| p.line);
-        ScenarioError { file: self.file.clone(), problems }
+        DocumentError { file: self.file.clone(), problems }
     }
 }
--- a/crates/lab/src/units.rs
+++ b/crates/documents/src/units.rs
@@ -1,14 +1,17 @@
-//! Quantities as scenarios write them: a number with its unit, in one string. A number without its unit is an
+//! Quantities as documents write them: a number with its unit, in one string. A number without its unit is an
 //! error, so that no reader has to guess whether `5` means seconds.
 
 use std::fmt;
 
+use std::borrow::Cow;
+
+use schemars::{JsonSchema, Schema, SchemaGenerator, json_schema};
 use serde::de::{self, Deserialize, Deserializer, Visitor};
-use wharfhitch::Millis;
+use serde::{Serialize, Serializer};
 
 /// A span of time, in ms; written `"250 ms"`, `"20 s"`, `"500 us"` or `"2 min"`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
-pub struct Span(pub Millis);
+pub struct Span(pub f64);
 
 /// A part of a whole, 1 for all of it; written `"81 %"`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
@@ -18,6 +21,10 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
 pub struct Rate(pub f64);
 
+/// An amount of memory, in bytes; written `"64 KiB"` or `"1.5 MiB"`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+pub struct Bytes(pub f64);
+
 /// A number and the unit behind it.
 fn split(text: &str) -> Option<(f64, &str)> {
     let text = text.trim();
@@ -47,7 +54,27 @@
 }
 
 macro_rules! quantity {
-    ($name:ident, $what:literal, $example:literal, $units:expr) => {
+    ($name:ident, $what:literal, $example:literal, $pattern:literal, $units:expr) => {
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, output: S) -> Result<S::Ok, S::Error> {
+                output.collect_str(self)
+            }
+        }
+
+        impl JsonSchema for $name {
+            fn inline_schema() -> bool {
+                true
+            }
+
+            fn schema_name() -> Cow<'static, str> {
+                stringify!($name).into()
+            }
+
+            fn json_schema(_: &mut SchemaGenerator) -> Schema {
+                json_schema!({ "type": "string", "pattern": $pattern })
+            }
+        }
+
         impl std::str::FromStr for $name {
             type Err = String;
 
@@ -78,9 +105,58 @@
     };
 }
 
-quantity!(Span, "a span", "\"250 ms\"", [("us", 0.001), ("ms", 1.0), ("s", 1000.0), ("min", 60_000.0)]);
-quantity!(Share, "a share", "\"81 %\"", [("%", 0.01)]);
-quantity!(Rate, "a rate", "\"390 /s\"", [("/s", 1.0), ("/min", 1.0 / 60.0)]);
+quantity!(
+    Span,
+    "a span",
+    "\"250 ms\"",
+    r"^ *[0-9]+(\.[0-9]+)? *(us|ms|s|min) *$",
+    [("us", 0.001), ("ms", 1.0), ("s", 1000.0), ("min", 60_000.0)]
+);
+quantity!(Share, "a share", "\"81 %\"", r"^ *[0-9]+(\.[0-9]+)? *% *$", [("%", 0.01)]);
+quantity!(
+    Rate,
+    "a rate",
+    "\"390 /s\"",
+    r"^ *[0-9]+(\.[0-9]+)? */(s|min) *$",
+    [("/s", 1.0), ("/min", 1.0 / 60.0)]
+);
+quantity!(
+    Bytes,
+    "an amount of memory",
+    "\"64 KiB\"",
+    r"^ *[0-9]+(\.[0-9]+)? *(B|KiB|MiB|GiB) *$",
+    [("B", 1.0), ("KiB", KIB), ("MiB", KIB * KIB), ("GiB", KIB * KIB * KIB)]
+);
+
+const KIB: f64 = 1024.0;
+
+/// What a quantity's pattern in a schema means, in words.
+pub fn meaning(pattern: &str) -> Option<&'static str> {
+    let all = [
+        ("us|ms", "a span with its unit in a string, such as \"250 ms\""),
+        ("% *$", "a share with its unit in a string, such as \"81 %\""),
+        ("/(s|min)", "a rate with its unit in a string, such as \"390 /s\""),
+        ("KiB", "an amount of memory with its unit in a string, such as \"64 KiB\""),
+    ];
+    all.iter().find(|(part, _)| pattern.contains(part)).map(|(_, words)| *words)
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{} /s", self.0)
+    }
+}
+
+impl fmt::Display for Bytes {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let mega = KIB * KIB;
+        match self.0 {
+            b if b >= mega && b % mega == 0.0 => write!(f, "{} MiB", b / mega),
+            b if b >= KIB && b % KIB == 0.0 => write!(f, "{} KiB", b / KIB),
+            b => write!(f, "{b} B"),
+        }
+    }
+}
 
 impl fmt::Display for Span {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
@@ -112,5 +188,18 @@
             assert!(error.contains(word), "{text}: {error}");
         }
         assert!("5 s".parse::<Share>().is_err());
+        assert_eq!("1.5 MiB".parse(), Ok(Bytes(1_572_864.0)));
+    }
+
+    #[test]
+    fn what_is_written_reads_the_same_again() {
+        for text in ["250 ms", "2 s", "0.5 ms"] {
+            assert_eq!(text.parse::<Span>().unwrap().to_string().parse(), text.parse::<Span>());
+        }
+        for text in ["64 KiB", "3 MiB", "17 B", "2 GiB"] {
+            assert_eq!(text.parse::<Bytes>().unwrap().to_string().parse(), text.parse::<Bytes>());
+        }
+        assert_eq!("6.25 %".parse::<Share>().unwrap().to_string(), "6.25 %");
+        assert_eq!("390 /s".parse::<Rate>().unwrap().to_string(), "390 /s");
     }
 }
--- a/crates/engine/src/account.rs
+++ b/crates/engine/src/account.rs
@@ -36,10 +36,10 @@
 
     /// An attempt is to go to this server, named by a number that all tenants use for it; `false` if others' shares of
     /// it leave no room. One that went is told of again when it has ended.
-    fn to_server(&self, server: u64) -> bool;
+    fn visit(&self, server: u64) -> bool;
 
     /// An attempt at a server has ended.
-    fn from_server(&self, server: u64);
+    fn leave(&self, server: u64);
 }
 
 /// Runs a future and tells an account of the time that each turn of it took.
--- a/crates/engine/src/driver.rs
+++ b/crates/engine/src/driver.rs
@@ -377,13 +377,13 @@
 impl Visit {
     fn begin(account: &Rc<dyn Account>, address: SocketAddr) -> Option<Self> {
         let server = server_number(address);
-        account.to_server(server).then(|| Visit { account: account.clone(), server })
+        account.visit(server).then(|| Visit { account: account.clone(), server })
     }
 }
 
 impl Drop for Visit {
     fn drop(&mut self) {
-        self.account.from_server(self.server);
+        self.account.leave(self.server);
     }
 }
 
--- /dev/null
+++ b/crates/hosted/src/check.rs
@@ -0,0 +1,148 @@
+//! What a schema can't say: names that are there once, references that lead somewhere, figures that fit each other.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use documents::{DocumentError, Fault, Form, Problem};
+
+use crate::document::{Service, Tenant, TenantBy};
+
+/// Reads a service's configuration.
+///
+/// # Errors
+/// All that is wrong with it, each with line and key.
+pub fn read(file: &str, text: &str) -> Result<Service, DocumentError> {
+    let at_start = |what: String| DocumentError {
+        file: file.to_owned(),
+        problems: vec![Problem { line: 1, key: String::new(), what }],
+    };
+    let (service, places) = form().map_err(at_start)?.read_toml::<Service>(file, text)?;
+    let problem = |f: Fault| {
+        let key = f.key();
+        Problem { line: places.line_of(&key), key, what: f.what }
+    };
+    let problems: Vec<Problem> = faults(&service).into_iter().map(problem).collect();
+    if problems.is_empty() { Ok(service) } else { Err(places.problems(problems)) }
+}
+
+/// The form of a service's configuration.
+///
+/// # Errors
+/// As [`Form::of`].
+pub fn form() -> Result<Form, String> {
+    Form::of::<Service>()
+}
+
+/// What is wrong with a service whose form is right.
+pub fn faults(service: &Service) -> Vec<Fault> {
+    let mut faults = Faults::default();
+    let p = &service.process;
+    faults.within("/process/loop-share", p.loop_share.0, 0.01, 1.0);
+    faults.within("/process/turning-share", p.turning_share.0, 0.001, 1.0);
+    if p.loop_share.0 + p.turning_share.0 > 1.0 {
+        faults.put("/process/turning-share", "with loop-share it is more than the whole loop");
+    }
+    faults.within("/process/newcomers", p.newcomers.0, 0.0, 0.5);
+    faults.once("listener", service.listeners.iter().map(|l| l.name.as_str()), "name");
+    faults.once("listener", service.listeners.iter().map(|l| l.address.as_str()), "address");
+    faults.once("tenant", service.tenants.iter().map(|t| t.name.as_str()), "name");
+    for (i, l) in service.listeners.iter().enumerate() {
+        let at = format!("/listener/{i}");
+        faults.address(&format!("{at}/address"), &l.address);
+        match (l.tenant_by, &l.tenant) {
+            (TenantBy::Listener, None) => faults.put(&format!("{at}/tenant"), "it is missing"),
+            (TenantBy::Listener, Some(name)) if service.tenants.iter().all(|t| t.name != *name) => {
+                faults.put(&format!("{at}/tenant"), "there is no such tenant");
+            }
+            (TenantBy::Host | TenantBy::Header, Some(_)) => {
+                faults.put(&format!("{at}/tenant"), "it is only named where tenant-by is \"listener\"");
+            }
+            _ => {}
+        }
+    }
+    let mut hosts = BTreeMap::new();
+    let mut shared: BTreeMap<&str, (u64, usize)> = BTreeMap::new();
+    for (i, t) in service.tenants.iter().enumerate() {
+        let at = format!("/tenant/{i}");
+        tenant(&mut faults, &at, t);
+        for (h, host) in t.hosts.iter().enumerate() {
+            if hosts.insert(crate::routes::normal(host), i).is_some_and(|other| other != i) {
+                faults.put(&format!("{at}/hosts/{h}"), "it is another tenant's, too");
+            }
+        }
+        for (s, server) in t.servers.iter().enumerate() {
+            let Some(connections) = server.connections else { continue };
+            let (first, whose) = *shared.entry(&server.address).or_insert((connections, i));
+            if first != connections && whose != i {
+                faults.put(
+                    &format!("{at}/server/{s}/connections"),
+                    "another tenant says otherwise of this server",
+                );
+            }
+        }
+    }
+    faults.0
+}
+
+/// What is wrong with one tenant, whose document stands at this pointer.
+fn tenant(faults: &mut Faults, at: &str, t: &Tenant) {
+    let classes = t.classes.iter().map(|c| c.name.as_str());
+    faults.once(&format!("{}/class", &at[1..]), classes, "name");
+    faults.once(&format!("{}/server", &at[1..]), t.servers.iter().map(|s| s.name.as_str()), "name");
+    for (i, host) in t.hosts.iter().enumerate() {
+        let good = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '-' | ':' | '[' | ']');
+        if host.is_empty() || !host.chars().all(good) {
+            faults.put(&format!("{at}/hosts/{i}"), "it is no name of a host");
+        }
+    }
+    for (i, c) in t.classes.iter().enumerate() {
+        faults.within(&format!("{at}/class/{i}/deadline"), c.deadline.0, 1.0, 3.6e6);
+        faults.within(&format!("{at}/class/{i}/late-worth"), c.late_worth.0, 0.0, 1.0);
+        if c.aim.0 > c.deadline.0 || c.aim.0 <= 0.0 {
+            faults.put(&format!("{at}/class/{i}/aim"), "it is more than nothing and at most the deadline");
+        }
+    }
+    faults.within(&format!("{at}/limits/burst"), t.limits.burst.0, 1.0, 10_000.0);
+    if let Some(share) = t.limits.loop_share {
+        faults.within(&format!("{at}/limits/loop-share"), share.0, 0.001, 1.0);
+    }
+    faults.within(&format!("{at}/rules/cold-from"), t.rules.cold_from.0, 0.01, 1.0);
+    faults.within(&format!("{at}/rules/cold"), t.rules.cold.0, 0.0, 3.6e6);
+    faults.within(&format!("{at}/rules/dial-timeout"), t.rules.dial_timeout.0, 1.0, 60_000.0);
+    faults.within(&format!("{at}/rules/idle-close"), t.rules.idle_close.0, 100.0, 3.6e6);
+    faults.within(&format!("{at}/rules/retry-after"), t.rules.retry_after.0, 1.0, 3.6e6);
+    for (i, s) in t.servers.iter().enumerate() {
+        faults.address(&format!("{at}/server/{i}/address"), &s.address);
+    }
+}
+
+#[derive(Default)]
+struct Faults(Vec<Fault>);
+
+impl Faults {
+    fn put(&mut self, pointer: &str, what: impl Into<String>) {
+        self.0.push(Fault { pointer: pointer.to_owned(), what: what.into() });
+    }
+
+    fn within(&mut self, pointer: &str, value: f64, least: f64, most: f64) {
+        if !(least..=most).contains(&value) {
+            self.put(pointer, format!("it is from {least} to {most} (in ms, or as a part of 1)"));
+        }
+    }
+
+    fn address(&mut self, pointer: &str, text: &str) {
+        if text.parse::<SocketAddr>().is_err() {
+            self.put(pointer, format!("\"{text}\" is no address with a port, such as \"127.0.0.1:8080\""));
+        }
+    }
+
+    /// No two of a list have the same key.
+    fn once<'a>(&mut self, list: &str, keys: impl Iterator<Item = &'a str>, key: &str) {
+        let mut seen = BTreeSet::new();
+        for (i, value) in keys.enumerate() {
+            if !seen.insert(value) {
+                self.put(&format!("/{list}/{i}/{key}"), format!("\"{value}\" stands twice"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hosted/src/document.rs
@@ -0,0 +1,276 @@
+//! What an operator writes: the process, its listeners and its tenants. The types are the schema.
+
+use documents::units::{Bytes, Share, Span};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// The whole service.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Service {
+    /// What the process has.
+    #[serde(default)]
+    pub process: Process,
+    /// Where requests come in.
+    #[serde(rename = "listener")]
+    #[schemars(length(min = 1, max = 64))]
+    pub listeners: Vec<Listener>,
+    /// Who is served.
+    #[serde(rename = "tenant", default)]
+    #[schemars(length(max = 10_000))]
+    pub tenants: Vec<Tenant>,
+}
+
+/// What the process has, to be shared by all tenants. It holds from start to end.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case", default)]
+pub struct Process {
+    /// Connections of clients.
+    #[schemars(range(min = 16, max = 1_000_000))]
+    pub sockets: u64,
+    /// Connections to servers.
+    #[schemars(range(min = 16, max = 1_000_000))]
+    pub server_sockets: u64,
+    /// Requests that lack their final answer.
+    #[schemars(range(min = 1, max = 1_000_000))]
+    pub in_flight: u64,
+    /// Memory for requests.
+    pub bytes: Bytes,
+    /// The part of the event loop's time for requests that are let in.
+    pub loop_share: Share,
+    /// The part of it for turning others away.
+    pub turning_share: Share,
+    /// The part of each stock that tenants beyond their shares leave to idle ones.
+    pub newcomers: Share,
+    /// What the modules' draws come from; drawn anew at each start if it is not named.
+    pub seed: Option<u64>,
+}
+
+impl Default for Process {
+    fn default() -> Self {
+        Process {
+            sockets: 4096,
+            server_sockets: 2048,
+            in_flight: 2048,
+            bytes: Bytes(64.0 * 1024.0 * 1024.0),
+            loop_share: Share(0.85),
+            turning_share: Share(0.1),
+            newcomers: Share(0.0625),
+            seed: None,
+        }
+    }
+}
+
+/// Where requests come in.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Listener {
+    /// Its name, in logs and figures.
+    #[schemars(regex(pattern = r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"))]
+    pub name: String,
+    /// Address and port.
+    pub address: String,
+    /// How a request names its tenant.
+    pub tenant_by: TenantBy,
+    /// The tenant of all requests, where it is by listener.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<String>,
+}
+
+/// How a request names its tenant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum TenantBy {
+    /// All requests of the listener are one tenant's.
+    Listener,
+    /// By the header Host, as the tenants' `hosts` say.
+    Host,
+    /// By the header X-Tenant-Id, which holds the tenant's name.
+    Header,
+}
+
+/// Who is served, by a pool of its own.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Tenant {
+    /// Its name, by which all else refers to it.
+    #[schemars(regex(pattern = r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"))]
+    pub name: String,
+    /// The hosts that are its own, where a listener tells tenants by host.
+    #[serde(default)]
+    #[schemars(length(max = 100))]
+    pub hosts: Vec<String>,
+    /// What it may have.
+    #[serde(default)]
+    pub limits: Limits,
+    /// What its servers are told of and how they fail.
+    #[serde(default)]
+    pub rules: Rules,
+    /// What is asked for.
+    #[serde(rename = "class")]
+    #[schemars(length(min = 1, max = 64))]
+    pub classes: Vec<Class>,
+    /// Its servers.
+    #[serde(rename = "server", default)]
+    #[schemars(length(max = 10_000))]
+    pub servers: Vec<Server>,
+}
+
+/// What a tenant may have of what all share. Caps hold however idle the others are; without one there is only the share.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case", default)]
+pub struct Limits {
+    /// Its share beside the others'.
+    #[schemars(range(min = 0.001, max = 1000.0))]
+    pub weight: f64,
+    /// Connections of its clients.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub sockets: Option<u64>,
+    /// Its requests in flight.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub in_flight: Option<u64>,
+    /// Memory for its requests.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub bytes: Option<Bytes>,
+    /// Its part of the event loop's time.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub loop_share: Option<Share>,
+    /// The event loop's time that it may use at once after it was idle.
+    pub burst: Span,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            weight: 1.0,
+            sockets: None,
+            in_flight: None,
+            bytes: None,
+            loop_share: None,
+            burst: Span(10.0),
+        }
+    }
+}
+
+/// What is known of a tenant's servers, and the figures of the rules.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case", default)]
+pub struct Rules {
+    /// Attempts allowed for one request.
+    #[schemars(range(min = 1, max = 10))]
+    pub max_attempts: u32,
+    /// The part of its capacity that a server has when it has just started.
+    pub cold_from: Share,
+    /// How long a server takes until it has all of it.
+    pub cold: Span,
+    /// A connection to a server that is not up within this span has failed.
+    pub dial_timeout: Span,
+    /// A server closes a connection that has stood idle for this span.
+    pub idle_close: Span,
+    /// The longest wait that a refused client is asked for.
+    pub retry_after: Span,
+    /// The zone that this process stands in.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Rules {
+            max_attempts: 3,
+            cold_from: Share(0.2),
+            cold: Span(10_000.0),
+            dial_timeout: Span(250.0),
+            idle_close: Span(15_000.0),
+            retry_after: Span(2000.0),
+            zone: None,
+        }
+    }
+}
+
+/// A class of requests; the first segment of a request's path names it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Class {
+    /// Its name.
+    #[schemars(regex(pattern = r"^[A-Za-z0-9._~-]{1,64}$"))]
+    pub name: String,
+    /// Whether a request may run more than once.
+    pub effect: Effect,
+    /// An answer within this span earns the full worth.
+    pub aim: Span,
+    /// The whole wait that a client is ready for.
+    pub deadline: Span,
+    /// What an answer in time is worth, beside other classes.
+    #[serde(default = "one")]
+    #[schemars(range(min = 0.0, max = 1e6))]
+    pub worth: f64,
+    /// The part of it that a late answer still earns.
+    #[serde(default)]
+    pub late_worth: Share,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum Effect {
+    /// Repeating it does no harm (a lookup; GET).
+    Safe,
+    /// It must never run twice (a checkout; POST).
+    Unsafe,
+}
+
+/// A server of a tenant.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Server {
+    /// Its name, the tenant's own.
+    #[schemars(length(min = 1, max = 128))]
+    pub name: String,
+    /// Address and port.
+    pub address: String,
+    /// Requests that it works on at once, about.
+    #[serde(default = "size")]
+    #[schemars(range(min = 0.01, max = 10_000.0))]
+    pub size: f64,
+    /// Where it stands.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
+    /// Its kind of machine.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub kind: Option<String>,
+    /// Whether it takes new work.
+    #[serde(default)]
+    pub state: State,
+    /// Attempts that it takes at once of all tenants that use it, where several do; then all must say the same.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(range(min = 1, max = 100_000))]
+    pub connections: Option<u64>,
+    /// It has been running for long. A server that joins a running service counts as just started otherwise.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub warm: bool,
+}
+
+fn size() -> f64 {
+    1.0
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde's way to ask")]
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
+
+/// Whether a server takes new work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    /// It does.
+    #[default]
+    Up,
+    /// It ends what it has.
+    Draining,
+}
--- /dev/null
+++ b/crates/hosted/src/plane.rs
@@ -0,0 +1,432 @@
+//! The plane that serves: pools, accounts, routes and listeners of the present version, and how it goes over to the next.
+//!
+//! A change is carried out in one turn of the event loop, so that each request sees one version whole. What can fail, the
+//! opening of listeners, is done first; a failure leaves all as it was.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use engine::account::Account;
+use engine::pool::Pool;
+use engine::service::{self, Feed, Host, Process, Router, Running, Terms};
+use hyper::header::{HeaderMap, HeaderName};
+use hyper::{StatusCode, Uri};
+use serde::Serialize;
+use settings::{Connections, Names, index_of};
+use tenancy::{Caps, Limits};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, spawn_local};
+use wharfhitch::{Class, Discovery, Effect, Prices, Rating, Settings, ZoneId};
+
+use crate::book::{Book, Holder};
+use crate::document::{self, Service, State, Tenant};
+use crate::plan::{Births, Plan, shared};
+use crate::routes::Routes;
+
+/// What one tenant has in the process.
+struct Live {
+    document: Tenant,
+    account: Rc<Holder>,
+    running: Running,
+    /// Pools of earlier versions that still end what they have; they hear of drains and ends of servers, too.
+    former: Vec<Feed>,
+    births: Births,
+    seed: u64,
+    /// Counts the pools that this tenant has had.
+    pools: u64,
+}
+
+struct Open {
+    address: SocketAddr,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+/// The present version and what serves it.
+pub struct Plane {
+    process: Rc<Process>,
+    book: Rc<Book>,
+    document: RefCell<Service>,
+    routes: RefCell<Routes>,
+    tenants: RefCell<BTreeMap<String, Live>>,
+    /// Accounts of listeners, for connections that have not named a tenant yet.
+    strangers: RefCell<BTreeMap<String, Rc<Holder>>>,
+    listeners: RefCell<BTreeMap<String, Open>>,
+    version: Cell<u64>,
+    seed: u64,
+    most: usize,
+    myself: Weak<Plane>,
+}
+
+/// A tenant's state, as status tells it.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct TenantStatus {
+    /// Its name.
+    pub name: String,
+    /// Its module has a list.
+    pub ready: bool,
+    /// Servers that take new work, and all.
+    pub servers: [usize; 2],
+    /// Pools of earlier versions that still end what they have.
+    pub former_pools: usize,
+    /// Connections of its clients.
+    pub sockets: u64,
+    /// Its requests in flight.
+    pub in_flight: u64,
+    /// Memory for its requests.
+    pub bytes: u64,
+    /// The event loop's time that it has used, in ms.
+    pub loop_ms: f64,
+    /// Times it was turned away for sockets, requests in flight, bytes, time and shared servers.
+    pub refused: [u64; 5],
+}
+
+impl Plane {
+    /// A plane with nothing to serve yet.
+    pub fn new(process: &document::Process) -> Rc<Self> {
+        let book = Book::new(Limits {
+            sockets: process.sockets,
+            in_flight: process.in_flight,
+            bytes: process.bytes.0 as u64,
+            time: process.loop_share.0,
+            turning: process.turning_share.0,
+            newcomers: process.newcomers.0,
+        });
+        spawn_local(book.clone().give_turns());
+        Rc::new_cyclic(|myself| Plane {
+            process: Rc::new(Process::new(process.server_sockets as usize)),
+            book,
+            document: RefCell::new(Service { process: process.clone(), ..Service::default() }),
+            routes: RefCell::default(),
+            tenants: RefCell::default(),
+            strangers: RefCell::default(),
+            listeners: RefCell::default(),
+            version: Cell::new(0),
+            seed: process.seed.unwrap_or_else(|| fastrand::u64(..)),
+            most: process.sockets as usize,
+            myself: myself.clone(),
+        })
+    }
+
+    /// Goes over to the next version; returns what that came to.
+    ///
+    /// # Errors
+    /// A listener can't be opened: then nothing has changed.
+    pub fn apply(&self, next: Service) -> Result<Plan, String> {
+        let old = self.document.borrow().clone();
+        let plan = Plan::between(&old, &next);
+        let opened = self.open(&plan)?;
+        for name in &plan.removed {
+            if let Some(live) = self.tenants.borrow_mut().remove(name) {
+                // Its servers get nothing new; what is under way there ends, and with it the pool.
+                live.running.feed.whole(Vec::new());
+                live.former.iter().for_each(|f| f.whole(Vec::new()));
+            }
+        }
+        let first = self.version.get() == 0;
+        for tenant in &next.tenants {
+            if plan.added.contains(&tenant.name) {
+                let live = self.start(tenant.clone(), first);
+                self.tenants.borrow_mut().insert(tenant.name.clone(), live);
+            } else if let Some(change) = plan.changed.get(&tenant.name) {
+                let mut tenants = self.tenants.borrow_mut();
+                if let Some(live) = tenants.get_mut(&tenant.name) {
+                    live.document = tenant.clone();
+                    if change.limits {
+                        live.account.set(&caps(&tenant.limits));
+                    }
+                    if change.pool {
+                        self.renew(live);
+                    }
+                    if change.servers || change.pool {
+                        live.births.note(&tenant.servers, first, unix_ms());
+                        live.tell();
+                    }
+                }
+            }
+        }
+        self.share_servers(&next);
+        *self.routes.borrow_mut() = Routes::of(&next);
+        for name in &plan.closed {
+            // It may have been opened anew at another address, under the same name.
+            let mut listeners = self.listeners.borrow_mut();
+            if let Some(open) = listeners.remove(name) {
+                let _ = open.stop.send(true); // its task ends by itself
+                tracing::info!(listener = name, address = %open.address, "listener closes");
+            }
+        }
+        for (name, listener, address) in opened {
+            self.serve(&name, listener, address);
+        }
+        *self.document.borrow_mut() = next;
+        self.version.set(self.version.get() + 1);
+        Ok(plan)
+    }
+
+    /// Opens the listeners of a plan, all or none.
+    fn open(&self, plan: &Plan) -> Result<Vec<(String, TcpListener, SocketAddr)>, String> {
+        let open = |l: &document::Listener| -> io::Result<(String, TcpListener, SocketAddr)> {
+            let address = l.address.parse().map_err(io::Error::other)?;
+            let listener = service::listen(address)?;
+            let address = listener.local_addr()?;
+            Ok((l.name.clone(), listener, address))
+        };
+        let open = |l| open(l).map_err(|e| format!("listener {}: {}: {e}", l.name, l.address));
+        plan.opened.iter().map(open).collect()
+    }
+
+    fn serve(&self, name: &str, listener: TcpListener, address: SocketAddr) {
+        let Some(plane) = self.myself.upgrade() else { return };
+        let caps = Caps { burst: 10.0, ..Caps::default() };
+        let strangers = self
+            .strangers
+            .borrow_mut()
+            .entry(name.to_owned())
+            .or_insert_with(|| self.book.open(&caps))
+            .clone();
+        let (stop, stopped) = watch::channel(false);
+        let way = Way { plane: plane.clone(), listener: name.to_owned(), strangers };
+        let (process, most) = (self.process.clone(), self.most);
+        let task = spawn_local(async move {
+            let mut stopped = stopped;
+            let stop = async move {
+                let _ = stopped.wait_for(|stop| *stop).await; // or the plane is gone
+            };
+            process.serve(listener, way, most, stop).await;
+        });
+        tracing::info!(listener = name, %address, "listens");
+        self.listeners.borrow_mut().insert(name.to_owned(), Open { address, stop, task });
+    }
+
+    fn start(&self, tenant: Tenant, first: bool) -> Live {
+        let account = self.book.open(&caps(&tenant.limits));
+        let seed = self.seed ^ settings::number_of(&tenant.name);
+        let running = self.pool(&tenant, &account, seed, 0);
+        let mut births = Births::default();
+        births.note(&tenant.servers, first, unix_ms());
+        let live = Live { document: tenant, account, running, former: Vec::new(), births, seed, pools: 1 };
+        live.tell();
+        live
+    }
+
+    fn pool(&self, tenant: &Tenant, account: &Rc<Holder>, seed: u64, number: u64) -> Running {
+        let (plane, name) = (self.myself.clone(), tenant.name.clone());
+        let seed = seed.wrapping_add(number);
+        self.process.start(terms(tenant, seed), Some(account.clone()), move |end| {
+            if let Err(e) = end {
+                tracing::error!(tenant = name, error = %e, "its module has failed; it gets a new one");
+                if let Some(plane) = plane.upgrade()
+                    && let Some(live) = plane.tenants.borrow_mut().get_mut(&name)
+                {
+                    plane.renew(live);
+                    live.tell();
+                }
+            }
+        })
+    }
+
+    /// Gives a tenant a new pool; the one that it had ends what it has.
+    fn renew(&self, live: &mut Live) {
+        let running = self.pool(&live.document, &live.account, live.seed, live.pools);
+        live.pools += 1;
+        let old = std::mem::replace(&mut live.running, running);
+        live.former.push(old.feed);
+        live.former.retain(Feed::is_alive);
+    }
+
+    fn share_servers(&self, next: &Service) {
+        let tenants = self.tenants.borrow();
+        let mut servers = shared(next);
+        // Those that are shared no longer are forgotten: one user needs no share.
+        for address in shared(&self.document.borrow()).into_keys() {
+            servers.entry(address).or_default();
+        }
+        for (address, (connections, users)) in servers {
+            let Ok(address) = address.parse() else { continue };
+            let member = |name: &String| {
+                let live = tenants.get(name)?;
+                Some((live.account.clone(), live.document.limits.weight))
+            };
+            let members: Vec<_> = users.iter().filter_map(member).collect();
+            self.book.share_server(service::server_number(address), connections, &members);
+        }
+    }
+
+    /// Where the listeners are, by name.
+    pub fn addresses(&self) -> BTreeMap<String, SocketAddr> {
+        self.listeners.borrow().iter().map(|(name, open)| (name.clone(), open.address)).collect()
+    }
+
+    /// The present version's document.
+    pub fn document(&self) -> Service {
+        self.document.borrow().clone()
+    }
+
+    /// How the tenants fare, by name.
+    pub fn status(&self) -> Vec<TenantStatus> {
+        let status = |(name, live): (&String, &Live)| {
+            let used = live.account.used();
+            let servers = &live.document.servers;
+            TenantStatus {
+                name: name.clone(),
+                ready: live.running.pool.is_ready(),
+                servers: [servers.iter().filter(|s| s.state == State::Up).count(), servers.len()],
+                former_pools: live.former.iter().filter(|f| f.is_alive()).count(),
+                sockets: used.sockets,
+                in_flight: used.in_flight,
+                bytes: used.bytes,
+                loop_ms: used.time,
+                refused: used.refused,
+            }
+        };
+        self.tenants.borrow().iter().map(status).collect()
+    }
+
+    /// Closes all listeners and answers what has been taken.
+    pub async fn drain(&self) {
+        let open = std::mem::take(&mut *self.listeners.borrow_mut());
+        for one in open.values() {
+            let _ = one.stop.send(true); // or it has ended
+        }
+        for (name, open) in open {
+            if let Err(e) = open.task.await {
+                tracing::error!(listener = name, error = %e, "its front has failed");
+            }
+        }
+    }
+}
+
+impl Live {
+    /// Tells all its pools its list.
+    fn tell(&self) {
+        let host = |s: &document::Server| Host {
+            host: s.name.clone(),
+            dial: s.address.parse().ok(),
+            site: s.zone.clone(),
+            class: s.kind.clone(),
+            block: None,
+            health: if s.state == State::Up { "up" } else { "draining" }.into(),
+            share: Some(s.size),
+            born_ms: self.births.of(&s.name),
+        };
+        let hosts: Vec<Host> = self.document.servers.iter().map(host).collect();
+        self.former.iter().filter(|f| f.is_alive()).for_each(|f| f.whole(hosts.clone()));
+        self.running.feed.whole(hosts);
+    }
+}
+
+fn unix_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0
+}
+
+/// A tenant's limits as the shares take them.
+fn caps(limits: &document::Limits) -> Caps {
+    Caps {
+        weight: limits.weight,
+        sockets: limits.sockets.unwrap_or(u64::MAX),
+        in_flight: limits.in_flight.unwrap_or(u64::MAX),
+        bytes: limits.bytes.map_or(u64::MAX, |b| b.0 as u64),
+        time: limits.loop_share.map_or(1.0, |s| s.0),
+        burst: limits.burst.0,
+    }
+}
+
+/// A tenant's document as its decision module takes it.
+fn terms(tenant: &Tenant, seed: u64) -> Terms {
+    let class = |c: &document::Class| Class {
+        aim: c.aim.0,
+        deadline: c.deadline.0,
+        aim_stretch: 0.0,
+        worth: c.worth,
+        late_worth: c.late_worth.0,
+        effect: match c.effect {
+            document::Effect::Safe => Effect::Safe,
+            document::Effect::Unsafe => Effect::Unsafe,
+        },
+    };
+    let rules = &tenant.rules;
+    let classes = tenant.classes.iter().map(|c| c.name.clone()).collect();
+    let mut names = Names { classes, ..Names::default() };
+    let zone = rules.zone.as_deref().map(|z| ZoneId(index_of(&mut names.zones, z) as u32));
+    let settings = Settings {
+        me: 0,
+        proxies: 1,
+        zone,
+        classes: tenant.classes.iter().map(class).collect(),
+        tenants: Vec::new(),
+        over_share_worth: 1.0,
+        worth_by_work: false,
+        discovery: Discovery::Pushed,
+        rating: Rating::Size,
+        warm_keys: false,
+        may_tell: false,
+        retry_after: Some(rules.retry_after.0),
+        prices: Prices::default(),
+        limits: wharfhitch::Limits {
+            start_capacity: rules.cold_from.0,
+            cold: rules.cold.0,
+            fall_multiple: 1.0,
+            fall: 1000.0,
+            max_attempts: rules.max_attempts,
+        },
+    };
+    let connections = Connections { dial_timeout: rules.dial_timeout.0, idle_close: rules.idle_close.0 };
+    Terms { settings, names, connections, seed }
+}
+
+/// One listener's way to the pools.
+struct Way {
+    plane: Rc<Plane>,
+    listener: String,
+    strangers: Rc<Holder>,
+}
+
+const NO_TENANT: (StatusCode, &str) = (StatusCode::NOT_FOUND, "no such tenant");
+
+impl Router for Way {
+    fn pool(&self, uri: &Uri, headers: &HeaderMap) -> Result<Rc<Pool>, (StatusCode, &'static str)> {
+        let routes = self.plane.routes.borrow();
+        // A target in absolute form names the host itself (RFC 9112, 3.2.2).
+        let host = uri.host().or_else(|| once(headers, &hyper::header::HOST));
+        let tenant = once(headers, &HeaderName::from_static("x-tenant-id"));
+        let name = routes.find(&self.listener, host, tenant).map_err(|_| NO_TENANT)?;
+        let tenants = self.plane.tenants.borrow();
+        tenants.get(name).map(|live| live.running.pool.clone()).ok_or(NO_TENANT)
+    }
+
+    fn strangers(&self) -> Option<Rc<dyn Account>> {
+        let routes = self.plane.routes.borrow();
+        let owner = routes.owner(&self.listener).and_then(|name| {
+            let tenants = self.plane.tenants.borrow();
+            tenants.get(name).map(|live| live.account.clone())
+        });
+        let account: Rc<dyn Account> = owner.unwrap_or_else(|| self.strangers.clone());
+        Some(account)
+    }
+
+    fn is_up(&self) -> bool {
+        self.plane.version.get() > 0
+    }
+
+    fn longest(&self) -> Duration {
+        let tenants = self.plane.tenants.borrow();
+        tenants.values().map(|live| live.running.pool.patience()).max().unwrap_or_default()
+    }
+
+    fn make_room(&self) {
+        self.plane.tenants.borrow().values().for_each(|live| live.running.make_room());
+    }
+}
+
+/// A header that stands once and can be read.
+fn once<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    let mut values = headers.get_all(name).iter();
+    let value = values.next()?.to_str().ok()?;
+    values.next().is_none().then_some(value)
+}
--- /dev/null
+++ b/crates/hosted/src/routes.rs
@@ -0,0 +1,94 @@
+//! Which tenant a request is for: by listener, by host or by header. A table without I/O.
+
+use rustc_hash::FxHashMap;
+
+use crate::document::{Service, TenantBy};
+
+/// The tenants' ways in, as one version of the service has them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Routes {
+    listeners: FxHashMap<String, Way>,
+    hosts: FxHashMap<String, String>,
+    names: rustc_hash::FxHashSet<String>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Way {
+    Tenant(String),
+    Host,
+    Header,
+}
+
+/// No tenant is named, or none that is there; which of both is nobody's business.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoTenant;
+
+impl Routes {
+    /// The table of a service.
+    pub fn of(service: &Service) -> Self {
+        let way = |l: &crate::document::Listener| match l.tenant_by {
+            TenantBy::Listener => Way::Tenant(l.tenant.clone().unwrap_or_default()),
+            TenantBy::Host => Way::Host,
+            TenantBy::Header => Way::Header,
+        };
+        let hosts = service.tenants.iter().flat_map(|t| t.hosts.iter().map(|h| (normal(h), t.name.clone())));
+        Routes {
+            listeners: service.listeners.iter().map(|l| (l.name.clone(), way(l))).collect(),
+            hosts: hosts.collect(),
+            names: service.tenants.iter().map(|t| t.name.clone()).collect(),
+        }
+    }
+
+    /// The tenant whose all requests of a listener are.
+    pub fn owner(&self, listener: &str) -> Option<&str> {
+        match self.listeners.get(listener) {
+            Some(Way::Tenant(name)) => Some(name),
+            _ => None,
+        }
+    }
+
+    /// The tenant of a request that came in by a listener, with the headers Host and X-Tenant-Id where they stand once.
+    ///
+    /// # Errors
+    /// It names none that is there.
+    pub fn find(&self, listener: &str, host: Option<&str>, header: Option<&str>) -> Result<&str, NoTenant> {
+        let name = match self.listeners.get(listener).ok_or(NoTenant)? {
+            Way::Tenant(name) => name.as_str(),
+            Way::Host => self.hosts.get(&normal(host.ok_or(NoTenant)?)).ok_or(NoTenant)?,
+            Way::Header => header.ok_or(NoTenant)?,
+        };
+        self.names.get(name).map(String::as_str).ok_or(NoTenant)
+    }
+}
+
+/// A host as it is compared: without its port and a last dot, in small letters (RFC 9110, 4.2.3).
+pub fn normal(host: &str) -> String {
+    let host = host.trim();
+    let name = match host.rsplit_once(':') {
+        // Brackets hold an IPv6 address, whose colons are its own.
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) && !name.ends_with(':') => {
+            if name.contains(':') && !name.ends_with(']') { host } else { name }
+        }
+        _ => host,
+    };
+    name.trim_end_matches('.').to_ascii_lowercase()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn hosts_are_compared_without_port_case_and_last_dot() {
+        for (host, same) in [
+            ("North.Example:8080", "north.example"),
+            ("north.example.", "north.example"),
+            (" north.example ", "north.example"),
+            ("[::1]:80", "[::1]"),
+            ("[::1]", "[::1]"),
+            ("127.0.0.1:9", "127.0.0.1"),
+        ] {
+            assert_eq!(normal(host), same);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hosted/tests/documents.rs
@@ -0,0 +1,230 @@
+//! Documents, routes and plans, without a socket.
+
+use hosted::check;
+use hosted::document::{Server, Service, State};
+use hosted::plan::{Births, Change, Plan, shared};
+use hosted::routes::{NoTenant, Routes};
+
+const GOOD: &str = r#"
+[process]
+sockets = 512
+bytes = "8 MiB"
+
+[[listener]]
+name = "public"
+address = "127.0.0.1:0"
+tenant-by = "host"
+
+[[listener]]
+name = "inner"
+address = "127.0.0.1:0 "
+tenant-by = "header"
+
+[[listener]]
+name = "north-only"
+address = "[::1]:0"
+tenant-by = "listener"
+tenant = "north"
+
+[[tenant]]
+name = "north"
+hosts = ["north.example"]
+limits = { weight = 2.0, in-flight = 64 }
+
+[[tenant.class]]
+name = "lookup"
+effect = "safe"
+aim = "300 ms"
+deadline = "1 s"
+
+[[tenant.server]]
+name = "n1"
+address = "127.0.0.1:9001"
+connections = 8
+
+[[tenant.server]]
+name = "n2"
+address = "127.0.0.1:9002"
+state = "draining"
+
+[[tenant]]
+name = "south"
+hosts = ["South.Example:80", "www.south.example"]
+
+[[tenant.class]]
+name = "lookup"
+effect = "safe"
+aim = "300 ms"
+deadline = "1 s"
+
+[[tenant.server]]
+name = "s1"
+address = "127.0.0.1:9001"
+connections = 8
+"#;
+
+fn good() -> Service {
+    check::read("good.toml", &GOOD.replace(":0 \"", ":0\"").replacen("127.0.0.1:0", "127.0.0.1:1", 1))
+        .unwrap()
+}
+
+#[test]
+fn a_good_document_is_read_with_its_defaults() {
+    let service = good();
+    assert_eq!((service.process.sockets, service.process.in_flight), (512, 2048));
+    assert_eq!(service.tenants[0].limits.weight, 2.0);
+    assert_eq!(service.tenants[0].servers[1].state, State::Draining);
+    assert_eq!(service.tenants[1].rules.max_attempts, 3);
+    assert_eq!(shared(&service)["127.0.0.1:9001"], (8, vec!["north".to_owned(), "south".to_owned()]));
+}
+
+#[test]
+fn all_that_is_wrong_is_named_with_line_and_key() {
+    let errors = |text: &str| check::read("x.toml", text).unwrap_err().to_string();
+    // What the form alone shows.
+    let bad = GOOD
+        .replace("sockets = 512", "sockets = \"many\"")
+        .replace("tenant-by = \"host\"", "tenant-by = \"colour\"")
+        .replace("weight = 2.0", "wheight = 2.0")
+        .replacen("aim = \"300 ms\"", "aim = \"300\"", 1)
+        .replace("name = \"n1\"", "nam = \"n1\"");
+    let said = errors(&bad);
+    for part in [
+        "x.toml:3: process.sockets:",
+        "x.toml:9: listener.0.tenant-by: ",
+        "x.toml:25: tenant.0.limits.wheight: there is no such key",
+        "x.toml:30: tenant.0.class.0.aim: \"300\" is not a span with its unit",
+        "x.toml:34: tenant.0.server.0.nam: there is no such key",
+        "tenant.0.server.0.name: it is missing",
+    ] {
+        assert!(said.contains(part), "{part}\n{said}");
+    }
+    // What only the whole shows.
+    let bad = GOOD
+        .replace("tenant = \"north\"", "tenant = \"nowhere\"")
+        .replace("\"www.south.example\"", "\"NORTH.example:8080\"")
+        .replace(
+            "name = \"s1\"\naddress = \"127.0.0.1:9001\"\nconnections = 8",
+            "name = \"s1\"\naddress = \"127.0.0.1:9001\"\nconnections = 9",
+        )
+        .replace("name = \"n2\"", "name = \"n1\"")
+        .replacen("deadline = \"1 s\"", "deadline = \"200 ms\"", 1)
+        .replace("127.0.0.1:9002", "localhost");
+    let said = errors(&bad);
+    for part in [
+        "listener.1.address: \"127.0.0.1:0 \" is no address",
+        "listener.2.tenant: there is no such tenant",
+        "tenant.0.server.1.name: \"n1\" stands twice",
+        "tenant.0.class.0.aim: it is more than nothing and at most the deadline",
+        "tenant.0.server.1.address: \"localhost\" is no address with a port",
+        "tenant.1.hosts.1: it is another tenant's, too",
+        "tenant.1.server.0.connections: another tenant says otherwise",
+    ] {
+        assert!(said.contains(part), "{part}\n{said}");
+    }
+    assert_eq!(said.lines().count(), 7, "{said}");
+}
+
+#[test]
+fn a_request_finds_its_tenant_by_host_by_header_or_by_listener() {
+    let routes = Routes::of(&good());
+    for host in ["north.example", "NORTH.example.:8080"] {
+        assert_eq!(routes.find("public", Some(host), Some("south")), Ok("north"));
+    }
+    assert_eq!(routes.find("public", Some("south.example"), None), Ok("south"));
+    assert_eq!(routes.find("inner", Some("north.example"), Some("south")), Ok("south"));
+    assert_eq!(routes.find("north-only", None, Some("south")), Ok("north"));
+    for (listener, host, header) in [
+        ("public", None, None),
+        ("public", Some("elsewhere.example"), Some("north")),
+        ("inner", Some("north.example"), None),
+        ("inner", None, Some("nobody")),
+        ("nowhere", Some("north.example"), Some("north")),
+    ] {
+        assert_eq!(routes.find(listener, host, header), Err(NoTenant), "{listener} {host:?} {header:?}");
+    }
+    assert_eq!((routes.owner("north-only"), routes.owner("public")), (Some("north"), None));
+}
+
+#[test]
+fn a_plan_names_what_changes_and_nothing_else() {
+    let old = good();
+    assert!(Plan::between(&old, &old).is_empty());
+    let mut new = old.clone();
+    new.tenants[0].servers.pop();
+    new.tenants[1].limits.weight = 5.0;
+    let plan = Plan::between(&old, &new);
+    let servers = Change { servers: true, ..Change::default() };
+    let limits = Change { limits: true, ..Change::default() };
+    assert_eq!(
+        plan.changed.into_iter().collect::<Vec<_>>(),
+        [("north".into(), servers), ("south".into(), limits)]
+    );
+    assert!(!plan.routes && plan.opened.is_empty() && plan.closed.is_empty());
+
+    let mut new = old.clone();
+    new.tenants[0].classes[0].name = "search".into();
+    new.tenants.remove(1);
+    new.listeners[1].address = "127.0.0.1:8081".into();
+    let plan = Plan::between(&old, &new);
+    assert!(plan.changed["north"].pool && !plan.changed["north"].servers);
+    assert_eq!((plan.removed, plan.closed), (vec!["south".to_owned()], vec!["inner".to_owned()]));
+    assert_eq!(plan.opened[0].address, "127.0.0.1:8081");
+    assert!(plan.routes);
+}
+
+#[test]
+fn a_server_that_joins_has_just_started_unless_it_is_said_to_be_warm() {
+    let server = |name: &str, address: &str, warm| Server {
+        name: name.into(),
+        address: address.into(),
+        warm,
+        ..good().tenants[0].servers[0].clone()
+    };
+    let mut births = Births::default();
+    births.note(&[server("a", "127.0.0.1:1", false)], true, 1000.0);
+    assert_eq!(births.of("a"), 0.0, "it was there before the service");
+    let next = [
+        server("a", "127.0.0.1:1", false),
+        server("b", "127.0.0.1:2", false),
+        server("c", "127.0.0.1:3", true),
+    ];
+    births.note(&next, false, 2000.0);
+    assert_eq!([births.of("a"), births.of("b"), births.of("c")], [0.0, 2000.0, 0.0]);
+    // Another address is another process; one that left and comes back has started anew.
+    births.note(&[server("a", "127.0.0.1:9", false)], false, 3000.0);
+    births.note(&[server("a", "127.0.0.1:9", false), server("b", "127.0.0.1:2", false)], false, 4000.0);
+    assert_eq!([births.of("a"), births.of("b")], [3000.0, 4000.0]);
+}
+
+proptest::proptest! {
+    #![proptest_config(proptest::prelude::ProptestConfig {
+        cases: 300, failure_persistence: None, ..Default::default()
+    })]
+
+    /// Whatever is cut out of a document, written into it or swapped in it: it is read, or what is wrong is named with
+    /// a line that is there, and what is read can be served and planned for.
+    #[test]
+    fn no_document_stops_the_reader(
+        edits in proptest::collection::vec((0..1100usize, 0..40usize, "[ -~\n]{0,12}"), 1..6),
+    ) {
+        let mut text = GOOD.to_owned();
+        for (at, cut, put) in edits {
+            let at = at.min(text.len());
+            let end = (at + cut).min(text.len());
+            text.replace_range(at..end, &put);
+        }
+        match check::read("x.toml", &text) {
+            Ok(service) => {
+                let plan = Plan::between(&Service::default(), &service);
+                proptest::prop_assert_eq!(plan.added.len(), service.tenants.len());
+                let _ = Routes::of(&service);
+            }
+            Err(e) => {
+                proptest::prop_assert!(!e.problems.is_empty());
+                let lines = text.lines().count() + 1;
+                proptest::prop_assert!(e.problems.iter().all(|p| (1..=lines).contains(&p.line)), "{}", e);
+            }
+        }
+    }
+}
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -10,10 +10,10 @@
 use serde::Serialize;
 use statrs::distribution::{ContinuousCDF, StudentsT};
 
+use crate::ScenarioError;
 use crate::ledger::Ledger;
 use crate::load::Ask;
 use crate::oracle::{Broken, judge};
-use crate::place::ScenarioError;
 use crate::scenario::Scenario;
 use crate::score::{Score, score};
 use crate::sim::decider::Sabotage;
@@ -118,7 +118,7 @@
     Scenario::parse(file, text)?; // errors of the file itself name its lines
     let wrong = |set: &str, what: &str| ScenarioError {
         file: file.to_owned(),
-        problems: vec![crate::place::Problem { line: 1, key: set.to_owned(), what: what.to_owned() }],
+        problems: vec![crate::Problem { line: 1, key: set.to_owned(), what: what.to_owned() }],
     };
     let mut table: toml::Table = toml::from_str(text).map_err(|e| wrong("", e.message()))?;
     for set in sets {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod ledger;
 pub mod load;
 pub mod oracle;
-mod place;
 pub mod price;
 pub mod real;
 pub mod report;
@@ -24,7 +23,6 @@
 pub mod shares;
 pub mod shipped;
 pub mod sim;
-pub mod units;
 pub mod world;
 
-pub use place::{Problem, ScenarioError};
+pub use documents::{DocumentError as ScenarioError, Problem, units};
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -8,8 +8,10 @@
 
 use serde::Deserialize;
 
-use crate::place::{Places, Problem, ScenarioError};
+use documents::Places;
+
 use crate::units::{Rate, Share, Span};
+use crate::{Problem, ScenarioError};
 
 /// What an experiment plays.
 #[derive(Clone, Debug, Deserialize)]
--- a/crates/tenancy/src/shares.rs
+++ b/crates/tenancy/src/shares.rs
@@ -43,8 +43,10 @@
     pub in_flight: u64,
     /// Bytes held for requests and answers.
     pub bytes: u64,
-    /// The part of the event loop's time, from 0 to 1, that may be used before shares count.
+    /// The part of the event loop's time, from 0 to 1, that is shared out to requests that are let in.
     pub time: f64,
+    /// The part of it that is shared out to turning others away.
+    pub turning: f64,
     /// The part of each stock, from 0 to 1, that tenants beyond their shares leave to those that are idle now.
     pub newcomers: f64,
 }
@@ -101,6 +103,8 @@
 
 /// How fast the mean time that a tenant holds a request follows: a sixteenth a request.
 const HOLD_STEP: f64 = 1.0 / 16.0;
+/// The part of a tenant's burst that it may cause in being turned away.
+const TURNING: f64 = 0.1;
 /// Nobody is asked back sooner, in ms.
 const SOONEST: Millis = 1.0;
 
@@ -128,6 +132,7 @@
     in_flight: Stock,
     bytes: Stock,
     time: Flow,
+    turning: Flow,
     servers: FxHashMap<u64, SharedServer>,
     accounts: Vec<Account>,
 }
@@ -142,6 +147,7 @@
             in_flight: stock(limits.in_flight),
             bytes: stock(limits.bytes),
             time: Flow::new(limits.time),
+            turning: Flow::new(limits.turning),
             servers: FxHashMap::default(),
             accounts: Vec::new(),
         }
@@ -158,7 +164,9 @@
         self.sockets.set(tenant, caps.weight, caps.sockets);
         self.in_flight.set(tenant, caps.weight, caps.in_flight);
         self.bytes.set(tenant, caps.weight, caps.bytes);
-        self.time.set(now, tenant, Terms { weight: caps.weight, burst: caps.burst, cap: caps.time });
+        let terms = Terms { weight: caps.weight, burst: caps.burst, cap: caps.time };
+        self.time.set(now, tenant, terms);
+        self.turning.set(now, tenant, Terms { burst: TURNING * caps.burst, ..terms });
         for server in self.servers.values_mut() {
             if let Some(at) = server.members.iter().position(|m| *m == tenant) {
                 server.stock.set(Tenant(at), caps.weight, u64::MAX);
@@ -172,6 +180,7 @@
             stock.remove(tenant);
         }
         self.time.remove(tenant);
+        self.turning.remove(tenant);
         if let Some(account) = self.accounts.get_mut(tenant.0) {
             account.there = false;
         }
@@ -286,13 +295,22 @@
         }
     }
 
-    /// How much more of the event loop's time than its burst a tenant has used: then even to turn it away takes others'
-    /// time. In ms until it has not.
+    /// The event loop has worked to turn a tenant's request away, in ms.
+    pub fn turned_away(&mut self, now: Millis, tenant: Tenant, work: Millis) {
+        self.turning.charge(now, tenant, work);
+        if let Some(account) = self.accounts.get_mut(tenant.0) {
+            account.time += work;
+        }
+    }
+
+    /// Whether a tenant's connections may be read: what they bring could be let in, or at least turned away, on its own
+    /// account. Otherwise the span in ms until it may.
     ///
     /// # Errors
-    /// As [`Flow::admit`], without counting it as turned away.
-    pub fn may_work(&mut self, now: Millis, tenant: Tenant) -> Result<(), Millis> {
-        self.time.admit(now, tenant)
+    /// Both accounts are used up.
+    pub fn may_read(&mut self, now: Millis, tenant: Tenant) -> Result<(), Millis> {
+        let Err(wait) = self.time.admit(now, tenant) else { return Ok(()) };
+        self.turning.admit(now, tenant).map_err(|turning| wait.min(turning))
     }
 
     /// What a tenant holds and has done.
@@ -345,7 +363,8 @@
     const B: Tenant = Tenant(1);
 
     fn two() -> Shares {
-        let limits = Limits { sockets: 8, in_flight: 6, bytes: 1000, time: 0.5, newcomers: 0.0 };
+        let limits =
+            Limits { sockets: 8, in_flight: 6, bytes: 1000, time: 0.5, turning: 0.1, newcomers: 0.0 };
         let mut shares = Shares::new(limits);
         shares.set(0.0, A, &Caps::default());
         shares.set(0.0, B, &Caps { in_flight: 2, ..Caps::default() });
@@ -366,6 +385,10 @@
         shares.spent(0.0, A, 30.0);
         let late = shares.begin(0.0, A, 10).unwrap_err();
         assert_eq!((late.resource, late.wait), (Resource::Time, 10.0), "5 ms over, at half the loop's time");
+        assert_eq!(shares.may_read(0.0, A), Ok(()), "it can still be turned away");
+        shares.turned_away(0.0, A, 3.0);
+        assert_eq!(shares.may_read(0.0, A), Err(5.0), "half a ms over, at a tenth of the loop's time");
+        assert_eq!(shares.used(A).time, 33.0);
         assert_eq!(shares.used(A).refused, [0, 0, 1, 1, 0]);
         assert_eq!(shares.used(B).refused, [1, 1, 0, 0, 0]);
     }
