Flood the hosted service in six ways, and mend what its neighbour saw

Need: one tenant at ten times its share must not be seen by another, whichever shared thing it strains. Change: lab floods measures a quiet tenant before and during a flood, also with the flood at a second process (--apart). What it showed is mended: turning away is counted whole; connections are taken up in turns; a tenant without room in the stocks is read only while it may be turned away; rounds give each tenant's connections 0.3 ms of the loop; turns count by the thread's time on a core; readers and listeners wait in queues of their own. Found by a test under load: to ask whether a tenant may be read made it active and took a part of the others' shares.

--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -12,7 +12,7 @@
 use ::lab::rogue::{self, Wrong};
 use ::lab::scenario::Scenario;
 use ::lab::sim::decider::Sabotage;
-use ::lab::{real, report, shares, shipped};
+use ::lab::{floods, real, report, shares, shipped};
 use indicatif::{ProgressBar, ProgressStyle};
 
 /// A rule was broken.
@@ -96,6 +96,25 @@
         #[arg(required = true)]
         dirs: Vec<PathBuf>,
     },
+    /// Floods the hosted service through one of two tenants, and measures the other before and during the flood.
+    #[command(after_help = CODES)]
+    Floods {
+        /// Only this way to flood.
+        #[arg(long, value_parser = flood_kind)]
+        kind: Option<floods::Kind>,
+        /// Seconds of each half of a run.
+        #[arg(long, default_value_t = 4)]
+        seconds: u64,
+        /// Runs of each, under different seeds.
+        #[arg(long, default_value_t = 3)]
+        repeat: u64,
+        /// Floods a second process like the first instead: what the machine takes, and not the sharing of a process.
+        #[arg(long)]
+        apart: bool,
+        /// Runs a service, as `canvascart` does with the arguments that are put behind; without it, this program.
+        #[arg(long, value_name = "COMMAND")]
+        service: Option<String>,
+    },
     /// Plays ways to share one process between tenants against each other, in virtual time.
     Shares {
         /// Seeds.
@@ -182,6 +201,10 @@
     all.iter().find(|(n, _)| *n == name).map(|(_, t)| *t).ok_or_else(|| format!("one of {}", names()))
 }
 
+fn flood_kind(name: &str) -> Result<floods::Kind, String> {
+    named(&floods::Kind::ALL, name)
+}
+
 fn sabotage(name: &str) -> Result<Sabotage, String> {
     named(&Sabotage::ALL, name)
 }
@@ -265,6 +288,11 @@
         }
         Command::Report { dirs } => Ok(tell_again(&dirs)),
         Command::Peer(peer) => run_peer(peer),
+        Command::Floods { kind, seconds, repeat, apart, service } => {
+            let kinds =
+                floods::Kind::ALL.iter().map(|(_, k)| *k).filter(|k| kind.is_none_or(|only| only == *k));
+            flood(&kinds.collect::<Vec<_>>(), Duration::from_secs(seconds), repeat, apart, service.as_deref())
+        }
         Command::Shares { repeat, json } => {
             tell_shares("event loop's time", &shares::TIME_COLUMNS, &shares::time(repeat), json);
             tell_shares("stock", &shares::STOCK_COLUMNS, &shares::stock(repeat), json);
@@ -545,6 +573,55 @@
 }
 
 /// Plays a scenario under each value of a setting, the same seeds each time.
+/// A run in which the quiet tenant's requests were sent later than this, in ms, is void.
+const FLOOD_LATE: f64 = 5.0;
+
+/// Floods a service in each way and prints how the quiet tenant fared, run by run.
+fn flood(
+    kinds: &[floods::Kind], span: Duration, repeat: u64, apart: bool, service: Option<&str>,
+) -> Result<u8, String> {
+    let own = std::env::current_exe().map_err(|e| format!("this program's own path: {e}"))?;
+    let command: Vec<String> = match service {
+        Some(text) => text.split_whitespace().map(str::to_owned).collect(),
+        None => vec![own.to_string_lossy().into_owned()],
+    };
+    let dir = std::env::temp_dir().join("canvascart-lab").join(format!("floods-{}", std::process::id()));
+    println!(
+        "{} cores; each half {} s; the quiet tenant before the flood > during it",
+        threads(),
+        span.as_secs()
+    );
+    println!(
+        "{:<13} {:>20} {:>18} {:>18} {:>12} {:>14} {:>8}",
+        "flood", "quiet served %", "p50 ms", "p99 ms", "flood sent/s", "flood served/s", "late ms"
+    );
+    for &kind in kinds {
+        for seed in 1..=repeat.max(1) {
+            let f = match floods::flood(kind, &command, span, seed, apart, &dir) {
+                Ok(f) => f,
+                Err(e) => {
+                    tracing::error!(?kind, error = %e, "it could not be measured");
+                    return Ok(NOT_RUN);
+                }
+            };
+            let [before, during] = f.quiet;
+            println!(
+                "{:<13} {:>20} {:>18} {:>18} {:>12.0} {:>14.0} {:>8.2}{}",
+                f.name(),
+                format!("{:.2} > {:.2}", 100.0 * before.served, 100.0 * during.served),
+                format!("{:.1} > {:.1}", before.latency_ms[0], during.latency_ms[0]),
+                format!("{:.1} > {:.1}", before.latency_ms[1], during.latency_ms[1]),
+                f.sent_per_s,
+                f.served_per_s,
+                f.late_ms,
+                if f.late_ms > FLOOD_LATE { "  void: sent late" } else { "" },
+            );
+        }
+    }
+    let _ = std::fs::remove_dir_all(&dir); // nothing but configurations
+    Ok(0)
+}
+
 /// Prints what the ways to share came to: the mean over the seeds, with the least and the most.
 fn tell_shares(what: &str, columns: &[&str], rows: &[shares::Row], json: bool) {
     if !json {
--- a/crates/canvascart/tests/lab.rs
+++ b/crates/canvascart/tests/lab.rs
@@ -326,3 +326,15 @@
     let run = lab(&["list", "--log", "lab=loud"]);
     assert!(run.status.code() == Some(2) && said(&run).contains("--log lab=loud"), "{}", said(&run));
 }
+
+#[test]
+fn a_tenant_whose_neighbour_floods_is_served() {
+    let run = lab(&["floods", "--kind", "hangs", "--seconds", "1", "--repeat", "1"]);
+    assert!(run.status.success(), "{}", said(&run));
+    let text = String::from_utf8(run.stdout).unwrap();
+    let row = text.lines().find(|l| l.starts_with("hangs")).unwrap();
+    let figures: Vec<f64> = row.split_whitespace().filter_map(|word| word.parse().ok()).collect();
+    let [before, during] = [figures[0], figures[1]];
+    assert!(before > 90.0 && during > 90.0, "served before and during the flood: {row}");
+    assert!(figures[6] > 50.0, "it did flood: {row}");
+}
--- a/crates/engine/src/account.rs
+++ b/crates/engine/src/account.rs
@@ -3,8 +3,7 @@
 use std::future::poll_fn;
 use std::pin::pin;
 use std::rc::Rc;
-use std::task::Waker;
-use std::time::{Duration, Instant};
+use std::task::{Poll, Waker};
 
 use wharfhitch::Millis;
 
@@ -28,12 +27,18 @@
     /// A request that has begun has its final answer, after this span.
     fn end(&self, bytes: u64, held: Millis);
 
-    /// The event loop has worked for the tenant.
-    fn spent(&self, work: Duration);
+    /// The event loop is about to work for the tenant. The account has its own clock for it.
+    fn works(&self);
+
+    /// It has, for what was let in or to turn something away.
+    fn worked(&self, turning_away: bool);
 
     /// Whether a client's connection may be read now; otherwise the waker is called when it may be worth another look.
     fn may_read(&self, waker: &Waker) -> bool;
 
+    /// Whether a client's connection may be taken up now; otherwise the waker is called as for reading.
+    fn may_accept(&self, waker: &Waker) -> bool;
+
     /// An attempt is to go to this server, named by a number that all tenants use for it; `false` if others' shares of
     /// it leave no room. One that went is told of again when it has ended.
     fn visit(&self, server: u64) -> bool;
@@ -42,13 +47,18 @@
     fn leave(&self, server: u64);
 }
 
-/// Runs a future and tells an account of the time that each turn of it took.
+/// Waits until a tenant's next connection may be taken up.
+pub async fn turn(account: &Rc<dyn Account>) {
+    poll_fn(|cx| if account.may_accept(cx.waker()) { Poll::Ready(()) } else { Poll::Pending }).await;
+}
+
+/// Runs a future and tells an account of each turn of it.
 pub async fn on<F: Future>(account: Rc<dyn Account>, future: F) -> F::Output {
     let mut future = pin!(future);
     poll_fn(|cx| {
-        let began = Instant::now();
+        account.works();
         let turn = future.as_mut().poll(cx);
-        account.spent(began.elapsed());
+        account.worked(false);
         turn
     })
     .await
--- a/crates/engine/src/frontend.rs
+++ b/crates/engine/src/frontend.rs
@@ -25,7 +25,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use wharfhitch::RequestId;
 
-use crate::account::Account;
+use crate::account::{self, Account};
 use crate::figures::Flight;
 use crate::inbox::{Answer, Arrival, Inbox, Input, REFUSED};
 use crate::message::{BODY, Outgoing, plain, strip, target};
@@ -63,6 +63,8 @@
     close: Notify,
     /// On whose account it is, in a process of many tenants.
     account: RefCell<Option<Rc<dyn Account>>>,
+    /// Its latest request was turned away: what is still done for it is work of that kind.
+    turning_away: Cell<bool>,
 }
 
 impl Client {
@@ -83,10 +85,12 @@
     async fn work<F: Future>(&self, future: F) -> F::Output {
         let mut future = pin!(future);
         poll_fn(|cx| {
-            let began = std::time::Instant::now();
+            if let Some(account) = &*self.account.borrow() {
+                account.works();
+            }
             let turn = future.as_mut().poll(cx);
             if let Some(account) = &*self.account.borrow() {
-                account.spent(began.elapsed());
+                account.worked(self.turning_away.get());
             }
             turn
         })
@@ -249,23 +253,36 @@
             let _ = timeout(PAUSE, self.left.notified()).await;
             return;
         }
-        match listener.accept().await {
+        // In a process of many tenants, connections come in turns like all else, and are on the account that they come on.
+        let account = self.router.strangers();
+        let accepted = match &account {
+            None => listener.accept().await,
+            Some(account) => {
+                account::turn(account).await;
+                let accepted = listener.accept().await;
+                account.works();
+                if accepted.is_ok() && account.connect().is_err() {
+                    drop(accepted); // it is closed; nothing has been read from it
+                    return account.worked(true);
+                }
+                account.worked(false);
+                accepted
+            }
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true); // slower without, no worse
                 if self.clients.borrow().len() >= self.most * 7 / 8 {
                     self.close_idle(1, FIRST);
                 }
                 let id = self.next.replace(self.next.get() + 1);
-                let account = self.router.strangers();
-                if account.as_ref().is_some_and(|a| a.connect().is_err()) {
-                    return; // it is closed; nothing has been read from it
-                }
                 let client = Rc::new(Client {
                     busy: Cell::new(false),
                     used: Cell::new(false),
                     since: Cell::new(Instant::now()),
                     close: Notify::new(),
                     account: RefCell::new(account),
+                    turning_away: Cell::new(false),
                 });
                 self.clients.borrow_mut().insert(id, client.clone());
                 tokio::task::spawn_local(async move {
@@ -418,11 +435,13 @@
         &self, pool: &Rc<Pool>, client: &Client, headers: &HeaderMap, body: &Incoming,
     ) -> Result<Option<Stay>, f64> {
         let Some(account) = &pool.account else { return Ok(None) };
+        client.turning_away.set(true);
         client.belongs_to(account)?;
         let head: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
         let body = body.size_hint().exact().unwrap_or(BODY as u64).min(BODY as u64);
         let bytes = head as u64 + body;
         account.begin(bytes)?;
+        client.turning_away.set(false);
         Ok(Some(Stay { account: account.clone(), bytes, since: Instant::now() }))
     }
 
--- a/crates/engine/src/process.rs
+++ b/crates/engine/src/process.rs
@@ -80,7 +80,7 @@
     };
     let budget = config.sockets - RESERVE;
     let sockets = Arc::new(Semaphore::new(budget / 4));
-    let upstreams = Rc::new(upstream::Upstreams::new(&config.connections, sockets));
+    let upstreams = Rc::new(upstream::Upstreams::new(&config.connections, sockets, None));
     let ready = Rc::new(Cell::new(false));
     let known_only = Rc::new(Cell::new(false));
     let watch = Rc::new(Notify::new());
--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -100,7 +100,7 @@
         ended: impl FnOnce(Result<(), JoinError>) + 'static,
     ) -> Running {
         let (inbox, inputs) = Inbox::new();
-        let upstreams = Rc::new(Upstreams::new(&terms.connections, self.sockets.clone()));
+        let upstreams = Rc::new(Upstreams::new(&terms.connections, self.sockets.clone(), account.clone()));
         let ready = Rc::new(Cell::new(false));
         let parts = Parts {
             clock: self.clock,
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -24,6 +24,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use wharfhitch::Outcome;
 
+use crate::account::{self, Account};
 use crate::message::{BODY, Outgoing, Reply, strip};
 
 /// A pooled connection is retired after this part of the span after which a backend closes it.
@@ -187,18 +188,23 @@
     dial_timeout: Duration,
     idle_limit: Duration,
     sockets: Arc<Semaphore>,
+    /// Whose work it is, in a process of many tenants.
+    account: Option<Rc<dyn Account>>,
     /// Asked to close an idle connection when the budget has run out.
     endpoints: RefCell<Vec<Rc<Endpoint>>>,
 }
 
 impl Upstreams {
     /// `sockets` is the budget of connections, which pools of one process share.
-    pub fn new(connections: &settings::Connections, sockets: Arc<Semaphore>) -> Self {
+    pub fn new(
+        connections: &settings::Connections, sockets: Arc<Semaphore>, account: Option<Rc<dyn Account>>,
+    ) -> Self {
         let span = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3.6e6) / 1000.0);
         Upstreams {
             dial_timeout: span(connections.dial_timeout),
             idle_limit: span(connections.idle_close * IDLE_PART),
             sockets,
+            account,
             endpoints: RefCell::default(),
         }
     }
@@ -253,9 +259,13 @@
             .handshake(TokioIo::new(io))
             .await
             .map_err(io::Error::other)?;
-        let driver = tokio::task::spawn_local(async move {
+        let work = async move {
             let _ = connection.await; // errors show at the request
-        });
+        };
+        let driver = match &self.account {
+            None => tokio::task::spawn_local(work),
+            Some(account) => tokio::task::spawn_local(account::on(account.clone(), work)),
+        };
         Ok(Connection { sender, meter, stream, driver })
     }
 
--- a/crates/hosted/src/book.rs
+++ b/crates/hosted/src/book.rs
@@ -7,24 +7,32 @@
 use std::time::Duration;
 
 use engine::account::Account;
+use rustix::time::{ClockId, clock_gettime};
 use tenancy::{Caps, Limits, Millis, Shares, Tenant, Use};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Between two looks at tenants whose connections wait to be read, when nothing else happens.
+/// Between two looks at tenants whose connections wait to be read, when no account allows any.
 const LOOK: Duration = Duration::from_millis(1);
+/// The event loop's time in ms that a tenant's connections may take in one round, before those of others have their turn.
+const ROUND: Millis = 0.3;
 /// Wakers kept for one tenant; a waker beyond it is called at once, and its connection looks again.
 const MOST_WAITING: usize = 16 * 1024;
 
 /// The book of all accounts.
 pub struct Book {
     start: Instant,
+    /// The thread's time on a core, in ms, when the present work began: time on a core, so that nobody pays for what the
+    /// system let others do meanwhile.
+    works_since: Cell<Millis>,
     shares: RefCell<Shares>,
-    /// For each tenant the connections that wait for their turn.
-    waiting: RefCell<Vec<VecDeque<Waker>>>,
-    /// How many tenants have some.
-    tenants_waiting: Cell<usize>,
+    /// For each tenant the connections that wait to be read, and the listeners that wait to take up another.
+    waiting: RefCell<Vec<[VecDeque<Waker>; 2]>>,
+    /// How many of these queues have some.
+    queues_waiting: Cell<usize>,
     some_wait: Notify,
+    /// Counts the rounds; one ends when all that wait have had their turn, and none runs while nobody waits.
+    round: Cell<u64>,
     places: RefCell<Vec<bool>>,
 }
 
@@ -33,10 +41,12 @@
     pub fn new(limits: Limits) -> Rc<Self> {
         Rc::new(Book {
             start: Instant::now(),
+            works_since: Cell::new(thread_time()),
             shares: RefCell::new(Shares::new(limits)),
             waiting: RefCell::default(),
-            tenants_waiting: Cell::new(0),
+            queues_waiting: Cell::new(0),
             some_wait: Notify::new(),
+            round: Cell::new(0),
             places: RefCell::default(),
         })
     }
@@ -51,12 +61,12 @@
         let free = places.iter().position(|taken| !taken).unwrap_or(places.len());
         if free == places.len() {
             places.push(true);
-            self.waiting.borrow_mut().push(VecDeque::new());
+            self.waiting.borrow_mut().push(Default::default());
         }
         places[free] = true;
         let tenant = Tenant(free);
         self.shares.borrow_mut().set(self.now(), tenant, caps);
-        Rc::new(Holder { book: self.clone(), tenant, turning: Cell::new(false) })
+        Rc::new(Holder { book: self.clone(), tenant, turn: Cell::new((0, ROUND)) })
     }
 
     /// Servers with limits that several tenants use.
@@ -68,38 +78,61 @@
     /// Lets waiting connections be read as their tenants' accounts allow; runs for as long as the process.
     pub async fn give_turns(self: Rc<Self>) {
         loop {
-            if self.tenants_waiting.get() == 0 {
+            if self.queues_waiting.get() == 0 {
                 self.some_wait.notified().await;
             }
-            tokio::time::sleep(LOOK).await;
+            self.round.set(self.round.get() + 1);
             let places = self.waiting.borrow().len();
-            (0..places).for_each(|place| self.next_turn(Tenant(place)));
+            let woken = (0..places).filter(|place| self.next_turn(Tenant(*place))).count();
+            // Whoever is ready goes before the next round, and what has come in meanwhile is looked for.
+            if woken > 0 {
+                tokio::task::yield_now().await;
+            } else {
+                tokio::time::sleep(LOOK).await;
+            }
         }
     }
 
-    /// Wakes one connection of a tenant, if its account lets it be read.
-    fn next_turn(&self, tenant: Tenant) {
-        if self.tenants_waiting.get() == 0 {
-            return;
+    /// Whether a tenant's account lets something of this kind go on.
+    fn may(&self, tenant: Tenant, wish: Wish) -> bool {
+        let (mut shares, now) = (self.shares.borrow_mut(), self.now());
+        match wish {
+            Wish::Read => shares.may_read(now, tenant).is_ok(),
+            Wish::Accept => shares.may_accept(now, tenant).is_ok(),
+        }
+    }
+
+    /// Wakes one connection and one listener of a tenant, if its account lets them go on; tells whether it did.
+    fn next_turn(&self, tenant: Tenant) -> bool {
+        let read = self.wake(tenant, Wish::Read);
+        self.wake(tenant, Wish::Accept) || read
+    }
+
+    fn wake(&self, tenant: Tenant, wish: Wish) -> bool {
+        if self.queues_waiting.get() == 0 {
+            return false;
         }
         let mut waiting = self.waiting.borrow_mut();
-        let Some(queue) = waiting.get_mut(tenant.0).filter(|q| !q.is_empty()) else { return };
-        if self.shares.borrow_mut().may_read(self.now(), tenant).is_err() {
-            return;
+        let queue = waiting.get_mut(tenant.0).map(|queues| &mut queues[wish as usize]);
+        let Some(queue) = queue.filter(|q| !q.is_empty()) else { return false };
+        if !self.may(tenant, wish) {
+            return false;
         }
         let waker = queue.pop_front();
         if queue.is_empty() {
-            self.tenants_waiting.set(self.tenants_waiting.get() - 1);
+            self.queues_waiting.set(self.queues_waiting.get() - 1);
         }
         drop(waiting);
         if let Some(waker) = waker {
             waker.wake();
         }
+        true
     }
 
-    fn wait(&self, tenant: Tenant, waker: &Waker) {
+    fn wait(&self, tenant: Tenant, wish: Wish, waker: &Waker) {
         let mut waiting = self.waiting.borrow_mut();
-        let Some(queue) = waiting.get_mut(tenant.0) else { return waker.wake_by_ref() };
+        let queue = waiting.get_mut(tenant.0).map(|queues| &mut queues[wish as usize]);
+        let Some(queue) = queue else { return waker.wake_by_ref() };
         if queue.back().is_some_and(|w| w.will_wake(waker)) {
             return;
         }
@@ -107,22 +140,49 @@
             return waker.wake_by_ref();
         }
         if queue.is_empty() {
-            self.tenants_waiting.set(self.tenants_waiting.get() + 1);
+            self.queues_waiting.set(self.queues_waiting.get() + 1);
             self.some_wait.notify_one();
         }
         queue.push_back(waker.clone());
     }
 }
 
+/// What waits for its turn. The two have conditions of their own: woken by the other's, it would only wait anew.
+#[derive(Clone, Copy)]
+enum Wish {
+    Read,
+    Accept,
+}
+
+/// This thread's time on a core, in ms.
+fn thread_time() -> Millis {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    time.tv_sec as f64 * 1000.0 + time.tv_nsec as f64 / 1e6
+}
+
 /// One tenant's account.
 pub struct Holder {
     book: Rc<Book>,
     tenant: Tenant,
-    /// The present turn of the event loop turns a request away.
-    turning: Cell<bool>,
+    /// The round that it is in, and the time that it may still take in it.
+    turn: Cell<(u64, Millis)>,
 }
 
 impl Holder {
+    fn may_now(&self, wish: Wish, waker: &Waker) -> bool {
+        let may = self.left() > 0.0 && self.book.may(self.tenant, wish);
+        if !may {
+            self.book.wait(self.tenant, wish, waker);
+        }
+        may
+    }
+
+    /// What it may still take in this round.
+    fn left(&self) -> Millis {
+        let (round, left) = self.turn.get();
+        if round == self.book.round.get() { left } else { ROUND }
+    }
+
     /// Changes its terms; what it holds it keeps.
     pub fn set(&self, caps: &Caps) {
         self.book.shares.borrow_mut().set(self.book.now(), self.tenant, caps);
@@ -143,11 +203,10 @@
     fn drop(&mut self) {
         self.close();
         // Whoever held something held this account, too: nothing is left on it.
-        if let Some(queue) = self.book.waiting.borrow_mut().get_mut(self.tenant.0)
-            && !queue.is_empty()
-        {
-            queue.drain(..).for_each(Waker::wake);
-            self.book.tenants_waiting.set(self.book.tenants_waiting.get() - 1);
+        let queues = self.book.waiting.borrow_mut().get_mut(self.tenant.0).map(std::mem::take);
+        for queue in queues.into_iter().flatten().filter(|q| !q.is_empty()) {
+            queue.into_iter().for_each(Waker::wake);
+            self.book.queues_waiting.set(self.book.queues_waiting.get() - 1);
         }
         if let Some(place) = self.book.places.borrow_mut().get_mut(self.tenant.0) {
             *place = false;
@@ -165,33 +224,39 @@
     }
 
     fn begin(&self, bytes: u64) -> Result<(), Millis> {
-        let begun = self.book.shares.borrow_mut().begin(self.book.now(), self.tenant, bytes);
-        self.turning.set(begun.is_err());
-        begun.map_err(|r| r.wait)
+        self.book.shares.borrow_mut().begin(self.book.now(), self.tenant, bytes).map_err(|r| r.wait)
     }
 
     fn end(&self, bytes: u64, held: Millis) {
         self.book.shares.borrow_mut().end(self.tenant, bytes, held);
     }
 
-    fn spent(&self, work: Duration) {
-        let (now, ms) = (self.book.now(), work.as_secs_f64() * 1000.0);
+    fn works(&self) {
+        self.book.works_since.set(thread_time());
+    }
+
+    fn worked(&self, turning_away: bool) {
+        let (now, ms) = (self.book.now(), thread_time() - self.book.works_since.get());
+        let left = self.left() - ms;
+        self.turn.set((self.book.round.get(), left));
         let mut shares = self.book.shares.borrow_mut();
-        if self.turning.replace(false) {
+        if turning_away {
             shares.turned_away(now, self.tenant, ms);
         } else {
             shares.spent(now, self.tenant, ms);
         }
         drop(shares);
-        self.book.next_turn(self.tenant);
+        if left > 0.0 {
+            self.book.next_turn(self.tenant);
+        }
     }
 
     fn may_read(&self, waker: &Waker) -> bool {
-        let may = self.book.shares.borrow_mut().may_read(self.book.now(), self.tenant).is_ok();
-        if !may {
-            self.book.wait(self.tenant, waker);
-        }
-        may
+        self.may_now(Wish::Read, waker)
+    }
+
+    fn may_accept(&self, waker: &Waker) -> bool {
+        self.may_now(Wish::Accept, waker)
     }
 
     fn visit(&self, server: u64) -> bool {
--- a/crates/hosted/src/check.rs
+++ b/crates/hosted/src/check.rs
@@ -44,7 +44,13 @@
     }
     faults.within("/process/newcomers", p.newcomers.0, 0.0, 0.5);
     faults.once("listener", service.listeners.iter().map(|l| l.name.as_str()), "name");
-    faults.once("listener", service.listeners.iter().map(|l| l.address.as_str()), "address");
+    // Port 0 is any that is free: two of them are two ports.
+    let any = |a: &str| a.ends_with(":0");
+    for (i, l) in service.listeners.iter().enumerate().filter(|(_, l)| !any(&l.address)) {
+        if service.listeners[..i].iter().any(|other| other.address == l.address) {
+            faults.put(&format!("/listener/{i}/address"), format!("\"{}\" stands twice", l.address));
+        }
+    }
     faults.once("tenant", service.tenants.iter().map(|t| t.name.as_str()), "name");
     for (i, l) in service.listeners.iter().enumerate() {
         let at = format!("/listener/{i}");
--- a/crates/hosted/src/plane.rs
+++ b/crates/hosted/src/plane.rs
@@ -183,7 +183,7 @@
 
     fn serve(&self, name: &str, listener: TcpListener, address: SocketAddr) {
         let Some(plane) = self.myself.upgrade() else { return };
-        let caps = Caps { burst: 10.0, ..Caps::default() };
+        let caps = caps(&document::Limits::default());
         let strangers = self
             .strangers
             .borrow_mut()
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod chance;
 pub mod experiment;
+pub mod floods;
 pub mod ledger;
 pub mod load;
 pub mod oracle;
--- a/crates/tenancy/src/shares.rs
+++ b/crates/tenancy/src/shares.rs
@@ -101,8 +101,8 @@
     pub refused: [u64; 5],
 }
 
-/// How fast the mean time that a tenant holds a request follows: a sixteenth a request.
-const HOLD_STEP: f64 = 1.0 / 16.0;
+/// How fast the means of a tenant's requests follow: by a sixteenth a request.
+const MEAN_STEP: f64 = 1.0 / 16.0;
 /// The part of a tenant's burst that it may cause in being turned away.
 const TURNING: f64 = 0.1;
 /// Nobody is asked back sooner, in ms.
@@ -113,8 +113,9 @@
     there: bool,
     refused: [u64; 5],
     time: Millis,
-    /// How long a request is held, on average.
+    /// How long a request is held, and how many bytes one takes, on average.
     hold: Millis,
+    size: f64,
 }
 
 /// A server that several tenants use: its connections are a stock of their own.
@@ -255,6 +256,9 @@
     /// # Errors
     /// What its tenant has too little of; nothing is held then.
     pub fn begin(&mut self, now: Millis, tenant: Tenant, bytes: u64) -> Result<(), Refusal> {
+        if let Some(account) = self.accounts.get_mut(tenant.0) {
+            account.size += (bytes as f64 - account.size) * MEAN_STEP;
+        }
         if let Err(wait) = self.time.admit(now, tenant) {
             self.count(tenant, Resource::Time);
             return Err(Refusal { resource: Resource::Time, lack: None, wait: wait.max(SOONEST) });
@@ -283,7 +287,7 @@
         self.in_flight.give(tenant, 1);
         self.bytes.give(tenant, bytes);
         if let Some(account) = self.accounts.get_mut(tenant.0) {
-            account.hold += (held - account.hold) * HOLD_STEP;
+            account.hold += (held - account.hold) * MEAN_STEP;
         }
     }
 
@@ -303,14 +307,35 @@
         }
     }
 
-    /// Whether a tenant's connections may be read: what they bring could be let in, or at least turned away, on its own
-    /// account. Otherwise the span in ms until it may.
+    /// Whether a tenant's connections may be read: a request that they bring would be let in, or may at least be turned
+    /// away, on that account.
     ///
     /// # Errors
-    /// Both accounts are used up.
+    /// Neither: the span in ms until it may be.
     pub fn may_read(&mut self, now: Millis, tenant: Tenant) -> Result<(), Millis> {
-        let Err(wait) = self.time.admit(now, tenant) else { return Ok(()) };
-        self.turning.admit(now, tenant).map_err(|turning| wait.min(turning))
+        match self.time.admit(now, tenant) {
+            Ok(()) if self.has_room(now, tenant) => Ok(()),
+            Ok(()) => self.turning.admit(now, tenant),
+            Err(wait) => self.turning.admit(now, tenant).map_err(|turning| wait.min(turning)),
+        }
+    }
+
+    /// Whether the stocks have room for a tenant's next request, if it is as large as its requests are on average.
+    fn has_room(&mut self, now: Millis, tenant: Tenant) -> bool {
+        let size = self.accounts.get(tenant.0).map_or(0.0, |a| a.size) as u64;
+        self.in_flight.check(now, tenant, 1).is_ok() && self.bytes.check(now, tenant, size).is_ok()
+    }
+
+    /// Whether a tenant's next connection may be taken up: there is a socket for it, or it may at least be closed, on the
+    /// account of what is turned away.
+    ///
+    /// # Errors
+    /// Neither: the span in ms until it may be.
+    pub fn may_accept(&mut self, now: Millis, tenant: Tenant) -> Result<(), Millis> {
+        match self.time.admit(now, tenant) {
+            Ok(()) if self.sockets.check(now, tenant, 1).is_ok() => Ok(()),
+            _ => self.turning.admit(now, tenant),
+        }
     }
 
     /// What a tenant holds and has done.
@@ -389,6 +414,12 @@
         shares.turned_away(0.0, A, 3.0);
         assert_eq!(shares.may_read(0.0, A), Err(5.0), "half a ms over, at a tenth of the loop's time");
         assert_eq!(shares.used(A).time, 33.0);
+        assert_eq!(shares.may_accept(0.0, A), Err(5.0));
+        // No room for a request of the other's: it is only read while it may be turned away.
+        assert_eq!(shares.may_read(0.0, B), Ok(()));
+        shares.turned_away(0.0, B, 3.0);
+        assert!(shares.may_read(0.0, B).is_err());
+        assert!(shares.may_accept(0.0, B).is_err(), "nor is there a socket");
         assert_eq!(shares.used(A).refused, [0, 0, 1, 1, 0]);
         assert_eq!(shares.used(B).refused, [1, 1, 0, 0, 0]);
     }
@@ -409,6 +440,16 @@
         assert!(shares.is_idle(B));
     }
 
+    #[test]
+    fn to_ask_whether_one_may_be_read_takes_nothing_from_the_others() {
+        let mut shares = two();
+        (0..3).for_each(|_| shares.begin(0.0, A, 1).unwrap());
+        let fair = shares.fair(A, Resource::InFlight);
+        assert_eq!((shares.may_read(0.0, B), shares.may_accept(0.0, B)), (Ok(()), Ok(())));
+        assert_eq!(shares.fair(A, Resource::InFlight), fair);
+        (0..3).for_each(|_| shares.begin(0.0, A, 1).unwrap());
+    }
+
     #[test]
     fn a_server_in_common_is_divided_and_one_alone_is_not() {
         let mut shares = two();
--- a/crates/tenancy/src/stock.rs
+++ b/crates/tenancy/src/stock.rs
@@ -155,6 +155,30 @@
     /// # Errors
     /// Why it may not have them now; nothing has changed then.
     pub fn take(&mut self, now: Millis, tenant: Tenant, amount: u64) -> Result<(), Lack> {
+        self.roll(now);
+        // Who asks is active, whether it gets something or not: otherwise one that is shut out stays shut out.
+        if let Some(holder) = self.holders.get_mut(tenant.0).filter(|h| h.there && !h.active) {
+            holder.active = true;
+            self.active.push(tenant.0);
+            self.count();
+        }
+        self.check(now, tenant, amount)?;
+        let holder = &mut self.holders[tenant.0];
+        let claimed = amount.min(holder.claim);
+        holder.claim -= claimed;
+        self.claims -= claimed;
+        holder.held += amount;
+        holder.peaks[0] = holder.peaks[0].max(holder.held);
+        self.held += amount;
+        self.claim(tenant.0);
+        Ok(())
+    }
+
+    /// Whether a tenant would get some now. To ask this makes nobody active, and changes nobody's share.
+    ///
+    /// # Errors
+    /// Why it would not.
+    pub fn check(&mut self, now: Millis, tenant: Tenant, amount: u64) -> Result<(), Lack> {
         self.roll(now);
         let Some(holder) = self.holders.get(tenant.0).filter(|h| h.there) else { return Err(Lack::Cap) };
         let held = holder.held.saturating_add(amount);
@@ -165,12 +189,6 @@
         if amount > free {
             return Err(Lack::Full);
         }
-        // Who asks is active, whether it gets something or not: otherwise one that is shut out stays shut out.
-        if !holder.active {
-            self.holders[tenant.0].active = true;
-            self.active.push(tenant.0);
-            self.count();
-        }
         // Its own claim first. With nobody beyond its share, shares and claims fit into the capacity, so that one within
         // its own is only turned away while others still hold what they have borrowed.
         let claimed = amount.min(self.holders[tenant.0].claim);
@@ -181,13 +199,6 @@
         if amount - claimed > self.unclaimed().saturating_sub(left) {
             return Err(Lack::Share);
         }
-        self.holders[tenant.0].claim -= claimed;
-        self.claims -= claimed;
-        let holder = &mut self.holders[tenant.0];
-        holder.held = held;
-        holder.peaks[0] = holder.peaks[0].max(held);
-        self.held += amount;
-        self.claim(tenant.0);
         Ok(())
     }
 
