Count closings in meetings, and close at once where no connection comes about

Restarted proxies hold the list of before their end (discovery fails nearly all calls), so that they go on sending there; 1,700 requests a second were refused because the budget of repeats was spent on it.

Checked: of 10,000 failed connections 7,600 were made by restarted proxies and 1,700 by the others; no server had both successes and failed connections for long, so tables that are full are not it; a probe of the window's least size changed nothing here.

At fault: choice.rs, judge and close. Two failures in a row closed a server for 250 ms, four seconds at most, while a proxy among 100 meets each of 60 servers once in four seconds: each closing was over before the next meeting.

Change: a closing is stretched to the span between two meetings where that is longer, by as much as there are proxies at most, so that all of them together still try a server as often as one alone would; and a connection that does not come about closes at once, as no process answers there. One proxy alone closes as before.

--- a/crates/wharfhitch/src/choice.rs
+++ b/crates/wharfhitch/src/choice.rs
@@ -45,12 +45,14 @@
 const PULL: f64 = 3.0; // a crossing's price, as a delay, is counted this many times: aims leave slack
 const SLACK_SCALE: f64 = 0.5; // part of the aim over which slack takes a request's urgency away
 const FAIL_GAIN: f64 = 0.3; // weight of a failure in a server's failure mean: two in a row close it
+const DIAL_GAIN: f64 = 0.5; // and of a connection that did not come about: no process answers, one closes it
 const FAIL_CLOSE: f64 = 0.4; // failure mean above which a server is closed, where others hardly fail
 const FAIL_CHANCE: f64 = 1e-4; // a row of failures as rare as this is no chance, however many fail elsewhere
 const FAIL_COMMON: f64 = 0.5; // more than this part failing everywhere excuses no server further
 const FAULT_SAMPLES: f64 = 100.0; // answers over which a server's part of failures is averaged
 const BACKOFF: Millis = 250.0; // first closing; doubles with each failed trial
 const BACKOFF_MAX: Millis = 4000.0; // longest closing: a mended server is found again within this
+const MEETINGS_MAX: f64 = 4.0; // or within this many requests for each listed server, if that takes longer
 const HANG: f64 = 5.0; // silence of this many expected latencies marks a server as hung
 const HANG_RARE: f64 = 0.003; // part lost at sound servers too from which one silent attempt proves no hang
 const LOST: f64 = 0.5; // part of silent attempts never answered above which silence means a lost answer
@@ -102,6 +104,14 @@
     (h.closed, h.backoff, h.trial) = (now + span, (2.0 * h.backoff).min(BACKOFF_MAX), true);
 }
 
+/// A closing by one of `proxies`, which meets the server each `meeting` ms. One that meets it seldom would
+/// come back from each closing with its very next request, and lose that too. All of them together still try
+/// the server as often as one alone would.
+fn stretch(span: Millis, meeting: Millis, proxies: u32) -> Millis {
+    let factor = (meeting / BACKOFF).min(f64::from(proxies)).max(1.0);
+    (span * factor).min((MEETINGS_MAX * meeting).max(span))
+}
+
 #[allow(clippy::too_many_arguments)]
 impl Balancer {
     /// Starts a proxy that knows nothing yet; `seed` is the only source of chance.
@@ -537,11 +547,19 @@
         (up, listed.iter().filter(|s| s.health.closed > now && !s.full).count() as f64)
     }
 
+    /// How long it takes until this proxy has sent as many requests as there are servers: about the span
+    /// between two of its requests to one of them.
+    fn meeting(&self) -> Millis {
+        (f64::from(self.listed) / self.rate.max(1e-9)).min(BACKOFF_MAX)
+    }
+
     /// Judges a server by how an attempt ended or that it is silent, as a whole and for the class alone: some
     /// fail or ignore one class and look well by the others. Should help too where a build breaks one class
     /// or a class's own dependency fails; harms where a kind is slow by nature at one class. A class's
     /// closing is longer, as each trial may cost a request.
-    fn judge(&mut self, k: usize, class: usize, good: bool, full: bool, now: Millis) {
+    fn judge(&mut self, k: usize, class: usize, good: bool, ill: Outcome, now: Millis) {
+        let (full, meeting, proxies) = (ill == Outcome::Full, self.meeting(), self.cfg.proxies);
+        let gain = if ill == Outcome::ConnectFailed { DIAL_GAIN } else { FAIL_GAIN };
         let s = &mut self.servers[k];
         (s.progress, s.full) = if good { (now, s.full) } else { (s.progress, full) };
         let jitter = 0.75 + 0.5 * self.rng.f64();
@@ -558,9 +576,9 @@
                 // An answer also lifts a closing that was mere slowness.
                 h.closed = if h.fails < limit { h.closed.min(now) } else { h.closed };
             } else {
-                h.fails += FAIL_GAIN * (1.0 - h.fails);
+                h.fails += gain * (1.0 - h.fails);
                 if h.fails > limit && h.closed <= now {
-                    close(h, now, longer * h.backoff * jitter);
+                    close(h, now, stretch(longer * h.backoff, meeting, proxies) * jitter);
                 }
             }
         }
@@ -621,11 +639,11 @@
             Outcome::Served => {
                 self.fit_window(latency < LATE * self.cfg.classes[class].aim);
                 self.learn(k, class, latency / size, home == Some(k), lone);
-                self.judge(k, class, true, false, now);
+                self.judge(k, class, true, outcome, now);
             }
             Outcome::Moot | Outcome::Cancelled => {}
             Outcome::TimedOut if silent => {} // blamed already
-            _ => self.judge(k, class, false, outcome == Outcome::Full, now),
+            _ => self.judge(k, class, false, outcome, now),
         }
         if outcome == Outcome::Full {
             self.fit_window(false);
@@ -714,11 +732,13 @@
             // With nothing else there, its silence is all there is to go by: answers lost on a path that all
             // servers share look the same.
             let proves = s.own > 1 || self.common[self.common.len() - 1] < HANG_RARE;
+            let meeting = self.meeting();
             let hung = proves && s.health.closed <= now && now - s.progress > patience(&r.attempts[i]);
-            self.judge(k, class, false, false, now);
+            self.judge(k, class, false, Outcome::TimedOut, now);
             let s = &mut self.servers[k];
             if hung {
-                let span = s.health.backoff.max(HANG * usual); // nothing else has moved there
+                let span = stretch(s.health.backoff, meeting, self.cfg.proxies);
+                let span = span.max(HANG * usual); // nothing else has moved there
                 close(&mut s.health, now, span);
             }
             s.own -= 1; // the slot is free for other classes
--- a/crates/wharfhitch/tests/choice.rs
+++ b/crates/wharfhitch/tests/choice.rs
@@ -611,3 +611,36 @@
     );
     assert_eq!(refusals(None), [None; 50]);
 }
+
+/// Asks for something each 60 ms, for `steps` of them; servers below `gone` refuse connections at once, the others
+/// answer in 30 ms. Returns the sends to those below and how many requests were not served.
+fn lookups_past_gone_servers(hand: &mut Hand, first: u64, steps: u64, gone: u64) -> (usize, usize) {
+    let (mut wrong, mut unserved) = (0, 0);
+    for id in first..first + steps {
+        let mut sent = sends(&hand.give(request(id, 0, 2000.0)));
+        let mut attempt = 0;
+        while let Some(&(_, to)) = sent.first() {
+            let (latency, outcome) =
+                if to < gone { (0.1, Outcome::ConnectFailed) } else { (30.0, Outcome::Served) };
+            wrong += usize::from(to < gone);
+            hand.pass(latency);
+            sent = sends(&hand.give(ended(id, attempt, latency, outcome)));
+            attempt += 1;
+            unserved += usize::from(to < gone && sent.is_empty());
+        }
+        hand.pass(30.0);
+    }
+    (wrong, unserved)
+}
+
+#[test]
+fn servers_that_are_gone_are_seldom_tried_by_a_proxy_that_meets_each_seldom() {
+    // One of 100 proxies, with an old list on which 30 of 60 servers are still up.
+    let mut hand = Hand::new(settings(100), (0..60).map(server).collect());
+    lookups_past_gone_servers(&mut hand, 0, 200, 0); // sound so far
+    let (first, _) = lookups_past_gone_servers(&mut hand, 1000, 120, 30);
+    let (later, unserved) = lookups_past_gone_servers(&mut hand, 2000, 240, 30);
+    assert!(first >= 20, "they have to be met to be known, but only {first} sends met one");
+    assert!(later <= 48, "{later} of 240 requests met a server that was gone before");
+    assert_eq!(unserved, 0);
+}
