Use cold servers by their budget while the window of pooled servers is full

At fault: choice.rs, pump stops at a full window before it looks at any server, and rate counts a cold server's latency from what its kind takes in the present crowd, so that it always came last.

Change: what the window counts and holds back is the pooled warm servers; with a full window a request may still go to a cold one whose budget is not spent, if the threshold, taken over the window's slots, says so. A cold server's latency is counted from its kind's calm one.

--- a/crates/wharfhitch/src/choice.rs
+++ b/crates/wharfhitch/src/choice.rs
@@ -131,6 +131,7 @@
             running: Vec::new(),
             lost: (0.0, 5.0),
             silent: 0,
+            budgeted: 0,
             ghosts: VecDeque::new(),
             class_ms: cfg.classes.iter().map(|c| (c.aim / 4.0, 0.0)).collect(),
             kinds: vec![Kind::new(UNMEASURED)],
@@ -247,7 +248,11 @@
         // A queue whose head must wait is passed over: those behind it are no more pressing. Only with homes
         // or after an attempt do requests differ in where they may go, and a few more are looked at.
         let (mut skip, mut looks) = (vec![0usize; self.queues.len()], LOOK);
-        while self.waiting > 0 && looks > 0 && self.out() < self.most_out() {
+        while self.waiting > 0 && looks > 0 {
+            let full = self.out() >= self.most_out();
+            if full && !self.servers.iter().enumerate().any(|(k, s)| s.budgeted() && self.bands.is_open(k)) {
+                return;
+            }
             let mut best: Option<(f64, usize, RequestId)> = None;
             for (q, &skipped) in skip.iter().enumerate() {
                 let Some(id) = self.waiting_at(q, skipped) else { continue };
@@ -257,7 +262,7 @@
                 }
             }
             let Some((_, q, id)) = best else { return };
-            if let Some(k) = self.choose(now, id) {
+            if let Some(k) = self.choose(now, id, full) {
                 self.queues[q].remove(skip[q]);
                 self.send(now, id, k, out);
             } else {
@@ -292,13 +297,15 @@
         }
     }
 
-    /// The server to which a request goes now, or `None` to hold it: the paper's D policy.
-    fn choose(&mut self, now: Millis, id: RequestId) -> Option<usize> {
+    /// The server to which a request goes now, or `None` to hold it: the paper's D policy. With a `full`
+    /// window pooled servers are busy, and only those are open whose budget lets them be.
+    fn choose(&mut self, now: Millis, id: RequestId, full: bool) -> Option<usize> {
         let r = self.requests.get(&id)?;
         if let Some((first, group, until)) = self.bound(r) {
             // Resent only where its repeat is dropped, and only while it is remembered.
             let (all, first) = (&self.servers, &self.servers[first]);
-            let near = |k: &usize| all[*k].drops_repeats_of(first, group) && self.bands.is_open(*k);
+            let open = |k: &usize| self.bands.is_open(*k) && (!full || all[*k].budgeted());
+            let near = |k: &usize| all[*k].drops_repeats_of(first, group) && open(k);
             let fits = |k: &usize| near(k) && self.suits(*k, r, now);
             let best = (0..all.len()).filter(fits).min_by(|a, b| all[*a].cost.total_cmp(&all[*b].cost));
             return best.filter(|_| now < until);
@@ -318,7 +325,8 @@
                 // ... or where what may be repeated is what it leaves unanswered.
                 let mute = || self.cfg.classes.iter().zip(&s.by_class).any(|(c, h)| safe_class(c) && h.trial);
                 let sound = safe || !s.health.trial || self.doubt || mute();
-                sound && (urgent || s.free || home.is_some()) && self.suits(*k, r, now)
+                let open = !full || s.budgeted();
+                open && sound && (urgent || s.free || home.is_some()) && self.suits(*k, r, now)
             };
             // Ties are broken at random; with a key, by its hash, so that its overflow too meets it again.
             let near = |a: &usize, b: &usize| self.score(*a, r.key).total_cmp(&self.score(*b, r.key));
@@ -330,7 +338,10 @@
                 (m, sum) = (m + band.slots, sum + band.slots * band.speed);
                 continue;
             };
-            let Some((h, s)) = home.map(|h| (h, &self.servers[h])) else {
+            let Some((h, s)) = home.filter(|_| !full).map(|h| (h, &self.servers[h])) else {
+                // Of all the pooled slots the window's are those that come free for this proxy.
+                let part = if full { (self.window / m).min(1.0) } else { 1.0 };
+                let (m, sum) = (m * part, sum * part);
                 // Of the faster servers those closed to this class won't come free for it.
                 let (m, sum) = (m * (1.0 - self.blocked[r.class]), sum * (1.0 - self.blocked[r.class]));
                 let go = m < 0.01 || urgent || {
@@ -350,7 +361,7 @@
             let go = urgent || f64::from(s.wanted) * n > f64::from(tau);
             return go.then_some(k);
         }
-        home.filter(|&h| self.servers[h].free)
+        home.filter(|&h| self.servers[h].free && (!full || self.servers[h].budgeted()))
     }
 
     /// Whether a server may get a request: first time there, its class not closed there (some servers leave
@@ -369,6 +380,9 @@
         let s = &self.servers[k];
         let kind = self.kinds[s.kind].slow.0;
         let slow = (s.slow.0 * s.slow.1 + kind * KIND_WEIGHT) / (s.slow.1 + KIND_WEIGHT);
+        // A cold server's budget keeps it from crowding, so its like in a crowd say nothing of it.
+        let calm = self.kinds[s.kind].core / self.mean;
+        let slow = if s.fresh && warmth < 1.0 { slow.min(calm) } else { slow };
         let crosses = s.info.zone.is_some() && s.info.zone != self.cfg.zone;
         let cross = PULL * self.cfg.prices.cross_zone * self.longest_aim / self.mean;
         let cost = slow / warmth + if crosses { cross } else { 0.0 };
@@ -419,9 +433,10 @@
         !self.cfg.may_tell && self.cfg.proxies > 1 && own < OWN_LEAST * self.spread.0 / 2.0
     }
 
-    /// Requests that this proxy has out, those left out that are silent: they are lost, and no load.
+    /// Requests that this proxy has out, those left out that are silent: they are lost, and no load. Nor are
+    /// those at cold servers counted: what holds them is a budget.
     fn out(&self) -> usize {
-        self.running.len() - self.silent
+        self.running.len() - self.silent - self.budgeted
     }
 
     /// Requests that this proxy may have out.
@@ -588,8 +603,9 @@
 
     fn send(&mut self, now: Millis, id: RequestId, k: usize, out: &mut Vec<Action>) {
         // Did it find the server idle? Only others' word tells.
+        let budgeted = self.servers[k].budgeted();
         let lone = self.cfg.may_tell && self.news < NEWS * self.mean && self.servers[k].held() == 0;
-        self.begin(now, id, k, lone);
+        self.begin(now, id, k, lone, budgeted);
         let s = &mut self.servers[k];
         s.progress = if s.own == 0 { now } else { s.progress };
         s.own += 1;
@@ -620,11 +636,12 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(a) = r.attempts.get_mut(attempt).filter(|a| !a.over) else { return };
         (a.over, a.ran) = (true, outcome.may_have_run());
-        let (k, lone, silent) = (a.server, a.lone, a.silent);
+        let (k, lone, silent, budgeted) = (a.server, a.lone, a.silent, a.budgeted);
         let (class, size, home) = (r.class, r.size, r.home);
         r.done |= closed;
         self.running.retain(|o| *o != id);
         self.silent -= usize::from(silent);
+        self.budgeted -= usize::from(budgeted && !silent);
         if silent && matches!(outcome, Outcome::Served | Outcome::TimedOut) {
             average(&mut self.lost, f64::from(u8::from(outcome == Outcome::TimedOut)), LOST_SAMPLES);
         }
@@ -743,7 +760,9 @@
             }
             s.own -= 1; // the slot is free for other classes
             self.silent += 1; // and so is its place in the window
-            self.requests.get_mut(&id).expect("just seen").attempts[i].silent = true;
+            let attempt = &mut self.requests.get_mut(&id).expect("just seen").attempts[i];
+            attempt.silent = true;
+            self.budgeted -= usize::from(attempt.budgeted);
             self.place(k, now);
         }
         let r = &self.requests[&id];
--- a/crates/wharfhitch/src/records.rs
+++ b/crates/wharfhitch/src/records.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Whether it is cold: what it is sent comes out of a budget of its own.
+    pub fn budgeted(&self) -> bool {
+        self.fresh && self.warmth < 1.0
+    }
+
     /// Whether it is in one group with the server of an earlier attempt.
     pub fn drops_repeats_of(&self, first: &Server, group: Group) -> bool {
         match group {
@@ -130,9 +135,10 @@
     pub server: usize,
     pub sent: Millis,
     pub over: bool,
-    pub lone: bool,   // it found the server idle
-    pub silent: bool, // it was out for so long that its server was blamed
-    pub ran: bool,    // it runs or may have run
+    pub budgeted: bool, // its server was cold
+    pub lone: bool,     // it found the server idle
+    pub silent: bool,   // it was out for so long that its server was blamed
+    pub ran: bool,      // it runs or may have run
 }
 
 pub(crate) struct Request {
--- a/crates/wharfhitch/tests/choice.rs
+++ b/crates/wharfhitch/tests/choice.rs
@@ -644,3 +644,18 @@
     assert!(later <= 48, "{later} of 240 requests met a server that was gone before");
     assert_eq!(unserved, 0);
 }
+
+#[test]
+fn cold_servers_help_out_while_the_window_of_the_warm_ones_is_full() {
+    // One of 100 proxies; a release has left 24 warm servers, crowded by all, and 36 cold ones with a budget.
+    let mut hand = Hand::new(settings(100), (0..24).map(server).collect());
+    hand.drive(6000, 60, |_, _| 30.0);
+    let cold = |id| Backend { since: Some(7000.0), ..server(id) };
+    hand.give(full((0..24).map(server).chain((24..60).map(cold)).collect()));
+    let (sent, _) = hand.drive(5000, 30, |to, _| if to < 24 { 700.0 } else { 150.0 });
+    let helped = sent.iter().filter(|s| s.1 >= 24).count();
+    assert!(helped >= 10, "{helped} of {} went to a cold server", sent.len());
+    // A core does 33 a second, these two fifths of it; three times that for 5 s from 100 proxies would be too much.
+    let part = 36.0 * 2.0 * 33.0 * 0.4 * 3.0 * 5.0 / 100.0;
+    assert!((helped as f64) < part, "{helped} is more than this proxy's part, {part}");
+}
