Narrow the window of pooled servers by crowding, down to one request a proxy

A server of two cores did 60 a second with 5 to 8 in hand and 33 with 22: a crowd halves what it does. The windows stood at their least, four, and answers of 400 ms counted as good, as half the aim is longer.

Change: the window starts at four and may fall to one; it narrows too when an answer takes twice what it would on calm servers of its kind, and widens by a part of itself while small. Servers far slower than their kind narrow nothing.

--- a/crates/wharfhitch/src/choice.rs
+++ b/crates/wharfhitch/src/choice.rs
@@ -38,7 +38,10 @@
 const UNMEASURED: f64 = 0.5; // part of a new kind's slots, lest a jam from the start pass for calm
 const LATE: f64 = 0.5; // part of the aim past which an answer says that the pooled servers are crowded
 const WINDOW_CUT: f64 = 0.9; // by which such an answer shrinks the in-flight window
-const WINDOW_LEAST: f64 = 4.0; // requests that a proxy may always have out
+const WINDOW_FIRST: f64 = 4.0; // requests that a proxy may have out at its start
+const WINDOW_LEAST: f64 = 1.0; // and always
+const WINDOW_STEP: f64 = 0.5; // by which a good answer widens it, by less under the first one
+const CALM: f64 = 2.0; // times its calm latency past which an answer says that too, and the window narrows
 const OWN_LEAST: f64 = 8.0; // own slots under which proxies share all, for answers of exponential spread
 const FULLNESS: f64 = 1.1; // requests a core may hold: a little over one keeps it busy between answers
 const BORROW: usize = 3; // bands by which another proxy's slot counts slower: both may take it at once
@@ -143,7 +146,7 @@
             blocked: vec![0.0; cfg.classes.len()],
             common: vec![0.0; cfg.classes.len() + 1],
             spread: (2.0, 0.2 * SPREAD_SAMPLES),
-            window: WINDOW_LEAST,
+            window: WINDOW_FIRST,
             rating: 0.0,
             gain: if cfg.warm_keys { 2.0 } else { 1.0 },
             temper: [(1.0, 1.0), (1.0, 1.0)],
@@ -444,11 +447,23 @@
         if self.pools() { self.window as usize } else { usize::MAX }
     }
 
-    /// Answers that eat up their aim narrow that window: against jams, and servers that slow when crowded.
-    /// Could harm where a few slow servers alone make the late answers.
+    /// An answer from a warm server fits the window: one that eats up its aim, or took far longer than on
+    /// calm servers, narrows it. The aim alone lets many proxies crowd few servers until they hold several
+    /// times what they work on, and then do less. A server that is slow by itself says nothing of others.
+    fn heed(&mut self, k: usize, class: usize, latency: Millis, size: f64) {
+        let kind = &self.kinds[self.servers[k].kind];
+        let calm = kind.core / self.mean * self.class_ms[class].0 * size;
+        let good = latency < (CALM * calm).min(LATE * self.cfg.classes[class].aim);
+        if good || self.servers[k].slow.0 <= OUTLIER * kind.slow.0 {
+            self.fit_window(good);
+        }
+    }
+
+    /// Widens or narrows that window.
     fn fit_window(&mut self, good: bool) {
         let used = self.out() as f64 + 2.0 > self.window;
-        let window = if good { self.window + if used { 0.5 } else { 0.0 } } else { self.window * WINDOW_CUT };
+        let step = if used { WINDOW_STEP * (self.window / WINDOW_FIRST).min(1.0) } else { 0.0 };
+        let window = if good { self.window + step } else { self.window * WINDOW_CUT };
         self.window = window.clamp(WINDOW_LEAST, self.servers.len().max(4) as f64);
     }
 
@@ -654,7 +669,9 @@
         self.success += (f64::from(u8::from(outcome == Outcome::Served)) - self.success) / CLASS_SAMPLES;
         match outcome {
             Outcome::Served => {
-                self.fit_window(latency < LATE * self.cfg.classes[class].aim);
+                if !budgeted {
+                    self.heed(k, class, latency, size);
+                }
                 self.learn(k, class, latency / size, home == Some(k), lone);
                 self.judge(k, class, true, outcome, now);
             }
--- a/crates/wharfhitch/tests/choice.rs
+++ b/crates/wharfhitch/tests/choice.rs
@@ -659,3 +659,32 @@
     let part = 36.0 * 2.0 * 33.0 * 0.4 * 3.0 * 5.0 / 100.0;
     assert!((helped as f64) < part, "{helped} is more than this proxy's part, {part}");
 }
+
+/// Requests that one of 100 proxies has out at the end, and the sends of the last tenth, after servers below `slow`
+/// have taken `latency` instead of 40 ms from the 100th send on.
+fn with_slow_servers(keys: u64, slow: u64, latency: Millis) -> (usize, usize) {
+    let settings = Settings { warm_keys: keys > 0, ..settings(100) };
+    let mut hand = Hand::new(settings, (0..24).map(server).collect());
+    hand.keys = keys;
+    let sends = std::cell::Cell::new(0);
+    let take = |to: u64, _: usize| {
+        sends.set(sends.get() + 1);
+        if to < slow && sends.get() > 100 { latency } else { 40.0 }
+    };
+    let (sent, still) = hand.drive(30_000, 30, take);
+    (still.len(), sent.iter().filter(|s| s.0 >= 1000 + 27_000).count())
+}
+
+#[test]
+fn a_crowd_narrows_the_window_to_one_request_long_before_answers_are_late() {
+    // Half the aim is 600 ms. 100 proxies with four requests each would have 24 servers hold 17 apiece.
+    let (out, _) = with_slow_servers(0, 24, 400.0);
+    assert!(out <= 2, "{out} out among servers that take ten times as long as when calm");
+}
+
+#[test]
+fn servers_that_are_slow_by_themselves_do_not_narrow_the_window() {
+    // Keys at home on slow servers keep asking there.
+    let (_, sent) = with_slow_servers(97, 16, 500.0);
+    assert!(sent >= 95, "{sent} of 100 went out");
+}
--- a/crates/wharfhitch/tests/common/mod.rs
+++ b/crates/wharfhitch/tests/common/mod.rs
@@ -64,12 +64,14 @@
 pub struct Hand {
     pub balancer: Balancer,
     pub now: Millis,
+    /// Of how many keys `drive` asks in turn; 0 if requests have none.
+    pub keys: u64,
     timers: Vec<(Millis, u64)>,
 }
 
 impl Hand {
     pub fn new(settings: Settings, servers: Vec<Backend>) -> Self {
-        let mut hand = Hand { balancer: Balancer::new(settings, 7), now: 1000.0, timers: vec![] };
+        let mut hand = Hand { balancer: Balancer::new(settings, 7), now: 1000.0, keys: 0, timers: vec![] };
         hand.give(full(servers));
         hand
     }
@@ -115,7 +117,11 @@
         for step in 0..span {
             let mut actions = self.pass(1.0);
             if step % every == 0 {
-                actions.extend(self.give(request(1000 + step, 1, 3000.0)));
+                let mut event = request(1000 + step, 1, 3000.0);
+                if let (Event::Request { key, .. }, 1..) = (&mut event, self.keys) {
+                    *key = Some(Key(step / every % self.keys));
+                }
+                actions.extend(self.give(event));
             }
             let now = self.now;
             let (over, still) = out.into_iter().partition::<Vec<_>, _>(|o| o.2 <= now);
