Leave a key's home that is slower than elsewhere by more than its gain

A proxy goes to a key's home whenever it has no request there itself; 100 proxies do so together.

At fault: choice.rs, choose, which took a free home without a look at its speed.

Change: a home that even warm is slower than the open server elsewhere by more than the gain of a home is left, but not while others wait.

--- a/crates/wharfhitch/src/choice.rs
+++ b/crates/wharfhitch/src/choice.rs
@@ -354,8 +354,11 @@
                 return go.then_some(k);
             };
             let warm = self.gain / s.cost; // for its key the home is a faster server
-            if s.free {
-                return Some(h);
+            // One slower than elsewhere by more than its gain, warm as it is, is crowded by its keys or ill.
+            // Yet to leave it makes work: not while requests wait for want of room.
+            let crowded = self.waiting <= 1 && warm * self.gain < band.speed;
+            if crowded || s.free {
+                return Some(if crowded { k } else { h });
             }
             // The home's slots are the faster ones, and those who wait for it over all proxies the queue.
             let n = f64::from(self.cfg.proxies);
--- a/crates/wharfhitch/tests/choice.rs
+++ b/crates/wharfhitch/tests/choice.rs
@@ -688,3 +688,18 @@
     let (_, sent) = with_slow_servers(97, 16, 500.0);
     assert!(sent >= 95, "{sent} of 100 went out");
 }
+
+#[test]
+fn a_home_that_is_far_slower_than_other_servers_is_left() {
+    // One of 100 proxies; one key's home has been crowded by all that ask for it.
+    let mut hand = Hand::new(Settings { warm_keys: true, ..settings(100) }, (0..60).map(server).collect());
+    hand.keys = 97;
+    let mut homes = std::collections::BTreeMap::new();
+    let (sent, _) = hand.drive(60 * 97, 60, |_, _| 40.0);
+    sent.iter().for_each(|s| *homes.entry(s.1).or_insert(0) += 1);
+    let (&busy, _) = homes.iter().max_by_key(|h| h.1).unwrap();
+    let (sent, _) = hand.drive(60 * 97 * 10, 60, |to, _| if to == busy { 500.0 } else { 40.0 });
+    let of = |part: &[(u64, u64)]| part.iter().filter(|s| s.1 == busy).count();
+    let (early, late) = (of(&sent[..sent.len() / 2]), of(&sent[sent.len() / 2..]));
+    assert!(late * 2 <= early, "{late} sends to it after {early}");
+}
