Wait in turn for a list that is asked for, instead of asking anew after a second

Calls wait in turn there; who hangs up and asks anew goes to the end of the line.

Asking less often was not tried.

At fault: discovery.rs, CONNECT was the limit for the connection and the answer both.

Change: where lists have to be asked for, an answer is waited for up to 4 s; a connection still has to come up within 1 s. Where they are pushed nothing changes.

--- a/crates/engine/src/discovery.rs
+++ b/crates/engine/src/discovery.rs
@@ -24,6 +24,9 @@
 /// it would tell counts as told 6 s after it was said: a new watch has to be up before that.
 const SILENCE: Duration = Duration::from_secs(3);
 const CONNECT: Duration = Duration::from_secs(1);
+/// Where lists have to be asked for, the service takes the calls of all proxies in turn. To give up a call and ask
+/// anew is to go back to the end of that line, so a call waits until the service itself gives it up.
+const TURN: Duration = Duration::from_secs(4);
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 const MOST: usize = 4 << 20; // bytes of a line
 
@@ -57,11 +60,13 @@
     seq: Option<u64>,
     /// Nothing has come from the present address yet: it may count its versions anew.
     fresh: bool,
+    /// How long a call may take until its answer begins.
+    patience: Duration,
 }
 
 impl Discovery {
     pub fn new(place: Rc<Place>, inbox: Inbox) -> Self {
-        Discovery { place, inbox, seq: None, fresh: true }
+        Discovery { place, inbox, seq: None, fresh: true, patience: CONNECT }
     }
 
     /// Keeps a watch open for ever, and takes it up again where it broke off.
@@ -87,6 +92,7 @@
 
     /// Opens a watch each time that the module asks for one, and tells it when it has ended.
     pub async fn on_request(mut self, asked: Rc<Notify>) -> Infallible {
+        self.patience = TURN;
         loop {
             asked.notified().await;
             let error = self.watch_while_there().await;
@@ -110,7 +116,8 @@
     /// Watches until it ends; returns why it ended.
     async fn watch(&mut self) -> String {
         let after = self.seq.map_or(String::new(), |seq| format!("&after={seq}"));
-        let mut lines = match timeout(CONNECT, get(self.place.address(), &format!("watch=1{after}"))).await {
+        let query = format!("watch=1{after}");
+        let mut lines = match timeout(self.patience, get(self.place.address(), &query)).await {
             Ok(Ok(lines)) => lines,
             Ok(Err(e)) => return e,
             Err(_) => return "no answer".into(),
@@ -211,7 +218,8 @@
 }
 
 async fn get(address: SocketAddr, query: &str) -> Result<Lines, String> {
-    let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+    let stream = timeout(CONNECT, TcpStream::connect(address)).await.map_err(|_| "no connection")?;
+    let stream = stream.map_err(|e| e.to_string())?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
     let mut task = tokio::task::JoinSet::new();
     task.spawn_local(async move {
--- a/crates/engine/tests/sockets/mod.rs
+++ b/crates/engine/tests/sockets/mod.rs
@@ -180,6 +180,8 @@
     pub address: SocketAddr,
     lines: Arc<Mutex<Vec<String>>>,
     pub asked: Seen,
+    /// Ms from a question to the head of its answer.
+    pub turn: Arc<AtomicUsize>,
     _stop: Sender<()>,
 }
 
@@ -190,14 +192,16 @@
         let (lines, asked) = (Arc::new(Mutex::new(Vec::new())), Seen::default());
         let (stop, stopped) = channel();
         let stopped = Arc::new(Mutex::new(stopped));
-        let (told, heard) = (lines.clone(), asked.clone());
+        let turn = Arc::new(AtomicUsize::new(0));
+        let (told, heard, wait) = (lines.clone(), asked.clone(), turn.clone());
         thread::spawn(move || {
             for stream in listener.incoming() {
                 let (told, heard, stopped) = (told.clone(), heard.clone(), stopped.clone());
-                thread::spawn(move || watch(stream.expect("a connection"), &told, &heard, &stopped));
+                let wait = Duration::from_millis(wait.load(Ordering::SeqCst) as u64);
+                thread::spawn(move || watch(stream.expect("a connection"), wait, &told, &heard, &stopped));
             }
         });
-        Discovery { address, lines, asked, _stop: stop }
+        Discovery { address, lines, asked, turn, _stop: stop }
     }
 
     pub fn say(&self, line: &str) {
@@ -205,13 +209,17 @@
     }
 }
 
-fn watch(mut stream: TcpStream, lines: &Mutex<Vec<String>>, asked: &Seen, stop: &Mutex<Receiver<()>>) {
+fn watch(
+    mut stream: TcpStream, turn: Duration, lines: &Mutex<Vec<String>>, asked: &Seen,
+    stop: &Mutex<Receiver<()>>,
+) {
     let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
     let Some(request) = read_message(&mut reader) else { return };
     // A watch that resumes gets only what is said from now on.
     let resumes = request.first.contains("after=");
     asked.lock().expect("no panic").push(request);
     let mut sent = if resumes { lines.lock().expect("no panic").len() } else { 0 };
+    thread::sleep(turn);
     let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     let mut silence = 0;
     loop {
@@ -281,6 +289,8 @@
     pub properties: Option<String>,
     /// Whether standard error is left unread once the proxy listens.
     pub unread: bool,
+    /// Whether the list comes only when asked for.
+    pub asks: bool,
 }
 
 impl Default for Setup {
@@ -295,6 +305,7 @@
             descriptors: None,
             properties: None,
             unread: false,
+            asks: false,
         }
     }
 }
@@ -308,7 +319,7 @@
     format!(
         r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
         "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},{peers}"known":{},
-        "settings":{{"zone":"a","zones":["a"],"flavors":["k"],"nInstances":{},"myNumber":0,"discovery":"pushed",
+        "settings":{{"zone":"a","zones":["a"],"flavors":["k"],"nInstances":{},"myNumber":0,"discovery":"{}",
         "weightSource":"nominal","accounts":[{{"name":"acme","allowancePerS":1000}}],
         "classes":[{{"name":"page","effect":"idempotent","promise":{aim},"deadline":{deadline},"worth":1}},
         {{"name":"submit","effect":"at_most_once","promise":{aim},"deadline":{deadline},"worth":1}},
@@ -318,6 +329,7 @@
         setup.sockets,
         setup.known,
         if tells { 2 } else { 1 },
+        if setup.asks { "on_request" } else { "pushed" },
         setup.dial_timeout,
         setup.idle_close,
     )
--- a/crates/sandgap/tests/proxy.rs
+++ b/crates/sandgap/tests/proxy.rs
@@ -57,6 +57,17 @@
     wait_for("/up", || proxy.is_up());
 }
 
+#[test]
+fn a_list_that_is_asked_for_is_waited_for_in_turn() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.turn.store(1600, std::sync::atomic::Ordering::SeqCst);
+    discovery.say(&all_up(&[&backend]));
+    let proxy = Proxy::start(&discovery, &Setup { asks: true, ..Setup::default() });
+    wait_for("/up", || proxy.is_up());
+    assert_eq!(discovery.asked.lock().unwrap().len(), 1, "it went back to the end of the line");
+}
+
 #[test]
 fn without_discovery_it_serves_from_the_list_it_remembers() {
     let backend = Backend::new(Deed::Write(ok("")));
