--- a/crates/wharfhitch/tests/common/mod.rs
+++ b/crates/wharfhitch/tests/common/mod.rs
@@ -71,7 +71,11 @@
 
 impl Hand {
     pub fn new(settings: Settings, servers: Vec<Backend>) -> Self {
-        let mut hand = Hand { balancer: Balancer::new(settings, 7), now: 1000.0, keys: 0, timers: vec![] };
+        Hand::seeded(settings, servers, 7)
+    }
+
+    pub fn seeded(settings: Settings, servers: Vec<Backend>, seed: u64) -> Self {
+        let mut hand = Hand { balancer: Balancer::new(settings, seed), now: 1000.0, keys: 0, timers: vec![] };
         hand.give(full(servers));
         hand
     }
