--- a/crates/lab/src/shipped.rs
+++ b/crates/lab/src/shipped.rs
@@ -1,7 +1,7 @@
 //! The scenarios that come with the lab. None holds figures of a recorded day.
 
 /// Name and text of each.
-pub const ALL: [(&str, &str); 17] = [
+pub const ALL: [(&str, &str); 19] = [
     ("quiet", include_str!("../scenarios/quiet.toml")),
     ("evening", include_str!("../scenarios/evening.toml")),
     ("deploy-81", include_str!("../scenarios/deploy-81.toml")),
@@ -18,6 +18,8 @@
     ("partition", include_str!("../scenarios/partition.toml")),
     ("launch", include_str!("../scenarios/launch.toml")),
     ("reset-overload", include_str!("../scenarios/reset-overload.toml")),
+    ("fleet-release", include_str!("../scenarios/fleet-release.toml")),
+    ("fleet-restart", include_str!("../scenarios/fleet-restart.toml")),
     ("reset-in-work", include_str!("../scenarios/reset-in-work.toml")),
 ];
 
--- a/crates/lab/tests/sim.rs
+++ b/crates/lab/tests/sim.rs
@@ -99,3 +99,13 @@
     assert!(during > 3 * before.max(spared), "{during} in mid-work, {before} at answers, {spared} spared");
     assert!(during > 50, "{during}");
 }
+
+#[test]
+fn a_large_fleet_keeps_the_rules_and_serves_most_through_a_release_and_a_restart() {
+    for (name, least) in [("fleet-release", 0.85), ("fleet-restart", 0.9)] {
+        let (s, p) = play(shipped::text(name).unwrap(), 1);
+        let share = scored(&s, &p).whole.share;
+        assert!(share > least, "{name}: {share}");
+        assert!(judge(&p.ledger, &s.rules, &s.proxies).is_empty(), "{name}");
+    }
+}
