Refuse lookups at once whose turn among pooled servers would come too late

At fault: choice.rs, arrive, which queued all, and tick, which refused at the aim.

Change: where servers are pooled, what may be repeated is refused when it comes if those who wait would take more than half its aim to go out through the window, at the pace of a mean listed server. What must not run twice still waits.

The test refuses none without the change.

--- a/crates/wharfhitch/src/choice.rs
+++ b/crates/wharfhitch/src/choice.rs
@@ -41,6 +41,7 @@
 const WINDOW_FIRST: f64 = 4.0; // requests that a proxy may have out at its start
 const WINDOW_LEAST: f64 = 1.0; // and always
 const WINDOW_STEP: f64 = 0.5; // by which a good answer widens it, by less under the first one
+const HOPELESS: f64 = 0.5; // part of its aim that what may be repeated waits for its turn among pooled ones
 const CALM: f64 = 4.0; // times its calm latency past which an answer says that too, and the window narrows
 const OWN_LEAST: f64 = 8.0; // own slots under which proxies share all, for answers of exponential spread
 const FULLNESS: f64 = 1.1; // requests a core may hold: a little over one keeps it busy between answers
@@ -139,6 +140,7 @@
             class_ms: cfg.classes.iter().map(|c| (c.aim / 4.0, 0.0)).collect(),
             kinds: vec![Kind::new(UNMEASURED)],
             mean: first_guess,
+            pace: first_guess,
             slowest: 0.0,
             longest_aim,
             mean_room: 1.0,
@@ -213,6 +215,11 @@
         if budget < MARGIN {
             return self.answer(id, out); // the next look could come too late for an answer in time
         }
+        let turn = self.waiting as f64 * self.pace / self.window;
+        let safe = self.cfg.classes[class].effect == Effect::Safe;
+        if self.pools() && safe && turn > HOPELESS * self.cfg.classes[class].aim {
+            return self.answer(id, out); // others go first, and it would only be refused later
+        }
         self.enqueue(id, false);
     }
 
@@ -833,6 +840,8 @@
     /// Looks over all servers: slots, budgets of cold ones, closings that end, how many look ill.
     fn review(&mut self, now: Millis) {
         self.mean = self.mean_latency();
+        let slow = self.servers.iter().filter(|s| s.told.is_none()).map(|s| self.kinds[s.kind].slow.0);
+        self.pace = self.mean * slow.sum::<f64>() / f64::from(self.listed.max(1));
         let rooms = self.servers.iter().filter(|s| s.told.is_none()).map(|s| s.room).sum::<f64>();
         self.mean_room = rooms / f64::from(self.listed.max(1));
         let pools = self.pools();
--- a/crates/wharfhitch/src/state.rs
+++ b/crates/wharfhitch/src/state.rs
@@ -38,6 +38,7 @@
     pub(crate) window: f64,       // requests that this proxy may have out where it shares all servers
     pub(crate) mean_room: f64,    // slots of a mean listed server
     pub(crate) listed: u32,       // servers that take work, as far as the list says
+    pub(crate) pace: Millis,      // mean latency at a mean listed server
     pub(crate) mean: Millis,      // mean latency over all classes
     pub(crate) slowest: f64,      // calm latency of the slowest kind
     pub(crate) rating: f64,       // sum of the ratings of listed servers
--- a/crates/wharfhitch/tests/choice.rs
+++ b/crates/wharfhitch/tests/choice.rs
@@ -703,3 +703,16 @@
     let (early, late) = (of(&sent[..sent.len() / 2]), of(&sent[sent.len() / 2..]));
     assert!(late * 2 <= early, "{late} sends to it after {early}");
 }
+
+#[test]
+fn a_lookup_whose_turn_would_come_too_late_is_refused_when_it_comes() {
+    let mut hand = Hand::new(settings(100), (0..24).map(server).collect());
+    hand.train(0, 50, |_| 60.0);
+    let ask = |hand: &mut Hand, first: u64, n: u64, class| {
+        (first..first + n).map(|id| refusals(&hand.give(request(id, class, 3000.0)))).sum::<usize>()
+    };
+    // Four go out and an answer takes 60 ms: in half the aim of 800 ms some 27 have their turn.
+    let refused = ask(&mut hand, 1000, 60, 0);
+    assert!((20..=40).contains(&refused), "{refused} of 60 lookups at once");
+    assert_eq!(ask(&mut hand, 2000, 10, 1), 0, "what must not run twice is worth its wait");
+}
