Open a door for operators: figures, readiness, and drains by one lifecycle

Design: a listener of its own where 'ops' or NODE_OPS says, one call a connection, at most 16 callers, the oldest let go for a new one. Where a process stands (starting, serving, lame duck, leaving) is one state machine without I/O that /up, /_ready, accepting, keep-alive and the door all follow. Connections that are no longer kept close with their next answer, or once idle for 0.3 s, so that hardly a request crosses. Counts are added where a request ends; what is held is asked of the driver, which counts it, and of the module (servers it avoids). Rejected: a thread of its own for the door with shared atomics; its word and the event loop's would have to be kept in step, and on one core the loop answers within its turn anyway. Rejected: closing all idle connections at once at a drain, as SIGTERM did; a request that is on its way is then sent twice over the network.

--- a/crates/engine/src/clock.rs
+++ b/crates/engine/src/clock.rs
@@ -29,7 +29,8 @@
         self.unix_start
     }
 
-    fn at(&self, instant: Instant) -> Millis {
+    /// An instant on the module's clock.
+    pub fn at(&self, instant: Instant) -> Millis {
         instant.saturating_duration_since(self.start).as_secs_f64() * 1000.0
     }
 
--- a/crates/engine/src/config.rs
+++ b/crates/engine/src/config.rs
@@ -17,6 +17,7 @@
     seed: Value,
     #[serde(default)]
     limits: Limits,
+    ops: Option<SocketAddr>,
     peer_listen: Option<SocketAddr>,
     #[serde(default)]
     peers: Vec<SocketAddr>,
@@ -44,6 +45,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub ops: Option<SocketAddr>,
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
@@ -97,6 +100,7 @@
         name: file.name,
         listen: file.listen,
         discovery: file.discovery,
+        ops: file.ops,
         seed: seed(&file.seed).ok_or("'seed' is neither text nor a whole number")?,
         sockets: file.limits.sockets.unwrap_or(1024).max(64),
         peers,
--- a/crates/engine/src/driver.rs
+++ b/crates/engine/src/driver.rs
@@ -13,8 +13,8 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 use wharfhitch::{
-    Action, Backend, BackendId, Balancer, CellId, Event, KindId, Millis, Outcome, RequestId, Scope, State,
-    ZoneId,
+    Action, Backend, BackendId, Balancer, CellId, ClassId, Event, KindId, Millis, Outcome, RequestId, Scope,
+    State, ZoneId,
 };
 
 use crate::account::{self, Account};
@@ -23,10 +23,12 @@
 use crate::discovery::{self, Place};
 use crate::hosts::Host;
 use crate::inbox::{Answer, Arrival, FAILED, GONE, Inbox, Input, REFUSED, SERVED};
+use crate::lifecycle::Life;
 use crate::message::{Outgoing, Reply};
 use crate::note;
 use crate::peers::Peers;
 use crate::upstream::{Endpoint, Upstreams};
+use crate::vars::{Counts, End, Held};
 
 /// What the client is told has to be on its way this long before the client gives up, whatever happens.
 const LAST_RESORT: Duration = Duration::from_millis(4);
@@ -34,6 +36,8 @@
 
 /// A request that lacks its answer or has attempts out.
 struct Live {
+    /// `None` for one that was not read.
+    class: Option<ClassId>,
     answer: Option<oneshot::Sender<Answer>>,
     /// Whether an attempt may still begin for it.
     wanted: Rc<Cell<bool>>,
@@ -64,8 +68,9 @@
     pub account: Option<Rc<dyn Account>>,
     /// Told when the module wants a watch.
     pub watch: Rc<Notify>,
-    /// Set once discovery has told the list.
-    pub ready: Rc<Cell<bool>>,
+    /// Told once discovery has told the list.
+    pub life: Rc<Life>,
+    pub counts: Rc<Counts>,
     /// Set once there is a remembered list to serve from.
     pub remembered: Rc<Cell<bool>>,
 }
@@ -151,12 +156,16 @@
             }
             Input::List { scope, seq, hosts } => self.list(scope, seq, hosts),
             Input::Datagram { from, bytes } => self.handle(Event::Message { from, bytes }),
+            Input::Ask(tell) => {
+                let _ = tell.send(self.held()); // who asked may have left
+            }
             Input::Retire => self.retired = true,
         }
     }
 
     fn unadmitted(&mut self, id: RequestId, wait: Millis, answer: oneshot::Sender<Answer>) {
         let live = Live {
+            class: None,
             answer: Some(answer),
             wanted: Rc::new(Cell::new(false)),
             message: self.nothing.clone(),
@@ -176,6 +185,7 @@
         self.live.insert(
             id,
             Live {
+                class: Some(class),
                 answer: Some(answer),
                 wanted: Rc::new(Cell::new(true)),
                 message: Rc::new(message),
@@ -185,6 +195,7 @@
                 pending: self.parts.capture.as_ref().map(|c| c.begin(class, tenant, patience)),
             },
         );
+        self.parts.counts.took(class.0);
         self.due.push(Reverse((last, Due::LastResort(id))));
         self.handle(Event::Request { id, class, tenant, key, budget, hint });
     }
@@ -221,6 +232,15 @@
         let live = self.live.get_mut(&id)?;
         live.wanted.set(false);
         let answer = live.answer.take();
+        if let (Some(class), true) = (live.class, answer.is_some()) {
+            let end = match code {
+                SERVED => End::Answered,
+                REFUSED => End::Deferred,
+                GONE => End::Abandoned,
+                _ => End::Errored,
+            };
+            self.parts.counts.ended(class.0, end);
+        }
         if let (Some(capture), Some(pending)) = (&self.parts.capture, live.pending.take()) {
             capture.end(&pending, &live.message, code);
         }
@@ -228,6 +248,13 @@
         answer
     }
 
+    /// What is held now.
+    fn held(&self) -> Held {
+        let (listed, avoided) = self.balancer.fleet(self.parts.clock.now());
+        let current = self.live.values().filter(|l| l.class.is_some() && l.answer.is_some()).count();
+        Held { current, listed, avoided }
+    }
+
     fn forget(&mut self, id: RequestId) {
         if self.live.get(&id).is_some_and(|l| l.answer.is_none() && l.out == 0) {
             self.live.remove(&id);
@@ -249,7 +276,7 @@
         let some = !entries.is_empty();
         self.handle(Event::List { scope, entries });
         match scope {
-            Scope::Full => self.parts.ready.set(true),
+            Scope::Full => self.parts.life.tell(|life, _| life.listed()),
             Scope::Cached => self.parts.remembered.set(some),
             Scope::Delta | Scope::Failed => {}
         }
--- a/crates/engine/src/frontend.rs
+++ b/crates/engine/src/frontend.rs
@@ -22,16 +22,19 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, oneshot};
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use wharfhitch::RequestId;
 
 use crate::account::{self, Account};
 use crate::figures::Flight;
 use crate::inbox::{Answer, Arrival, Inbox, Input, REFUSED};
+use crate::lifecycle::{Idle, Life};
 use crate::message::{BODY, Outgoing, plain, strip, target};
 use crate::note;
 use crate::pool::{Asked, Pool};
 use crate::upstream::Upstreams;
+use crate::vars::End;
 
 /// A head must be whole after this span, and a connection's first request with its body: a peer that sends
 /// no proper request is owed an error or a close within 3 s. It also bounds how long a connection stands idle,
@@ -39,12 +42,12 @@
 const HEAD: Duration = Duration::from_millis(2500);
 const HEAD_SIZE: usize = 64 << 10;
 const BACKLOG: u32 = 1024;
-/// After SIGTERM connections still come for up to 0.4 s.
-const LINGER: Duration = Duration::from_millis(500);
-/// Then the accept queue counts as empty once nothing comes for this span.
+/// Once no more connections are awaited, the accept queue counts as empty once nothing comes for this span.
 const QUIET: Duration = Duration::from_millis(20);
-/// A connection that has sent nothing is waited for this much longer.
-const SILENT: Duration = Duration::from_millis(200);
+/// A bound on that, should they never cease to come.
+const LINGER: Duration = Duration::from_millis(500);
+/// Between looks at idle connections while none is kept.
+const LOOK: Duration = Duration::from_millis(25);
 /// What the last answers may take to go out, after the longest deadline.
 const FINISH: Duration = Duration::from_millis(200);
 /// A connection asked to close that neither reads nor writes for this span is cut.
@@ -185,7 +188,7 @@
     }
 
     fn is_up(&self) -> bool {
-        self.pool.ready.get()
+        self.pool.life.is_up()
     }
 
     fn longest(&self) -> Duration {
@@ -204,49 +207,67 @@
     most: usize,
     /// The next number of a connection or a request, shared by all listeners of a process.
     next: Rc<Cell<u64>>,
-    draining: Cell<bool>,
+    life: Rc<Life>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     left: Notify,
 }
 
 impl<R: Router> Frontend<R> {
-    pub fn new(router: R, most: usize, next: Rc<Cell<u64>>) -> Rc<Self> {
-        Rc::new(Frontend {
-            router,
-            most,
-            next,
-            draining: Cell::new(false),
-            clients: RefCell::default(),
-            left: Notify::new(),
-        })
+    pub fn new(router: R, most: usize, next: Rc<Cell<u64>>, life: Rc<Life>) -> Rc<Self> {
+        Rc::new(Frontend { router, most, next, life, clients: RefCell::default(), left: Notify::new() })
     }
 
     /// Accepts and serves until `stop`, then finishes what has been taken.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
+        let tidier = AbortOnDrop(spawn_local(self.clone().tidy()).abort_handle());
         tokio::pin!(stop);
         loop {
+            let accepts = self.life.ask(|life, now| life.accepts(now));
             tokio::select! {
                 biased;
                 () = &mut stop => break,
-                () = self.clone().accept(&listener) => {}
+                () = self.clone().accept(&listener), if accepts => {}
+                () = self.life.changed(), if !accepts => {}
             }
         }
-        // Idle connections close now: a request that crosses that comes again while connections still do.
-        self.draining.set(true);
-        self.close_idle(usize::MAX, Duration::MAX);
-        let end = Instant::now() + LINGER;
-        while timeout_at(end, self.clone().accept(&listener)).await.is_ok() {}
-        let end = Instant::now() + LINGER; // a bound, should they never cease to come
-        while Instant::now() < end && timeout(QUIET, self.clone().accept(&listener)).await.is_ok() {}
+        self.life.tell(|life, now| life.leave(now));
+        let came = Instant::now();
+        while self.life.ask(|life, now| life.accepts(now)) {
+            let _ = timeout(QUIET, self.clone().accept(&listener)).await;
+        }
+        // What waits in a queue that others share is theirs; one's own is emptied.
+        if !self.life.ask(|life, _| life.is_shared()) {
+            let end = Instant::now() + LINGER;
+            while Instant::now() < end && timeout(QUIET, self.clone().accept(&listener)).await.is_ok() {}
+        }
         drop(listener);
-        sleep(SILENT).await;
-        self.close_idle(usize::MAX, Duration::ZERO);
-        let end = Instant::now() + self.router.longest() + FINISH;
-        while self.clients.borrow().values().any(|c| c.busy.get()) {
+        let end = came + LINGER + self.router.longest() + FINISH;
+        while !self.clients.borrow().is_empty() {
             if timeout_at(end, self.left.notified()).await.is_err() {
-                return note!("ended with connections open");
+                note!("ended with connections open");
+                break;
             }
         }
+        drop(tidier);
+    }
+
+    /// Closes connections that are no longer kept, for as long as the listener is served.
+    async fn tidy(self: Rc<Self>) {
+        loop {
+            if self.life.ask(|life, _| life.keeps()) {
+                self.life.changed().await;
+                continue;
+            }
+            self.life.ask(|life, now| {
+                for client in self.clients.borrow().values().filter(|c| !c.busy.get()) {
+                    let since = self.life.time(client.since.get());
+                    if life.may_close(now, Idle { since, used: client.used.get() }) {
+                        client.close.notify_one();
+                    }
+                }
+            });
+            sleep(LOOK).await;
+        }
     }
 
     async fn accept(self: Rc<Self>, listener: &TcpListener) {
@@ -288,7 +309,7 @@
                     turning_away: Cell::new(false),
                 });
                 self.clients.borrow_mut().insert(id, client.clone());
-                tokio::task::spawn_local(async move {
+                spawn_local(async move {
                     if client.account.borrow().is_some() {
                         client.work(self.connection(stream, &client)).await;
                     } else {
@@ -336,7 +357,7 @@
                 if let Some(flight) = flight {
                     flight.end(response.status().as_u16());
                 }
-                if over || front.draining.get() {
+                if over || !front.life.ask(|life, _| life.keeps()) {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 } else {
                     client.busy.set(false);
@@ -375,7 +396,7 @@
     }
 
     fn up(&self) -> Response<Full<Bytes>> {
-        let up = self.router.is_up() && !self.draining.get();
+        let up = self.router.is_up() && self.life.is_up();
         plain(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
     }
 
@@ -461,9 +482,12 @@
 /// Refuses a request on a connection over the budget; the module never sees it.
 fn turn_away(pool: &Pool, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let (head, _) = request.into_parts();
-    if let Some(capture) = &pool.features.capture
-        && let Ok(asked) = pool.read(&head.method, &head.uri, &head.headers)
-    {
+    let asked = pool.read(&head.method, &head.uri, &head.headers).ok();
+    if let Some(asked) = &asked {
+        pool.counts.took(asked.class.0);
+        pool.counts.ended(asked.class.0, End::Deferred);
+    }
+    if let (Some(capture), Some(asked)) = (&pool.features.capture, asked) {
         let pending = capture.begin(asked.class, asked.tenant, asked.patience);
         let (method, uri, headers, body) = (head.method, head.uri, head.headers, Bytes::new());
         capture.turned_away(&pending, &Outgoing { method, uri, headers, body }, REFUSED);
@@ -471,6 +495,15 @@
     plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
 }
 
+/// Ends a task with the scope that started it.
+struct AbortOnDrop(tokio::task::AbortHandle);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// A request on its tenant's account, until it has its answer or its client has left.
 struct Stay {
     account: Rc<dyn Account>,
--- a/crates/engine/src/inbox.rs
+++ b/crates/engine/src/inbox.rs
@@ -8,6 +8,7 @@
 
 use crate::hosts::Host;
 use crate::message::{Outgoing, Reply};
+use crate::vars::Held;
 
 /// The codes of the final answers.
 pub const SERVED: u16 = 200;
@@ -30,6 +31,8 @@
     List { scope: Scope, seq: Option<u64>, hosts: Vec<Host> },
     /// Another proxy's message.
     Datagram { from: u32, bytes: Vec<u8> },
+    /// What is held now is asked for.
+    Ask(oneshot::Sender<Held>),
     /// Nothing new comes any more: what is held is ended, and then the driver.
     Retire,
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -16,13 +16,16 @@
 mod frontend;
 mod hosts;
 mod inbox;
+mod lifecycle;
 mod log;
 mod message;
+mod ops;
 mod outlet;
 mod peers;
 pub mod pool;
 pub mod process;
 pub mod service;
 mod upstream;
+mod vars;
 
 use log::note;
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -1,6 +1,5 @@
 //! A pool: one decision module with its driver, and what fronts need to know to hand it requests.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,7 +13,9 @@
 use crate::drills::Drills;
 use crate::figures::Figures;
 use crate::inbox::{Inbox, Input};
+use crate::lifecycle::Life;
 use crate::message::{class_of, sid};
+use crate::vars::Counts;
 
 /// The features that have a part in how requests are answered; each is there only where it is on.
 #[derive(Clone, Default)]
@@ -30,8 +31,9 @@
     pub(crate) inbox: Inbox,
     pub(crate) names: Names,
     pub(crate) classes: Vec<Class>,
-    /// Whether the module has a list.
-    pub(crate) ready: Rc<Cell<bool>>,
+    /// Whether the module has a list, and what else says whether clients are taken.
+    pub(crate) life: Rc<Life>,
+    pub(crate) counts: Rc<Counts>,
     pub(crate) features: Features,
     /// The tenant's account, in a process of many.
     pub(crate) account: Option<Rc<dyn Account>>,
--- a/crates/engine/src/process.rs
+++ b/crates/engine/src/process.rs
@@ -24,7 +24,10 @@
 use crate::figures::Figures;
 use crate::frontend::{Frontend, One};
 use crate::inbox::{Inbox, Input};
+use crate::lifecycle::Life;
+use crate::ops::{self, Door};
 use crate::pool::{Features, Pool};
+use crate::vars::Counts;
 use crate::{config, discovery, frontend, hosts, log, note, peers, upstream};
 
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch; and
@@ -50,6 +53,12 @@
     Ok((Some(drills), Some(side_port)))
 }
 
+/// An error that names what listens where.
+fn at_address(what: &str, address: std::net::SocketAddr) -> impl FnOnce(io::Error) -> String {
+    let what = what.to_owned();
+    move |e| format!("{what} on {address}: {e}")
+}
+
 async fn run(config: Config, path: PathBuf, features: properties::Features) -> Result<(), String> {
     let at = |what: &str| {
         let what = what.to_owned();
@@ -59,7 +68,14 @@
     let mut hup = signal(SignalKind::hangup()).map_err(at("SIGHUP"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(at("SIGINT"))?;
     let listener = frontend::listen(config.listen).map_err(at(&format!("listen on {}", config.listen)))?;
+    let door = match config.ops {
+        Some(at) => Some(frontend::listen(at).map_err(at_address("the operators' door", at))?),
+        None => None,
+    };
     let clock = Clock::new();
+    let life = Rc::new(Life::new(clock, false));
+    let counts = Rc::new(Counts::default());
+    counts.name(&config.names.classes);
     let capture = if features.capture.enabled {
         let (node, given, names) = (&config.name, config.given.to_string(), config.names.clone());
         let capture = Capture::new(&features.capture, node, config.seed, &given, names, clock)?;
@@ -78,10 +94,10 @@
         }
         None => None,
     };
-    let budget = config.sockets - RESERVE;
+    let own = RESERVE + if door.is_some() { ops::CALLERS + 1 } else { 0 };
+    let budget = config.sockets - own;
     let sockets = Arc::new(Semaphore::new(budget / 4));
-    let upstreams = Rc::new(upstream::Upstreams::new(&config.connections, sockets, None));
-    let ready = Rc::new(Cell::new(false));
+    let upstreams = Rc::new(upstream::Upstreams::new(&config.connections, sockets, None, counts.clone()));
     let known_only = Rc::new(Cell::new(false));
     let watch = Rc::new(Notify::new());
     let place = discovery::Place::new(config.discovery);
@@ -94,7 +110,8 @@
         discovery: Some(place.clone()),
         account: None,
         watch: watch.clone(),
-        ready: ready.clone(),
+        life: life.clone(),
+        counts: counts.clone(),
         remembered: known_only.clone(),
     };
     let classes = config.settings.classes.clone();
@@ -105,9 +122,12 @@
     let (seq, hosts) = known.map_or((None, Vec::new()), |(seq, hosts)| (Some(seq), hosts));
     inbox.put(Input::List { scope: Scope::Cached, seq, hosts });
     let list = discovery::Discovery::new(place.clone(), inbox.clone());
+    let files = counts.clone();
     spawn_local(async move {
         while hup.recv().await.is_some() {
-            match config::read_discovery(&path) {
+            let read = config::read_discovery(&path);
+            files.read(read.is_ok());
+            match read {
                 Ok(address) => place.move_to(address),
                 Err(e) => note!("the new configuration is of no use: {e}"),
             }
@@ -118,10 +138,12 @@
     } else {
         spawn_local(list.on_request(watch));
     }
-    let up = ready.clone();
+    let starts = life.clone();
     spawn_local(async move {
         tokio::time::sleep(PATIENCE).await;
-        up.set(up.get() || known_only.get());
+        if known_only.get() {
+            starts.tell(|life, _| life.listed());
+        }
     });
     // The module sends to a backend only while it has a free slot there, but clients come as they like: most
     // of the budget is theirs. Beyond `most` an eighth more are let in, only to be refused.
@@ -133,10 +155,25 @@
     } else {
         None
     };
+    if let Some(listener) = door {
+        let address = listener.local_addr().map_err(at("the operators' door"))?;
+        note!("operators' door on {address}");
+        let door = Door { life: life.clone(), counts: counts.clone(), inbox: inbox.clone() };
+        spawn_local(Rc::new(door).serve(listener));
+    }
     let features = Features { capture: capture.clone(), drills: drills.clone(), figures: figures.clone() };
     let names = config.names;
-    let pool = Rc::new(Pool { inbox, names, classes, ready, features, account: None, strict: true });
-    let front = Frontend::new(One { pool, upstreams }, most, Rc::default());
+    let pool = Rc::new(Pool {
+        inbox,
+        names,
+        classes,
+        life: life.clone(),
+        counts: counts.clone(),
+        features,
+        account: None,
+        strict: true,
+    });
+    let front = Frontend::new(One { pool, upstreams }, most, Rc::default(), life.clone());
     let address = listener.local_addr().map_err(at("the listener"))?;
     note!("{} listens on {address}", config.name);
     if let (Some(drills), Some(side_port)) = (&drills, side_port) {
@@ -218,7 +255,13 @@
     };
     let unset = "NODE_CONFIG is not set: it names the configuration, such as deploy/sandgap.example.json";
     let path = PathBuf::from(std::env::var_os("NODE_CONFIG").ok_or(unset)?);
-    let config = config::read(&path)?;
+    let mut config = config::read(&path)?;
+    if config.ops.is_none()
+        && let Some(at) = std::env::var_os("NODE_OPS")
+    {
+        let at = at.to_string_lossy();
+        config.ops = Some(at.parse().map_err(|e| format!("NODE_OPS: {at}: {e}"))?);
+    }
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
     let outcome = LocalSet::new().block_on(&runtime, run(config, path, features));
--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -19,8 +19,10 @@
 use crate::driver::{Driver, Parts};
 use crate::frontend::{self, Frontend};
 use crate::inbox::{Inbox, Input};
+use crate::lifecycle::Life;
 use crate::pool::{Features, Pool};
 use crate::upstream::Upstreams;
+use crate::vars::Counts;
 
 pub use crate::driver::server_number;
 pub use crate::frontend::Router;
@@ -100,8 +102,12 @@
         ended: impl FnOnce(Result<(), JoinError>) + 'static,
     ) -> Running {
         let (inbox, inputs) = Inbox::new();
-        let upstreams = Rc::new(Upstreams::new(&terms.connections, self.sockets.clone(), account.clone()));
-        let ready = Rc::new(Cell::new(false));
+        let counts = Rc::new(Counts::default());
+        counts.name(&terms.names.classes);
+        let sockets = self.sockets.clone();
+        let upstreams = Upstreams::new(&terms.connections, sockets, account.clone(), counts.clone());
+        let upstreams = Rc::new(upstreams);
+        let life = Rc::new(Life::new(self.clock, false));
         let parts = Parts {
             clock: self.clock,
             capture: None,
@@ -111,25 +117,27 @@
             discovery: None,
             account: account.clone(),
             watch: Rc::new(Notify::new()),
-            ready: ready.clone(),
+            life: life.clone(),
+            counts: counts.clone(),
             remembered: Rc::default(),
         };
         let classes = terms.settings.classes.clone();
         let balancer = Balancer::new(terms.settings, terms.seed);
         let driver = Driver::new(balancer, terms.names.clone(), parts).run(inputs);
-        let life = Rc::new(());
-        let alive = Rc::downgrade(&life);
+        let runs = Rc::new(());
+        let alive = Rc::downgrade(&runs);
         let driver = match account.clone() {
             Some(account) => spawn_local(account::on(account, driver)),
             None => spawn_local(driver),
         };
         spawn_local(async move {
             let end = driver.await;
-            drop(life);
+            drop(runs);
             ended(end);
         });
         let (names, features) = (terms.names, Features::default());
-        let pool = Pool { inbox: inbox.clone(), names, classes, ready, features, account, strict: false };
+        let pool =
+            Pool { inbox: inbox.clone(), names, classes, life, counts, features, account, strict: false };
         Running { pool: Rc::new(pool), feed: Feed { inbox, alive }, upstreams }
     }
 
@@ -137,14 +145,16 @@
     pub async fn serve<R: Router>(
         &self, listener: TcpListener, router: R, most: usize, stop: impl Future<Output = ()>,
     ) {
-        Frontend::new(router, most, self.next.clone()).serve(listener, stop).await;
+        let life = Rc::new(Life::new(self.clock, false));
+        life.tell(|life, _| life.listed()); // its pools have lists, or answer for themselves
+        Frontend::new(router, most, self.next.clone(), life).serve(listener, stop).await;
     }
 }
 
 impl Pool {
     /// Whether its module has a list.
     pub fn is_ready(&self) -> bool {
-        self.ready.get()
+        self.life.is_up()
     }
 
     /// The longest wait that its clients are ready for.
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -26,6 +26,7 @@
 
 use crate::account::{self, Account};
 use crate::message::{BODY, Outgoing, Reply, strip};
+use crate::vars::Counts;
 
 /// A pooled connection is retired after this part of the span after which a backend closes it.
 const IDLE_PART: f64 = 0.7;
@@ -94,6 +95,8 @@
 /// Follows the bytes of a request onto the socket, and holds the first one back where it may not go.
 #[derive(Default)]
 struct Meter {
+    /// Told of each request whose last byte has been written.
+    counts: Rc<Counts>,
     /// What must still hold when the first byte is written; there is none between requests.
     gate: RefCell<Option<Gate>>,
     begun: Cell<bool>,
@@ -132,6 +135,14 @@
 
     fn wrote(&self, bytes: &[u8]) {
         self.begun.set(self.begun.get() || !bytes.is_empty());
+        let before = self.complete();
+        self.follow(bytes);
+        if !before && self.complete() {
+            self.counts.sent();
+        }
+    }
+
+    fn follow(&self, bytes: &[u8]) {
         let mut rest = bytes;
         while self.blank.get() < BLANK.len() {
             let Some((&byte, after)) = rest.split_first() else { return };
@@ -190,6 +201,7 @@
     sockets: Arc<Semaphore>,
     /// Whose work it is, in a process of many tenants.
     account: Option<Rc<dyn Account>>,
+    counts: Rc<Counts>,
     /// Asked to close an idle connection when the budget has run out.
     endpoints: RefCell<Vec<Rc<Endpoint>>>,
 }
@@ -198,6 +210,7 @@
     /// `sockets` is the budget of connections, which pools of one process share.
     pub fn new(
         connections: &settings::Connections, sockets: Arc<Semaphore>, account: Option<Rc<dyn Account>>,
+        counts: Rc<Counts>,
     ) -> Self {
         let span = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3.6e6) / 1000.0);
         Upstreams {
@@ -205,6 +218,7 @@
             idle_limit: span(connections.idle_close * IDLE_PART),
             sockets,
             account,
+            counts,
             endpoints: RefCell::default(),
         }
     }
@@ -252,7 +266,7 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let stream = Rc::new(RefCell::new(stream));
-        let meter = Rc::new(Meter::default());
+        let meter = Rc::new(Meter { counts: self.counts.clone(), ..Meter::default() });
         let io = Metered { stream: stream.clone(), meter: meter.clone(), _permit: permit };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BODY)
--- a/crates/engine/tests/layers.rs
+++ b/crates/engine/tests/layers.rs
@@ -2,7 +2,7 @@
 use std::path::Path;
 
 /// The parts from the lowest up.
-const LAYERS: [&str; 19] = [
+const LAYERS: [&str; 22] = [
     "outlet",
     "log",
     "clock",
@@ -10,7 +10,9 @@
     "config",
     "hosts",
     "message",
+    "vars",
     "inbox",
+    "lifecycle",
     "upstream",
     "capture",
     "discovery",
@@ -20,6 +22,7 @@
     "driver",
     "pool",
     "frontend",
+    "ops",
     "service",
     "process",
 ];
--- a/crates/engine/tests/sockets/mod.rs
+++ b/crates/engine/tests/sockets/mod.rs
@@ -291,6 +291,8 @@
     pub unread: bool,
     /// Whether the list comes only when asked for.
     pub asks: bool,
+    /// Whether there is an operators' door.
+    pub door: bool,
 }
 
 impl Default for Setup {
@@ -306,6 +308,7 @@
             properties: None,
             unread: false,
             asks: false,
+            door: false,
         }
     }
 }
@@ -316,8 +319,9 @@
     let peers = setup.may_tell.map_or(String::new(), |(own, other)| {
         format!(r#""peer_listen":"{own}","peers":["{own}","{other}"],"peers_all":"{other}","#)
     });
+    let door = if setup.door { r#""ops":"127.0.0.1:0","# } else { "" };
     format!(
-        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        r#"{{"name":"n0","listen":"127.0.0.1:0",{door}"discovery":"{discovery}","seed":"8c1f30d27a5be964",
         "limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},{peers}"known":{},
         "settings":{{"zone":"a","zones":["a"],"flavors":["k"],"nInstances":{},"myNumber":0,"discovery":"{}",
         "weightSource":"nominal","accounts":[{{"name":"acme","allowancePerS":1000}}],
@@ -339,6 +343,8 @@
 pub struct Proxy {
     child: Child,
     pub address: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub door: Option<SocketAddr>,
     pub log: Arc<Mutex<String>>,
     file: std::path::PathBuf,
     properties: Option<std::path::PathBuf>,
@@ -383,7 +389,11 @@
             command.env("NODE_CONFIG", &file).stderr(Stdio::piped()).spawn().expect("the proxy starts");
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         let log = Arc::new(Mutex::new(String::new()));
+        let mut door = None;
         let address = lines.by_ref().map_while(Result::ok).find_map(|line| {
+            if let Some((_, address)) = line.split_once("operators' door on ") {
+                door = address.parse().ok();
+            }
             line.split_once("listens on ").map(|(_, address)| address.parse().expect("an address"))
         });
         let mut unread = Some(lines);
@@ -396,7 +406,7 @@
                 }
             });
         }
-        Proxy { child, address: address.expect("the proxy listens"), log, file, properties, unread }
+        Proxy { child, address: address.expect("the proxy listens"), door, log, file, properties, unread }
     }
 
     /// Starts a proxy and waits until it is up.
@@ -416,6 +426,23 @@
         lines.map_while(Result::ok).map(|line| line + "\n").collect()
     }
 
+    /// A call at the operators' door.
+    pub fn call(&self, call: &str) -> Option<Message> {
+        self.knock(&format!("{call} HTTP/1.1\r\nHost: x\r\n\r\n"))
+    }
+
+    /// Any bytes sent there, and what comes back.
+    pub fn knock(&self, text: &str) -> Option<Message> {
+        Client::to(self.door.expect("there is a door")).ask(text)
+    }
+
+    /// A figure as it is reported, by its name with labels.
+    pub fn var(&self, name: &str) -> f64 {
+        let text = self.call("GET /_vars").expect("the figures").text();
+        let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' ').map(str::to_owned));
+        line.unwrap_or_else(|| panic!("{name} in {text}")).parse().expect("a number")
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
@@ -460,7 +487,11 @@
 
 impl Client {
     pub fn new(proxy: &Proxy) -> Self {
-        let stream = TcpStream::connect(proxy.address).expect("the proxy accepts");
+        Client::to(proxy.address)
+    }
+
+    pub fn to(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).expect("the proxy accepts");
         stream.set_read_timeout(Some(LIMIT)).expect("a time-out");
         Client(BufReader::new(stream))
     }
--- /dev/null
+++ b/crates/sandgap/tests/operations.rs
@@ -0,0 +1,178 @@
+//! What operators do to a running proxy, on loopback sockets.
+#[path = "../../engine/tests/sockets/mod.rs"]
+mod sockets;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use sockets::*;
+
+/// A proxy with a door and this backend.
+fn proxy_with(backend: &Backend) -> (Discovery, Proxy) {
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[backend]));
+    let proxy = Proxy::up(&discovery, &Setup { door: true, ..Setup::default() });
+    (discovery, proxy)
+}
+
+fn status(answer: Option<Message>) -> u16 {
+    answer.expect("an answer").status()
+}
+
+#[test]
+fn the_door_answers_each_call_and_says_no_to_the_rest() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let (_discovery, mut proxy) = proxy_with(&backend);
+    let long = format!("GET /_ready HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(16 << 10));
+    for (text, wanted) in [
+        ("GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n", 200),
+        ("GET /_vars?x=1 HTTP/1.0\r\n\r\n", 200),
+        ("PUT /_lameduck/off HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nno", 200),
+        ("GET /_other HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+        ("PUT /_vars HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 405),
+        ("GET /_lameduck/on HTTP/1.1\r\nHost: x\r\n\r\n", 405),
+        ("\u{1}\u{2}\r\n\r\n", 400),
+        (&long, 431),
+    ] {
+        assert_eq!(status(proxy.knock(text)), wanted, "{text:.60}");
+    }
+    let refused = proxy.call("GET /_lameduck/on").expect("an answer");
+    assert_eq!((refused.header("allow"), refused.header("connection")), (Some("PUT"), Some("close")));
+    assert!(proxy.is_up() && proxy.runs(), "none of it has changed anything");
+}
+
+#[test]
+fn callers_that_say_nothing_hold_nobody_up() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let (_discovery, proxy) = proxy_with(&backend);
+    let door = proxy.door.expect("a door");
+    let silent: Vec<TcpStream> = (0..40)
+        .map(|n| {
+            let mut stream = TcpStream::connect(door).expect("the door is open");
+            stream.write_all(if n % 2 == 0 { b"" } else { b"GET /_re" }).expect("it takes it");
+            stream
+        })
+        .collect();
+    let asked = Instant::now();
+    assert_eq!(status(proxy.call("GET /_ready")), 200);
+    assert!(asked.elapsed() < Duration::from_secs(1), "{:?}", asked.elapsed());
+    drop(silent);
+}
+
+#[test]
+fn the_figures_add_up_after_all_kinds_of_ends() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let backend = Backend::with(move |m| match m.id() {
+        "r-full" => Deed::Write(empty("503 Full\r\nX-Not-Processed: 1")),
+        "r-bad" => Deed::Write(empty("500 Oops")),
+        "r-held" | "r-left" => Deed::Hold(held.clone(), ok("late")),
+        _ => Deed::Write(ok("")),
+    });
+    let (_discovery, proxy) = proxy_with(&backend);
+    assert_eq!(proxy.var("node_answered{group=\"booking\"}"), 0.0, "every class from the start");
+    let (mut holds, mut leaves) = (Client::new(&proxy), Client::new(&proxy));
+    holds.send(&submit("r-held", "20", "x"));
+    wait_for("both to be sent", || backend.seen().iter().any(|m| m.id() == "r-held"));
+    leaves.send(&submit("r-left", "20", "x"));
+    wait_for("two held", || proxy.var("node_current") == 2.0);
+    drop(leaves);
+    wait_for("one has left", || proxy.var("node_abandoned{group=\"submit\"}") == 1.0);
+    assert_eq!(proxy.var("node_current"), 1.0);
+    gate.open();
+    assert_eq!(status(holds.answer()), 200);
+    let ask = |id: &str| status(Client::new(&proxy).ask(&submit(id, "5", "x")));
+    assert_eq!((ask("r-1"), ask("r-2"), ask("r-bad")), (200, 200, 502));
+    assert_eq!(ask("r-full"), 503);
+    assert_eq!(status(Client::new(&proxy).ask("GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n")), 404);
+    let var = |name: &str| proxy.var(&format!("node_{name}{{group=\"submit\"}}"));
+    assert_eq!((var("answered"), var("deferred"), var("errored")), (3.0, 1.0, 1.0));
+    assert_eq!(var("taken"), var("answered") + var("deferred") + var("errored") + var("abandoned"));
+    assert_eq!(proxy.var("node_current"), 0.0);
+    assert_eq!(proxy.var("node_sends"), backend.seen().len() as f64);
+    assert_eq!((proxy.var("node_cluster_size"), proxy.var("node_conf_loaded")), (1.0, 0.0));
+}
+
+#[test]
+fn servers_that_are_closed_or_drain_are_told_of_and_those_that_left_are_not() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let (discovery, proxy) = proxy_with(&backend);
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    discovery.say(&list(
+        2,
+        false,
+        &[host("s-gone", nobody, "up", 0), host("s-drains", backend.address, "draining", 0)],
+    ));
+    wait_for("the list", || proxy.var("node_cluster_size") == 3.0);
+    let mut n = 0;
+    wait_for("the dead server to be closed", || {
+        n += 1;
+        assert_eq!(status(Client::new(&proxy).ask(&page(&format!("r-{n}")))), 200);
+        proxy.var("node_cluster_unhealthy") == 2.0
+    });
+    discovery.say(&list(3, true, &[host("s-0", backend.address, "up", 0)]));
+    wait_for("those that left", || proxy.var("node_cluster_size") == 1.0);
+    assert_eq!(proxy.var("node_cluster_unhealthy"), 0.0);
+}
+
+#[test]
+fn a_drain_sends_clients_away_and_loses_no_request() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let backend = Backend::with(move |m| match m.id() {
+        "r-held" => Deed::Hold(held.clone(), ok("late")),
+        _ => Deed::Write(ok("")),
+    });
+    let (_discovery, mut proxy) = proxy_with(&backend);
+    let (mut idle, mut used, mut busy) = (Client::new(&proxy), Client::new(&proxy), Client::new(&proxy));
+    assert_eq!((status(idle.ask(&page("r-1"))), status(used.ask(&page("r-2")))), (200, 200));
+    busy.send(&page("r-held"));
+    wait_for("one under way", || proxy.var("node_current") == 1.0);
+    assert_eq!(status(proxy.call("PUT /_lameduck/on")), 200);
+    assert!(!proxy.is_up(), "at once");
+    assert_eq!(status(proxy.call("GET /_ready")), 503);
+    let last = used.ask(&page("r-3")).expect("a connection in use is answered");
+    assert_eq!((last.status(), last.header("connection")), (200, Some("close")));
+    let called = Instant::now();
+    assert!(idle.is_closed() && used.is_closed());
+    assert!(called.elapsed() < Duration::from_secs(3), "{:?}", called.elapsed());
+    // Who still comes is served, once a connection.
+    let mut late = Client::new(&proxy);
+    assert_eq!(late.ask(&page("r-4")).expect("an answer").header("connection"), Some("close"));
+    gate.open();
+    assert_eq!(busy.answer().expect("its answer").text(), "late");
+    assert_eq!(status(proxy.call("PUT /_lameduck/on")), 200, "said again");
+    assert_eq!(status(proxy.call("PUT /_lameduck/off")), 200);
+    assert!(proxy.is_up() && proxy.runs());
+    let mut back = Client::new(&proxy);
+    assert_eq!((status(back.ask(&page("r-5"))), status(back.ask(&page("r-6")))), (200, 200));
+}
+
+#[test]
+fn a_process_told_to_end_in_a_drain_ends_and_cannot_be_called_back() {
+    let gate = Gate::default();
+    let backend = Backend::new(Deed::Hold(gate.clone(), ok("late")));
+    let (_discovery, mut proxy) = proxy_with(&backend);
+    let mut busy = Client::new(&proxy);
+    busy.send(&page("r-held"));
+    wait_for("one under way", || proxy.var("node_current") == 1.0);
+    assert_eq!(status(proxy.call("PUT /_lameduck/on")), 200);
+    proxy.terminate();
+    wait_for("it leaves", || proxy.call("GET /_ready").is_some_and(|m| m.text().starts_with("leaving")));
+    assert_eq!(status(proxy.call("PUT /_lameduck/off")), 409);
+    assert_eq!(status(proxy.call("PUT /_lameduck/on")), 200);
+    gate.open();
+    assert_eq!(busy.answer().expect("its answer").text(), "late");
+    assert!(proxy.wait().success());
+}
+
+#[test]
+fn without_an_address_there_is_no_door() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let proxy = Proxy::up(&discovery, &Setup::default());
+    assert!(proxy.door.is_none() && !proxy.log.lock().unwrap().contains("door"));
+    assert_eq!(status(Client::new(&proxy).ask("GET /_vars HTTP/1.1\r\nHost: x\r\n\r\n")), 404);
+}
--- a/crates/wharfhitch/src/state.rs
+++ b/crates/wharfhitch/src/state.rs
@@ -121,6 +121,14 @@
         }
     }
 
+    /// How many servers the list names, and how many of them get nothing now: they drain, or are closed as ill or as
+    /// full, or have been closed and not proved themselves since.
+    pub fn fleet(&self, now: Millis) -> (usize, usize) {
+        let listed = || self.servers.iter().filter(|s| s.info.state != State::Gone);
+        let shut = |s: &&Server| s.told.is_some() || s.health.closed > now || s.health.trial;
+        (listed().count(), listed().filter(shut).count())
+    }
+
     /// Notes a line of the server list; returns the server.
     fn record(&mut self, now: Millis, mut e: Backend) -> usize {
         e.rating = if e.rating.is_finite() && e.rating > 0.0 { e.rating } else { 1.0 };
@@ -148,7 +156,8 @@
             let mut left = vec![true; self.servers.len()];
             listed.iter().for_each(|&k| left[k] = false);
             for k in (0..left.len()).filter(|&k| left[k]) {
-                self.servers[k].told = self.servers[k].told.or(Some(now));
+                let s = &mut self.servers[k];
+                (s.told, s.info.state) = (s.told.or(Some(now)), State::Gone);
                 listed.push(k);
             }
         }
