Take the clients' listener from the platform, so that an upgrade loses no request

Design: where NODE_SOCKET_FD names a descriptor it is checked to be a listening TCP socket and accepted on; nothing is bound in its place. A process without a list leaves the shared queue alone, one that has had SIGTERM stops accepting at once and closes its connections with their next answer or once idle, and ends when it holds nothing. Rejected: pidfd_getfd, one call, but container profiles commonly forbid it; LISTEN_FDS with a second exec, which makes the start depend on variables of our own.

Tests with real processes: two upgrades in a row under load, a new process that dies before its yes, an old one killed.

--- a/crates/engine/src/config.rs
+++ b/crates/engine/src/config.rs
@@ -47,6 +47,8 @@
     pub discovery: SocketAddr,
     /// Where operators call, if anywhere.
     pub ops: Option<SocketAddr>,
+    /// The descriptor of the clients' listening socket, where the platform holds it.
+    pub inherited: Option<std::os::fd::RawFd>,
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
@@ -101,6 +103,7 @@
         listen: file.listen,
         discovery: file.discovery,
         ops: file.ops,
+        inherited: None,
         seed: seed(&file.seed).ok_or("'seed' is neither text nor a whole number")?,
         sockets: file.limits.sockets.unwrap_or(1024).max(64),
         peers,
--- a/crates/engine/src/frontend.rs
+++ b/crates/engine/src/frontend.rs
@@ -242,15 +242,28 @@
         }
         drop(listener);
         let end = came + LINGER + self.router.longest() + FINISH;
-        while !self.clients.borrow().is_empty() {
-            if timeout_at(end, self.left.notified()).await.is_err() {
+        while self.holds() {
+            if Instant::now() >= end {
                 note!("ended with connections open");
                 break;
             }
+            let _ = timeout(LOOK, self.left.notified()).await;
         }
         drop(tidier);
     }
 
+    /// Whether some connection has a request, or may be about to have one.
+    fn holds(&self) -> bool {
+        self.life.ask(|life, now| {
+            let held = |c: &Rc<Client>| c.busy.get() || !life.may_close(now, self.idle(c));
+            self.clients.borrow().values().any(held)
+        })
+    }
+
+    fn idle(&self, client: &Client) -> Idle {
+        Idle { since: self.life.time(client.since.get()), used: client.used.get() }
+    }
+
     /// Closes connections that are no longer kept, for as long as the listener is served.
     async fn tidy(self: Rc<Self>) {
         loop {
@@ -260,8 +273,7 @@
             }
             self.life.ask(|life, now| {
                 for client in self.clients.borrow().values().filter(|c| !c.busy.get()) {
-                    let since = self.life.time(client.since.get());
-                    if life.may_close(now, Idle { since, used: client.used.get() }) {
+                    if life.may_close(now, self.idle(client)) {
                         client.close.notify_one();
                     }
                 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -16,6 +16,7 @@
 mod frontend;
 mod hosts;
 mod inbox;
+mod inherited;
 mod lifecycle;
 mod log;
 mod message;
--- a/crates/engine/src/process.rs
+++ b/crates/engine/src/process.rs
@@ -28,7 +28,7 @@
 use crate::ops::{self, Door};
 use crate::pool::{Features, Pool};
 use crate::vars::Counts;
-use crate::{config, discovery, frontend, hosts, log, note, peers, upstream};
+use crate::{config, discovery, frontend, hosts, inherited, log, note, peers, upstream};
 
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch; and
 /// the features' own: the drills' side port with its connections, the figures' socket, the files being written.
@@ -67,13 +67,18 @@
     let mut term = signal(SignalKind::terminate()).map_err(at("SIGTERM"))?;
     let mut hup = signal(SignalKind::hangup()).map_err(at("SIGHUP"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(at("SIGINT"))?;
-    let listener = frontend::listen(config.listen).map_err(at(&format!("listen on {}", config.listen)))?;
+    let listener = match config.inherited {
+        Some(descriptor) => inherited::listener(descriptor)
+            .and_then(TcpListener::from_std)
+            .map_err(at(&format!("NODE_SOCKET_FD: descriptor {descriptor}")))?,
+        None => frontend::listen(config.listen).map_err(at_address("listen", config.listen))?,
+    };
     let door = match config.ops {
         Some(at) => Some(frontend::listen(at).map_err(at_address("the operators' door", at))?),
         None => None,
     };
     let clock = Clock::new();
-    let life = Rc::new(Life::new(clock, false));
+    let life = Rc::new(Life::new(clock, config.inherited.is_some()));
     let counts = Rc::new(Counts::default());
     counts.name(&config.names.classes);
     let capture = if features.capture.enabled {
@@ -256,12 +261,14 @@
     let unset = "NODE_CONFIG is not set: it names the configuration, such as deploy/sandgap.example.json";
     let path = PathBuf::from(std::env::var_os("NODE_CONFIG").ok_or(unset)?);
     let mut config = config::read(&path)?;
-    if config.ops.is_none()
-        && let Some(at) = std::env::var_os("NODE_OPS")
-    {
-        let at = at.to_string_lossy();
+    let variable = |name: &str| std::env::var_os(name).map(|value| value.to_string_lossy().into_owned());
+    if let (None, Some(at)) = (config.ops, variable("NODE_OPS")) {
         config.ops = Some(at.parse().map_err(|e| format!("NODE_OPS: {at}: {e}"))?);
     }
+    if let Some(number) = variable("NODE_SOCKET_FD") {
+        let descriptor = number.parse().ok().filter(|d| *d >= 0);
+        config.inherited = Some(descriptor.ok_or(format!("NODE_SOCKET_FD: '{number}' is no descriptor"))?);
+    }
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
     let outcome = LocalSet::new().block_on(&runtime, run(config, path, features));
--- a/crates/engine/tests/layers.rs
+++ b/crates/engine/tests/layers.rs
@@ -2,11 +2,12 @@
 use std::path::Path;
 
 /// The parts from the lowest up.
-const LAYERS: [&str; 22] = [
+const LAYERS: [&str; 23] = [
     "outlet",
     "log",
     "clock",
     "account",
+    "inherited",
     "config",
     "hosts",
     "message",
--- a/crates/engine/tests/sockets/mod.rs
+++ b/crates/engine/tests/sockets/mod.rs
@@ -252,6 +252,13 @@
     format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, hosts.join(","))
 }
 
+/// A listening socket that all processes inherit, as the platform holds it.
+pub fn held_listener() -> TcpListener {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    socket2::SockRef::from(&listener).set_cloexec(false).expect("a flag");
+    listener
+}
+
 /// A listener whose accept queue is full: connections to it don't come up until `accept` has made room.
 pub fn full_listener() -> (TcpListener, Vec<TcpStream>) {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
@@ -293,6 +300,8 @@
     pub asks: bool,
     /// Whether there is an operators' door.
     pub door: bool,
+    /// The clients' listening socket, held by the test.
+    pub held: Option<i32>,
 }
 
 impl Default for Setup {
@@ -309,6 +318,7 @@
             unread: false,
             asks: false,
             door: false,
+            held: None,
         }
     }
 }
@@ -382,6 +392,9 @@
             None => Command::new(program),
         };
         command.args(verb);
+        if let Some(descriptor) = setup.held {
+            command.env("NODE_SOCKET_FD", descriptor.to_string());
+        }
         if let Some(file) = &properties {
             command.arg("--properties").arg(file);
         }
@@ -453,7 +466,7 @@
         self.signal("-HUP");
     }
 
-    fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill runs").success());
     }
--- a/crates/sandgap/tests/operations.rs
+++ b/crates/sandgap/tests/operations.rs
@@ -4,6 +4,11 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::os::fd::AsRawFd;
+use std::process::Command;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use sockets::*;
@@ -176,3 +181,146 @@
     assert!(proxy.door.is_none() && !proxy.log.lock().unwrap().contains("door"));
     assert_eq!(status(Client::new(&proxy).ask("GET /_vars HTTP/1.1\r\nHost: x\r\n\r\n")), 404);
 }
+
+/// A process that takes its clients from a listener that the test holds.
+fn generation(discovery: &Discovery, listener: &std::net::TcpListener) -> Proxy {
+    let held = Some(listener.as_raw_fd());
+    Proxy::start(discovery, &Setup { door: true, held, ..Setup::default() })
+}
+
+fn ready(proxy: &Proxy) -> bool {
+    proxy.call("GET /_ready").is_some_and(|m| m.status() == 200)
+}
+
+/// Clients that go on asking, each on a connection that it keeps as long as it may.
+struct Load {
+    stop: Arc<AtomicBool>,
+    answered: Arc<AtomicUsize>,
+    clients: Vec<thread::JoinHandle<Vec<String>>>,
+}
+
+impl Load {
+    fn start(address: std::net::SocketAddr, many: usize) -> Self {
+        let (stop, answered) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+        let client = |c: usize| {
+            let (stop, answered) = (stop.clone(), answered.clone());
+            thread::spawn(move || {
+                let (mut lost, mut n, mut kept) = (Vec::new(), 0, None);
+                while !stop.load(Ordering::SeqCst) {
+                    n += 1;
+                    let mut client: Client = kept.take().unwrap_or_else(|| Client::to(address));
+                    match client.ask(&submit(&format!("r-{c}-{n}"), "5", "x")) {
+                        Some(m) if m.status() == 200 => {
+                            answered.fetch_add(1, Ordering::SeqCst);
+                            kept = (m.header("connection") != Some("close")).then_some(client);
+                        }
+                        other => lost.push(format!("{c}-{n}: {:?}", other.map(|m| m.first))),
+                    }
+                }
+                lost
+            })
+        };
+        let clients = (0..many).map(client).collect();
+        Load { stop, answered, clients }
+    }
+
+    /// Waits for so many more answers.
+    fn go_on(&self, more: usize) {
+        let wanted = self.answered.load(Ordering::SeqCst) + more;
+        wait_for("more answers", || self.answered.load(Ordering::SeqCst) >= wanted);
+    }
+
+    /// Requests that got no answer, or another than was wanted.
+    fn end(self) -> Vec<String> {
+        self.stop.store(true, Ordering::SeqCst);
+        self.clients.into_iter().flat_map(|c| c.join().expect("no panic")).collect()
+    }
+}
+
+#[test]
+fn two_upgrades_in_a_row_lose_no_request() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let listener = held_listener();
+    let mut serves = generation(&discovery, &listener);
+    wait_for("the first", || ready(&serves));
+    let load = Load::start(listener.local_addr().unwrap(), 4);
+    load.go_on(50);
+    for _ in 0..2 {
+        let next = generation(&discovery, &listener);
+        wait_for("the next", || ready(&next));
+        load.go_on(20);
+        serves.terminate();
+        assert!(serves.wait().success());
+        serves = next;
+        load.go_on(50);
+        assert!(serves.var("node_answered{group=\"submit\"}") > 0.0, "it takes clients");
+    }
+    assert_eq!(load.end(), Vec::<String>::new());
+    let ids: Vec<String> = backend.seen().iter().map(|m| m.id().to_owned()).collect();
+    let once: std::collections::BTreeSet<&String> = ids.iter().collect();
+    assert_eq!(once.len(), ids.len(), "none was sent twice");
+}
+
+#[test]
+fn a_process_without_a_list_leaves_the_shared_queue_alone_and_may_die() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let (discovery, silent) = (Discovery::new(), Discovery::new());
+    discovery.say(&all_up(&[&backend]));
+    let listener = held_listener();
+    let first = generation(&discovery, &listener);
+    wait_for("the first", || ready(&first));
+    let load = Load::start(listener.local_addr().unwrap(), 2);
+    let second = generation(&silent, &listener);
+    assert_eq!(status(second.call("GET /_ready")), 503);
+    load.go_on(50);
+    for _ in 0..50 {
+        assert!(first.is_up(), "it answers for the two");
+    }
+    assert_eq!(second.var("node_taken{group=\"submit\"}"), 0.0);
+    second.signal("-KILL");
+    load.go_on(50);
+    assert_eq!(load.end(), Vec::<String>::new());
+}
+
+#[test]
+fn what_waits_when_the_old_process_dies_is_the_new_ones() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let discovery = Discovery::new();
+    discovery.say(&all_up(&[&backend]));
+    let listener = held_listener();
+    let address = listener.local_addr().unwrap();
+    let mut first = generation(&discovery, &listener);
+    wait_for("the first", || ready(&first));
+    first.signal("-KILL");
+    let _ = first.wait();
+    let mut waits = Client::to(address); // nobody accepts
+    waits.send(&page("r-1"));
+    let second = generation(&discovery, &listener);
+    assert_eq!(status(waits.answer()), 200);
+    assert!(ready(&second));
+}
+
+#[test]
+fn a_descriptor_that_is_no_listener_stops_the_start_with_a_word_why() {
+    let file = config_file(&config("127.0.0.1:1".parse().unwrap(), &Setup::default()));
+    for (value, word) in [
+        ("three", "'three' is no descriptor"),
+        ("-1", "'-1' is no descriptor"),
+        ("0", "descriptor 0: it is no"),
+        ("77", "descriptor 77:"),
+    ] {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sandgap"));
+        command.stdin(
+            std::os::unix::net::UnixStream::pair().map(|(a, _)| std::os::fd::OwnedFd::from(a)).unwrap(),
+        );
+        let run = command.env("NODE_CONFIG", &file).env("NODE_SOCKET_FD", value).output().unwrap();
+        let log = String::from_utf8_lossy(&run.stderr).into_owned();
+        assert!(
+            !run.status.success() && log.contains("NODE_SOCKET_FD") && log.contains(word),
+            "{value}: {log}"
+        );
+    }
+    let _ = std::fs::remove_file(&file);
+}
