Take new settings at SIGHUP whole or not at all

Need: the file read at SIGHUP can bring, change and take away classes, and may be broken.

Design: crates/settings checks a file as a whole against the settings in service (nothing that they have may be missing or of another kind, then what must be over 0, and names once) and numbers classes and tenants so that old numbers keep their meaning; the module hears of the new settings as one event before the first request under them, and each request carries the effect and the attempts that it came under. Rejected: a second module for the new settings, as the hosted service has it; two modules of one proxy would both send to the same servers by the same slots. Rejected: a fixed list of required keys; the start accepts sparse files, and the file in service says best what its platform writes.

--- a/crates/canvascart/src/replay.rs
+++ b/crates/canvascart/src/replay.rs
@@ -102,6 +102,7 @@
             key: then.sid.as_ref().map(|sid| Key(number_of(sid))),
             budget,
             hint: None,
+            whole: true,
         };
         let end = self.now + budget;
         self.handle(request, &mut course);
--- a/crates/engine/src/capture.rs
+++ b/crates/engine/src/capture.rs
@@ -52,7 +52,8 @@
 
 /// The proxy's capture.
 pub struct Capture {
-    names: Names,
+    /// Those of the settings in service.
+    names: RefCell<Rc<Names>>,
     clock: Clock,
     outlet: Outlet,
     ring: RefCell<Ring>,
@@ -67,9 +68,15 @@
         let head = Head { seed, node: node.to_owned(), start: clock.unix_start(), segment: 0 };
         let files = settings.dir.as_deref().map(|dir| Files::start(dir, &head)).transpose()?;
         let ring = RefCell::new(Ring::new(head, given, files)?);
+        let names = RefCell::new(Rc::new(names));
         Ok(Capture { names, clock, outlet, ring })
     }
 
+    /// The settings have changed, and with them the names.
+    pub fn rename(&self, names: &Names) {
+        self.names.replace(Rc::new(names.clone()));
+    }
+
     /// A request has come in.
     pub fn begin(&self, class: ClassId, tenant: Option<TenantId>, patience: Duration) -> Pending {
         let (seq, tried) = (self.ring.borrow().seq, Vec::new());
@@ -87,28 +94,14 @@
     /// A request has ended.
     pub fn end(&self, pending: &Pending, message: &Outgoing, code: u16) {
         let tried = pending.tried.iter().map(|(name, end)| Tried { server: Cow::from(&**name), end: *end });
-        self.put(&self.record(pending, message, Some(tried.collect()), code));
+        let names = self.names.borrow().clone();
+        self.put(&record(&names, pending, message, Some(tried.collect()), code));
     }
 
     /// The front end has turned a request away that the module never saw.
     pub fn turned_away(&self, pending: &Pending, message: &Outgoing, code: u16) {
-        self.put(&self.record(pending, message, None, code));
-    }
-
-    fn record<'a>(
-        &'a self, pending: &'a Pending, message: &'a Outgoing, tried: Option<Vec<Tried<'a>>>, code: u16,
-    ) -> Record<'a> {
-        let id = message.headers.get("x-request-id").and_then(|v| v.to_str().ok()).unwrap_or_default();
-        Record {
-            id: id.into(),
-            class: self.names.classes.get(pending.class.0).map_or("", String::as_str).into(),
-            tenant: pending.tenant.and_then(|t| self.names.tenants.get(t.0)).map(|t| t.as_str().into()),
-            sid: message.sid().map(Cow::from),
-            deadline: pending.deadline,
-            seq: pending.seq,
-            tried,
-            code,
-        }
+        let names = self.names.borrow().clone();
+        self.put(&record(&names, pending, message, None, code));
     }
 
     fn put(&self, record: &Record) {
@@ -158,6 +151,22 @@
     }
 }
 
+fn record<'a>(
+    names: &'a Names, pending: &'a Pending, message: &'a Outgoing, tried: Option<Vec<Tried<'a>>>, code: u16,
+) -> Record<'a> {
+    let id = message.headers.get("x-request-id").and_then(|v| v.to_str().ok()).unwrap_or_default();
+    Record {
+        id: id.into(),
+        class: names.classes.get(pending.class.0).map_or("", String::as_str).into(),
+        tenant: pending.tenant.and_then(|t| names.tenants.get(t.0)).map(|t| t.as_str().into()),
+        sid: message.sid().map(Cow::from),
+        deadline: pending.deadline,
+        seq: pending.seq,
+        tried,
+        code,
+    }
+}
+
 fn server(host: &Host) -> Server {
     Server {
         name: host.host.clone(),
--- a/crates/engine/src/config.rs
+++ b/crates/engine/src/config.rs
@@ -5,8 +5,8 @@
 
 use serde::Deserialize;
 use serde_json::Value;
-use settings::{Connections, Names, number_of};
-use wharfhitch::Settings;
+use settings::change::Terms;
+use settings::{Connections, number_of};
 
 /// The file as it stands; unknown keys are passed over.
 #[derive(Deserialize)]
@@ -55,11 +55,9 @@
     pub peers: Option<PeerAddresses>,
     /// The list of backends as last seen, in discovery's form; perhaps old, perhaps nothing.
     pub known: Value,
-    /// The settings as they were given.
-    pub given: Value,
-    pub settings: Settings,
-    pub names: Names,
+    pub terms: Terms,
     pub connections: Connections,
+    pub started: Started,
 }
 
 /// Reads the file; the message of an error names what is wrong with it.
@@ -68,23 +66,56 @@
     parse(&text).map_err(|e| format!("{}: {e}", path.display()))
 }
 
-/// Reads where discovery is in a file that has been replaced; the rest holds from start to end.
-pub fn read_discovery(path: &Path) -> Result<SocketAddr, String> {
-    #[derive(Deserialize)]
-    struct Part {
-        discovery: SocketAddr,
-    }
+/// What a file at SIGHUP can change.
+pub struct Change {
+    pub discovery: SocketAddr,
+    pub terms: Terms,
+    pub connections: Connections,
+}
+
+/// Reads a file that has been put in the place of the one that the process started with: all of it is good, or none of
+/// it counts. The message of an error names the file, the key and the reason.
+pub fn read_change(path: &Path, started: &Started, now: &Terms) -> Result<Change, String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    let part: Part = serde_json::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))?;
-    Ok(part.discovery)
+    change(&text, started, now).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn change(text: &str, started: &Started, now: &Terms) -> Result<Change, String> {
+    if text.trim().is_empty() {
+        return Err("the file is empty".into());
+    }
+    let whole: Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    if let Some(key) = started.keys.iter().find(|key| whole.get(key.as_str()).is_none()) {
+        return Err(format!("{key}: the key is missing"));
+    }
+    let file = File::deserialize(&whole).map_err(|e| e.to_string())?;
+    let terms = now.followed_by(&file.settings).map_err(|e| e.to_string())?;
+    if terms.settings.me >= terms.settings.proxies {
+        return Err(format!("settings.myNumber: {} of {}", terms.settings.me, terms.settings.proxies));
+    }
+    Ok(Change { discovery: file.discovery, connections: settings::connections(&file.settings), terms })
+}
+
+/// What the file had that the process started with. One that follows it must have that, too.
+pub struct Started {
+    keys: Vec<String>,
 }
 
+/// What a file may do without: where the door is and who the peers are counts at the start alone, and the list comes
+/// from discovery.
+const SPARED: [&str; 5] = ["known", "ops", "peer_listen", "peers", "peers_all"];
+
 fn parse(text: &str) -> Result<Config, String> {
-    let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    let whole: Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    let file = File::deserialize(&whole).map_err(|e| e.to_string())?;
+    let keys = whole.as_object().into_iter().flatten().map(|(key, _)| key.clone());
+    let keys = keys.filter(|key| !SPARED.contains(&key.as_str())).collect();
     if !file.settings.is_object() {
         return Err("'settings' is no object".into());
     }
-    let (settings, names) = settings::parse(&file.settings);
+    let connections = settings::connections(&file.settings);
+    let terms = Terms::new(file.settings);
+    let (settings, names) = (&terms.settings, &terms.names);
     if settings.classes.is_empty() || names.classes.iter().any(String::is_empty) {
         return Err("'settings' has no named classes".into());
     }
@@ -108,10 +139,9 @@
         sockets: file.limits.sockets.unwrap_or(1024).max(64),
         peers,
         known: file.known,
-        connections: settings::connections(&file.settings),
-        given: file.settings,
-        settings,
-        names,
+        connections,
+        started: Started { keys },
+        terms,
     })
 }
 
@@ -137,7 +167,7 @@
         let config = parse(GOOD).expect("good");
         assert_eq!((config.seed, config.sockets), (0x8c1f, 512));
         assert_eq!(config.connections, Connections { dial_timeout: 120.0, idle_close: 30_000.0 });
-        assert_eq!(config.names.classes, ["page"]);
+        assert_eq!(config.terms.names.classes, ["page"]);
         assert_eq!(config.peers.expect("peers are allowed").peers.len(), 1);
     }
 
@@ -146,6 +176,30 @@
         assert!(parse(&GOOD.replace("\"mayTell\":true", "\"mayTell\":false")).expect("good").peers.is_none());
     }
 
+    #[test]
+    fn a_file_that_follows_is_good_as_a_whole_or_counts_for_nothing() {
+        let first = parse(GOOD).expect("good");
+        let said = |text: &str| change(text, &first.started, &first.terms).err().unwrap_or_default();
+        let moved = GOOD.replace(":8500", ":8600").replace("\"deadline\":900", "\"deadline\":700");
+        let taken = change(&moved, &first.started, &first.terms).expect("good");
+        assert_eq!((taken.discovery.port(), taken.terms.settings.classes[0].deadline), (8600, 700.0));
+        assert_eq!(said(&GOOD.replace("\"known\":null,", "")), "", "it may go without");
+        for (text, word) in [
+            (String::new(), "empty"),
+            ("  \n".into(), "empty"),
+            (moved[..moved.len() / 2].into(), "line"),
+            (moved.replace("\"limits\":{\"sockets\":512},", ""), "limits: the key is missing"),
+            (moved.replace("\"discovery\"", "\"discoverer\""), "discovery: the key is missing"),
+            (moved.replace("127.0.0.1:8600", "nowhere"), "socket address"),
+            (moved.replace("\"deadline\":700", "\"deadline\":0"), "settings.classes[0].deadline: 0 is not"),
+            (moved.replace("\"myNumber\":0", "\"myNumber\":1"), "settings.myNumber: 1 of 1"),
+            (moved.replace("\"settings\":{", "\"settings\":[{").replace("}}}", "}}]}"), "settings: a list"),
+            ("[]".into(), "the key is missing"),
+        ] {
+            assert!(said(&text).contains(word), "{word}: {}", said(&text));
+        }
+    }
+
     #[test]
     fn what_is_wrong_is_named() {
         for (from, to, word) in [
--- a/crates/engine/src/driver.rs
+++ b/crates/engine/src/driver.rs
@@ -156,6 +156,7 @@
             }
             Input::List { scope, seq, hosts } => self.list(scope, seq, hosts),
             Input::Datagram { from, bytes } => self.handle(Event::Message { from, bytes }),
+            Input::Settings(settings) => self.handle(Event::Settings(settings)),
             Input::Ask(tell) => {
                 let _ = tell.send(self.held()); // who asked may have left
             }
@@ -197,7 +198,7 @@
         );
         self.parts.counts.took(class.0);
         self.due.push(Reverse((last, Due::LastResort(id))));
-        self.handle(Event::Request { id, class, tenant, key, budget, hint });
+        self.handle(Event::Request { id, class, tenant, key, budget, hint, whole: true });
     }
 
     /// Answers a request that nobody else has answered in time. It may have run, so it has failed.
--- a/crates/engine/src/figures.rs
+++ b/crates/engine/src/figures.rs
@@ -62,8 +62,8 @@
 /// The proxy's figures.
 pub struct Figures {
     format: Format,
-    classes: Vec<String>,
-    tenants: Vec<String>,
+    classes: RefCell<Vec<String>>,
+    tenants: RefCell<Vec<String>>,
     flush: Duration,
     state: RefCell<State>,
     /// Where they go: a thread and its lane.
@@ -84,17 +84,23 @@
         if outlets.is_empty() {
             outlets.push((log::behind_thread()?.clone(), FIGURES));
         }
-        let escaped = |names: &[String]| names.iter().map(|n| tag(settings.format, n)).collect();
+        let escaped = |names: &[String]| all_tags(settings.format, names);
         Ok(Rc::new(Figures {
             format: settings.format,
-            classes: escaped(&names.classes),
-            tenants: escaped(&names.tenants),
+            classes: RefCell::new(escaped(&names.classes)),
+            tenants: RefCell::new(escaped(&names.tenants)),
             flush: settings.flush,
             state: RefCell::default(),
             outlets,
         }))
     }
 
+    /// The settings have changed, and with them the names.
+    pub fn rename(&self, names: &Names) {
+        self.classes.replace(all_tags(self.format, &names.classes));
+        self.tenants.replace(all_tags(self.format, &names.tenants));
+    }
+
     /// A request has come in; `None` for what is none of a class's.
     pub fn begin<B>(self: &Rc<Self>, request: &Request<B>, names: &Names) -> Option<Flight> {
         let uri = request.uri();
@@ -172,7 +178,8 @@
         let name = |names: &'_ [String], place: Option<usize>| -> String {
             place.and_then(|p| names.get(p)).map_or(OTHER, String::as_str).to_owned()
         };
-        let (class, tenant) = (name(&self.classes, who.0), name(&self.tenants, who.1));
+        let class = name(&self.classes.borrow(), who.0);
+        let tenant = name(&self.tenants.borrow(), who.1);
         let is = match self.format {
             Format::Statsd => ':',
             Format::Influx => '=',
@@ -257,6 +264,11 @@
     }
 }
 
+/// Names as the values of tags.
+fn all_tags(format: Format, names: &[String]) -> Vec<String> {
+    names.iter().map(|name| tag(format, name)).collect()
+}
+
 /// A tag's value: cut, and with nothing in it that the format gives a meaning.
 fn tag(format: Format, text: &str) -> String {
     let mut value = String::new();
@@ -318,11 +330,11 @@
             tenants: vec!["biblio-estrie".into()],
             ..Names::default()
         };
-        let escaped = |names: &[String]| names.iter().map(|n| tag(format, n)).collect();
+        let escaped = |names: &[String]| all_tags(format, names);
         let figures = Rc::new(Figures {
             format,
-            classes: escaped(&names.classes),
-            tenants: escaped(&names.tenants),
+            classes: RefCell::new(escaped(&names.classes)),
+            tenants: RefCell::new(escaped(&names.tenants)),
             flush: Duration::from_secs(1),
             state: RefCell::default(),
             outlets: vec![(outlet, 0)],
--- a/crates/engine/src/frontend.rs
+++ b/crates/engine/src/frontend.rs
@@ -359,7 +359,7 @@
                 client.busy.set(true);
                 let pool = front.router.pool(request.uri(), request.headers());
                 let figures = pool.as_ref().ok().and_then(|p| p.features.figures.as_ref().map(|f| (f, p)));
-                let flight = figures.and_then(|(f, pool)| f.begin(&request, &pool.names));
+                let flight = figures.and_then(|(f, pool)| f.begin(&request, &pool.terms.borrow().names));
                 let mut response = match &pool {
                     _ if request.uri().path() == "/up" && !over => front.up(),
                     Err((status, text)) => plain(*status, text),
--- a/crates/engine/src/inbox.rs
+++ b/crates/engine/src/inbox.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
-use wharfhitch::{ClassId, Key, Millis, Outcome, RequestId, Scope, TenantId};
+use wharfhitch::{ClassId, Key, Millis, Outcome, RequestId, Scope, Settings, TenantId};
 
 use crate::hosts::Host;
 use crate::message::{Outgoing, Reply};
@@ -31,6 +31,8 @@
     List { scope: Scope, seq: Option<u64>, hosts: Vec<Host> },
     /// Another proxy's message.
     Datagram { from: u32, bytes: Vec<u8> },
+    /// The settings have changed.
+    Settings(Box<Settings>),
     /// What is held now is asked for.
     Ask(oneshot::Sender<Held>),
     /// Nothing new comes any more: what is held is ended, and then the driver.
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -1,12 +1,14 @@
 //! A pool: one decision module with its driver, and what fronts need to know to hand it requests.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode, Uri};
+use settings::change::Terms;
 use settings::{Names, number_of};
-use wharfhitch::{Class, ClassId, Effect, Key, TenantId};
+use wharfhitch::{ClassId, Effect, Key, TenantId};
 
 use crate::account::Account;
 use crate::capture::Capture;
@@ -25,12 +27,24 @@
     pub(crate) figures: Option<Rc<Figures>>,
 }
 
+impl Features {
+    /// The settings have changed, and with them the names. Drills act on the classes of the start.
+    pub(crate) fn rename(&self, names: &Names) {
+        if let Some(capture) = &self.capture {
+            capture.rename(names);
+        }
+        if let Some(figures) = &self.figures {
+            figures.rename(names);
+        }
+    }
+}
+
 /// What fronts know of a pool. When the last of them lets go of it, it is retired: its driver ends once all that it
 /// holds has been answered.
 pub struct Pool {
     pub(crate) inbox: Inbox,
-    pub(crate) names: Names,
-    pub(crate) classes: Vec<Class>,
+    /// The settings in service.
+    pub(crate) terms: RefCell<Rc<Terms>>,
     /// Whether the module has a list, and what else says whether clients are taken.
     pub(crate) life: Rc<Life>,
     pub(crate) counts: Rc<Counts>,
@@ -51,7 +65,8 @@
 impl Pool {
     /// The longest wait that a client is ready for.
     pub(crate) fn longest(&self) -> Duration {
-        let longest = self.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+        let terms = self.terms.borrow();
+        let longest = terms.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
         Duration::from_secs_f64(longest.min(1e6) / 1000.0)
     }
 
@@ -60,13 +75,14 @@
         &self, method: &Method, uri: &Uri, headers: &HeaderMap,
     ) -> Result<Asked, (StatusCode, &'static str)> {
         let bad = |text| (StatusCode::BAD_REQUEST, text);
-        let class = self.names.classes.iter().position(|c| c == class_of(uri));
+        let Terms { settings, names, open, known, .. } = &**self.terms.borrow();
+        let class = names.classes.iter().position(|c| c == class_of(uri)).filter(|c| open[*c]);
         let class = class.ok_or((StatusCode::NOT_FOUND, "no such class"))?;
-        let wanted = if self.classes[class].effect == Effect::Safe { Method::GET } else { Method::POST };
+        let wanted = if settings.classes[class].effect == Effect::Safe { Method::GET } else { Method::POST };
         if *method != wanted {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "not the method of this class"));
         }
-        let keyed = matches!(self.classes[class].effect, Effect::Keyed { .. });
+        let keyed = matches!(settings.classes[class].effect, Effect::Keyed { .. });
         if keyed != one(headers, "idempotency-key")?.is_some() && *method == Method::POST {
             return Err(bad("Idempotency-Key does not fit the class"));
         }
@@ -74,9 +90,9 @@
             return Err(bad("X-Request-ID is missing"));
         }
         let tenant = match one(headers, "x-tenant-id")? {
-            _ if self.names.tenants.is_empty() => None,
+            _ if names.tenants.is_empty() => None,
             Some(name) => {
-                let tenant = self.names.tenants.iter().position(|t| t == name);
+                let tenant = names.tenants.iter().position(|t| t == name).filter(|t| known[*t]);
                 Some(TenantId(tenant.ok_or(bad("no such tenant"))?))
             }
             None => return Err(bad("X-Tenant-Id is missing")),
@@ -86,7 +102,7 @@
             let number = text.trim().parse::<f64>().ok().filter(|x| x.is_finite() && *x >= 0.0);
             number.map(Some).ok_or(bad("a header is no number"))
         };
-        let most = self.classes[class].deadline / 1000.0;
+        let most = settings.classes[class].deadline / 1000.0;
         let patience = match number("x-timeout")? {
             Some(patience) => patience.min(most),
             None if self.strict => return Err(bad("X-Timeout is missing")),
--- a/crates/engine/src/process.rs
+++ b/crates/engine/src/process.rs
@@ -1,6 +1,6 @@
 //! One proxy as a process: reads the command line and the configuration, and wires the parts together.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::ffi::OsString;
 use std::io::{self, Write as _};
 use std::path::{Path, PathBuf};
@@ -47,12 +47,48 @@
     let (Some(secret), Some(port)) = (&settings.secret, settings.port) else { return Ok((None, None)) };
     log::behind_thread()?; // each affected request has a line
     let side_port = frontend::listen((config.listen.ip(), port).into())?;
-    let classes = config.names.classes.clone();
+    let classes = config.terms.names.classes.clone();
     // Chance of their own: the module's draws stay as they are.
     let drills = Drills::new(secret.clone(), settings.most, classes, !config.seed);
     Ok((Some(drills), Some(side_port)))
 }
 
+/// What a new configuration reaches.
+struct Reload {
+    path: PathBuf,
+    started: config::Started,
+    place: Rc<discovery::Place>,
+    pool: Rc<Pool>,
+    upstreams: Rc<upstream::Upstreams>,
+}
+
+impl Reload {
+    /// Reads the file and goes over to it, or stays with what holds now.
+    fn read(&self) {
+        let pool = &self.pool;
+        let now = pool.terms.borrow().clone();
+        let change = config::read_change(&self.path, &self.started, &now);
+        pool.counts.read(change.is_ok());
+        let change = match change {
+            Ok(change) => change,
+            Err(e) => return note!("the new configuration is of no use: {e}"),
+        };
+        self.place.move_to(change.discovery);
+        self.upstreams.set(&change.connections);
+        if change.terms.given == now.given {
+            return;
+        }
+        // The module hears of it before the first request that comes under it.
+        pool.inbox.put(Input::Settings(Box::new(change.terms.settings.clone())));
+        pool.counts.name(&change.terms.names.classes);
+        pool.features.rename(&change.terms.names);
+        let classes = change.terms.names.classes.iter().zip(&change.terms.open);
+        let open: Vec<&str> = classes.filter(|(_, open)| **open).map(|(name, _)| name.as_str()).collect();
+        note!("new settings are in service; classes: {}", open.join(", "));
+        pool.terms.replace(Rc::new(change.terms));
+    }
+}
+
 /// An error that names what listens where.
 fn at_address(what: &str, address: std::net::SocketAddr) -> impl FnOnce(io::Error) -> String {
     let what = what.to_owned();
@@ -80,9 +116,9 @@
     let clock = Clock::new();
     let life = Rc::new(Life::new(clock, config.inherited.is_some()));
     let counts = Rc::new(Counts::default());
-    counts.name(&config.names.classes);
+    counts.name(&config.terms.names.classes);
     let capture = if features.capture.enabled {
-        let (node, given, names) = (&config.name, config.given.to_string(), config.names.clone());
+        let (node, given, names) = (&config.name, config.terms.given.to_string(), config.terms.names.clone());
         let capture = Capture::new(&features.capture, node, config.seed, &given, names, clock)?;
         Some(Rc::new(capture))
     } else {
@@ -119,25 +155,13 @@
         counts: counts.clone(),
         remembered: known_only.clone(),
     };
-    let classes = config.settings.classes.clone();
-    let pushed = config.settings.discovery == wharfhitch::Discovery::Pushed;
-    let balancer = Balancer::new(config.settings, config.seed);
-    let driver = spawn_local(Driver::new(balancer, config.names.clone(), parts).run(inputs));
+    let pushed = config.terms.settings.discovery == wharfhitch::Discovery::Pushed;
+    let balancer = Balancer::new(config.terms.settings.clone(), config.seed);
+    let driver = spawn_local(Driver::new(balancer, config.terms.names.clone(), parts).run(inputs));
     let known = hosts::remembered(&config.known);
     let (seq, hosts) = known.map_or((None, Vec::new()), |(seq, hosts)| (Some(seq), hosts));
     inbox.put(Input::List { scope: Scope::Cached, seq, hosts });
     let list = discovery::Discovery::new(place.clone(), inbox.clone());
-    let files = counts.clone();
-    spawn_local(async move {
-        while hup.recv().await.is_some() {
-            let read = config::read_discovery(&path);
-            files.read(read.is_ok());
-            match read {
-                Ok(address) => place.move_to(address),
-                Err(e) => note!("the new configuration is of no use: {e}"),
-            }
-        }
-    });
     if pushed {
         spawn_local(list.follow());
     } else {
@@ -154,7 +178,7 @@
     // of the budget is theirs. Beyond `most` an eighth more are let in, only to be refused.
     let most = budget * 5 / 8;
     let figures = if features.figures.enabled {
-        let figures = Figures::new(&features.figures, &config.names).map_err(at("the figures"))?;
+        let figures = Figures::new(&features.figures, &config.terms.names).map_err(at("the figures"))?;
         spawn_local(figures.clone().follow());
         Some(figures)
     } else {
@@ -167,17 +191,23 @@
         spawn_local(Rc::new(door).serve(listener));
     }
     let features = Features { capture: capture.clone(), drills: drills.clone(), figures: figures.clone() };
-    let names = config.names;
+    let terms = RefCell::new(Rc::new(config.terms));
     let pool = Rc::new(Pool {
         inbox,
-        names,
-        classes,
+        terms,
         life: life.clone(),
         counts: counts.clone(),
         features,
         account: None,
         strict: true,
     });
+    let reload =
+        Reload { path, started: config.started, place, pool: pool.clone(), upstreams: upstreams.clone() };
+    spawn_local(async move {
+        while hup.recv().await.is_some() {
+            reload.read(); // signals that came in a burst are one, and the file is the newest
+        }
+    });
     let front = Frontend::new(One { pool, upstreams }, most, Rc::default(), life.clone());
     let address = listener.local_addr().map_err(at("the listener"))?;
     note!("{} listens on {address}", config.name);
@@ -225,7 +255,7 @@
 
 The file that NODE_CONFIG names tells it where to listen, where discovery is, and the settings that the
 module decides by; deploy/sandgap.example.json is one to start from. SIGTERM ends it once every request it
-has taken is answered, SIGHUP makes it read where discovery is anew.
+has taken is answered, SIGHUP makes it read the file anew.
 ";
 
 /// What the command line asks for.
--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -1,14 +1,14 @@
 //! Several pools in one process: what a hosted service starts, feeds and serves by. The platform's proxy has one pool
 //! and does without.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 
-use settings::{Connections, Names};
+use settings::{Connections, Names, change};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::{JoinError, spawn_local};
@@ -121,8 +121,7 @@
             counts: counts.clone(),
             remembered: Rc::default(),
         };
-        let classes = terms.settings.classes.clone();
-        let balancer = Balancer::new(terms.settings, terms.seed);
+        let balancer = Balancer::new(terms.settings.clone(), terms.seed);
         let driver = Driver::new(balancer, terms.names.clone(), parts).run(inputs);
         let runs = Rc::new(());
         let alive = Rc::downgrade(&runs);
@@ -135,9 +134,9 @@
             drop(runs);
             ended(end);
         });
-        let (names, features) = (terms.names, Features::default());
-        let pool =
-            Pool { inbox: inbox.clone(), names, classes, life, counts, features, account, strict: false };
+        let features = Features::default();
+        let terms = RefCell::new(Rc::new(change::Terms::of(terms.settings, terms.names)));
+        let pool = Pool { inbox: inbox.clone(), terms, life, counts, features, account, strict: false };
         Running { pool: Rc::new(pool), feed: Feed { inbox, alive }, upstreams }
     }
 
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -196,8 +196,8 @@
 
 /// What all attempts share: time-outs and the budget of sockets.
 pub struct Upstreams {
-    dial_timeout: Duration,
-    idle_limit: Duration,
+    dial_timeout: Cell<Duration>,
+    idle_limit: Cell<Duration>,
     sockets: Arc<Semaphore>,
     /// Whose work it is, in a process of many tenants.
     account: Option<Rc<dyn Account>>,
@@ -212,15 +212,23 @@
         connections: &settings::Connections, sockets: Arc<Semaphore>, account: Option<Rc<dyn Account>>,
         counts: Rc<Counts>,
     ) -> Self {
-        let span = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3.6e6) / 1000.0);
-        Upstreams {
-            dial_timeout: span(connections.dial_timeout),
-            idle_limit: span(connections.idle_close * IDLE_PART),
+        let upstreams = Upstreams {
+            dial_timeout: Cell::default(),
+            idle_limit: Cell::default(),
             sockets,
             account,
             counts,
             endpoints: RefCell::default(),
-        }
+        };
+        upstreams.set(connections);
+        upstreams
+    }
+
+    /// The settings have changed.
+    pub fn set(&self, connections: &settings::Connections) {
+        let span = |ms: f64| Duration::from_secs_f64(ms.clamp(1.0, 3.6e6) / 1000.0);
+        self.dial_timeout.set(span(connections.dial_timeout));
+        self.idle_limit.set(span(connections.idle_close * IDLE_PART));
     }
 
     /// Adds a backend's process to those whose idle connections are looked after.
@@ -231,7 +239,7 @@
     /// Closes connections that have stood idle for too long, and forgets processes that are done with.
     pub fn sweep(&self) {
         let now = Instant::now();
-        let fresh = |i: &Idle| now - i.since < self.idle_limit && i.connection.is_alive();
+        let fresh = |i: &Idle| now - i.since < self.idle_limit.get() && i.connection.is_alive();
         self.endpoints.borrow_mut().retain(|e| {
             e.idle.borrow_mut().retain(fresh);
             Rc::strong_count(e) > 1
@@ -251,11 +259,11 @@
         loop {
             // The one used last is the least likely to have been closed.
             let Some(idle) = endpoint.idle.borrow_mut().pop() else { break };
-            if idle.since.elapsed() < self.idle_limit && idle.connection.is_alive() {
+            if idle.since.elapsed() < self.idle_limit.get() && idle.connection.is_alive() {
                 return Ok(idle.connection);
             }
         }
-        timeout(self.dial_timeout, self.open(endpoint.address)).await?
+        timeout(self.dial_timeout.get(), self.open(endpoint.address)).await?
     }
 
     async fn open(&self, address: SocketAddr) -> io::Result<Connection> {
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -456,7 +456,7 @@
         let (class, tenant) = (ClassId(a.class), a.tenant.map(TenantId));
         let (id, key) = (request_of(id), Some(Key(a.key)));
         let budget = (patience - LAST_RESORT).max(0.0);
-        self.feed(proxy, Event::Request { id, class, tenant, key, budget, hint: None });
+        self.feed(proxy, Event::Request { id, class, tenant, key, budget, hint: None, whole: true });
     }
 
     /// Gives a request its final answer, unless it has one.
--- a/crates/sandgap/tests/operations.rs
+++ b/crates/sandgap/tests/operations.rs
@@ -324,3 +324,91 @@
     }
     let _ = std::fs::remove_file(&file);
 }
+
+/// The class of a test's own that a file brings or takes away.
+fn with_class(text: &str, name: &str, effect: &str) -> String {
+    let class = format!(
+        r#""classes":[{{"name":"{name}","effect":"{effect}","promise":1000,"deadline":5000,"worth":1}},"#
+    );
+    text.replace("\"classes\":[", &class)
+}
+
+fn get(class: &str, id: &str) -> String {
+    page(id).replace("/page", &format!("/{class}"))
+}
+
+#[test]
+fn new_settings_are_taken_whole_and_classes_come_and_go() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let backend = Backend::with(move |m| match m.id() {
+        "r-held" => Deed::Hold(held.clone(), ok("late")),
+        _ => Deed::Write(ok("")),
+    });
+    let (discovery, mut proxy) = proxy_with(&backend);
+    let setup = Setup { door: true, ..Setup::default() };
+    let first = config(discovery.address, &setup);
+    let ask = |text: &str| status(Client::new(&proxy).ask(text));
+    assert_eq!(ask(&get("notice", "r-1")), 404);
+    proxy.reconfigure(&with_class(&first, "notice", "idempotent"));
+    wait_for("the file", || proxy.var("node_conf_loaded") == 1.0);
+    assert_eq!(ask(&get("notice", "r-2")), 200);
+    assert_eq!(proxy.var("node_answered{group=\"notice\"}"), 1.0);
+    // A stricter effect, for those that come from now on: another method, and no repeats.
+    let mut under_way = Client::new(&proxy);
+    under_way.send(&get("notice", "r-held"));
+    wait_for("one under way", || proxy.var("node_current") == 1.0);
+    proxy.reconfigure(&with_class(&first, "notice", "at_most_once"));
+    wait_for("the file", || proxy.var("node_conf_loaded") == 2.0);
+    assert_eq!(ask(&get("notice", "r-3")), 405);
+    assert_eq!(ask(&submit("r-4", "5", "x").replace("/submit", "/notice")), 200);
+    // It vanishes; what is under way ends as it began, and its counts stay.
+    proxy.reconfigure(&first);
+    wait_for("the file", || proxy.var("node_conf_loaded") == 3.0);
+    assert_eq!(ask(&get("notice", "r-5")), 404);
+    gate.open();
+    assert_eq!(under_way.answer().expect("its answer").text(), "late");
+    wait_for("the count", || proxy.var("node_answered{group=\"notice\"}") == 3.0);
+    assert_eq!(ask(&page("r-6")), 200);
+    assert!(proxy.runs());
+}
+
+#[test]
+fn a_broken_file_leaves_all_as_it_was_and_is_named() {
+    let backend = Backend::new(Deed::Write(ok("")));
+    let (discovery, mut proxy) = proxy_with(&backend);
+    let elsewhere = Discovery::new();
+    let good = with_class(&config(elsewhere.address, &Setup::default()), "notice", "idempotent");
+    let broken = [
+        (String::new(), "the file is empty"),
+        (good[..good.len() / 2].to_owned(), "EOF"),
+        (good.replace("\"maxAttempts\":6,", ""), "settings.ceilings.maxAttempts: the key is missing"),
+        (
+            good.replace("\"maxAttempts\":6", "\"maxAttempts\":0"),
+            "settings.ceilings.maxAttempts: 0 is not over 0",
+        ),
+        (
+            good.replace("\"deadline\":5000", "\"deadline\":0"),
+            "settings.classes[0].deadline: 0 is not over 0",
+        ),
+        (good.replace("\"name\":\"notice\"", "\"name\":\"page\""), "'page' stands there twice"),
+    ];
+    for (n, (text, word)) in broken.iter().enumerate() {
+        proxy.reconfigure(text);
+        wait_for("a count", || proxy.var("node_conf_invalid") == (n + 1) as f64);
+        wait_for(word, || {
+            proxy.log.lock().unwrap().lines().any(|l| l.contains(word) && l.contains(".json: "))
+        });
+        assert_eq!(status(Client::new(&proxy).ask(&get("notice", "r-1"))), 404);
+    }
+    assert!(elsewhere.asked.lock().unwrap().is_empty(), "discovery's address is of the file, too");
+    assert_eq!(proxy.var("node_conf_loaded"), 0.0);
+    // Signals in a burst end with the newest file.
+    for n in 0..20 {
+        let name = format!("class-{n}");
+        proxy.reconfigure(&with_class(&config(discovery.address, &Setup::default()), &name, "idempotent"));
+    }
+    wait_for("the newest", || status(Client::new(&proxy).ask(&get("class-19", "r-2"))) == 200);
+    assert_eq!(status(Client::new(&proxy).ask(&get("class-18", "r-3"))), 404);
+    assert!(proxy.runs());
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,6 +1,7 @@
 //! The operators' settings: the platform's start-up parameters, from JSON to [`Settings`], and the file of the
 //! features in [`properties`]. It reads and checks; nothing is decided here.
 
+pub mod change;
 pub mod properties;
 
 use serde_json::Value;
--- a/crates/wharfhitch/src/choice.rs
+++ b/crates/wharfhitch/src/choice.rs
@@ -181,11 +181,16 @@
         }
         match event {
             Event::List { scope, entries } => self.list(now, scope, entries),
-            Event::Request { id, class, tenant, key, budget, hint } => {
-                self.arrive(now, id, class.0, tenant, key, budget, hint, out);
+            Event::Request { id, class, tenant, key, budget, hint, whole } => {
+                self.arrive(now, id, class.0, tenant, key, budget, hint, whole, out);
             }
+            Event::Whole { id, budget } => self.whole(now, id, budget),
+            Event::Spent(id) => self.spend(id),
+            Event::Settings(cfg) => self.settle_on(now, *cfg),
             Event::Unadmitted { id, wait } => return self.turn_away(id, wait, out),
-            Event::Started { request, .. } => self.started(request),
+            Event::Started { request, attempt, worked } => {
+                self.started(now, request, attempt as usize, worked, out);
+            }
             Event::Ended { request, attempt, latency, outcome, closed, .. } => {
                 self.ended(now, request, attempt as usize, latency, outcome, closed, out);
             }
@@ -201,7 +206,7 @@
 
     fn arrive(
         &mut self, now: Millis, id: RequestId, class: usize, tenant: Option<TenantId>, key: Option<Key>,
-        budget: Millis, hint: Option<Millis>, out: &mut Vec<Action>,
+        budget: Millis, hint: Option<Millis>, whole: bool, out: &mut Vec<Action>,
     ) {
         self.arrivals += 1.0;
         self.retries = (self.retries + RETRY_SHARE).min(20.0);
@@ -210,15 +215,16 @@
         let over_share = tenant.is_some_and(|t| !self.within_share(t.0));
         let home = key.filter(|_| self.cfg.warm_keys).and_then(|key| self.home(key, now));
         let (size, aim) = self.size_and_aim(class, hint);
-        let (aim, key) = (now + aim.min(budget), key.map_or(0, |k| k.0));
-        let request = Request::new(class, size, over_share, aim, now + budget, key, home);
+        let (effect, most) = (self.cfg.classes[class].effect, self.cfg.limits.max_attempts);
+        let mut request = Request::new(class, effect, most, size, key.map_or(0, |k| k.0), home);
+        (request.over_share, request.whole) = (over_share, whole);
+        (request.aim, request.due) = (now + aim.min(budget), now + budget);
         self.requests.insert(id, request);
         if budget < MARGIN {
             return self.answer(id, out); // the next look could come too late for an answer in time
         }
         let turn = self.waiting as f64 * self.pace / self.window;
-        let safe = self.cfg.classes[class].effect == Effect::Safe;
-        if self.pools() && safe && turn > HOPELESS * self.cfg.classes[class].aim {
+        if self.pools() && effect == Effect::Safe && turn > HOPELESS * self.cfg.classes[class].aim {
             return self.answer(id, out); // others go first, and it would only be refused later
         }
         self.enqueue(id, false);
@@ -323,7 +329,7 @@
         }
         // A server back from a closing is tried with what may be repeated, if there is such traffic at all.
         let safe_class = |c: &Class| c.effect == Effect::Safe;
-        let safe = safe_class(&self.cfg.classes[r.class]) || !self.cfg.classes.iter().any(safe_class);
+        let safe = r.effect == Effect::Safe || !self.cfg.classes.iter().any(safe_class);
         let home = r.home.filter(|&h| !r.tried(h));
         // Near its aim a request goes to any open server: holding it further would cost its worth.
         let urgent = r.aim - now < 1.5 * self.usual(r) + 2.0 * TICK;
@@ -650,23 +656,74 @@
         let r = &self.requests[&id];
         let usual = self.usual(r);
         let patience = HANG * usual * self.servers[k].slow.0 / self.warmth(k, now) + TICK;
-        let safe = self.cfg.classes[r.class].effect == Effect::Safe;
-        let again = r.attempts.len() < self.cfg.limits.max_attempts as usize;
+        let safe = r.effect == Effect::Safe && r.whole;
+        let again = r.attempts.len() < r.most;
         let in_time = now + patience + 2.0 * usual < r.aim.min(r.due - MARGIN);
         let lost = self.lost.0 > LOST && self.rng.f64() >= LOST_WATCHED;
         (safe && again && in_time && lost).then_some(patience)
     }
 
+    /// A request that was still coming in has gone out whole: its time begins, and its server's work.
+    fn whole(&mut self, now: Millis, id: RequestId, budget: Millis) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.whole) else { return };
+        r.whole = true;
+        (r.aim, r.due) = (now + self.cfg.classes[r.class].aim.min(budget), now + budget);
+        r.attempts.iter_mut().filter(|a| !a.over).for_each(|a| a.sent = now);
+    }
+
+    /// The client owns an answer that has begun. Where its server has done its work, it is judged by that and
+    /// is free for others; how fast a client reads says nothing of it.
+    fn started(&mut self, now: Millis, id: RequestId, attempt: usize, worked: bool, out: &mut Vec<Action>) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        r.started = true;
+        if let Some(a) = r.attempts.get(attempt).filter(|a| worked && !a.over) {
+            let latency = now - a.sent;
+            self.credit(now, id, attempt, latency, Outcome::Served, out);
+        }
+    }
+
     fn ended(
         &mut self, now: Millis, id: RequestId, attempt: usize, latency: Millis, outcome: Outcome,
         closed: bool, out: &mut Vec<Action>,
     ) {
         let Some(r) = self.requests.get_mut(&id) else { return };
-        let Some(a) = r.attempts.get_mut(attempt).filter(|a| !a.over) else { return };
+        let Some(a) = r.attempts.get(attempt) else { return };
+        let (over, k, class) = (a.over, a.server, r.class);
+        r.done |= closed;
+        if over {
+            if r.started && !matches!(outcome, Outcome::Served | Outcome::Cancelled) {
+                self.judge(k, class, outcome, now); // it broke off what it had begun
+                self.place(k, now);
+            }
+            return if closed {
+                self.finish(id)
+            };
+        }
+        self.credit(now, id, attempt, latency, outcome, out);
+        let r = &self.requests[&id];
+        if r.done {
+            return self.finish(id);
+        }
+        let time = now + self.usual(r) < r.due - MARGIN;
+        // No storms: further attempts come out of a budget that arrivals fill.
+        if time && self.may_repeat(r, now) && self.retries >= 1.0 {
+            self.retries -= 1.0;
+            self.enqueue(id, true);
+        } else {
+            self.answer(id, out);
+        }
+    }
+
+    /// Learns from how an attempt ended, and gives its slot to another.
+    fn credit(
+        &mut self, now: Millis, id: RequestId, attempt: usize, latency: Millis, outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let Some(a) = r.attempts.get_mut(attempt) else { return };
         (a.over, a.ran) = (true, outcome.may_have_run());
         let (k, lone, silent, budgeted) = (a.server, a.lone, a.silent, a.budgeted);
         let (class, size, home) = (r.class, r.size, r.home);
-        r.done |= closed;
         self.running.retain(|o| *o != id);
         self.silent -= usize::from(silent);
         self.budgeted -= usize::from(budgeted && !silent);
@@ -697,25 +754,12 @@
         }
         self.place(k, now);
         self.serve(now, k, out);
-        let r = &self.requests[&id];
-        if r.done {
-            return self.finish(id);
-        }
-        let time = now + self.usual(r) < r.due - MARGIN;
-        // No storms: further attempts come out of a budget that arrivals fill.
-        if time && self.may_repeat(r, now) && self.retries >= 1.0 {
-            self.retries -= 1.0;
-            self.enqueue(id, true);
-        } else {
-            self.answer(id, out);
-        }
     }
 
     /// Gives the final answer: a refusal where it surely had no effect, else a failure.
     fn answer(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id).filter(|r| !r.done && !r.started) else { return };
-        let effect = self.cfg.classes[r.class].effect;
-        let harmless = matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
+        let harmless = matches!(r.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
         let harmless = harmless || !r.may_have_run();
         let retry_after = self.cfg.retry_after.map(|most| self.queueing().clamp(self.mean.min(most), most));
         let refuse = Action::Refuse { request: id, retry_after };
@@ -769,7 +813,7 @@
 
     /// Looks after a running request: is its server hung, is it still of use?
     fn watch(&mut self, now: Millis, id: RequestId, out: &mut Vec<Action>) {
-        let Some(r) = self.requests.get(&id) else { return };
+        let Some(r) = self.requests.get(&id).filter(|r| r.whole) else { return }; // else none has begun it
         let usual = self.usual(r);
         let patience =
             |a: &Attempt| HANG * usual * self.servers[a.server].slow.0.max(1.0) / self.warmth(a.server, now);
@@ -803,15 +847,15 @@
 
     /// For a keyed request that may have run: the server tried first, who drops repeats, and until when.
     fn bound(&self, r: &Request) -> Option<(usize, Group, Millis)> {
-        let Effect::Keyed { group, window } = self.cfg.classes[r.class].effect else { return None };
+        let Effect::Keyed { group, window } = r.effect else { return None };
         r.attempts.iter().find(|a| a.ran).map(|a| (a.server, group, a.sent + window))
     }
 
     /// Whether another attempt is allowed, by the request's effect and the count of attempts.
     fn may_repeat(&self, r: &Request, now: Millis) -> bool {
-        let harmless = self.cfg.classes[r.class].effect == Effect::Safe || !r.may_have_run();
+        let harmless = r.effect == Effect::Safe || !r.may_have_run();
         let dropped = || self.bound(r).is_some_and(|(.., until)| now < until);
-        (harmless || dropped()) && r.attempts.len() < self.cfg.limits.max_attempts as usize
+        (harmless || dropped()) && !r.spent && r.attempts.len() < r.most
     }
 
     // ---- cold starts and drains ----
@@ -892,7 +936,21 @@
         }
     }
 
-    // ---- discovery and peers ----
+    // ---- settings, discovery and peers ----
+
+    /// Takes over new settings. What is known of servers and classes stays, and so do the requests under way.
+    fn settle_on(&mut self, now: Millis, cfg: Settings) {
+        let old = &self.cfg;
+        let (me, proxies, zone) = (old.me, old.proxies, old.zone);
+        let (discovery, rating, warm_keys, may_tell) =
+            (old.discovery, old.rating, old.warm_keys, old.may_tell);
+        if cfg.classes.len() < old.classes.len() || cfg.tenants.len() < old.tenants.len() {
+            return; // numbers would change their meaning under requests that have them
+        }
+        self.cfg = Settings { me, proxies, zone, discovery, rating, warm_keys, may_tell, ..cfg };
+        self.longest_aim = self.cfg.classes.iter().map(|c| c.aim).fold(0.0, f64::max);
+        self.resize(now);
+    }
 
     fn list(&mut self, now: Millis, scope: Scope, entries: Vec<Backend>) {
         if scope == Scope::Failed {
--- a/crates/wharfhitch/src/interface.rs
+++ b/crates/wharfhitch/src/interface.rs
@@ -259,6 +259,9 @@
         budget: Millis,
         /// Its expected work on a standard core.
         hint: Option<Millis>,
+        /// Whether its last byte has come. Otherwise it comes in while it goes out, and [`Event::Whole`] tells when it
+        /// has gone.
+        whole: bool,
     },
     /// A request has come in that its front has no room for, its tenant being over its share of the process. It is
     /// owed its one final answer, and is no part of the load on the servers.
@@ -268,13 +271,29 @@
         /// When there may be room, as the front sees it.
         wait: Millis,
     },
+    /// The last byte of a request that was still coming in has gone out to a server: from now on its time counts, and
+    /// it may run.
+    Whole {
+        /// The request.
+        id: RequestId,
+        /// How long the client waits from now on.
+        budget: Millis,
+    },
+    /// What was passed on of a request that is still coming in is kept no longer: it can't be sent again.
+    Spent(RequestId),
     /// A streamed answer has begun: the client owns it now.
     Started {
         /// The request.
         request: RequestId,
         /// Its attempt, counted from 0 in the order of sends.
         attempt: u32,
+        /// Whether the server has done its work, so that what is left is the way to the client.
+        worked: bool,
     },
+    /// The operators' settings have changed. Classes and tenants keep their numbers, new ones come after them. What a
+    /// proxy is (its number, how many there are, its zone, how news comes) stays as it started. A request
+    /// under way keeps the effect and the attempts that it came under.
+    Settings(Box<Settings>),
     /// An attempt has ended.
     Ended {
         /// The request.
--- a/crates/wharfhitch/src/records.rs
+++ b/crates/wharfhitch/src/records.rs
@@ -145,6 +145,10 @@
 
 pub(crate) struct Request {
     pub class: usize,
+    pub effect: Effect, // as it was when the request came
+    pub most: usize,    // attempts that it may have, likewise
+    pub whole: bool,    // its last byte has come
+    pub spent: bool,    // it can't be sent again
     pub over_share: bool,
     pub size: f64,   // its expected work, relative to its class
     pub aim: Millis, // the clock time until which it earns its full worth
@@ -158,11 +162,25 @@
 }
 
 impl Request {
-    pub fn new(
-        class: usize, size: f64, over_share: bool, aim: Millis, due: Millis, key: u64, home: Option<usize>,
-    ) -> Self {
-        let (attempts, waiting, done, started) = (Vec::new(), false, false, false);
-        Request { class, size, over_share, aim, due, key, home, attempts, waiting, done, started }
+    /// One that waits for its first attempt, and what may be done for it.
+    pub fn new(class: usize, effect: Effect, most: u32, size: f64, key: u64, home: Option<usize>) -> Self {
+        Request {
+            class,
+            effect,
+            most: most as usize,
+            whole: true,
+            spent: false,
+            over_share: false,
+            size,
+            aim: 0.0,
+            due: 0.0,
+            key,
+            home,
+            attempts: Vec::new(),
+            waiting: false,
+            done: false,
+            started: false,
+        }
     }
 
     pub fn running(&self) -> bool {
--- a/crates/wharfhitch/src/state.rs
+++ b/crates/wharfhitch/src/state.rs
@@ -7,7 +7,7 @@
 use crate::bands::Bands;
 use crate::interface::*;
 use crate::message::short;
-use crate::records::{Attempt, Kind, Peer, Request, Server, Start};
+use crate::records::{Attempt, Health, Kind, Peer, Request, Server, Start};
 
 /// Waiting requests, by class and by whether they are beyond their tenant's share, oldest first.
 pub(crate) type Queues = Vec<VecDeque<RequestId>>;
@@ -114,18 +114,34 @@
         }
     }
 
-    /// The client owns an answer that has begun.
-    pub(crate) fn started(&mut self, id: RequestId) {
+    /// A request can't be sent again.
+    pub(crate) fn spend(&mut self, id: RequestId) {
         if let Some(r) = self.requests.get_mut(&id) {
-            r.started = true;
+            r.spent = true;
         }
     }
 
-    /// How many servers the list names, and how many of them get nothing now: they drain, or are closed as ill or as
-    /// full, or have been closed and not proved themselves since.
+    /// Makes room for classes and tenants that are new; what is known of the others stays.
+    pub(crate) fn resize(&mut self, now: Millis) {
+        let (classes, backoff) = (self.cfg.classes.len(), self.start.backoff);
+        self.queues.resize_with(classes * 2, VecDeque::new);
+        let known = self.class_ms.len();
+        self.class_ms.extend(self.cfg.classes[known..].iter().map(|c| (c.aim / 4.0, 0.0)));
+        self.blocked.resize(classes, 0.0);
+        let all = self.common.pop().unwrap_or(0.0);
+        self.common.resize(classes, 0.0);
+        self.common.push(all);
+        self.hints.resize(classes, (1.0, 0.0));
+        self.allowance.resize(self.cfg.tenants.len(), 1.0);
+        for s in &mut self.servers {
+            s.by_class.resize(classes, Health::clean(now, backoff));
+        }
+    }
+
+    /// How many servers the list names, and how many of them get nothing now: they drain, or are closed.
     pub fn fleet(&self, now: Millis) -> (usize, usize) {
         let listed = || self.servers.iter().filter(|s| s.info.state != State::Gone);
-        let shut = |s: &&Server| s.told.is_some() || s.health.closed > now || s.health.trial;
+        let shut = |s: &&Server| s.told.is_some() || s.health.closed > now;
         (listed().count(), listed().filter(shut).count())
     }
 
--- a/crates/wharfhitch/tests/choice.rs
+++ b/crates/wharfhitch/tests/choice.rs
@@ -200,6 +200,7 @@
         key: Some(Key(id + 1)),
         budget: 3000.0,
         hint: None,
+        whole: true,
     };
     let sent: usize = (0..200).map(|id| sends(&hand.give(ask(id))).len()).sum();
     // Its fair part of some 104 slots is under three.
@@ -218,6 +219,7 @@
             key: Some(Key(key)),
             budget: 2000.0,
             hint: None,
+            whole: true,
         };
         let mut homes = vec![];
         for key in 1..9 {
--- a/crates/wharfhitch/tests/common/mod.rs
+++ b/crates/wharfhitch/tests/common/mod.rs
@@ -52,7 +52,15 @@
 }
 
 pub fn request(id: u64, class: usize, budget: Millis) -> Event {
-    Event::Request { id: RequestId(id), class: ClassId(class), tenant: None, key: None, budget, hint: None }
+    Event::Request {
+        id: RequestId(id),
+        class: ClassId(class),
+        tenant: None,
+        key: None,
+        budget,
+        hint: None,
+        whole: true,
+    }
 }
 
 pub fn ended(id: u64, attempt: u32, latency: Millis, outcome: Outcome) -> Event {
--- a/crates/wharfhitch/tests/properties.rs
+++ b/crates/wharfhitch/tests/properties.rs
@@ -187,7 +187,15 @@
                 let id = RequestId(self.next);
                 self.ends.insert(self.next, (self.now + budget, 0, false));
                 self.next += 1;
-                self.give(Event::Request { id, class: ClassId(class), tenant, key, budget, hint: None });
+                self.give(Event::Request {
+                    id,
+                    class: ClassId(class),
+                    tenant,
+                    key,
+                    budget,
+                    hint: None,
+                    whole: true,
+                });
             }
         }
     }
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -194,6 +194,7 @@
                     key: fields.optional_whole("nameKey")?.map(Key),
                     budget: fields.number("timeBudget")?,
                     hint: fields.optional_number("predicted")?,
+                    whole: true,
                 };
                 self.ids.insert(name.to_owned(), self.last);
                 self.requests.insert(self.last, Known { name: name.to_owned(), out: 0, done: false });
@@ -202,7 +203,7 @@
             }
             "ESTABLISHED" => {
                 let Some(request) = self.request(fields)? else { return Ok(None) };
-                Event::Started { request, attempt: fields.whole("sendNo")? as u32 }
+                Event::Started { request, attempt: fields.whole("sendNo")? as u32, worked: false }
             }
             "OUTCOME" => {
                 let Some(request) = self.request(fields)? else { return Ok(None) };
