--- a/crates/engine/src/config.rs
+++ b/crates/engine/src/config.rs
@@ -30,8 +30,12 @@
 #[derive(Deserialize, Default)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<f64>,
 }
 
+/// Memory that is reckoned with where the file tells no limit.
+const MEMORY_MB: f64 = 192.0;
+
 /// Where proxies exchange datagrams.
 pub struct PeerAddresses {
     pub listen: SocketAddr,
@@ -52,6 +56,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes of memory that it may have.
+    pub memory: usize,
     pub peers: Option<PeerAddresses>,
     /// The list of backends as last seen, in discovery's form; perhaps old, perhaps nothing.
     pub known: Value,
@@ -137,6 +143,7 @@
         inherited: None,
         seed: seed(&file.seed).ok_or("'seed' is neither text nor a whole number")?,
         sockets: file.limits.sockets.unwrap_or(1024).max(64),
+        memory: (file.limits.memory_mb.filter(|mb| *mb > 0.0).unwrap_or(MEMORY_MB) * 1e6) as usize,
         peers,
         known: file.known,
         connections,
--- a/crates/engine/src/drills.rs
+++ b/crates/engine/src/drills.rs
@@ -24,6 +24,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::message::plain;
+use crate::stream::Inbound;
 use crate::{log, note};
 
 /// Connections to the side port at once; more are closed unanswered.
@@ -159,9 +160,9 @@
     }
 
     /// Lets a drill act on an answer.
-    pub async fn act(&self, hit: &Hit, answer: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+    pub async fn act(&self, hit: &Hit, answer: Response<Inbound>) -> Response<Inbound> {
         let Deed::Delay(delay) = hit.deed else {
-            return plain(StatusCode::INTERNAL_SERVER_ERROR, "a drill");
+            return plain(StatusCode::INTERNAL_SERVER_ERROR, "a drill").map(Inbound::from);
         };
         let end = self.end.notified();
         if !self.ended.get() {
--- a/crates/engine/src/driver.rs
+++ b/crates/engine/src/driver.rs
@@ -27,7 +27,7 @@
 use crate::message::{Outgoing, Reply};
 use crate::note;
 use crate::peers::Peers;
-use crate::upstream::{Endpoint, Upstreams};
+use crate::upstream::{Endpoint, News, Upstreams};
 use crate::vars::{Counts, End, Held};
 
 /// What the client is told has to be on its way this long before the client gives up, whatever happens.
@@ -45,6 +45,8 @@
     deadline: Instant,
     attempts: u32,
     out: u32,
+    /// Its answer has begun, and is still on its way.
+    passing: bool,
     /// What the capture knows of it, if there is one.
     pending: Option<Pending>,
 }
@@ -154,6 +156,8 @@
             Input::Ended { request, attempt, latency, outcome, reply } => {
                 self.ended(request, attempt, latency, outcome, reply);
             }
+            Input::Whole(id) => self.whole(id),
+            Input::Began { request, attempt, reply } => self.began(request, attempt, reply),
             Input::List { scope, seq, hosts } => self.list(scope, seq, hosts),
             Input::Datagram { from, bytes } => self.handle(Event::Message { from, bytes }),
             Input::Settings(settings) => self.handle(Event::Settings(settings)),
@@ -173,6 +177,7 @@
             deadline: Instant::now(),
             attempts: 0,
             out: 0,
+            passing: false,
             pending: None,
         };
         self.live.insert(id, live);
@@ -182,6 +187,7 @@
     fn request(&mut self, arrival: Arrival) {
         let Arrival { id, class, tenant, key, hint, patience, deadline, message, answer } = arrival;
         let last = deadline - LAST_RESORT;
+        let whole = message.body.upload().is_none();
         let budget = last.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0;
         self.live.insert(
             id,
@@ -193,22 +199,52 @@
                 deadline,
                 attempts: 0,
                 out: 0,
+                passing: false,
                 pending: self.parts.capture.as_ref().map(|c| c.begin(class, tenant, patience)),
             },
         );
         self.parts.counts.took(class.0);
         self.due.push(Reverse((last, Due::LastResort(id))));
-        self.handle(Event::Request { id, class, tenant, key, budget, hint, whole: true });
+        self.handle(Event::Request { id, class, tenant, key, budget, hint, whole });
     }
 
     /// Answers a request that nobody else has answered in time. It may have run, so it has failed.
     fn last_resort(&mut self, id: RequestId) {
+        let coming = |l: &Live| l.message.body.upload().is_some_and(|u| u.is_touched() && !u.is_passed());
+        if self
+            .live
+            .get(&id)
+            .is_some_and(|l| coming(l) && l.out > 0 || l.deadline > Instant::now() + 2 * LAST_RESORT)
+        {
+            return; // its time has not begun, or has begun anew
+        }
         if let Some(answer) = self.close(id, FAILED) {
             let _ = answer.send(Answer::Failed); // a client that has left needs none
             self.handle(Event::Abandoned(id));
         }
     }
 
+    /// A request that was still coming in has gone out whole: its time begins.
+    fn whole(&mut self, id: RequestId) {
+        let Some(live) = self.live.get_mut(&id) else { return };
+        let Some(upload) = live.message.body.upload() else { return };
+        live.deadline = Instant::now() + upload.patience;
+        let last = live.deadline - LAST_RESORT;
+        let budget = last.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0;
+        self.due.push(Reverse((last, Due::LastResort(id))));
+        self.handle(Event::Whole { id, budget });
+    }
+
+    /// The client owns an answer that has begun: it is neither cut at the deadline nor made anew.
+    fn began(&mut self, request: RequestId, attempt: u32, reply: Reply) {
+        let Some(live) = self.live.get_mut(&request) else { return };
+        let Some(answer) = live.answer.take() else { return }; // who reads the answer's body sees that nobody wants it
+        live.wanted.set(false);
+        live.passing = true;
+        let _ = answer.send(Answer::Served(reply)); // likewise, if the client has just left
+        self.handle(Event::Started { request, attempt, worked: true });
+    }
+
     fn ended(
         &mut self, request: RequestId, attempt: u32, latency: Millis, outcome: Outcome, reply: Option<Reply>,
     ) {
@@ -218,6 +254,22 @@
             pending.ended(attempt, outcome);
         }
         let was_open = live.answer.is_some();
+        let upload = live.message.body.upload().cloned();
+        if upload.as_ref().is_some_and(|u| u.is_touched()) {
+            self.handle(Event::Spent(request));
+        }
+        if upload.is_some_and(|u| u.is_lost()) && self.close(request, GONE).is_some() {
+            self.handle(Event::Abandoned(request));
+        }
+        if self.live.get(&request).is_some_and(|l| l.passing) {
+            let code = match outcome {
+                Outcome::Served => SERVED,
+                Outcome::Cancelled => GONE,
+                _ => FAILED,
+            };
+            self.close(request, code);
+            return self.handle(Event::Ended { request, attempt, latency, outcome, closed: true });
+        }
         if let (Outcome::Served, Some(reply)) = (outcome, reply)
             && let Some(answer) = self.close(request, SERVED)
         {
@@ -233,7 +285,8 @@
         let live = self.live.get_mut(&id)?;
         live.wanted.set(false);
         let answer = live.answer.take();
-        if let (Some(class), true) = (live.class, answer.is_some()) {
+        let open = std::mem::take(&mut live.passing) || answer.is_some();
+        if let (Some(class), true) = (live.class, open) {
             let end = match code {
                 SERVED => End::Answered,
                 REFUSED => End::Deferred,
@@ -252,12 +305,13 @@
     /// What is held now.
     fn held(&self) -> Held {
         let (listed, avoided) = self.balancer.fleet(self.parts.clock.now());
-        let current = self.live.values().filter(|l| l.class.is_some() && l.answer.is_some()).count();
+        let current =
+            self.live.values().filter(|l| l.class.is_some() && (l.answer.is_some() || l.passing)).count();
         Held { current, listed, avoided }
     }
 
     fn forget(&mut self, id: RequestId) {
-        if self.live.get(&id).is_some_and(|l| l.answer.is_none() && l.out == 0) {
+        if self.live.get(&id).is_some_and(|l| l.answer.is_none() && !l.passing && l.out == 0) {
             self.live.remove(&id);
         }
     }
@@ -377,9 +431,7 @@
         let (wanted, message) = (live.wanted.clone(), live.message.clone());
         let Some(account) = &self.parts.account else {
             tokio::task::spawn_local(async move {
-                upstreams
-                    .attempt(endpoint, wanted, message, until, |outcome, reply| report.tell(outcome, reply))
-                    .await;
+                upstreams.attempt(endpoint, wanted, message, until, |news| report.pass(news)).await;
             });
             return;
         };
@@ -387,9 +439,12 @@
             return report.tell(Outcome::Full, None); // the module tries elsewhere, or later
         };
         tokio::task::spawn_local(account::on(account.clone(), async move {
-            let told = |outcome, reply| {
-                drop(visit); // before the module hears of it, lest it send the next one into a full house
-                report.tell(outcome, reply);
+            let mut visit = Some(visit);
+            let told = |news| {
+                if matches!(news, News::Ended(..)) {
+                    visit = None; // before the module hears of it, lest it send the next one into a full house
+                }
+                report.pass(news);
             };
             upstreams.attempt(endpoint, wanted, message, until, told).await;
         }));
@@ -430,6 +485,18 @@
 }
 
 impl Report {
+    fn pass(&mut self, news: News) {
+        let (request, attempt) = (self.request, self.attempt);
+        match news {
+            News::Whole => {
+                self.sent = Instant::now();
+                self.inbox.put(Input::Whole(request));
+            }
+            News::Began(reply) => self.inbox.put(Input::Began { request, attempt, reply }),
+            News::Ended(outcome, reply) => self.tell(outcome, reply),
+        }
+    }
+
     fn tell(&mut self, outcome: Outcome, reply: Option<Reply>) {
         self.told = true;
         let latency = self.sent.elapsed().as_secs_f64() * 1000.0;
--- a/crates/engine/src/frontend.rs
+++ b/crates/engine/src/frontend.rs
@@ -12,13 +12,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::BodyExt;
+use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, Uri};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, oneshot};
@@ -28,18 +29,28 @@
 
 use crate::account::{self, Account};
 use crate::figures::Flight;
+use crate::guard::Guard;
 use crate::inbox::{Answer, Arrival, Inbox, Input, REFUSED};
 use crate::lifecycle::{Idle, Life};
-use crate::message::{BODY, Outgoing, plain, strip, target};
+use crate::message::{Content, Outgoing, plain, strip, target};
 use crate::note;
 use crate::pool::{Asked, Pool};
-use crate::upstream::Upstreams;
+use crate::stream::{self, Inbound, KEPT, Payload, Upload};
+use crate::upstream::{Upstreams, is_quiet};
 use crate::vars::End;
 
-/// A head must be whole after this span, and a connection's first request with its body: a peer that sends
-/// no proper request is owed an error or a close within 3 s. It also bounds how long a connection stands idle,
-/// which has to be 2 s at least.
+/// A request must be whole this long after its first byte, and as much later as its body takes: a client may take 2 s for
+/// its head.
 const HEAD: Duration = Duration::from_millis(2500);
+/// And a connection's first one this long after the connection came: a peer that sends no proper request is owed an
+/// error or a close within 3 s.
+const FIRST_HEAD: Duration = Duration::from_millis(2800);
+/// A connection may stand idle for so long; it has to be 2 s at least.
+const IDLE: Duration = Duration::from_millis(2500);
+/// One that has a request may neither read nor write for this span, beyond the longest deadline.
+const STUCK: Duration = Duration::from_secs(10);
+/// The rest of a body that nobody wants is read for so long, lest its client miss the answer.
+const DRAIN: Duration = Duration::from_secs(3);
 const HEAD_SIZE: usize = 64 << 10;
 const BACKLOG: u32 = 1024;
 /// Once no more connections are awaited, the accept queue counts as empty once nothing comes for this span.
@@ -54,6 +65,8 @@
 const CUT: Duration = Duration::from_secs(1);
 /// Span within which a new connection's first request is waited for when sockets run short.
 const FIRST: Duration = Duration::from_secs(2);
+/// Ms after which there may be memory for another body.
+const FULL: f64 = 500.0;
 /// Wait after a failed accept, lest it spin.
 const PAUSE: Duration = Duration::from_millis(10);
 
@@ -63,6 +76,10 @@
     /// It has had an answer. Before that its first request may be on the way at any moment.
     used: Cell<bool>,
     since: Cell<Instant>,
+    /// When the head that is coming in began.
+    begun: Cell<Option<Instant>>,
+    /// When something was last read or written.
+    moved: Cell<Instant>,
     close: Notify,
     /// On whose account it is, in a process of many tenants.
     account: RefCell<Option<Rc<dyn Account>>>,
@@ -71,6 +88,33 @@
 }
 
 impl Client {
+    /// When the connection has to be looked at again, if nothing happens until then.
+    fn due(&self) -> Instant {
+        match self.begun.get() {
+            _ if self.busy.get() => Instant::now() + IDLE,
+            Some(begun) => self.whole_by(begun),
+            None => self.since.get().max(self.moved.get()) + IDLE,
+        }
+    }
+
+    /// When a request that began then has to be whole, whatever time its body's length takes left out.
+    fn whole_by(&self, begun: Instant) -> Instant {
+        let first = if self.used.get() { begun + HEAD } else { self.since.get() + FIRST_HEAD };
+        first.min(begun + HEAD)
+    }
+
+    fn wrote(&self, written: &Poll<io::Result<usize>>) {
+        if matches!(written, Poll::Ready(Ok(1..))) {
+            self.moved.set(Instant::now());
+        }
+    }
+
+    /// Its request has its answer.
+    fn rest(&self) {
+        self.busy.set(false);
+        self.since.set(Instant::now());
+    }
+
     /// Puts the connection on the account of the tenant that its latest request names.
     fn belongs_to(&self, account: &Rc<dyn Account>) -> Result<(), f64> {
         let mut own = self.account.borrow_mut();
@@ -111,8 +155,9 @@
 
 /// A client's socket, which is read only while its account lets it.
 struct Gated {
-    stream: TcpStream,
+    stream: Rc<RefCell<TcpStream>>,
     client: Rc<Client>,
+    guard: Guard,
 }
 
 impl AsyncRead for Gated {
@@ -123,31 +168,49 @@
         if self.client.account.borrow().as_ref().is_some_and(waits) {
             return Poll::Pending;
         }
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let read = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            // What it gets from here on would be read in two ways: the connection ends.
+            if let Err(what) = self.guard.feed(&buf.filled()[before..]) {
+                buf.set_filled(before);
+                return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, what)));
+            }
+            let now = Instant::now();
+            self.client.moved.set(now);
+            if !self.client.busy.get() && self.client.begun.get().is_none() && self.guard.in_head() {
+                self.client.begun.set(Some(now));
+            }
+        }
+        read
     }
 }
 
 impl AsyncWrite for Gated {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, bytes);
+        self.client.wrote(&written);
+        written
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>, cx: &mut Context, parts: &[IoSlice],
+        self: Pin<&mut Self>, cx: &mut Context, parts: &[IoSlice],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, parts);
+        self.client.wrote(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.borrow().is_write_vectored()
     }
 }
 
@@ -316,6 +379,8 @@
                     busy: Cell::new(false),
                     used: Cell::new(false),
                     since: Cell::new(Instant::now()),
+                    begun: Cell::new(None),
+                    moved: Cell::new(Instant::now()),
                     close: Notify::new(),
                     account: RefCell::new(account),
                     turning_away: Cell::new(false),
@@ -353,56 +418,81 @@
 
     async fn connection(self: &Rc<Self>, stream: TcpStream, client: &Rc<Client>) {
         let over = self.clients.borrow().len() > self.most;
+        let stream = Rc::new(RefCell::new(stream));
         let service = service_fn(|request| {
             let (front, client) = (self.clone(), client.clone());
             async move {
                 client.busy.set(true);
+                let by = client.whole_by(client.begun.take().unwrap_or_else(Instant::now));
                 let pool = front.router.pool(request.uri(), request.headers());
                 let figures = pool.as_ref().ok().and_then(|p| p.features.figures.as_ref().map(|f| (f, p)));
                 let flight = figures.and_then(|(f, pool)| f.begin(&request, &pool.terms.borrow().names));
                 let mut response = match &pool {
-                    _ if request.uri().path() == "/up" && !over => front.up(),
-                    Err((status, text)) => plain(*status, text),
-                    Ok(pool) if over => turn_away(pool, request),
-                    Ok(pool) => front.respond(pool, request, &client, flight.as_ref()).await,
+                    _ if request.uri().path() == "/up" && !over => front.up().map(Inbound::from),
+                    Err((status, text)) => plain(*status, text).map(Inbound::from),
+                    Ok(pool) if over => turn_away(pool, request).map(Inbound::from),
+                    Ok(pool) => front.respond(pool, request, &client, by, flight.as_ref()).await,
                 };
-                if let Some(flight) = flight {
-                    flight.end(response.status().as_u16());
-                }
-                if over || !front.life.ask(|life, _| life.keeps()) {
+                let closes = over || !front.life.ask(|life, _| life.keeps());
+                if closes {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-                } else {
-                    client.busy.set(false);
                 }
                 client.used.set(true);
                 client.since.set(Instant::now());
+                let code = response.status().as_u16();
+                let end = move || flight.into_iter().for_each(|f| f.end(code));
+                match response.body_mut() {
+                    Inbound::Stream(_, done) => {
+                        *done = Some(Box::new(move || {
+                            end();
+                            client.rest();
+                        }));
+                    }
+                    Inbound::Whole(_) => {
+                        end();
+                        if !closes {
+                            client.rest();
+                        }
+                    }
+                }
                 Ok::<_, Infallible>(response)
             }
         });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD)
-            .max_buf_size(HEAD_SIZE)
-            .serve_connection(TokioIo::new(Gated { stream, client: client.clone() }), service);
+        let connection = http1::Builder::new().max_buf_size(HEAD_SIZE).serve_connection(
+            TokioIo::new(Gated { stream: stream.clone(), client: client.clone(), guard: Guard::default() }),
+            service,
+        );
         tokio::pin!(connection);
-        let mut cut = None;
+        let mut cut: Option<Instant> = None;
         loop {
-            let wait = cut.unwrap_or_else(|| Instant::now() + HEAD);
-            tokio::select! {
+            let wait = cut.unwrap_or_else(|| client.due());
+            let close = tokio::select! {
                 biased; // what has come in counts before a wish to close
                 // Malformed HTTP has been answered by hyper; a client that left needs nothing.
                 _ = connection.as_mut() => return,
-                () = client.close.notified() => {
-                    connection.as_mut().graceful_shutdown();
-                    cut = cut.or(Some(Instant::now() + CUT));
-                }
-                // A half-sent head or an answer that nobody reads would hold its socket for ever.
-                () = sleep_until(wait), if cut.is_some() => {
-                    if !client.busy.get() {
+                () = client.close.notified() => true,
+                () = sleep_until(wait) => {
+                    let (now, moved) = (Instant::now(), client.moved.get());
+                    if let Some(at) = cut {
+                        // An answer that nobody reads would hold its socket for ever.
+                        if !client.busy.get() && moved + CUT <= now {
+                            return;
+                        }
+                        cut = Some((moved + CUT).max(at + LOOK));
+                    }
+                    if client.busy.get() && moved + STUCK + self.router.longest() <= now {
                         return;
                     }
-                    cut = Some(Instant::now() + CUT);
+                    let late = cut.is_none() && client.due() <= now;
+                    if late && client.begun.get().is_some() { return; // its head is late
+                    }
+                    late
                 }
+            };
+            // A request that has come in but has not been read yet is no reason to close: it would be lost.
+            if close && cut.is_none() && client.begun.get().is_none() && is_quiet(&stream.borrow()) {
+                connection.as_mut().graceful_shutdown();
+                cut = Some(Instant::now() + CUT);
             }
         }
     }
@@ -413,28 +503,31 @@
     }
 
     async fn respond(
-        &self, pool: &Rc<Pool>, request: Request<Incoming>, client: &Client, flight: Option<&Flight>,
-    ) -> Response<Full<Bytes>> {
-        let came = Instant::now();
+        &self, pool: &Rc<Pool>, request: Request<Incoming>, client: &Client, by: Instant,
+        flight: Option<&Flight>,
+    ) -> Response<Inbound> {
         let (head, body) = request.into_parts();
         let asked = match pool.read(&head.method, &head.uri, &head.headers) {
             Ok(asked) => asked,
-            Err((status, text)) => return plain(status, text),
+            Err((status, text)) => return plain(status, text).map(Inbound::from),
         };
         let _stay = match self.admit(pool, client, &head.headers, &body) {
             Ok(stay) => stay,
             Err(wait) => return self.refused(pool, wait).await,
         };
-        let deadline = came + asked.patience;
-        let whole = if client.used.get() { deadline } else { deadline.min(client.since.get() + HEAD) };
-        let body = match timeout_at(whole, Limited::new(body, BODY).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-                return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
-            }
-            Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "the body is malformed"),
-            Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body came too late"),
+        let body = match receive(body, asked.patience, by).await {
+            Ok(body) => body,
+            Err((status, text)) => return plain(status, text).map(Inbound::from),
         };
+        let upload = body.upload().cloned();
+        // What passes through takes memory for as long as it does.
+        let place = upload.as_ref().map(|_| pool.room.take());
+        if matches!(place, Some(None)) {
+            pool.counts.took(asked.class.0);
+            pool.counts.ended(asked.class.0, End::Deferred);
+            upload.into_iter().for_each(drain);
+            return self.refused(pool, FULL).await;
+        }
         let mut headers = head.headers;
         strip(&mut headers);
         let id = RequestId(self.next.replace(self.next.get() + 1));
@@ -442,6 +535,7 @@
         let named = pool.features.drills.as_ref().and_then(|_| headers.get("x-request-id").cloned());
         let message = Outgoing { method: head.method, uri: target(&head.uri), headers, body };
         let Asked { class, tenant, key, hint, patience } = asked;
+        let deadline = Instant::now() + patience; // a request's time counts from its last byte
         pool.inbox.put(Input::Request(Box::new(Arrival {
             id,
             class,
@@ -457,6 +551,7 @@
         let mut leaves = Leaves { inbox: &pool.inbox, id, waits: true };
         let answer = answered.await;
         leaves.waits = false;
+        upload.into_iter().for_each(drain);
         let response = finished(answer);
         let Some(drills) = &pool.features.drills else { return response };
         let Some(hit) = drills.meet(class.0, named.as_ref()) else { return response };
@@ -474,7 +569,7 @@
         client.turning_away.set(true);
         client.belongs_to(account)?;
         let head: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
-        let body = body.size_hint().exact().unwrap_or(BODY as u64).min(BODY as u64);
+        let body = body.size_hint().exact().unwrap_or(KEPT as u64).min(KEPT as u64);
         let bytes = head as u64 + body;
         account.begin(bytes)?;
         client.turning_away.set(false);
@@ -483,7 +578,7 @@
 
     /// The module's own refusal of a request that there is no room for. Its body is not read, so that hyper closes the
     /// connection where there is one.
-    async fn refused(&self, pool: &Rc<Pool>, wait: f64) -> Response<Full<Bytes>> {
+    async fn refused(&self, pool: &Rc<Pool>, wait: f64) -> Response<Inbound> {
         let id = RequestId(self.next.replace(self.next.get() + 1));
         let (answer, answered) = oneshot::channel();
         pool.inbox.put(Input::Unadmitted { id, wait, answer });
@@ -491,6 +586,48 @@
     }
 }
 
+/// Reads a body, or as much of it as is kept; the rest passes through. It has to be whole by then, and by as much later
+/// as so much of it takes.
+async fn receive(
+    mut body: Incoming, patience: Duration, by: Instant,
+) -> Result<Payload, (StatusCode, &'static str)> {
+    let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+    let length = body.size_hint().exact();
+    if body.is_end_stream() {
+        return Ok(Payload::empty());
+    }
+    if length.is_some_and(|n| n > stream::MOST) {
+        return Err(too_large);
+    }
+    let (mut parts, mut size) = (Vec::new(), 0);
+    loop {
+        match timeout_at(by + stream::span(size), body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                let Ok(data) = frame.into_data() else { continue }; // trailers go no further
+                size += data.len();
+                parts.push(data);
+                if size > KEPT {
+                    return Ok(Payload::Stream(Upload::new(parts.concat().into(), length, body, patience)));
+                }
+            }
+            Ok(None) if parts.len() == 1 => return Ok(Payload::Whole(parts.remove(0))),
+            Ok(None) => return Ok(Payload::Whole(parts.concat().into())),
+            Ok(Some(Err(_))) => return Err((StatusCode::BAD_REQUEST, "the body is malformed")),
+            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body came too late")),
+        }
+    }
+}
+
+/// Reads what is left of a body whose request has its answer: a client that still writes would miss the answer if the
+/// connection closed under it.
+fn drain(upload: Rc<Upload>) {
+    let Some(mut rest) = upload.abandon() else { return };
+    spawn_local(async move {
+        let all = async { while let Some(Ok(_)) = rest.frame().await {} };
+        let _ = timeout(DRAIN, all).await;
+    });
+}
+
 /// Refuses a request on a connection over the budget; the module never sees it.
 fn turn_away(pool: &Pool, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let (head, _) = request.into_parts();
@@ -501,7 +638,7 @@
     }
     if let (Some(capture), Some(asked)) = (&pool.features.capture, asked) {
         let pending = capture.begin(asked.class, asked.tenant, asked.patience);
-        let (method, uri, headers, body) = (head.method, head.uri, head.headers, Bytes::new());
+        let (method, uri, headers, body) = (head.method, head.uri, head.headers, Payload::empty());
         capture.turned_away(&pending, &Outgoing { method, uri, headers, body }, REFUSED);
     }
     plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
@@ -545,10 +682,13 @@
 }
 
 /// The module's final answer, as the client gets it.
-fn finished(answer: Result<Answer, oneshot::error::RecvError>) -> Response<Full<Bytes>> {
+fn finished(answer: Result<Answer, oneshot::error::RecvError>) -> Response<Inbound> {
     match answer {
         Ok(Answer::Served(reply)) => {
-            let mut response = Response::new(Full::new(reply.body));
+            let mut response = Response::new(match reply.body {
+                Content::Whole(body) => Inbound::from(body),
+                Content::Stream(passing) => Inbound::Stream(passing, None),
+            });
             *response.headers_mut() = reply.headers;
             response
         }
@@ -557,9 +697,9 @@
             if let Some(after) = after.and_then(|ms| format!("{:.3}", ms / 1000.0).parse().ok()) {
                 response.headers_mut().insert(header::RETRY_AFTER, after);
             }
-            response
+            response.map(Inbound::from)
         }
-        Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
+        Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed").map(Inbound::from),
     }
 }
 
--- a/crates/engine/src/inbox.rs
+++ b/crates/engine/src/inbox.rs
@@ -25,6 +25,10 @@
     Unadmitted { id: RequestId, wait: Millis, answer: oneshot::Sender<Answer> },
     /// Its client has left.
     Gone(RequestId),
+    /// The last byte of a request that was still coming in has gone out.
+    Whole(RequestId),
+    /// An answer too large to be kept has begun.
+    Began { request: RequestId, attempt: u32, reply: Reply },
     /// An attempt has ended.
     Ended { request: RequestId, attempt: u32, latency: Millis, outcome: Outcome, reply: Option<Reply> },
     /// News of the list, with discovery's version of it.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -14,6 +14,7 @@
 mod driver;
 mod figures;
 mod frontend;
+mod guard;
 mod hosts;
 mod inbox;
 mod inherited;
@@ -26,6 +27,7 @@
 pub mod pool;
 pub mod process;
 pub mod service;
+mod stream;
 mod upstream;
 mod vars;
 
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -6,20 +6,27 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use tokio::time::Instant;
 
-/// Bytes of a body, by the protocol.
-pub const BODY: usize = 64 << 10;
+use crate::stream::{Outbound, Passing, Payload};
+
 /// A client's request in the form in which it goes on.
 pub struct Outgoing {
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: Payload,
 }
 
-/// A backend's whole answer.
+/// A backend's answer.
 pub struct Reply {
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: Content,
+}
+
+/// The body of a backend's answer.
+pub enum Content {
+    Whole(Bytes),
+    /// It is still coming in.
+    Stream(Passing),
 }
 
 /// The query parameter `sid`, as it came.
@@ -58,7 +65,7 @@
     /// What stands for a message that is not read.
     pub fn nothing() -> Self {
         let (method, uri) = (Method::GET, Uri::default());
-        Outgoing { method, uri, headers: HeaderMap::new(), body: Bytes::new() }
+        Outgoing { method, uri, headers: HeaderMap::new(), body: Payload::empty() }
     }
 
     /// What the request is about, where it says so.
@@ -67,8 +74,8 @@
     }
 
     /// The request for one attempt; `X-Timeout` tells how long this proxy will wait.
-    pub fn request(&self, until: Instant) -> Option<Request<Full<Bytes>>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    pub fn request(&self, until: Instant) -> Option<Request<Outbound>> {
+        let mut request = Request::new(self.body.outbound());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -17,6 +17,7 @@
 use crate::inbox::{Inbox, Input};
 use crate::lifecycle::Life;
 use crate::message::{class_of, sid};
+use crate::stream::Room;
 use crate::vars::Counts;
 
 /// The features that have a part in how requests are answered; each is there only where it is on.
@@ -48,6 +49,8 @@
     /// Whether the module has a list, and what else says whether clients are taken.
     pub(crate) life: Rc<Life>,
     pub(crate) counts: Rc<Counts>,
+    /// Memory for what passes through.
+    pub(crate) room: Rc<Room>,
     pub(crate) features: Features,
     /// The tenant's account, in a process of many.
     pub(crate) account: Option<Rc<dyn Account>>,
--- a/crates/engine/src/process.rs
+++ b/crates/engine/src/process.rs
@@ -27,6 +27,7 @@
 use crate::lifecycle::Life;
 use crate::ops::{self, Door};
 use crate::pool::{Features, Pool};
+use crate::stream::Room;
 use crate::vars::Counts;
 use crate::{config, discovery, frontend, hosts, inherited, log, note, peers, upstream};
 
@@ -138,7 +139,9 @@
     let own = RESERVE + if door.is_some() { ops::CALLERS + 1 } else { 0 };
     let budget = config.sockets - own;
     let sockets = Arc::new(Semaphore::new(budget / 4));
-    let upstreams = Rc::new(upstream::Upstreams::new(&config.connections, sockets, None, counts.clone()));
+    let room = Room::new(config.memory);
+    let upstreams =
+        Rc::new(upstream::Upstreams::new(&config.connections, sockets, None, counts.clone(), room.clone()));
     let known_only = Rc::new(Cell::new(false));
     let watch = Rc::new(Notify::new());
     let place = discovery::Place::new(config.discovery);
@@ -197,6 +200,7 @@
         terms,
         life: life.clone(),
         counts: counts.clone(),
+        room,
         features,
         account: None,
         strict: true,
--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -21,6 +21,7 @@
 use crate::inbox::{Inbox, Input};
 use crate::lifecycle::Life;
 use crate::pool::{Features, Pool};
+use crate::stream::Room;
 use crate::upstream::Upstreams;
 use crate::vars::Counts;
 
@@ -28,12 +29,17 @@
 pub use crate::frontend::Router;
 pub use crate::hosts::Host;
 
+/// Bytes of memory that bodies passing through are reckoned from.
+const MEMORY: usize = 256 << 20;
+
 /// What all pools and listeners of a process share.
 pub struct Process {
     clock: Clock,
     /// The budget of connections to servers.
     sockets: Arc<Semaphore>,
     next: Rc<Cell<u64>>,
+    /// Memory for what passes through.
+    room: Rc<Room>,
 }
 
 /// What a pool is told at its start.
@@ -87,7 +93,7 @@
     /// A process that holds at most so many connections to servers.
     pub fn new(sockets: usize) -> Self {
         let sockets = Arc::new(Semaphore::new(sockets.min(Semaphore::MAX_PERMITS)));
-        Process { clock: Clock::new(), sockets, next: Rc::default() }
+        Process { clock: Clock::new(), sockets, next: Rc::default(), room: Room::new(MEMORY) }
     }
 
     /// The time on the process's clock.
@@ -105,7 +111,8 @@
         let counts = Rc::new(Counts::default());
         counts.name(&terms.names.classes);
         let sockets = self.sockets.clone();
-        let upstreams = Upstreams::new(&terms.connections, sockets, account.clone(), counts.clone());
+        let upstreams =
+            Upstreams::new(&terms.connections, sockets, account.clone(), counts.clone(), self.room.clone());
         let upstreams = Rc::new(upstreams);
         let life = Rc::new(Life::new(self.clock, false));
         let parts = Parts {
@@ -136,7 +143,16 @@
         });
         let features = Features::default();
         let terms = RefCell::new(Rc::new(change::Terms::of(terms.settings, terms.names)));
-        let pool = Pool { inbox: inbox.clone(), terms, life, counts, features, account, strict: false };
+        let pool = Pool {
+            inbox: inbox.clone(),
+            terms,
+            life,
+            counts,
+            room: self.room.clone(),
+            features,
+            account,
+            strict: false,
+        };
         Running { pool: Rc::new(pool), feed: Feed { inbox, alive }, upstreams }
     }
 
--- /dev/null
+++ b/crates/engine/src/stream.rs
@@ -0,0 +1,331 @@
+//! Bodies that are too large to be kept: they pass through in bounded pieces, and whoever is slow at one end slows down the
+//! other. What is kept of a body is what may be sent again.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::sync::{Notify, Semaphore, SemaphorePermit, mpsc};
+use tokio::time::Instant;
+
+/// Bytes of a body that are kept: a request up to this size may be sent again, an answer up to it is passed on whole.
+pub const KEPT: usize = 64 << 10;
+/// The largest body of a request.
+pub const MOST: u64 = 32 << 20;
+/// A body of which nothing has come or gone for this span is given up.
+pub const STALL: Duration = Duration::from_secs(2);
+/// Bytes a second at which a body has to come at least, in the mean since its first; clients send twice as fast.
+const LEAST: f64 = 32e3;
+
+/// The longest that so many bytes of a body may take to come.
+pub fn span(received: usize) -> Duration {
+    Duration::from_secs_f64(received as f64 / LEAST)
+}
+
+fn broken(what: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, what)
+}
+
+/// What one body takes on its way through: buffers at both ends and what is between them.
+const PLACE: usize = 192 << 10;
+
+/// Memory for all bodies that pass through at once.
+pub struct Room(Semaphore);
+
+impl Room {
+    /// Room within so many bytes of memory, half of which are left to all else.
+    pub fn new(memory: usize) -> Rc<Self> {
+        Rc::new(Room(Semaphore::new((memory / 2 / PLACE).max(8))))
+    }
+
+    /// A place, if there is one now.
+    pub fn take(&self) -> Option<SemaphorePermit<'_>> {
+        self.0.try_acquire().ok()
+    }
+
+    /// A place, in turn. An answer that has begun can't be refused any more.
+    pub async fn wait(&self) -> Option<SemaphorePermit<'_>> {
+        self.0.acquire().await.ok()
+    }
+}
+
+/// The body of a request that comes in while it goes out.
+pub struct Upload {
+    /// Its beginning, which each attempt sends first.
+    kept: Bytes,
+    /// Its whole length, where the client has told it.
+    length: Option<u64>,
+    rest: RefCell<Option<Incoming>>,
+    received: Cell<u64>,
+    /// Something of the rest has gone out: the request can't be sent again.
+    touched: Cell<bool>,
+    /// Its client has left or sent what is no body.
+    lost: Cell<bool>,
+    /// Its last byte has been handed on: the request may run.
+    passed: Cell<bool>,
+    moved: Cell<Instant>,
+    whole: Notify,
+    /// How long the client waits from its last byte on.
+    pub patience: Duration,
+}
+
+impl Upload {
+    pub fn new(kept: Bytes, length: Option<u64>, rest: Incoming, patience: Duration) -> Rc<Self> {
+        Rc::new(Upload {
+            received: Cell::new(kept.len() as u64),
+            kept,
+            length,
+            rest: RefCell::new(Some(rest)),
+            touched: Cell::new(false),
+            lost: Cell::new(false),
+            passed: Cell::new(false),
+            moved: Cell::new(Instant::now()),
+            whole: Notify::new(),
+            patience,
+        })
+    }
+
+    /// Whether it can't be sent again.
+    pub fn is_touched(&self) -> bool {
+        self.touched.get()
+    }
+
+    /// Whether its client has left before its end.
+    pub fn is_lost(&self) -> bool {
+        self.lost.get()
+    }
+
+    /// Whether its last byte has been handed on.
+    pub fn is_passed(&self) -> bool {
+        self.passed.get()
+    }
+
+    /// Waits until that is so.
+    pub async fn whole(&self) {
+        while !self.passed.get() {
+            self.whole.notified().await;
+        }
+    }
+
+    /// Takes away what has not come in yet: the request has its answer.
+    pub fn abandon(&self) -> Option<Incoming> {
+        self.rest.take()
+    }
+
+    /// An attempt begins to send it.
+    pub fn begin(&self) {
+        self.moved.set(Instant::now());
+    }
+
+    /// When it counts as given up, unless something moves.
+    pub fn stalls_at(&self) -> Instant {
+        self.moved.get() + STALL
+    }
+
+    fn pass(&self) {
+        self.passed.set(true);
+        self.whole.notify_waiters();
+    }
+
+    fn poll(&self, cx: &mut Context) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let mut rest = self.rest.borrow_mut();
+        loop {
+            let Some(body) = rest.as_mut() else {
+                let whole = self.passed.get();
+                return Poll::Ready((!whole).then(|| Err(broken("the body is gone"))));
+            };
+            let frame = ready!(Pin::new(body).poll_frame(cx));
+            self.moved.set(Instant::now());
+            match frame {
+                None => {
+                    *rest = None;
+                    self.pass();
+                    return Poll::Ready(None);
+                }
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else { continue }; // trailers go no further
+                    self.touched.set(true);
+                    self.received.set(self.received.get() + data.len() as u64);
+                    if self.received.get() > MOST {
+                        *rest = None;
+                        return Poll::Ready(Some(Err(broken("the body is too large"))));
+                    }
+                    if self.length == Some(self.received.get()) {
+                        self.pass();
+                    }
+                    return Poll::Ready(Some(Ok(Frame::data(data))));
+                }
+                Some(Err(e)) => {
+                    *rest = None;
+                    self.lost.set(true);
+                    return Poll::Ready(Some(Err(io::Error::other(e))));
+                }
+            }
+        }
+    }
+}
+
+/// The body of a request that goes on.
+#[derive(Clone)]
+pub enum Payload {
+    /// All of it is kept.
+    Whole(Bytes),
+    Stream(Rc<Upload>),
+}
+
+impl Payload {
+    /// What a request without a body has.
+    pub const fn empty() -> Self {
+        Payload::Whole(Bytes::new())
+    }
+
+    /// The body that one attempt sends.
+    pub fn outbound(&self) -> Outbound {
+        match self {
+            Payload::Whole(body) => Outbound::Whole(Full::new(body.clone())),
+            Payload::Stream(upload) => {
+                upload.begin();
+                Outbound::Stream { kept: Some(upload.kept.clone()), upload: upload.clone() }
+            }
+        }
+    }
+
+    pub fn upload(&self) -> Option<&Rc<Upload>> {
+        match self {
+            Payload::Whole(_) => None,
+            Payload::Stream(upload) => Some(upload),
+        }
+    }
+}
+
+/// What goes out to a server.
+pub enum Outbound {
+    Whole(Full<Bytes>),
+    Stream { kept: Option<Bytes>, upload: Rc<Upload> },
+}
+
+impl Body for Outbound {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        match &mut *self {
+            Outbound::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            Outbound::Stream { kept, upload } => match kept.take() {
+                Some(kept) => Poll::Ready(Some(Ok(Frame::data(kept)))),
+                None => upload.poll(cx),
+            },
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Outbound::Whole(body) => body.is_end_stream(),
+            Outbound::Stream { .. } => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Outbound::Whole(body) => body.size_hint(),
+            Outbound::Stream { upload, .. } => {
+                upload.length.map_or_else(SizeHint::default, SizeHint::with_exact)
+            }
+        }
+    }
+}
+
+/// A part of an answer on its way to the client.
+pub enum Piece {
+    Data(Bytes),
+    /// It is whole. An answer that ends without this has been cut.
+    End,
+}
+
+/// The body of an answer that goes on while it comes in.
+pub struct Passing {
+    pub length: Option<u64>,
+    pub pieces: mpsc::Receiver<Piece>,
+    ended: bool,
+}
+
+impl Passing {
+    /// One piece at a time is on its way: a client that does not read holds up nothing but its own answer.
+    pub fn new(length: Option<u64>) -> (mpsc::Sender<Piece>, Self) {
+        let (sender, pieces) = mpsc::channel(1);
+        (sender, Passing { length, pieces, ended: false })
+    }
+}
+
+/// What goes back to a client.
+pub enum Inbound {
+    Whole(Full<Bytes>),
+    Stream(Passing, Watched),
+}
+
+/// Called when an answer's body is done with.
+pub type Watched = Option<Box<dyn FnOnce()>>;
+
+impl From<Bytes> for Inbound {
+    fn from(body: Bytes) -> Self {
+        Inbound::Whole(Full::new(body))
+    }
+}
+
+impl From<Full<Bytes>> for Inbound {
+    fn from(body: Full<Bytes>) -> Self {
+        Inbound::Whole(body)
+    }
+}
+
+impl Drop for Inbound {
+    fn drop(&mut self) {
+        if let Inbound::Stream(_, done) = self
+            && let Some(done) = done.take()
+        {
+            done();
+        }
+    }
+}
+
+impl Body for Inbound {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        match &mut *self {
+            Inbound::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            Inbound::Stream(passing, _) if passing.ended => Poll::Ready(None),
+            Inbound::Stream(passing, _) => Poll::Ready(match ready!(passing.pieces.poll_recv(cx)) {
+                Some(Piece::Data(data)) => Some(Ok(Frame::data(data))),
+                Some(Piece::End) => {
+                    passing.ended = true;
+                    None
+                }
+                None => Some(Err(broken("the server has cut its answer"))),
+            }),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Inbound::Whole(body) => body.is_end_stream(),
+            Inbound::Stream(passing, _) => passing.ended,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Inbound::Whole(body) => body.size_hint(),
+            Inbound::Stream(passing, _) => {
+                passing.length.map_or_else(SizeHint::default, SizeHint::with_exact)
+            }
+        }
+    }
+}
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -1,37 +1,43 @@
 //! Attempts at backends. One attempt is one request on one connection, and nothing is ever resent here.
 
 use std::cell::{Cell, RefCell};
+use std::future::pending;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body as _;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header;
-use hyper::{Request, StatusCode};
+use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::{Request, StatusCode, Version};
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use wharfhitch::Outcome;
 
 use crate::account::{self, Account};
-use crate::message::{BODY, Outgoing, Reply, strip};
+use crate::message::{Content, Outgoing, Reply, strip};
+use crate::stream::{KEPT, Outbound, Passing, Piece, Room, Upload};
 use crate::vars::Counts;
 
 /// A pooled connection is retired after this part of the span after which a backend closes it.
 const IDLE_PART: f64 = 0.7;
 /// Longest wait until a connection is ready for its next request.
 const READY: Duration = Duration::from_secs(1);
+/// An answer that has begun and of which nothing has come for this span is given up.
+const SILENT: Duration = Duration::from_secs(10);
+/// Bytes of a connection's buffer, and the most that the head of an answer may have.
+const BUFFER: usize = 32 << 10;
 
 /// One process of a backend at one address. A restart or a new address makes a new one.
 pub struct Endpoint {
@@ -67,7 +73,7 @@
 
 /// A connection to a backend; dropping it closes the socket.
 struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Outbound>,
     meter: Rc<Meter>,
     stream: Rc<RefCell<TcpStream>>,
     driver: JoinHandle<()>,
@@ -83,12 +89,15 @@
     /// Whether a request may be written to it: the backend has neither closed it nor said anything unasked.
     /// The runtime may not have seen its end yet, so the socket itself is asked.
     fn is_alive(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let quiet = match socket2::SockRef::from(&*self.stream.borrow()).peek(&mut byte) {
-            Err(e) => e.kind() == io::ErrorKind::WouldBlock,
-            Ok(_) => false,
-        };
-        quiet && self.sender.is_ready()
+        is_quiet(&self.stream.borrow()) && self.sender.is_ready()
+    }
+}
+
+/// Whether the other side has neither said anything that has not been read nor closed.
+pub fn is_quiet(stream: &TcpStream) -> bool {
+    match socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+        Err(e) => e.kind() == io::ErrorKind::WouldBlock,
+        Ok(_) => false,
     }
 }
 
@@ -103,8 +112,11 @@
     denied: Cell<bool>,
     /// How much of the blank line that ends the head has been seen.
     blank: Cell<usize>,
-    /// Bytes of the body still to be written.
+    /// Bytes of the body still to be written, of one that is kept.
     left: Cell<usize>,
+    /// A body that is not kept.
+    upload: RefCell<Option<Rc<Upload>>>,
+    counted: Cell<bool>,
 }
 
 /// The backend must still take work and the request still lack its answer: either may have changed while the
@@ -117,8 +129,10 @@
 const BLANK: &[u8] = b"\r\n\r\n";
 
 impl Meter {
-    fn start(&self, gate: Gate, body: usize) {
+    fn start(&self, gate: Gate, body: usize, upload: Option<Rc<Upload>>) {
         self.gate.replace(Some(gate));
+        self.upload.replace(upload);
+        self.counted.set(false);
         self.begun.set(false);
         self.denied.set(false);
         self.blank.set(0);
@@ -135,9 +149,8 @@
 
     fn wrote(&self, bytes: &[u8]) {
         self.begun.set(self.begun.get() || !bytes.is_empty());
-        let before = self.complete();
         self.follow(bytes);
-        if !before && self.complete() {
+        if self.complete() && !self.counted.replace(true) {
             self.counts.sent();
         }
     }
@@ -153,9 +166,11 @@
         self.left.set(self.left.get().saturating_sub(rest.len()));
     }
 
-    /// Whether the request's last byte has been written: from then on it may have run.
+    /// Whether the request's last byte has been written: from then on it may have run. Of a body that is not kept the
+    /// last byte counts as written once the connection has it.
     fn complete(&self) -> bool {
-        self.blank.get() == BLANK.len() && self.left.get() == 0
+        let passed = self.upload.borrow().as_ref().is_none_or(|u| u.is_passed());
+        self.blank.get() == BLANK.len() && self.left.get() == 0 && passed
     }
 }
 
@@ -202,6 +217,8 @@
     /// Whose work it is, in a process of many tenants.
     account: Option<Rc<dyn Account>>,
     counts: Rc<Counts>,
+    /// Memory for what passes through.
+    room: Rc<Room>,
     /// Asked to close an idle connection when the budget has run out.
     endpoints: RefCell<Vec<Rc<Endpoint>>>,
 }
@@ -210,7 +227,7 @@
     /// `sockets` is the budget of connections, which pools of one process share.
     pub fn new(
         connections: &settings::Connections, sockets: Arc<Semaphore>, account: Option<Rc<dyn Account>>,
-        counts: Rc<Counts>,
+        counts: Rc<Counts>, room: Rc<Room>,
     ) -> Self {
         let upstreams = Upstreams {
             dial_timeout: Cell::default(),
@@ -218,6 +235,7 @@
             sockets,
             account,
             counts,
+            room,
             endpoints: RefCell::default(),
         };
         upstreams.set(connections);
@@ -277,7 +295,7 @@
         let meter = Rc::new(Meter { counts: self.counts.clone(), ..Meter::default() });
         let io = Metered { stream: stream.clone(), meter: meter.clone(), _permit: permit };
         let (sender, connection) = http1::Builder::new()
-            .max_buf_size(BODY)
+            .max_buf_size(BUFFER)
             .handshake(TokioIo::new(io))
             .await
             .map_err(io::Error::other)?;
@@ -291,64 +309,185 @@
         Ok(Connection { sender, meter, stream, driver })
     }
 
-    /// Makes one attempt and tells how it ended; `report` gets that before the connection is pooled.
+    /// Makes one attempt and tells how it goes, its end last and exactly once; `report` gets that before the connection
+    /// is pooled.
     pub async fn attempt(
         &self, endpoint: Rc<Endpoint>, wanted: Rc<Cell<bool>>, message: Rc<Outgoing>, until: Instant,
-        report: impl FnOnce(Outcome, Option<Reply>),
+        mut report: impl FnMut(News),
     ) {
         // Whatever goes wrong before the request's last byte is written proves that it never ran.
         let mut connection = match timeout_at(until, self.connection(&endpoint)).await {
             Ok(Ok(connection)) => connection,
-            Ok(Err(_)) | Err(_) => return report(Outcome::ConnectFailed, None),
+            Ok(Err(_)) | Err(_) => return report(News::Ended(Outcome::ConnectFailed, None)),
         };
         if !endpoint.is_open() || !wanted.get() {
-            return report(Outcome::Moot, None);
+            return report(News::Ended(Outcome::Moot, None));
         }
-        let Some(request) = message.request(until) else { return report(Outcome::Moot, None) };
-        let meter = connection.meter.clone();
-        meter.start(Gate { endpoint: endpoint.clone(), wanted }, message.body.len());
-        match timeout_at(until, exchange(&mut connection.sender, request)).await {
-            Ok(Ok((outcome, reply, keep))) => {
-                report(outcome, reply);
-                meter.gate.replace(None);
-                let ready = keep && matches!(timeout(READY, connection.sender.ready()).await, Ok(Ok(())));
-                if ready && endpoint.is_open() {
-                    endpoint.idle.borrow_mut().push(Idle { connection, since: Instant::now() });
+        let Some(request) = message.request(until) else {
+            return report(News::Ended(Outcome::Moot, None));
+        };
+        let (meter, upload) = (connection.meter.clone(), message.body.upload().cloned());
+        let left =
+            if upload.is_some() { 0 } else { request.body().size_hint().exact().unwrap_or(0) as usize };
+        meter.start(Gate { endpoint: endpoint.clone(), wanted }, left, upload.clone());
+        let until = Cell::new(until);
+        let answer = {
+            let mut exchange = pin!(exchange(&mut connection.sender, request));
+            loop {
+                let coming = upload.as_ref().filter(|u| !u.is_passed());
+                let end = coming.map_or(until.get(), |u| u.stalls_at());
+                let whole = async {
+                    match coming {
+                        Some(upload) => upload.whole().await,
+                        None => pending().await,
+                    }
+                };
+                tokio::select! {
+                    biased;
+                    answer = &mut exchange => break Some(answer),
+                    () = whole => {
+                        until.set(Instant::now() + upload.as_ref().map_or(Duration::ZERO, |u| u.patience));
+                        report(News::Whole);
+                    }
+                    () = sleep_until(end) => {
+                        if coming.is_none_or(|u| u.stalls_at() <= Instant::now()) {
+                            break None;
+                        }
+                    }
                 }
             }
-            Ok(Err(_)) if meter.denied.get() && !meter.begun.get() => report(Outcome::Moot, None),
-            Ok(Err(_)) | Err(_) if !meter.complete() => report(Outcome::ConnectFailed, None),
-            Ok(Err(_)) => report(Outcome::Reset, None),
-            Err(_) => report(Outcome::TimedOut, None), // the connection is dropped, never used again
+        };
+        let keep = match answer {
+            Some(Ok(Got::Whole(outcome, reply, keep))) => {
+                report(News::Ended(outcome, reply));
+                keep && meter.complete()
+            }
+            Some(Ok(Got::Large(large))) => {
+                let (sender, passing) = Passing::new(large.length);
+                report(News::Began(Reply { headers: large.headers, body: Content::Stream(passing) }));
+                let outcome = pass_on(large.first, large.rest, large.length, &self.room, sender).await;
+                report(News::Ended(outcome, None));
+                outcome == Outcome::Served && meter.complete()
+            }
+            Some(Err(_)) if meter.denied.get() && !meter.begun.get() => {
+                return report(News::Ended(Outcome::Moot, None));
+            }
+            Some(Err(_)) | None if !meter.complete() => {
+                return report(News::Ended(Outcome::ConnectFailed, None));
+            }
+            Some(Err(_)) => return report(News::Ended(Outcome::Reset, None)),
+            // The connection is dropped, never used again.
+            None => return report(News::Ended(Outcome::TimedOut, None)),
+        };
+        meter.gate.replace(None);
+        let ready = keep && matches!(timeout(READY, connection.sender.ready()).await, Ok(Ok(())));
+        if ready && endpoint.is_open() {
+            endpoint.idle.borrow_mut().push(Idle { connection, since: Instant::now() });
         }
     }
 }
 
-/// Sends a request and reads the whole answer; the flag says whether the connection may be kept.
-async fn exchange(
-    sender: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>,
-) -> Result<(Outcome, Option<Reply>, bool), String> {
+/// What an attempt tells.
+pub enum News {
+    /// The last byte of a request that was still coming in has gone out.
+    Whole,
+    /// An answer too large to be kept has begun.
+    Began(Reply),
+    /// How it ended, with the answer if that is whole.
+    Ended(Outcome, Option<Reply>),
+}
+
+/// What an exchange comes to.
+enum Got {
+    /// The flag says whether the connection may be kept.
+    Whole(Outcome, Option<Reply>, bool),
+    Large(Large),
+}
+
+/// A good answer that is too large to be kept.
+struct Large {
+    headers: HeaderMap,
+    length: Option<u64>,
+    first: Vec<Bytes>,
+    rest: Incoming,
+}
+
+/// Sends a request and reads the whole answer, or as much of it as is kept.
+async fn exchange(sender: &mut SendRequest<Outbound>, request: Request<Outbound>) -> Result<Got, String> {
     let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
-    let (head, body) = answer.into_parts();
-    // A body that only the connection's end delimits may be cut short and nobody could tell.
-    let delimited =
-        body.size_hint().exact().is_some() || head.headers.contains_key(header::TRANSFER_ENCODING);
-    let body = Limited::new(body, BODY).collect().await.map_err(|e| e.to_string())?.to_bytes();
+    let (head, mut body) = answer.into_parts();
+    // The connection's end delimits a body where the head says that it closes, and a server that dies resets it. Without
+    // that word a body may be cut short and nobody could tell.
+    let length = body.size_hint().exact();
+    let named = |value: &HeaderValue| {
+        value.to_str().is_ok_and(|v| v.split(',').any(|part| part.trim().eq_ignore_ascii_case("close")))
+    };
+    let closes =
+        head.version == Version::HTTP_10 || head.headers.get_all(header::CONNECTION).iter().any(named);
+    let told = length.is_some() || head.headers.contains_key(header::TRANSFER_ENCODING);
+    let delimited = told || closes;
+    let (mut parts, mut size) = (Vec::new(), 0);
+    let large = loop {
+        if size > KEPT || length.is_some_and(|n| n > KEPT as u64) {
+            break true;
+        }
+        let Some(frame) = body.frame().await else { break false };
+        if let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() {
+            size += data.len();
+            parts.push(data);
+        }
+    };
     let unseen = head.headers.get("x-not-processed").is_some_and(|v| v.as_bytes().trim_ascii() == b"1");
+    let mut headers = head.headers;
     Ok(match head.status {
         StatusCode::OK if !delimited => return Err("the answer's length is not told".into()),
         StatusCode::OK => {
-            let mut headers = head.headers;
             strip(&mut headers);
-            (Outcome::Served, Some(Reply { headers, body }), true)
+            if large {
+                return Ok(Got::Large(Large { headers, length, first: parts, rest: body }));
+            }
+            let body = if parts.len() == 1 { parts.remove(0) } else { parts.concat().into() };
+            Got::Whole(Outcome::Served, Some(Reply { headers, body: Content::Whole(body) }), told)
         }
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unseen => {
-            (Outcome::Full, None, true)
+            Got::Whole(Outcome::Full, None, !large)
         }
-        status => (Outcome::Error, None, status != StatusCode::SWITCHING_PROTOCOLS),
+        status => Got::Whole(Outcome::Error, None, !large && status != StatusCode::SWITCHING_PROTOCOLS),
     })
 }
 
+/// Passes a large answer on as it comes, no faster than its client reads.
+async fn pass_on(
+    first: Vec<Bytes>, mut rest: Incoming, length: Option<u64>, room: &Room, to: mpsc::Sender<Piece>,
+) -> Outcome {
+    let _place = room.wait().await;
+    let mut passed = 0;
+    let mut first = first.into_iter();
+    let whole = |passed| length == Some(passed);
+    loop {
+        let data = match first.next() {
+            Some(data) => data,
+            None => tokio::select! {
+                frame = timeout(SILENT, rest.frame()) => match frame {
+                    Ok(Some(Ok(frame))) => match frame.into_data() {
+                        Ok(data) => data,
+                        Err(_) => continue, // trailers go no further
+                    },
+                    Ok(None) => break,
+                    Ok(Some(Err(_))) | Err(_) => return Outcome::Reset,
+                },
+                () = to.closed(), if !whole(passed) => return Outcome::Cancelled,
+            },
+        };
+        passed += data.len() as u64;
+        if to.send(Piece::Data(data)).await.is_err() && !whole(passed) {
+            return Outcome::Cancelled; // its client has left
+        }
+    }
+    // One that was told its length needs no word of the end.
+    if to.send(Piece::End).await.is_ok() || whole(passed) { Outcome::Served } else { Outcome::Cancelled }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -357,7 +496,7 @@
         let endpoint = Endpoint::new("127.0.0.1:1".parse().expect("an address"), 0.0);
         let wanted = Rc::new(Cell::new(true));
         let meter = Meter::default();
-        meter.start(Gate { endpoint: endpoint.clone(), wanted: wanted.clone() }, body);
+        meter.start(Gate { endpoint: endpoint.clone(), wanted: wanted.clone() }, body, None);
         (meter, endpoint, wanted)
     }
 
