Wait for slow large requests before they take a server's slot

Cause, measured: requests of 130 kB to 1.2 MB came in over about 1 s, and held a slot from their first 64 KiB on: 107 of them took some 30 % of all slot-seconds (frontend.rs, receive, which handed over a body as soon as it was larger than what is kept; uploads written to the log with length and time).

Change: a body is waited for up to 2 MiB while an eighth of the memory holds all such bodies; then its request may also be sent again. Rejected: to count no slot for a request that still comes in; at its last byte its server would get it whether it has room or not.

--- a/crates/engine/src/frontend.rs
+++ b/crates/engine/src/frontend.rs
@@ -35,7 +35,7 @@
 use crate::message::{Content, Outgoing, plain, strip, target};
 use crate::note;
 use crate::pool::{Asked, Pool};
-use crate::stream::{self, Inbound, KEPT, Payload, Upload};
+use crate::stream::{self, Inbound, KEPT, Payload, Room, Share, Upload};
 use crate::upstream::{Upstreams, is_quiet};
 use crate::vars::End;
 
@@ -515,7 +515,7 @@
             Ok(stay) => stay,
             Err(wait) => return self.refused(pool, wait).await,
         };
-        let body = match receive(body, asked.patience, by).await {
+        let (body, _kept) = match receive(body, asked.patience, by, &pool.room).await {
             Ok(body) => body,
             Err((status, text)) => return plain(status, text).map(Inbound::from),
         };
@@ -589,29 +589,31 @@
 /// Reads a body, or as much of it as is kept; the rest passes through. It has to be whole by then, and by as much later
 /// as so much of it takes.
 async fn receive(
-    mut body: Incoming, patience: Duration, by: Instant,
-) -> Result<Payload, (StatusCode, &'static str)> {
+    mut body: Incoming, patience: Duration, by: Instant, room: &Room,
+) -> Result<(Payload, Share), (StatusCode, &'static str)> {
     let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
     let length = body.size_hint().exact();
     if body.is_end_stream() {
-        return Ok(Payload::empty());
+        return Ok((Payload::empty(), None));
     }
     if length.is_some_and(|n| n > stream::MOST) {
         return Err(too_large);
     }
-    let (mut parts, mut size) = (Vec::new(), 0);
+    let (mut parts, mut size, mut share) = (Vec::new(), 0, None);
     loop {
         match timeout_at(by + stream::span(size), body.frame()).await {
             Ok(Some(Ok(frame))) => {
                 let Ok(data) = frame.into_data() else { continue }; // trailers go no further
                 size += data.len();
                 parts.push(data);
-                if size > KEPT {
-                    return Ok(Payload::Stream(Upload::new(parts.concat().into(), length, body, patience)));
+                // One that comes slowly would hold a server's slot for as long: it is waited for while there is memory.
+                if size > KEPT && !room.keeps(size, &mut share) {
+                    let upload = Upload::new(parts.concat().into(), length, body, patience);
+                    return Ok((Payload::Stream(upload), share));
                 }
             }
-            Ok(None) if parts.len() == 1 => return Ok(Payload::Whole(parts.remove(0))),
-            Ok(None) => return Ok(Payload::Whole(parts.concat().into())),
+            Ok(None) if parts.len() == 1 => return Ok((Payload::Whole(parts.remove(0)), share)),
+            Ok(None) => return Ok((Payload::Whole(parts.concat().into()), share)),
             Ok(Some(Err(_))) => return Err((StatusCode::BAD_REQUEST, "the body is malformed")),
             Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body came too late")),
         }
--- a/crates/engine/src/stream.rs
+++ b/crates/engine/src/stream.rs
@@ -5,16 +5,18 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::sync::{Notify, Semaphore, SemaphorePermit, mpsc};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::Instant;
 
-/// Bytes of a body that are kept: a request up to this size may be sent again, an answer up to it is passed on whole.
+/// Bytes of a body that are kept whatever else is: an answer up to this size is passed on whole, and a request up to it is
+/// always waited for.
 pub const KEPT: usize = 64 << 10;
 /// The largest body of a request.
 pub const MOST: u64 = 32 << 20;
@@ -35,23 +37,52 @@
 /// What one body takes on its way through: buffers at both ends and what is between them.
 const PLACE: usize = 192 << 10;
 
-/// Memory for all bodies that pass through at once.
-pub struct Room(Semaphore);
+/// Bytes by which a kept body takes memory.
+const STEP: usize = 64 << 10;
+/// The largest body of a request that is waited for before it goes out.
+const SPOOL: usize = 2 << 20;
+
+/// Memory for all bodies that are kept or pass through at once.
+pub struct Room {
+    places: Arc<Semaphore>,
+    /// Of [`STEP`] bytes each.
+    steps: Arc<Semaphore>,
+}
+
+/// A part of it, given back when dropped.
+pub type Share = Option<OwnedSemaphorePermit>;
 
 impl Room {
-    /// Room within so many bytes of memory, half of which are left to all else.
+    /// Room within so many bytes of memory: an eighth for bodies that are kept, a quarter for those that pass through, and
+    /// the rest for all else.
     pub fn new(memory: usize) -> Rc<Self> {
-        Rc::new(Room(Semaphore::new((memory / 2 / PLACE).max(8))))
+        let part = |bytes: usize, of: usize| Arc::new(Semaphore::new((bytes / of).max(8)));
+        Rc::new(Room { places: part(memory / 4, PLACE), steps: part(memory / 8, STEP) })
     }
 
-    /// A place, if there is one now.
-    pub fn take(&self) -> Option<SemaphorePermit<'_>> {
-        self.0.try_acquire().ok()
+    /// A place to pass through, if there is one now.
+    pub fn take(&self) -> Share {
+        self.places.clone().try_acquire_owned().ok()
     }
 
     /// A place, in turn. An answer that has begun can't be refused any more.
-    pub async fn wait(&self) -> Option<SemaphorePermit<'_>> {
-        self.0.acquire().await.ok()
+    pub async fn wait(&self) -> Share {
+        self.places.clone().acquire_owned().await.ok()
+    }
+
+    /// Whether a body of so many bytes may be kept, and more of it be waited for. What it takes is added to its share.
+    pub fn keeps(&self, size: usize, share: &mut Share) -> bool {
+        let held = share.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
+        let more = (size / STEP).saturating_sub(held);
+        if size > SPOOL {
+            return false;
+        }
+        let Ok(more) = self.steps.clone().try_acquire_many_owned(more as u32) else { return false };
+        match share {
+            Some(share) => share.merge(more),
+            None => *share = Some(more),
+        }
+        true
     }
 }
 
