--- a/crates/canvascart/tests/lab.rs
+++ b/crates/canvascart/tests/lab.rs
@@ -338,3 +338,31 @@
     assert!(before > 90.0 && during > 90.0, "served before and during the flood: {row}");
     assert!(figures[6] > 50.0, "it did flood: {row}");
 }
+
+#[test]
+fn upgrades_drains_and_new_settings_break_no_rule_on_real_sockets() {
+    let dir = folder("operators");
+    // One after the other over all proxies, while requests go on.
+    let faults = "fault=[{kind = \"upgrade\", at = \"400 ms\", share = \"100 %\"}, {kind = \"drain\", at = \"1200 ms\", \
+                  for = \"800 ms\", share = \"30 %\"}, {kind = \"retune\", at = \"2200 ms\", for = \"400 ms\", share = \
+                  \"100 %\"}, {kind = \"upgrade\", at = \"2800 ms\", share = \"30 %\"}]";
+    let mut arguments = vec!["run", "quiet", "--json", "--log-format", "json", "--set", "length=3500ms"];
+    arguments.extend(["--set", "load.rate=80 /s", "--set", faults, "--out", dir.to_str().unwrap()]);
+    let run = lab(&arguments);
+    let json: serde_json::Value =
+        serde_json::from_slice(&run.stdout).unwrap_or_else(|e| panic!("{e}: {}", said(&run)));
+    assert_eq!(json["broken"], serde_json::json!([]), "{}", json["broken"]);
+    let whole = &json["service"]["whole"];
+    let (asked, served) = (whole["asked"].as_f64().unwrap(), whole["served"].as_f64().unwrap());
+    assert!(asked > 100.0 && served >= 0.97 * asked, "{served} of {asked}");
+    let log = String::from_utf8_lossy(&run.stderr).into_owned();
+    let upgraded = log.lines().filter(|l| l.contains("proxy has been upgraded")).count();
+    assert_eq!(upgraded, 4, "{log}");
+    // The proxies tell what was done to them.
+    let logs = (0..3).map(|n| std::fs::read_to_string(dir.join(format!("proxy-{n}.log"))).unwrap());
+    let told: String = logs.collect();
+    let count = |what: &str| told.matches(what).count();
+    assert_eq!((count("lame duck on"), count("lame duck off")), (1, 1), "{told}");
+    assert!(count("new settings are in service") >= 3, "{told}");
+    std::fs::remove_dir_all(dir).unwrap();
+}
--- a/crates/engine/tests/sockets/mod.rs
+++ b/crates/engine/tests/sockets/mod.rs
@@ -463,6 +463,13 @@
         line.unwrap_or_else(|| panic!("{name} in {text}")).parse().expect("a number")
     }
 
+    /// The processor time that it has taken, in seconds.
+    pub fn cpu_seconds(&self) -> f64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("it runs");
+        let fields = stat.rsplit_once(") ").expect("its name").1.split(' ').skip(11).take(2);
+        fields.map(|f| f.parse::<f64>().expect("a number")).sum::<f64>() / 100.0
+    }
+
     /// The most memory that it has had, in MB.
     pub fn memory_peak_mb(&self) -> f64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
--- a/crates/lab/src/real/mod.rs
+++ b/crates/lab/src/real/mod.rs
@@ -6,6 +6,7 @@
 mod clients;
 pub mod http;
 mod list;
+mod operators;
 mod plug;
 pub mod port;
 mod proxies;
@@ -106,6 +107,7 @@
     let clients = Clients::new(stage.clone(), proxies.clone(), seed);
     spawn_local(clients.clone().garbage());
     spawn_local(log_faults(stage.clone()));
+    operators::act(&stage, &proxies, &failed);
     let length = scenario.length.0;
     let told = stage.clone();
     spawn_local(async move {
--- /dev/null
+++ b/crates/lab/src/real/operators.rs
@@ -0,0 +1,56 @@
+//! What operators do to proxies in a run: upgrades, drains, and settings that change and change back.
+
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+
+use tokio::task::spawn_local;
+use tokio::time::sleep_until;
+
+use super::proxies::Proxy;
+use super::stage::Stage;
+use crate::scenario::{Fault, FaultKind, Scenario};
+
+/// Whether a scenario has anything of this kind.
+pub fn has(scenario: &Scenario, kinds: &[FaultKind]) -> bool {
+    scenario.faults.iter().any(|f| kinds.contains(&f.kind))
+}
+
+/// Does what the scenario says, each thing at its time. The first error ends the run.
+pub fn act(stage: &Rc<Stage>, proxies: &[Rc<Proxy>], failed: &Rc<Cell<Option<io::Error>>>) {
+    for (number, fault) in stage.scenario.faults.iter().enumerate() {
+        if !matches!(fault.kind, FaultKind::Upgrade | FaultKind::Drain | FaultKind::Retune) {
+            continue;
+        }
+        let share = fault.share.map_or(0.0, |s| s.0);
+        let many = ((share * proxies.len() as f64).round() as usize).clamp(1, proxies.len());
+        // Those that follow each other strike different proxies.
+        for place in 0..many {
+            let proxy = proxies[(number + place) % proxies.len()].clone();
+            let (stage, fault, failed) = (stage.clone(), fault.clone(), failed.clone());
+            spawn_local(async move {
+                if let Err(e) = one(&stage, &fault, &proxy).await {
+                    failed.set(Some(e));
+                }
+            });
+        }
+    }
+}
+
+async fn one(stage: &Stage, fault: &Fault, proxy: &Proxy) -> io::Result<()> {
+    sleep_until(stage.instant(fault.at.0)).await;
+    let end = stage.instant(fault.at.0 + fault.span.0);
+    match fault.kind {
+        FaultKind::Upgrade => proxy.upgrade().await,
+        FaultKind::Drain => {
+            proxy.drain(true).await?;
+            sleep_until(end).await;
+            proxy.drain(false).await
+        }
+        _ => {
+            proxy.retune(true)?;
+            sleep_until(end).await;
+            proxy.retune(false)
+        }
+    }
+}
--- a/crates/lab/src/real/proxies.rs
+++ b/crates/lab/src/real/proxies.rs
@@ -2,7 +2,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::rc::Rc;
@@ -11,22 +12,30 @@
 use rand::Rng;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
 use tokio::time::{Instant, sleep, timeout};
 
 use super::http::{Start, Wire};
 use super::list::Agent;
+use super::operators;
 use super::port::Port;
 use super::stage::Stage;
 use crate::chance::{Use, stream};
 use crate::ledger::{End, ProxyId, Usage};
-use crate::scenario::{Effect, Scenario};
+use crate::scenario::{Effect, FaultKind, Scenario};
 
 /// A proxy that is not up within this span never will be.
 const UP: Duration = Duration::from_secs(10);
+/// Connections that may wait for a process.
+const BACKLOG: i32 = 1024;
 /// Between two looks at a process.
 const LOOK: Duration = Duration::from_millis(200);
+/// The front asks so often whether a proxy takes clients, and sends new connections for as long again.
+const FRONT: f64 = 200.0;
+/// The old process of an upgrade is killed this long after it was told to end, beyond the longest deadline.
+const END: f64 = 700.0;
 
 /// One proxy, whatever process it is.
 pub struct Proxy {
@@ -37,6 +46,10 @@
     pub address: SocketAddr,
     /// Kept for it from before its first start until after its last.
     _port: Port,
+    /// The clients' listener, which its processes inherit, where the scenario has upgrades.
+    held: Option<StdListener>,
+    /// The operators' doors of its processes, the present one last, where the scenario has operators.
+    doors: RefCell<Vec<Port>>,
     discovery: SocketAddr,
     agent: Rc<Agent>,
     file: PathBuf,
@@ -112,9 +125,13 @@
         seed: u64, dir: &Path,
     ) -> io::Result<Rc<Self>> {
         let port = Port::hold()?;
+        let upgrades = operators::has(&stage.scenario, &[FaultKind::Upgrade]);
+        let held = if upgrades { Some(listen(port.address())?) } else { None };
         Ok(Rc::new(Proxy {
             address: port.address(),
             _port: port,
+            held,
+            doors: RefCell::default(),
             file: dir.join(format!("proxy-{number}.json")),
             log: dir.join(format!("proxy-{number}.log")),
             stage,
@@ -137,10 +154,109 @@
     /// # Errors
     /// It can't be started, ends at once, or does not come up.
     pub async fn start(&self) -> io::Result<()> {
-        self.starts.set(self.starts.get() + 1);
+        let child = self.spawn()?;
+        *self.child.borrow_mut() = Some(child);
+        self.wanted.set(false);
+        self.cpu_before.set(self.cpu.get());
+        let end = Instant::now() + UP;
+        while !self.is_up().await {
+            if let Some(status) = self.ended() {
+                let why = format!(
+                    "proxy {} ended at its start ({status}): see {}",
+                    self.number,
+                    self.log.display()
+                );
+                return Err(io::Error::other(why));
+            }
+            if Instant::now() >= end {
+                return Err(io::Error::other(format!("proxy {} did not come up", self.number)));
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+        self.known_gone.set(None);
+        tracing::info!(proxy = self.number, address = %self.address, starts = self.starts.get(), "proxy is up");
+        Ok(())
+    }
+
+    /// Starts a second process beside the one that serves; once it takes clients, the old one is told to end.
+    ///
+    /// # Errors
+    /// The new one can't be started or does not come up.
+    pub async fn upgrade(&self) -> io::Result<()> {
+        let mut next = self.spawn()?;
+        let end = Instant::now() + UP;
+        while !self.call("GET /_ready").await {
+            let ended = next.try_wait()?.is_some();
+            if ended || Instant::now() >= end {
+                return Err(io::Error::other(format!("proxy {}: its upgrade did not come up", self.number)));
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+        let old = self.child.borrow_mut().replace(next);
+        self.cpu_before.set(self.cpu.get());
+        let Some(mut old) = old else { return Ok(()) };
+        if let Some(pid) = old.id().and_then(|id| Pid::from_raw(i32::try_from(id).ok()?)) {
+            let _ = kill_process(pid, Signal::TERM); // it may just have ended
+        }
+        tracing::info!(at_ms = self.stage.now(), proxy = self.number, "proxy has been upgraded");
+        let longest = self.stage.scenario.classes.iter().map(|c| c.deadline.0).fold(0.0, f64::max);
+        let patience = Duration::from_secs_f64((longest + END) / 1000.0);
+        if timeout(patience, old.wait()).await.is_err() {
+            let _ = old.kill().await;
+        }
+        Ok(())
+    }
+
+    /// Sends its clients away, or takes them back.
+    ///
+    /// # Errors
+    /// The door says no, or nothing.
+    pub async fn drain(&self, on: bool) -> io::Result<()> {
+        let call = if on { "PUT /_lameduck/on" } else { "PUT /_lameduck/off" };
+        if !self.call(call).await {
+            return Err(io::Error::other(format!("proxy {}: {call} got no yes", self.number)));
+        }
+        self.known_gone.set(on.then(|| self.stage.now() + FRONT));
+        Ok(())
+    }
+
+    /// Gives it other settings, or its own back: one class more, and fewer attempts.
+    ///
+    /// # Errors
+    /// The file can't be written.
+    pub fn retune(&self, other: bool) -> io::Result<()> {
+        let mut config = self.config();
+        if other {
+            let settings = &mut config["settings"];
+            settings["ceilings"]["maxAttempts"] = 2.into();
+            if let Some(classes) = settings["classes"].as_array_mut() {
+                let mut more = classes[0].clone();
+                more["name"] = "more".into();
+                classes.push(more);
+            }
+        }
+        std::fs::write(&self.file, config.to_string())?;
+        let child = self.child.borrow();
+        let pid = child.as_ref().and_then(Child::id).and_then(|id| Pid::from_raw(i32::try_from(id).ok()?));
+        pid.map_or(Ok(()), |pid| Ok(kill_process(pid, Signal::HUP)?))
+    }
+
+    /// Whether a call at the present door gets a yes.
+    async fn call(&self, call: &str) -> bool {
+        let Some(door) = self.doors.borrow().last().map(Port::address) else { return false };
+        let asked = async {
+            let mut wire = Wire::new(TcpStream::connect(door).await.ok()?);
+            wire.write(format!("{call} HTTP/1.1\r\nHost: lab\r\n\r\n").as_bytes()).await.ok()?;
+            wire.read(false).await.ok().map(|m| matches!(m.start, Start::Answer(200..=299)))
+        };
+        timeout(Duration::from_secs(1), asked).await.ok().flatten().unwrap_or(false)
+    }
+
+    /// What a process is told at its start.
+    fn config(&self) -> Value {
         let mut seeds = stream(self.seed, Use::Modules);
         seeds.set_word_pos(self.number as u128 * 4096 + u128::from(self.starts.get()) * 2);
-        let config = json!({
+        let mut config = json!({
             "name": format!("proxy-{}", self.number),
             "listen": self.address,
             "discovery": self.discovery,
@@ -153,11 +269,27 @@
             "known": self.agent.known(),
             "settings": settings_json(&self.stage.scenario, self.number),
         });
+        if let Some(door) = self.doors.borrow().last() {
+            config["ops"] = json!(door.address());
+        }
+        config
+    }
+
+    fn spawn(&self) -> io::Result<Child> {
+        self.starts.set(self.starts.get() + 1);
+        if operators::has(&self.stage.scenario, &[FaultKind::Upgrade, FaultKind::Drain, FaultKind::Retune]) {
+            self.doors.borrow_mut().push(Port::hold()?);
+        }
+        let config = self.config();
         std::fs::write(&self.file, config.to_string())?;
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
         let (program, arguments) =
             self.command.split_first().ok_or_else(|| io::Error::other("there is no proxy to start"))?;
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        if let Some(held) = &self.held {
+            command.env("NODE_SOCKET_FD", held.as_raw_fd().to_string());
+        }
+        command
             .args(arguments)
             .env("NODE_CONFIG", &self.file)
             .stdin(Stdio::null())
@@ -165,28 +297,7 @@
             .stderr(log)
             .kill_on_drop(true)
             .spawn()
-            .map_err(|e| io::Error::new(e.kind(), format!("{program}: {e}")))?;
-        *self.child.borrow_mut() = Some(child);
-        self.wanted.set(false);
-        self.cpu_before.set(self.cpu.get());
-        let end = Instant::now() + UP;
-        while !self.is_up().await {
-            if let Some(status) = self.ended() {
-                let why = format!(
-                    "proxy {} ended at its start ({status}): see {}",
-                    self.number,
-                    self.log.display()
-                );
-                return Err(io::Error::other(why));
-            }
-            if Instant::now() >= end {
-                return Err(io::Error::other(format!("proxy {} did not come up", self.number)));
-            }
-            sleep(Duration::from_millis(5)).await;
-        }
-        self.known_gone.set(None);
-        tracing::info!(proxy = self.number, address = %self.address, starts = self.starts.get(), "proxy is up");
-        Ok(())
+            .map_err(|e| io::Error::new(e.kind(), format!("{program}: {e}")))
     }
 
     async fn is_up(&self) -> bool {
@@ -293,6 +404,16 @@
     }
 }
 
+/// A listener that processes started from here inherit.
+fn listen(address: SocketAddr) -> io::Result<StdListener> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    socket.set_cloexec(false)?;
+    Ok(socket.into())
+}
+
 /// Resident memory of a process in MiB, from the system's own table.
 pub fn resident_mb(pid: u32) -> Option<f64> {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -408,6 +408,12 @@
     SlowReaders,
     /// Peers send garbage; real sockets only.
     Garbage,
+    /// A second process is started beside each proxy struck and takes its place; real sockets only.
+    Upgrade,
+    /// Operators send the clients of proxies away, and take them back after the span; real sockets only.
+    Drain,
+    /// Proxies are given other settings, and theirs back after the span; real sockets only.
+    Retune,
 }
 
 impl FaultKind {
@@ -426,6 +432,8 @@
             Partition => &["for", "from", "to"],
             LoadStep => &["for", "factor"],
             Garbage => &["for", "rate"],
+            Upgrade => &["share"],
+            Drain | Retune => &["for", "share"],
         }
     }
 }
--- a/crates/lab/src/shipped.rs
+++ b/crates/lab/src/shipped.rs
@@ -1,7 +1,7 @@
 //! The scenarios that come with the lab. None holds figures of a recorded day.
 
 /// Name and text of each.
-pub const ALL: [(&str, &str); 19] = [
+pub const ALL: [(&str, &str); 22] = [
     ("quiet", include_str!("../scenarios/quiet.toml")),
     ("evening", include_str!("../scenarios/evening.toml")),
     ("deploy-81", include_str!("../scenarios/deploy-81.toml")),
@@ -21,6 +21,9 @@
     ("fleet-release", include_str!("../scenarios/fleet-release.toml")),
     ("fleet-restart", include_str!("../scenarios/fleet-restart.toml")),
     ("reset-in-work", include_str!("../scenarios/reset-in-work.toml")),
+    ("upgrade", include_str!("../scenarios/upgrade.toml")),
+    ("drain", include_str!("../scenarios/drain.toml")),
+    ("retune", include_str!("../scenarios/retune.toml")),
 ];
 
 /// The text of a shipped scenario.
--- a/crates/lab/src/world/plan.rs
+++ b/crates/lab/src/world/plan.rs
@@ -66,7 +66,11 @@
             | FaultKind::Launch
             | FaultKind::Impatient
             | FaultKind::SlowReaders
-            | FaultKind::Garbage => {}
+            | FaultKind::Garbage
+            // These are done to processes, not to the world.
+            | FaultKind::Upgrade
+            | FaultKind::Drain
+            | FaultKind::Retune => {}
         }
     }
     steps
