--- a/crates/engine/src/frontend.rs
+++ b/crates/engine/src/frontend.rs
@@ -35,7 +35,7 @@
 use crate::message::{Content, Outgoing, plain, strip, target};
 use crate::note;
 use crate::pool::{Asked, Pool};
-use crate::stream::{self, Inbound, KEPT, Payload, Room, Share, Upload};
+use crate::stream::{self, Inbound, KEPT, Kept, Payload, Room, Share, Upload};
 use crate::upstream::{Upstreams, is_quiet};
 use crate::vars::End;
 
@@ -599,21 +599,20 @@
     if length.is_some_and(|n| n > stream::MOST) {
         return Err(too_large);
     }
-    let (mut parts, mut size, mut share) = (Vec::new(), 0, None);
+    let (mut kept, mut size, mut share) = (Kept::default(), 0, None);
     loop {
         match timeout_at(by + stream::span(size), body.frame()).await {
             Ok(Some(Ok(frame))) => {
                 let Ok(data) = frame.into_data() else { continue }; // trailers go no further
                 size += data.len();
-                parts.push(data);
+                kept.add(data, length);
                 // One that comes slowly would hold a server's slot for as long: it is waited for while there is memory.
                 if size > KEPT && !room.keeps(size, &mut share) {
-                    let upload = Upload::new(parts.concat().into(), length, body, patience);
+                    let upload = Upload::new(kept.whole(), length, body, patience);
                     return Ok((Payload::Stream(upload), share));
                 }
             }
-            Ok(None) if parts.len() == 1 => return Ok((Payload::Whole(parts.remove(0)), share)),
-            Ok(None) => return Ok((Payload::Whole(parts.concat().into()), share)),
+            Ok(None) => return Ok((Payload::Whole(kept.whole()), share)),
             Ok(Some(Err(_))) => return Err((StatusCode::BAD_REQUEST, "the body is malformed")),
             Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body came too late")),
         }
--- a/crates/engine/src/stream.rs
+++ b/crates/engine/src/stream.rs
@@ -9,7 +9,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc};
@@ -86,6 +86,34 @@
     }
 }
 
+/// A body as far as it has come in, in one place: as pieces and once more as a whole it would take memory twice.
+#[derive(Default)]
+pub struct Kept {
+    first: Bytes,
+    all: BytesMut,
+}
+
+impl Kept {
+    /// Adds what has come; `length` is what the whole has, if that is told.
+    pub fn add(&mut self, data: Bytes, length: Option<u64>) {
+        if self.first.is_empty() && self.all.is_empty() {
+            self.first = data; // most bodies come at once
+            return;
+        }
+        if self.all.is_empty() {
+            let most = length.and_then(|n| usize::try_from(n).ok()).unwrap_or(0).min(SPOOL);
+            self.all.reserve(most.max(self.first.len() + data.len()));
+            self.all.extend_from_slice(&std::mem::take(&mut self.first));
+        }
+        self.all.extend_from_slice(&data);
+    }
+
+    /// All of it.
+    pub fn whole(self) -> Bytes {
+        if self.all.is_empty() { self.first } else { self.all.freeze() }
+    }
+}
+
 /// The body of a request that comes in while it goes out.
 pub struct Upload {
     /// Its beginning, which each attempt sends first.
