Spread the calls for lists of proxies that discovery turns away together

Need: in a release most proxies are killed together, and discovery turns callers away; each then called again after exactly 50, 100, 200 ms and so on, all in the same instant (discovery.rs, follow). Change: each wait is half as long to half as long again by chance from the proxy's seed, apart from the module's draws. Rejected: to spread the first call, too; readiness waits for it, and the list that is remembered serves only after 0.5 s.

--- a/crates/engine/src/discovery.rs
+++ b/crates/engine/src/discovery.rs
@@ -52,6 +52,30 @@
     }
 }
 
+/// Waits between calls that fail: twice as long each time, up to a bound, with chance in it. Proxies that were killed
+/// together would else call together, each time again.
+struct Backoff {
+    span: Duration,
+    chance: fastrand::Rng,
+}
+
+impl Backoff {
+    fn new(seed: u64) -> Self {
+        Backoff { span: BACKOFF.0, chance: fastrand::Rng::with_seed(seed) }
+    }
+
+    /// A call has brought something.
+    fn reset(&mut self) {
+        self.span = BACKOFF.0;
+    }
+
+    fn next(&mut self) -> Duration {
+        let wait = self.span.mul_f64(0.5 + self.chance.f64());
+        self.span = (self.span * 2).min(BACKOFF.1);
+        wait
+    }
+}
+
 /// The watch and what it knows of the list's version.
 pub struct Discovery {
     place: Rc<Place>,
@@ -62,29 +86,32 @@
     fresh: bool,
     /// How long a call may take until its answer begins.
     patience: Duration,
+    backoff: Backoff,
 }
 
 impl Discovery {
-    pub fn new(place: Rc<Place>, inbox: Inbox) -> Self {
-        Discovery { place, inbox, seq: None, fresh: true, patience: CONNECT }
+    /// `seed` spreads the calls of proxies that fail at the same time.
+    pub fn new(place: Rc<Place>, inbox: Inbox, seed: u64) -> Self {
+        let backoff = Backoff::new(seed);
+        Discovery { place, inbox, seq: None, fresh: true, patience: CONNECT, backoff }
     }
 
     /// Keeps a watch open for ever, and takes it up again where it broke off.
     pub async fn follow(mut self) -> Infallible {
-        let mut backoff = BACKOFF.0;
         let place = self.place.clone();
         loop {
             let before = self.seq;
             let error = self.watch_while_there().await;
             if self.seq != before {
-                backoff = BACKOFF.0;
+                self.backoff.reset();
             }
-            note!("discovery: {error}; again in {} ms", backoff.as_millis());
+            let wait = self.backoff.next();
+            note!("discovery: {error}; again in {} ms", wait.as_millis());
             tokio::select! {
-                () = sleep(backoff) => backoff = (backoff * 2).min(BACKOFF.1),
+                () = sleep(wait) => {}
                 () = place.moved.notified() => {
                     self.fresh = true;
-                    backoff = BACKOFF.0;
+                    self.backoff.reset();
                 }
             }
         }
@@ -236,3 +263,31 @@
     }
     Ok(Lines { body: answer.into_body(), buffer: Vec::new(), _connection: task, _sender: sender })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn proxies_that_are_turned_away_together_come_back_apart_and_seldom() {
+        // 48 proxies, each turned away at once whenever it calls, for five seconds.
+        let calls = |seed: u64| {
+            let (mut backoff, mut at, mut calls) = (Backoff::new(seed), Duration::ZERO, Vec::new());
+            while at < Duration::from_secs(5) {
+                calls.push(at);
+                at += backoff.next();
+            }
+            calls
+        };
+        let all: Vec<Vec<Duration>> = (0..48).map(|n| calls(n * 0x9e37_79b9)).collect();
+        assert!(all.iter().all(|c| (6..=16).contains(&c.len())), "seldom, and not for ever");
+        // Without chance all 48 would call in the same tenth of a second. From the sixth call on it is a quarter at most.
+        let mut slots = std::collections::BTreeMap::<u128, usize>::new();
+        for call in all.iter().flat_map(|c| &c[5..]) {
+            *slots.entry(call.as_millis() / 100).or_default() += 1;
+        }
+        assert!(slots.values().all(|n| *n <= 12), "{slots:?}");
+        assert_ne!(all[0], all[1]);
+        assert_eq!(calls(7), calls(7), "chance comes from the seed alone");
+    }
+}
--- a/crates/engine/src/process.rs
+++ b/crates/engine/src/process.rs
@@ -164,7 +164,7 @@
     let known = hosts::remembered(&config.known);
     let (seq, hosts) = known.map_or((None, Vec::new()), |(seq, hosts)| (Some(seq), hosts));
     inbox.put(Input::List { scope: Scope::Cached, seq, hosts });
-    let list = discovery::Discovery::new(place.clone(), inbox.clone());
+    let list = discovery::Discovery::new(place.clone(), inbox.clone(), config.seed.rotate_left(32));
     if pushed {
         spawn_local(list.follow());
     } else {
