--- a/crates/engine/tests/sockets/mod.rs
+++ b/crates/engine/tests/sockets/mod.rs
@@ -356,6 +356,16 @@
     )
 }
 
+/// A proxy before servers at these addresses, all up.
+pub fn proxy_before(servers: &[SocketAddr], setup: &Setup) -> (Discovery, Proxy) {
+    let discovery = Discovery::new();
+    let lines: Vec<String> =
+        servers.iter().enumerate().map(|(i, s)| host(&format!("s-{i}"), *s, "up", 0)).collect();
+    discovery.say(&list(1, true, &lines));
+    let proxy = Proxy::up(&discovery, setup);
+    (discovery, proxy)
+}
+
 /// A running proxy.
 pub struct Proxy {
     child: Child,
--- a/crates/sandgap/tests/bodies.rs
+++ b/crates/sandgap/tests/bodies.rs
@@ -83,15 +83,6 @@
     (0..many).map(|i| (i / 251 + i) as u8).collect()
 }
 
-fn proxy_before(servers: &[SocketAddr], setup: &Setup) -> (Discovery, Proxy) {
-    let discovery = Discovery::new();
-    let lines: Vec<String> =
-        servers.iter().enumerate().map(|(i, s)| host(&format!("s-{i}"), *s, "up", 0)).collect();
-    discovery.say(&list(1, true, &lines));
-    let proxy = Proxy::up(&discovery, setup);
-    (discovery, proxy)
-}
-
 fn door() -> Setup {
     Setup { door: true, ..Setup::default() }
 }
--- a/crates/sandgap/tests/measure.rs
+++ b/crates/sandgap/tests/measure.rs
@@ -80,20 +80,11 @@
     }
 }
 
-fn proxy(servers: &[SocketAddr], setup: &Setup) -> (Discovery, Proxy) {
-    let discovery = Discovery::new();
-    let lines: Vec<String> =
-        servers.iter().enumerate().map(|(i, s)| host(&format!("s-{i}"), *s, "up", 0)).collect();
-    discovery.say(&list(1, true, &lines));
-    let proxy = Proxy::up(&discovery, setup);
-    (discovery, proxy)
-}
-
 /// CPU of a proxy for each request of a crowd, in µs.
 fn cost(door: bool) -> f64 {
     let backends: Vec<Backend> = (0..4).map(|_| Backend::new(Deed::Write(ok("")))).collect();
     let addresses: Vec<SocketAddr> = backends.iter().map(|b| b.address).collect();
-    let (_discovery, proxy) = proxy(&addresses, &Setup { door, ..Setup::default() });
+    let (_discovery, proxy) = proxy_before(&addresses, &Setup { door, ..Setup::default() });
     let crowd = Crowd::start(proxy.address, 16);
     thread::sleep(Duration::from_millis(500));
     let (before, count) = (proxy.cpu_seconds(), crowd.got[0].load(Ordering::SeqCst));
@@ -131,7 +122,7 @@
         }
     });
     let (_discovery, proxy) =
-        proxy(&[to], &Setup { sockets: 1024, memory_mb: 48, deadline: 20_000, ..Setup::default() });
+        proxy_before(&[to], &Setup { sockets: 1024, memory_mb: 48, deadline: 20_000, ..Setup::default() });
     let began = Instant::now();
     let readers: Vec<JoinHandle<usize>> = (0..many)
         .map(|_| {
@@ -192,7 +183,7 @@
 #[ignore = "it measures, and wants the machine to itself"]
 fn measure() {
     let backend = Backend::new(Deed::Write(ok("")));
-    let (_discovery, idle) = proxy(&[backend.address], &Setup { door: true, ..Setup::default() });
+    let (_discovery, idle) = proxy_before(&[backend.address], &Setup { door: true, ..Setup::default() });
     println!("door, idle:                {}", quantiles(calls(&idle, 300)));
     let crowd = Crowd::start(idle.address, 32);
     thread::sleep(Duration::from_millis(300));
