Play large and slow bodies in the lab, checked byte by byte at both ends

Need: the lab's clients and servers had small bodies alone. Both ends compare every byte; a body that is not what was sent is a stranger to the judge. Rejected: made-up sizes by a distribution; one size and a share say what was played.

--- a/crates/canvascart/tests/lab.rs
+++ b/crates/canvascart/tests/lab.rs
@@ -340,12 +340,13 @@
 }
 
 #[test]
-fn upgrades_drains_and_new_settings_break_no_rule_on_real_sockets() {
+fn upgrades_drains_new_settings_and_large_bodies_break_no_rule_on_real_sockets() {
     let dir = folder("operators");
     // One after the other over all proxies, while requests go on.
     let faults = "fault=[{kind = \"upgrade\", at = \"400 ms\", share = \"100 %\"}, {kind = \"drain\", at = \"1200 ms\", \
                   for = \"800 ms\", share = \"30 %\"}, {kind = \"retune\", at = \"2200 ms\", for = \"400 ms\", share = \
-                  \"100 %\"}, {kind = \"upgrade\", at = \"2800 ms\", share = \"30 %\"}]";
+                  \"100 %\"}, {kind = \"upgrade\", at = \"2800 ms\", share = \"30 %\"}, {kind = \"large-bodies\", at = \"0 s\", \
+                  for = \"2 s\", share = \"10 %\", size = \"200 KiB\"}]";
     let mut arguments = vec!["run", "quiet", "--json", "--log-format", "json", "--set", "length=3500ms"];
     arguments.extend(["--set", "load.rate=80 /s", "--set", faults, "--out", dir.to_str().unwrap()]);
     let run = lab(&arguments);
--- a/crates/lab/src/real/clients.rs
+++ b/crates/lab/src/real/clients.rs
@@ -21,6 +21,8 @@
 
 /// A slow reader waits so long before it reads.
 const SLOW: Duration = Duration::from_millis(300);
+/// Bytes of a request above which it is sent slowly.
+const LARGE: usize = 64 << 10;
 
 /// All clients, and the front that spreads them over the proxies.
 pub struct Clients {
@@ -140,16 +142,22 @@
             .tenant
             .map_or(String::new(), |t| format!("X-Tenant-Id: {}\r\n", stage.scenario.tenants[t].name));
         let retried = if number > 1 { "X-Retried: 1\r\n" } else { "" };
-        let length = if method == "POST" { "Content-Length: 0\r\n" } else { "" };
+        let size = self.large();
+        let body = if method == "POST" && size.is_some() { body_for(&name, size) } else { Vec::new() };
+        let length =
+            if method == "POST" { format!("Content-Length: {}\r\n", body.len()) } else { String::new() };
+        let large = size.map_or(String::new(), |size| format!("&large={size}"));
         let request = format!(
-            "{method} /{}?sid={:x} HTTP/1.1\r\nHost: lab\r\nX-Request-ID: {name}\r\nX-Timeout: {:.3}\r\n{tenant}{retried}\
+            "{method} /{}?sid={:x}{large} HTTP/1.1\r\nHost: lab\r\nX-Request-ID: {name}\r\nX-Timeout: {:.3}\r\n{tenant}{retried}\
              {length}\r\n",
             class.name,
             a.key,
             patience / 1000.0
         );
         let due = stage.instant(now + patience);
-        match timeout_at(due, self.exchange(id, proxy, &request)).await {
+        let mut whole = request.into_bytes();
+        whole.extend_from_slice(&body);
+        match timeout_at(due, self.exchange(id, proxy, &whole)).await {
             Err(_) => {
                 stage.ledger.borrow_mut().tries[id].left = Some(stage.now()); // dropping it closed the connection
                 TryEnd::GaveUp
@@ -160,15 +168,18 @@
                 stage.ledger.borrow_mut().tries[id].answers.push((stage.now(), Code::Broken));
                 TryEnd::Failed
             }
-            Ok(Exchange::Answer(message)) => self.answered(id, &name, &message),
+            Ok(Exchange::Answer(message)) => {
+                let wanted = body_for(&name, size.filter(|_| method == "GET"));
+                self.answered(id, &wanted, &message)
+            }
         }
     }
 
-    fn answered(&self, id: TryId, name: &str, message: &Message) -> TryEnd {
+    fn answered(&self, id: TryId, wanted: &[u8], message: &Message) -> TryEnd {
         let now = self.stage.now();
         let (code, end) = match message.start {
             Start::Answer(200) => {
-                let genuine = message.body == body_for(name).as_bytes();
+                let genuine = message.body == wanted;
                 (Code::Served { genuine }, TryEnd::Served)
             }
             Start::Answer(429 | 503) => {
@@ -184,7 +195,7 @@
 
     /// One request on a connection that is kept or new. One that ends before it has been read is sent once more on a
     /// new connection: between requests a proxy may close.
-    async fn exchange(&self, id: TryId, proxy: ProxyId, request: &str) -> Exchange {
+    async fn exchange(&self, id: TryId, proxy: ProxyId, request: &[u8]) -> Exchange {
         let kept = self.idle.borrow_mut()[proxy].pop();
         if let Some(wire) = kept {
             match self.over(id, proxy, wire, request).await {
@@ -198,8 +209,17 @@
         self.over(id, proxy, Wire::new(stream), request).await
     }
 
-    async fn over(&self, id: TryId, proxy: ProxyId, mut wire: Wire, request: &str) -> Exchange {
-        if wire.write(request.as_bytes()).await.is_err() {
+    async fn over(&self, id: TryId, proxy: ProxyId, mut wire: Wire, request: &[u8]) -> Exchange {
+        // A large body comes in two halves, and the second one late.
+        let (first, late) =
+            request.split_at(if request.len() > LARGE { request.len() / 2 } else { request.len() });
+        if wire.write(first).await.is_err() {
+            return Exchange::Ended;
+        }
+        if !late.is_empty() {
+            sleep(SLOW).await;
+        }
+        if wire.write(late).await.is_err() {
             return Exchange::Ended;
         }
         self.stage.ledger.borrow_mut().tries[id].taken = Some(self.stage.now());
@@ -218,6 +238,15 @@
         }
     }
 
+    /// The size of a large request's body or answer, if this one is large.
+    fn large(&self) -> Option<usize> {
+        let now = self.stage.now();
+        let holds = |f: &&crate::scenario::Fault| f.kind == FaultKind::LargeBodies && f.holds(now);
+        let fault = self.stage.scenario.faults.iter().find(holds)?;
+        let struck = self.chance.borrow_mut().random::<f64>() < fault.share.map_or(0.0, |s| s.0);
+        fault.size.filter(|_| struck).map(|size| size.0 as usize)
+    }
+
     fn reads_slowly(&self) -> bool {
         let now = self.stage.now();
         let holds = |f: &&crate::scenario::Fault| f.kind == FaultKind::SlowReaders && f.holds(now);
--- a/crates/lab/src/real/http.rs
+++ b/crates/lab/src/real/http.rs
@@ -8,7 +8,7 @@
 
 /// Bytes of a head and of a body, more than any of ours has.
 const HEAD: usize = 64 << 10;
-const BODY: usize = 1 << 20;
+const BODY: usize = 33 << 20;
 const HEADERS: usize = 64;
 
 /// A message that has been read whole.
--- a/crates/lab/src/real/servers.rs
+++ b/crates/lab/src/real/servers.rs
@@ -18,9 +18,18 @@
 use crate::world::server::{Job, Offer};
 use crate::world::{Connect, Listed, Verdict};
 
-/// The body of a server's answer: it names the request that it was made for.
-pub fn body_for(id: &str) -> String {
-    format!("made for {id}")
+/// The body of a server's answer: it names the request that it was made for, again and again up to a large one's size.
+pub fn body_for(id: &str, size: Option<usize>) -> Vec<u8> {
+    let name = format!("made for {id}").into_bytes();
+    match size {
+        None => name,
+        Some(size) => name.iter().copied().cycle().take(size).collect(),
+    }
+}
+
+/// The size that a target asks for, of a large body.
+fn large(target: &str) -> Option<usize> {
+    target.split(['?', '&']).find_map(|part| part.strip_prefix("large=")?.parse().ok())
 }
 
 /// Wait after a failed accept, lest it spin.
@@ -192,7 +201,8 @@
         let stage = &self.stage;
         let sent = stage.now(); // for drains a send counts from its first byte
         let Ok(message) = wire.read(true).await else { return Next::Close };
-        let Start::Request(..) = message.start else { return Next::Close };
+        let Start::Request(method, target) = &message.start else { return Next::Close };
+        let size = large(target);
         let Some(name) = message.header("x-request-id").map(str::to_owned) else {
             return written(wire.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await);
         };
@@ -202,6 +212,10 @@
             stage.ledger.borrow_mut().strangers.push((server, sent, what));
             return written(wire.write(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n").await);
         };
+        if method == "POST" && size.is_some() && message.body != body_for(&name, size) {
+            let what = format!("the body of {name:?} is not what its client sent");
+            stage.ledger.borrow_mut().strangers.push((server, sent, what));
+        }
         let note = stage.ledger.borrow_mut().send(id, server, sent);
         if self.parted(proxy, server) {
             wire.ended().await; // nothing passes: it waits until the proxy gives it up
@@ -224,11 +238,13 @@
             }
             (Offer::PushedOver, None) => stage.tell(attempt, Fate::Lost, false),
         }
-        self.answer(wire, server, &name, (id, note, attempt), fate).await
+        // What a client sends is large, or what it gets.
+        let body = body_for(&name, size.filter(|_| method == "GET"));
+        self.answer(wire, server, &body, (id, note, attempt), fate).await
     }
 
     async fn answer(
-        &self, wire: &mut Wire, server: ServerId, name: &str, (id, note, attempt): (usize, usize, u64),
+        &self, wire: &mut Wire, server: ServerId, body: &[u8], (id, note, attempt): (usize, usize, u64),
         fate: oneshot::Receiver<Fate>,
     ) -> Next {
         let stage = &self.stage;
@@ -242,13 +258,13 @@
                 return Next::Close;
             }
         };
-        let body = body_for(name);
-        let whole = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let mut whole = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
+        whole.extend_from_slice(body);
         let half = whole.len() - body.len() / 2;
         match fate {
             Fate::Verdict(Verdict::Served) => {
                 stage.end(id, note, AttemptEnd::Answered);
-                written(wire.write(whole.as_bytes()).await)
+                written(wire.write(&whole).await)
             }
             Fate::Verdict(Verdict::Error) => {
                 stage.end(id, note, AttemptEnd::MayHaveRun);
@@ -261,13 +277,13 @@
             }
             Fate::Verdict(Verdict::Reset(Break::After)) => {
                 stage.end(id, note, AttemptEnd::Answered);
-                let _ = wire.write(whole.as_bytes()).await;
+                let _ = wire.write(&whole).await;
                 Next::Close
             }
             Fate::Verdict(Verdict::Reset(place)) => {
                 stage.end(id, note, AttemptEnd::MayHaveRun);
                 if place == Break::Inside {
-                    let _ = wire.write(&whole.as_bytes()[..half]).await;
+                    let _ = wire.write(&whole[..half]).await;
                     // What is on its way must arrive before the break does.
                     tokio::time::sleep(std::time::Duration::from_millis(1)).await;
                 }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -10,7 +10,7 @@
 
 use documents::Places;
 
-use crate::units::{Rate, Share, Span};
+use crate::units::{Bytes, Rate, Share, Span};
 use crate::{Problem, ScenarioError};
 
 /// What an experiment plays.
@@ -344,6 +344,8 @@
     pub to: Option<String>,
     /// Peers a second.
     pub rate: Option<Rate>,
+    /// Bytes of a body.
+    pub size: Option<Bytes>,
 }
 
 impl Fault {
@@ -414,6 +416,8 @@
     Drain,
     /// Proxies are given other settings, and theirs back after the span; real sockets only.
     Retune,
+    /// A part of the requests is large: bodies that come in two halves with a pause between, or answers; real sockets only.
+    LargeBodies,
 }
 
 impl FaultKind {
@@ -434,6 +438,7 @@
             Garbage => &["for", "rate"],
             Upgrade => &["share"],
             Drain | Retune => &["for", "share"],
+            LargeBodies => &["for", "share", "size"],
         }
     }
 }
@@ -485,6 +490,8 @@
 /// The most of a thing, so that no scenario asks for more than a machine holds.
 const MOST_SERVERS: usize = 20_000;
 const MOST_PROXIES: usize = 1_000;
+/// Bytes of a large body; the lab's ends keep each whole.
+const LARGEST: f64 = 33_554_432.0;
 const DAY: f64 = 86_400_000.0;
 
 /// Gathers what is wrong with a scenario.
@@ -660,6 +667,7 @@
             ("from", fault.from.is_some()),
             ("to", fault.to.is_some()),
             ("rate", fault.rate.is_some()),
+            ("size", fault.size.is_some()),
             ("for", fault.span.0 > 0.0),
         ];
         for (name, given) in has {
@@ -680,6 +688,9 @@
         if let Some(rate) = fault.rate {
             check.within(&key("rate"), rate.0, 0.01..=10_000.0);
         }
+        if let Some(size) = fault.size {
+            check.within(&key("size"), size.0, 1.0..=LARGEST);
+        }
         for (name, zone) in [("from", &fault.from), ("to", &fault.to)] {
             let known = zone.as_ref().is_none_or(|z| self.fleet.zones.contains(z));
             check.that(known, &key(name), || "there is no such zone".into());
--- a/crates/lab/src/shipped.rs
+++ b/crates/lab/src/shipped.rs
@@ -1,7 +1,7 @@
 //! The scenarios that come with the lab. None holds figures of a recorded day.
 
 /// Name and text of each.
-pub const ALL: [(&str, &str); 22] = [
+pub const ALL: [(&str, &str); 23] = [
     ("quiet", include_str!("../scenarios/quiet.toml")),
     ("evening", include_str!("../scenarios/evening.toml")),
     ("deploy-81", include_str!("../scenarios/deploy-81.toml")),
@@ -24,6 +24,7 @@
     ("upgrade", include_str!("../scenarios/upgrade.toml")),
     ("drain", include_str!("../scenarios/drain.toml")),
     ("retune", include_str!("../scenarios/retune.toml")),
+    ("large-bodies", include_str!("../scenarios/large-bodies.toml")),
 ];
 
 /// The text of a shipped scenario.
--- a/crates/lab/src/world/plan.rs
+++ b/crates/lab/src/world/plan.rs
@@ -70,7 +70,8 @@
             // These are done to processes, not to the world.
             | FaultKind::Upgrade
             | FaultKind::Drain
-            | FaultKind::Retune => {}
+            | FaultKind::Retune
+            | FaultKind::LargeBodies => {}
         }
     }
     steps
