Wait between looks at a connection whose bytes its account holds back

Cause, found by reading: a connection that is due to close and has unread bytes is spared, as its request would be lost; where its tenant's account holds the bytes back it stayed due, and the connection's loop went round without a wait (frontend.rs, connection). Only the hosted service has such accounts; the platform's proxy reads at once.

Change: the next look comes after 25 ms, and after twice the idle time the connection closes whatever is unread, so that it is not kept for ever.

--- a/crates/engine/src/frontend.rs
+++ b/crates/engine/src/frontend.rs
@@ -464,8 +464,9 @@
         );
         tokio::pin!(connection);
         let mut cut: Option<Instant> = None;
+        let mut not_before = Instant::now();
         loop {
-            let wait = cut.unwrap_or_else(|| client.due());
+            let wait = cut.unwrap_or_else(|| client.due()).max(not_before);
             let close = tokio::select! {
                 biased; // what has come in counts before a wish to close
                 // Malformed HTTP has been answered by hyper; a client that left needs nothing.
@@ -484,15 +485,23 @@
                         return;
                     }
                     let late = cut.is_none() && client.due() <= now;
-                    if late && client.begun.get().is_some() { return; // its head is late
+                    if late && client.begun.get().is_some() {
+                        return; // its head is late
                     }
                     late
                 }
             };
-            // A request that has come in but has not been read yet is no reason to close: it would be lost.
-            if close && cut.is_none() && client.begun.get().is_none() && is_quiet(&stream.borrow()) {
+            if !close || cut.is_some() || client.begun.get().is_some() {
+                continue;
+            }
+            // A request that has come in but has not been read yet would be lost. It is read next, unless its tenant's
+            // account holds it back: then the connection is looked at again after a while, and not kept for ever.
+            let now = Instant::now();
+            if is_quiet(&stream.borrow()) || client.due() + IDLE <= now {
                 connection.as_mut().graceful_shutdown();
-                cut = Some(Instant::now() + CUT);
+                cut = Some(now + CUT);
+            } else {
+                not_before = now + LOOK;
             }
         }
     }
@@ -711,3 +720,80 @@
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio::task::LocalSet;
+
+    use super::*;
+    use crate::clock::Clock;
+
+    /// An account that takes connections and never lets them be read; it counts the turns that are spent on them.
+    #[derive(Default)]
+    struct Shut(Cell<u64>);
+
+    impl Account for Shut {
+        fn connect(&self) -> Result<(), f64> {
+            Ok(())
+        }
+        fn disconnect(&self) {}
+        fn begin(&self, _: u64) -> Result<(), f64> {
+            Ok(())
+        }
+        fn end(&self, _: u64, _: f64) {}
+        fn works(&self) {
+            self.0.set(self.0.get() + 1);
+        }
+        fn worked(&self, _: bool) {}
+        fn may_read(&self, _: &std::task::Waker) -> bool {
+            false
+        }
+        fn may_accept(&self, _: &std::task::Waker) -> bool {
+            true
+        }
+        fn visit(&self, _: u64) -> bool {
+            true
+        }
+        fn leave(&self, _: u64) {}
+    }
+
+    struct Nowhere(Rc<Shut>);
+
+    impl Router for Nowhere {
+        fn pool(&self, _: &Uri, _: &HeaderMap) -> Result<Rc<Pool>, (StatusCode, &'static str)> {
+            Err((StatusCode::NOT_FOUND, "nothing"))
+        }
+        fn strangers(&self) -> Option<Rc<dyn Account>> {
+            Some(self.0.clone())
+        }
+        fn is_up(&self) -> bool {
+            true
+        }
+        fn longest(&self) -> Duration {
+            Duration::ZERO
+        }
+        fn make_room(&self) {}
+    }
+
+    #[test]
+    fn bytes_that_an_account_holds_back_cost_no_turns_and_do_not_keep_a_connection() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            let listener = listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+            let address = listener.local_addr().expect("an address");
+            let account = Rc::new(Shut::default());
+            let life = Rc::new(Life::new(Clock::new(), false));
+            let front = Frontend::new(Nowhere(account.clone()), 10, Rc::default(), life);
+            spawn_local(front.serve(listener, std::future::pending()));
+            let client = TcpStream::connect(address).await.expect("it accepts");
+            client.writable().await.expect("it is up");
+            client.try_write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n").expect("it is sent");
+            // A reset is an end, too: what it sent was never read.
+            timeout(Duration::from_secs(20), client.readable()).await.expect("its end").expect("a socket");
+            let read = client.try_read(&mut [0; 1]);
+            assert!(matches!(read, Ok(0)) || read.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionReset));
+            // A look each 25 ms from its idle time on, and not one after the other.
+            assert!(account.0.get() < 1000, "{} turns", account.0.get());
+        });
+    }
+}
--- a/crates/engine/src/stream.rs
+++ b/crates/engine/src/stream.rs
@@ -21,7 +21,7 @@
 /// The largest body of a request.
 pub const MOST: u64 = 32 << 20;
 /// A body of which nothing has come or gone for this span is given up.
-pub const STALL: Duration = Duration::from_secs(2);
+const STALL: Duration = Duration::from_secs(2);
 /// Bytes a second at which a body has to come at least, in the mean since its first; clients send twice as fast.
 const LEAST: f64 = 32e3;
 
@@ -178,7 +178,7 @@
     }
 
     /// An attempt begins to send it.
-    pub fn begin(&self) {
+    fn begin(&self) {
         self.moved.set(Instant::now());
     }
 
@@ -309,8 +309,8 @@
 
 /// The body of an answer that goes on while it comes in.
 pub struct Passing {
-    pub length: Option<u64>,
-    pub pieces: mpsc::Receiver<Piece>,
+    length: Option<u64>,
+    pieces: mpsc::Receiver<Piece>,
     ended: bool,
 }
 
--- a/crates/wharfhitch/src/choice.rs
+++ b/crates/wharfhitch/src/choice.rs
@@ -697,9 +697,10 @@
                 self.judge(k, class, outcome, now); // it broke off what it had begun
                 self.place(k, now);
             }
-            return if closed {
-                self.finish(id)
-            };
+            if closed {
+                self.finish(id);
+            }
+            return;
         }
         self.credit(now, id, attempt, latency, outcome, out);
         let r = &self.requests[&id];
