Keep versions of documents in a store that a crash at any write leaves whole

crates/store keeps documents by scope, each with its revisions, an audit log, tokens and the replies of repeated writes, in redb (one transaction a write; sqlite would need C, a log of our own would have to be proven). Rows are versions of one document, so that a change costs what it changes and not a copy of all tenants. A checksum stands before each value, which redb alone looks at only after a crash. After a failed write the store is opened anew to see whether it is there.

A change of the service is worked out ahead of the event loop (plan::Prepared): the plane's turn no longer grows with the number of tenants.

--- a/crates/hosted/src/plan.rs
+++ b/crates/hosted/src/plan.rs
@@ -2,8 +2,10 @@
 //! and close. Without I/O; carrying a plan out never fails halfway but for the listeners, which are opened first.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use crate::document::{Listener, Server, Service, Tenant};
+use crate::routes::Routes;
 
 /// What happens to a tenant that stays.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -43,14 +45,11 @@
 impl Plan {
     /// What leads from one version to another.
     pub fn between(old: &Service, new: &Service) -> Self {
-        let by_name = |s: &'_ Service| -> BTreeMap<String, Tenant> {
-            s.tenants.iter().map(|t| (t.name.clone(), t.clone())).collect()
-        };
         let (before, after) = (by_name(old), by_name(new));
         let mut plan = Plan::default();
-        for (name, tenant) in &after {
+        for (&name, tenant) in &after {
             match before.get(name) {
-                None => plan.added.push(name.clone()),
+                None => plan.added.push(name.to_owned()),
                 Some(other) => {
                     let change = Change {
                         pool: other.classes != tenant.classes || other.rules != tenant.rules,
@@ -58,18 +57,18 @@
                         limits: other.limits != tenant.limits,
                     };
                     if !change.is_none() {
-                        plan.changed.insert(name.clone(), change);
+                        plan.changed.insert(name.to_owned(), change);
                     }
                 }
             }
         }
-        plan.removed = before.keys().filter(|n| !after.contains_key(*n)).cloned().collect();
+        plan.removed = before.keys().filter(|n| !after.contains_key(*n)).map(|n| (*n).to_owned()).collect();
         let at = |l: &Listener| (l.name.clone(), l.address.clone());
         let stays = |all: &[Listener], l: &Listener| all.iter().any(|o| at(o) == at(l));
         plan.opened = new.listeners.iter().filter(|l| !stays(&old.listeners, l)).cloned().collect();
         let closed = old.listeners.iter().filter(|l| !stays(&new.listeners, l));
         plan.closed = closed.map(|l| l.name.clone()).collect();
-        plan.routes = crate::routes::Routes::of(old) != crate::routes::Routes::of(new);
+        plan.routes = Routes::of(old) != Routes::of(new);
         plan
     }
 
@@ -79,6 +78,42 @@
     }
 }
 
+fn by_name(service: &Service) -> BTreeMap<&str, &Tenant> {
+    service.tenants.iter().map(|t| (t.name.as_str(), t)).collect()
+}
+
+/// A change with all that can be worked out ahead of it, so that carrying it out takes the event loop little time however
+/// many tenants there are.
+#[derive(Clone, Debug)]
+pub struct Prepared {
+    /// The service as it is to be.
+    pub next: Arc<Service>,
+    /// What that comes to.
+    pub plan: Plan,
+    pub(crate) routes: Routes,
+    /// The documents of tenants that come or change.
+    pub(crate) tenants: Vec<Tenant>,
+    /// Shared servers whose limit or users, or these users' weights, are others; one that is shared no longer has no users.
+    pub(crate) shared: BTreeMap<String, (u64, Vec<String>)>,
+}
+
+impl Prepared {
+    /// What leads from one version to another.
+    pub fn between(old: &Service, next: Arc<Service>) -> Self {
+        let plan = Plan::between(old, &next);
+        let concerned = |name: &String| plan.added.contains(name) || plan.changed.contains_key(name);
+        let tenants = next.tenants.iter().filter(|t| concerned(&t.name)).cloned().collect();
+        let before = shared(old);
+        let mut servers = shared(&next);
+        for address in before.keys() {
+            servers.entry(address.clone()).or_default();
+        }
+        let same = |users: &Vec<String>| !users.iter().any(concerned);
+        servers.retain(|address, now| before.get(address) != Some(now) || !same(&now.1));
+        Prepared { routes: Routes::of(&next), next, plan, tenants, shared: servers }
+    }
+}
+
 /// When a tenant's servers started, on Unix time in ms, as far as the service knows; 0 for long ago.
 #[derive(Clone, Debug, Default)]
 pub struct Births(BTreeMap<String, (String, f64)>);
--- a/crates/hosted/src/plane.rs
+++ b/crates/hosted/src/plane.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use engine::account::Account;
@@ -15,6 +16,7 @@
 use engine::service::{self, Feed, Host, Process, Router, Running, Terms};
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{StatusCode, Uri};
+use schemars::JsonSchema;
 use serde::Serialize;
 use settings::{Connections, Names, index_of};
 use tenancy::{Caps, Limits};
@@ -25,7 +27,7 @@
 
 use crate::book::{Book, Holder};
 use crate::document::{self, Service, State, Tenant};
-use crate::plan::{Births, Plan, shared};
+use crate::plan::{Births, Change, Plan, Prepared};
 use crate::routes::Routes;
 
 /// What one tenant has in the process.
@@ -51,7 +53,7 @@
 pub struct Plane {
     process: Rc<Process>,
     book: Rc<Book>,
-    document: RefCell<Service>,
+    document: RefCell<Arc<Service>>,
     routes: RefCell<Routes>,
     tenants: RefCell<BTreeMap<String, Live>>,
     /// Accounts of listeners, for connections that have not named a tenant yet.
@@ -64,7 +66,7 @@
 }
 
 /// A tenant's state, as status tells it.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
 pub struct TenantStatus {
     /// Its name.
@@ -102,7 +104,7 @@
         Rc::new_cyclic(|myself| Plane {
             process: Rc::new(Process::new(process.server_sockets as usize)),
             book,
-            document: RefCell::new(Service { process: process.clone(), ..Service::default() }),
+            document: RefCell::new(Arc::new(Service { process: process.clone(), ..Service::default() })),
             routes: RefCell::default(),
             tenants: RefCell::default(),
             strangers: RefCell::default(),
@@ -119,8 +121,18 @@
     /// # Errors
     /// A listener can't be opened: then nothing has changed.
     pub fn apply(&self, next: Service) -> Result<Plan, String> {
-        let old = self.document.borrow().clone();
-        let plan = Plan::between(&old, &next);
+        let prepared = Prepared::between(&self.document(), Arc::new(next));
+        let plan = prepared.plan.clone();
+        self.carry_out(prepared)?;
+        Ok(plan)
+    }
+
+    /// Carries out a change that was prepared from the present version.
+    ///
+    /// # Errors
+    /// A listener can't be opened: then nothing has changed.
+    pub fn carry_out(&self, prepared: Prepared) -> Result<(), String> {
+        let Prepared { next, plan, routes, tenants: documents, shared } = prepared;
         let opened = self.open(&plan)?;
         for name in &plan.removed {
             if let Some(live) = self.tenants.borrow_mut().remove(name) {
@@ -130,29 +142,21 @@
             }
         }
         let first = self.version.get() == 0;
-        for tenant in &next.tenants {
-            if plan.added.contains(&tenant.name) {
-                let live = self.start(tenant.clone(), first);
-                self.tenants.borrow_mut().insert(tenant.name.clone(), live);
-            } else if let Some(change) = plan.changed.get(&tenant.name) {
-                let mut tenants = self.tenants.borrow_mut();
-                if let Some(live) = tenants.get_mut(&tenant.name) {
-                    live.document = tenant.clone();
-                    if change.limits {
-                        live.account.set(&caps(&tenant.limits));
-                    }
-                    if change.pool {
-                        self.renew(live);
-                    }
-                    if change.servers || change.pool {
-                        live.births.note(&tenant.servers, first, unix_ms());
-                        live.tell();
-                    }
+        for tenant in documents {
+            let mut tenants = self.tenants.borrow_mut();
+            match (plan.changed.get(&tenant.name), tenants.get_mut(&tenant.name)) {
+                (Some(change), Some(live)) => {
+                    live.document = tenant;
+                    self.change(live, *change, first);
+                }
+                _ => {
+                    let live = self.start(tenant, first);
+                    tenants.insert(live.document.name.clone(), live);
                 }
             }
         }
-        self.share_servers(&next);
-        *self.routes.borrow_mut() = Routes::of(&next);
+        self.share_servers(shared);
+        *self.routes.borrow_mut() = routes;
         for name in &plan.closed {
             // It may have been opened anew at another address, under the same name.
             let mut listeners = self.listeners.borrow_mut();
@@ -166,7 +170,20 @@
         }
         *self.document.borrow_mut() = next;
         self.version.set(self.version.get() + 1);
-        Ok(plan)
+        Ok(())
+    }
+
+    fn change(&self, live: &mut Live, change: Change, first: bool) {
+        if change.limits {
+            live.account.set(&caps(&live.document.limits));
+        }
+        if change.pool {
+            self.renew(live);
+        }
+        if change.servers || change.pool {
+            live.births.note(&live.document.servers, first, unix_ms());
+            live.tell();
+        }
     }
 
     /// Opens the listeners of a plan, all or none.
@@ -240,19 +257,15 @@
         live.former.retain(Feed::is_alive);
     }
 
-    fn share_servers(&self, next: &Service) {
+    fn share_servers(&self, servers: BTreeMap<String, (u64, Vec<String>)>) {
         let tenants = self.tenants.borrow();
-        let mut servers = shared(next);
-        // Those that are shared no longer are forgotten: one user needs no share.
-        for address in shared(&self.document.borrow()).into_keys() {
-            servers.entry(address).or_default();
-        }
         for (address, (connections, users)) in servers {
             let Ok(address) = address.parse() else { continue };
             let member = |name: &String| {
                 let live = tenants.get(name)?;
                 Some((live.account.clone(), live.document.limits.weight))
             };
+            // Without users it is forgotten: one user needs no share.
             let members: Vec<_> = users.iter().filter_map(member).collect();
             self.book.share_server(service::server_number(address), connections, &members);
         }
@@ -264,27 +277,17 @@
     }
 
     /// The present version's document.
-    pub fn document(&self) -> Service {
+    pub fn document(&self) -> Arc<Service> {
         self.document.borrow().clone()
     }
 
+    /// How one tenant fares.
+    pub fn status_of(&self, name: &str) -> Option<TenantStatus> {
+        self.tenants.borrow().get_key_value(name).map(status)
+    }
+
     /// How the tenants fare, by name.
     pub fn status(&self) -> Vec<TenantStatus> {
-        let status = |(name, live): (&String, &Live)| {
-            let used = live.account.used();
-            let servers = &live.document.servers;
-            TenantStatus {
-                name: name.clone(),
-                ready: live.running.pool.is_ready(),
-                servers: [servers.iter().filter(|s| s.state == State::Up).count(), servers.len()],
-                former_pools: live.former.iter().filter(|f| f.is_alive()).count(),
-                sockets: used.sockets,
-                in_flight: used.in_flight,
-                bytes: used.bytes,
-                loop_ms: used.time,
-                refused: used.refused,
-            }
-        };
         self.tenants.borrow().iter().map(status).collect()
     }
 
@@ -321,6 +324,22 @@
     }
 }
 
+fn status((name, live): (&String, &Live)) -> TenantStatus {
+    let used = live.account.used();
+    let servers = &live.document.servers;
+    TenantStatus {
+        name: name.clone(),
+        ready: live.running.pool.is_ready(),
+        servers: [servers.iter().filter(|s| s.state == State::Up).count(), servers.len()],
+        former_pools: live.former.iter().filter(|f| f.is_alive()).count(),
+        sockets: used.sockets,
+        in_flight: used.in_flight,
+        bytes: used.bytes,
+        loop_ms: used.time,
+        refused: used.refused,
+    }
+}
+
 fn unix_ms() -> f64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0
 }
--- /dev/null
+++ b/crates/store/src/read.rs
@@ -0,0 +1,205 @@
+//! What is read of a store: the present state, what was, and whether all of it fits.
+
+use std::collections::BTreeMap;
+
+use redb::{Database, ReadableTable as _};
+use serde_json::Value;
+
+use crate::error::StoreError;
+use crate::format::{AUDIT, HEADS, REPLIES, ROWS, TOKENS, VERSIONS, unpack};
+use crate::record::{Entry, Head, Row, State};
+use crate::store::{Store, guard};
+
+type Heads = BTreeMap<String, u64>;
+
+/// The present state, and the newest revision of each scope.
+pub fn state(database: &Database) -> Result<(State, Heads), StoreError> {
+    let read = database.begin_read()?;
+    let (rows, heads) = (read.open_table(ROWS)?, read.open_table(HEADS)?);
+    let last = |n: Option<u64>| n.unwrap_or(0);
+    let mut state = State {
+        version: last(read.open_table(VERSIONS)?.last()?.map(|(v, _)| v.value())),
+        entry: last(read.open_table(AUDIT)?.last()?.map(|(n, _)| n.value())),
+        ..State::default()
+    };
+    let mut newest = Heads::new();
+    for head in heads.iter()? {
+        let (scope, rev) = head?;
+        let (scope, rev) = (scope.value(), rev.value());
+        let row = rows.get((scope, rev))?;
+        let row = row.ok_or_else(|| StoreError::Damaged(format!("revision {rev} of {scope} is missing")))?;
+        newest.insert(scope.to_owned(), rev);
+        if let Some(document) = unpack::<Row>(row.value(), &|| name(scope, rev))?.document {
+            state.documents.insert(scope.to_owned(), Head { rev, document });
+        }
+    }
+    for token in read.open_table(TOKENS)?.iter()? {
+        let (id, token) = token?;
+        let token = unpack(token.value(), &|| format!("token {}", id.value()))?;
+        state.tokens.insert(id.value().to_owned(), token);
+    }
+    Ok((state, newest))
+}
+
+fn name(scope: &str, rev: u64) -> String {
+    format!("revision {rev} of {scope}")
+}
+
+fn line(n: u64) -> String {
+    format!("line {n} of the audit log")
+}
+
+impl Store {
+    /// One revision of a document.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn revision(&self, scope: &str, rev: u64) -> Result<Option<Row>, StoreError> {
+        let read = self.database()?.begin_read()?;
+        let row = read.open_table(ROWS)?.get((scope, rev))?;
+        row.map(|row| unpack(row.value(), &|| name(scope, rev))).transpose()
+    }
+
+    /// Revisions of a document, the newest first, below one, at most so many.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn history(&self, scope: &str, below: u64, most: usize) -> Result<Vec<(u64, Row)>, StoreError> {
+        let read = self.database()?.begin_read()?;
+        let rows = read.open_table(ROWS)?;
+        let mut all = Vec::new();
+        for row in rows.range((scope, 0)..(scope, below))?.rev().take(most) {
+            let (key, row) = row?;
+            let rev = key.value().1;
+            all.push((rev, unpack(row.value(), &|| name(scope, rev))?));
+        }
+        Ok(all)
+    }
+
+    /// All documents as they were at a version; none if it is not kept.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn at(&self, version: u64) -> Result<Option<BTreeMap<String, Value>>, StoreError> {
+        let read = self.database()?.begin_read()?;
+        if read.open_table(VERSIONS)?.get(version)?.is_none() {
+            return Ok(None);
+        }
+        let rows = read.open_table(ROWS)?;
+        let mut all = BTreeMap::new();
+        for scope in self.heads.keys().map(String::as_str) {
+            for row in rows.range((scope, 0)..=(scope, u64::MAX))?.rev() {
+                let (key, row) = row?;
+                let row: Row = unpack(row.value(), &|| name(scope, key.value().1))?;
+                if row.version <= version {
+                    row.document.map(|document| all.insert(scope.to_owned(), document));
+                    break;
+                }
+            }
+        }
+        Ok(Some(all))
+    }
+
+    /// Versions that are kept, the newest first, below one, at most so many: each with its number.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn versions(&self, below: u64, most: usize) -> Result<Vec<(u64, Entry)>, StoreError> {
+        let read = self.database()?.begin_read()?;
+        let (versions, audit) = (read.open_table(VERSIONS)?, read.open_table(AUDIT)?);
+        let mut all = Vec::new();
+        for version in versions.range(..below)?.rev().take(most) {
+            let (version, n) = version?;
+            let n = n.value();
+            let entry = audit.get(n)?;
+            let entry = entry.ok_or_else(|| StoreError::Damaged(format!("{} is missing", line(n))))?;
+            all.push((version.value(), unpack(entry.value(), &|| line(n))?));
+        }
+        Ok(all)
+    }
+
+    /// One line of the audit log.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn line(&self, n: u64) -> Result<Option<Entry>, StoreError> {
+        let read = self.database()?.begin_read()?;
+        let entry = read.open_table(AUDIT)?.get(n)?;
+        entry.map(|entry| unpack(entry.value(), &|| line(n))).transpose()
+    }
+
+    /// Lines of the audit log, the newest first, below one, at most so many; of one tenant where it is named.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn audit(
+        &self, subject: Option<&str>, below: u64, most: usize,
+    ) -> Result<Vec<(u64, Entry)>, StoreError> {
+        let read = self.database()?.begin_read()?;
+        let audit = read.open_table(AUDIT)?;
+        let mut all = Vec::new();
+        for entry in audit.range(..below)?.rev() {
+            let (n, entry) = entry?;
+            let entry: Entry = unpack(entry.value(), &|| line(n.value()))?;
+            if subject.is_none_or(|s| entry.subject.as_deref() == Some(s)) {
+                all.push((n.value(), entry));
+            }
+            if all.len() >= most {
+                break;
+            }
+        }
+        Ok(all)
+    }
+
+    /// The reply that a repeated write gets.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn reply(&self, key: &str) -> Result<Option<Value>, StoreError> {
+        let read = self.database()?.begin_read()?;
+        let reply = read.open_table(REPLIES)?.get(key)?;
+        reply.map(|reply| unpack(reply.value(), &|| format!("the reply to {key}"))).transpose()
+    }
+
+    /// Looks at all that the store holds: the database's own checksums, each record's, and whether they fit each other.
+    ///
+    /// # Errors
+    /// What does not fit.
+    pub fn check(&mut self) -> Result<(), StoreError> {
+        guard(|| self.look())
+    }
+
+    fn look(&mut self) -> Result<(), StoreError> {
+        if !self.database_mut()?.check_integrity().map_err(StoreError::from)? {
+            return Err(StoreError::Damaged("the database had to be repaired; look again".into()));
+        }
+        state(self.database()?)?;
+        let read = self.database()?.begin_read()?;
+        let (rows, audit) = (read.open_table(ROWS)?, read.open_table(AUDIT)?);
+        for row in rows.iter()? {
+            let (key, row) = row?;
+            let (scope, rev) = key.value();
+            unpack::<Row>(row.value(), &|| name(scope, rev))?;
+        }
+        for entry in audit.iter()? {
+            let (n, entry) = entry?;
+            unpack::<Entry>(entry.value(), &|| line(n.value()))?;
+        }
+        let mut expected = None;
+        for version in read.open_table(VERSIONS)?.iter()? {
+            let (version, n) = version?;
+            let (version, n) = (version.value(), n.value());
+            if expected.is_some_and(|e| e != version) {
+                return Err(StoreError::Damaged(format!("before version {version} one is missing")));
+            }
+            expected = Some(version + 1);
+            let entry = audit.get(n)?;
+            let entry = entry.ok_or_else(|| StoreError::Damaged(format!("{} is missing", line(n))))?;
+            let entry: Entry = unpack(entry.value(), &|| line(n))?;
+            if entry.version != Some(version) {
+                return Err(StoreError::Damaged(format!("{} is not version {version}", line(n))));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/store/tests/store.rs
@@ -0,0 +1,259 @@
+//! What a store promises: whole versions whatever ends the process, old versions as they were, and errors that say what to do.
+mod disk;
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+
+use disk::{Disk, End};
+use fastrand::Rng;
+use serde_json::{Value, json};
+use store::{Author, Keep, Store, StoreError, Write, export, import, snapshot};
+
+fn write(base: u64, edits: Vec<(String, Option<Value>)>) -> Write {
+    Write {
+        base,
+        at_ms: 1000 + base,
+        by: Author { id: "t".into(), name: "test".into() },
+        action: "test".into(),
+        subject: edits.first().map(|(scope, _)| scope.clone()),
+        detail: None,
+        edits,
+        tokens: Vec::new(),
+        reply: None,
+    }
+}
+
+/// A change of two documents, a token and a reply at once, all with the same number.
+fn fourfold(base: u64, n: u64) -> Write {
+    let body = json!({ "n": n, "filling": "x".repeat(300 + (n as usize * 97) % 3000) });
+    Write {
+        tokens: vec![("key".into(), Some(json!(n)))],
+        reply: Some((format!("reply-{n}"), json!(n))),
+        ..write(base, vec![("a".into(), Some(body.clone())), ("b".into(), Some(body))])
+    }
+}
+
+/// What number stands in a store: the same everywhere.
+fn number(store: &Store, state: &store::State) -> u64 {
+    let n = |v: Option<&Value>| v.map_or(0, |v| v["n"].as_u64().unwrap());
+    let (a, b) = (state.documents.get("a"), state.documents.get("b"));
+    let found = n(a.map(|h| &h.document));
+    assert_eq!(found, n(b.map(|h| &h.document)), "one version's document beside another's");
+    assert_eq!(state.tokens.get("key").map_or(0, |t| t.as_u64().unwrap()), found);
+    assert_eq!(state.version, found);
+    if found > 0 {
+        assert_eq!(store.reply(&format!("reply-{found}")).unwrap(), Some(json!(found)));
+    }
+    assert_eq!(store.reply(&format!("reply-{}", found + 1)).unwrap(), None);
+    found
+}
+
+/// Writes until the disk ends; returns how many writes were acknowledged.
+fn write_until_end(disk: &Disk, keep: Keep, most: u64) -> u64 {
+    let Ok((mut store, state)) = Store::with(disk.opener(), keep) else { return 0 };
+    let mut acknowledged = number(&store, &state);
+    while acknowledged < most {
+        let next = acknowledged + 1;
+        if store.commit(&fourfold(store.entry(), next)).is_err() {
+            break;
+        }
+        acknowledged = next;
+    }
+    acknowledged
+}
+
+#[test]
+fn a_process_that_ends_at_any_write_boundary_leaves_one_whole_version() {
+    const WRITES: u64 = 12;
+    let keep = Keep { versions: 4, audit: 4, replies: 4, reply_ms: u64::MAX };
+    let made = || {
+        let disk = Disk::default();
+        drop(Store::with(disk.opener(), keep).unwrap());
+        disk
+    };
+    let untouched = made();
+    let before = untouched.operations();
+    assert_eq!(write_until_end(&untouched, keep, WRITES), WRITES);
+    let boundaries = untouched.operations();
+    let ends = AtomicU64::new(0);
+    let kill = &|at: u64| {
+        for (end, seeds) in [(End::Killed, 1), (End::PowerCut, 4)] {
+            for seed in 0..seeds {
+                let mut rng = Rng::with_seed(at * 100 + seed);
+                let disk = made();
+                disk.end_at(at);
+                let acknowledged = write_until_end(&disk, keep, WRITES);
+                let (mut store, state) = Store::with(disk.after(end, &mut rng).opener(), keep)
+                    .unwrap_or_else(|e| panic!("boundary {at}, {end:?}, seed {seed}: {e}"));
+                let there = number(&store, &state);
+                assert!(
+                    (acknowledged..=acknowledged + 1).contains(&there),
+                    "boundary {at}, {end:?}, seed {seed}: {there} after {acknowledged} were acknowledged"
+                );
+                store.check().unwrap_or_else(|e| panic!("boundary {at}, {end:?}, seed {seed}: {e}"));
+                store.commit(&fourfold(store.entry(), there + 1)).unwrap();
+                ends.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    };
+    thread::scope(|threads| {
+        for part in 0..4 {
+            threads.spawn(move || (before + 1 + part..=boundaries).step_by(4).for_each(kill));
+        }
+    });
+    let ends = ends.into_inner();
+    println!("{ends} ends at {} boundaries", boundaries - before);
+    assert!(ends >= 500, "{ends} ends at {} boundaries", boundaries - before);
+}
+
+#[test]
+fn old_versions_are_what_they_were_as_long_as_they_are_kept() {
+    for seed in 0..20 {
+        let mut rng = Rng::with_seed(seed);
+        let keep = Keep { versions: 8, audit: 12, ..Keep::default() };
+        let (mut store, mut state) = Store::with(Disk::default().opener(), keep).unwrap();
+        let mut was: Vec<BTreeMap<String, Value>> = vec![BTreeMap::new()];
+        for n in 0..60 {
+            let mut now = was.last().unwrap().clone();
+            let scope = ["x", "y", "z"][rng.usize(..3)].to_owned();
+            let edit = if now.contains_key(&scope) && rng.u8(..4) == 0 {
+                now.remove(&scope);
+                None
+            } else {
+                now.insert(scope.clone(), json!(n));
+                Some(json!(n))
+            };
+            let write = write(store.entry(), vec![(scope, edit)]);
+            let entry = store.commit(&write).unwrap();
+            state.follow(&write, &entry);
+            was.push(now);
+        }
+        let newest = was.len() as u64 - 1;
+        for version in 0..=newest {
+            let kept = version > newest - keep.versions;
+            let expected = kept.then(|| was[version as usize].clone());
+            assert_eq!(store.at(version).unwrap(), expected, "seed {seed}, version {version}");
+        }
+        assert_eq!(store.versions(u64::MAX, 100).unwrap().len() as u64, keep.versions);
+        assert_eq!(store.audit(None, u64::MAX, 100).unwrap().len() as u64, keep.audit);
+        store.check().unwrap();
+        // What follows the writes in memory is what a new start reads.
+        let bytes = {
+            let mut bytes = Vec::new();
+            export(&store, &mut bytes).unwrap();
+            bytes
+        };
+        let (mut copy, _) = Store::with(Disk::default().opener(), keep).unwrap();
+        import(&mut copy, bytes.as_slice()).unwrap();
+        let mut again = Vec::new();
+        export(&copy, &mut again).unwrap();
+        assert_eq!(bytes, again);
+        assert!(matches!(import(&mut copy, bytes.as_slice()), Err(StoreError::Import { line: 0, .. })));
+        let there: BTreeMap<_, _> =
+            state.documents.iter().map(|(s, h)| (s.clone(), h.document.clone())).collect();
+        assert_eq!(copy.at(state.version).unwrap().unwrap(), there);
+    }
+}
+
+#[test]
+fn a_full_disk_changes_nothing_and_room_helps() {
+    let disk = Disk::default();
+    let (mut store, _) = Store::with(disk.opener(), Keep::default()).unwrap();
+    store.commit(&fourfold(0, 1)).unwrap();
+    disk.set_room(Some(disk.length()));
+    let mut n = 1;
+    let full = loop {
+        match store.commit(&fourfold(store.entry(), n + 1)) {
+            Ok(_) => n += 1,
+            Err(e) => break e,
+        }
+        assert!(n < 10_000);
+    };
+    assert!(matches!(full, StoreError::Full), "{full}");
+    assert_eq!(store.version(), n);
+    disk.set_room(None);
+    store.commit(&fourfold(store.entry(), n + 1)).unwrap();
+    assert_eq!(store.at(n).unwrap().unwrap()["a"]["n"], n);
+}
+
+/// A directory that goes with the test.
+struct Directory(PathBuf);
+
+impl Directory {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("canvascart-store-{}-{name}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&path); // of an earlier run
+        std::fs::create_dir_all(&path).unwrap();
+        Directory(path)
+    }
+}
+
+impl Drop for Directory {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+#[test]
+fn a_store_that_is_missing_open_elsewhere_or_newer_is_left_alone() {
+    let directory = Directory::new("alone");
+    let path = &directory.0;
+    assert!(matches!(Store::open_existing(path, Keep::default()), Err(StoreError::Missing(_))));
+    // Left by a process that was killed while it made the store.
+    std::fs::write(path.join(format!("{}.new", store::FILE)), "half").unwrap();
+    let (store, _) = Store::open(path, Keep::default()).unwrap();
+    assert!(matches!(Store::open(path, Keep::default()), Err(StoreError::Locked)));
+    drop(store);
+    let newer = redb::Database::open(path.join(store::FILE)).unwrap();
+    let change = newer.begin_write().unwrap();
+    let meta = redb::TableDefinition::<&str, u64>::new("meta");
+    change.open_table(meta).unwrap().insert("format", store::FORMAT + 1).unwrap();
+    change.commit().unwrap();
+    drop(newer);
+    let said = Store::open(path, Keep::default()).err().unwrap().to_string();
+    assert!(said.contains("use the program that wrote it"), "{said}");
+}
+
+#[test]
+fn damage_anywhere_is_told_of_or_does_no_harm_and_the_snapshot_is_there() {
+    let directory = Directory::new("damage");
+    let path = &directory.0;
+    let (mut store, mut state) = Store::open(path, Keep::default()).unwrap();
+    for n in 1..=20 {
+        let write = fourfold(store.entry(), n);
+        let entry = store.commit(&write).unwrap();
+        state.follow(&write, &entry);
+    }
+    drop(store);
+    snapshot::write(path, &state).unwrap();
+    assert_eq!(snapshot::read(path).unwrap(), state);
+    let file = path.join(store::FILE);
+    let whole = std::fs::read(&file).unwrap();
+    let mut rng = Rng::with_seed(7);
+    let (mut told, mut unharmed) = (0, 0);
+    for _ in 0..60 {
+        let mut bytes = whole.clone();
+        let at = rng.usize(..bytes.len());
+        let end = (at + 512).min(bytes.len());
+        bytes[at..end].iter_mut().for_each(|b| *b = rng.u8(..));
+        std::fs::write(&file, &bytes).unwrap();
+        let opened = Store::open_existing(path, Keep::default())
+            .and_then(|(mut store, found)| store.check().map(|()| found));
+        match opened {
+            Ok(found) => {
+                assert_eq!(found, state, "damage at {at} went by unseen");
+                unharmed += 1;
+            }
+            Err(e) => {
+                assert!(!e.to_string().is_empty());
+                told += 1;
+            }
+        }
+    }
+    assert!(told > 0 && unharmed > 0, "{told} told, {unharmed} unharmed");
+    let text = std::fs::read(path.join(snapshot::FILE)).unwrap();
+    std::fs::write(path.join(snapshot::FILE), &text[..text.len() - 1]).unwrap();
+    assert!(matches!(snapshot::read(path), Err(StoreError::Damaged(_))));
+}
