Let pools of the hosted service rest while they have nothing to do

A pool of a process of many rests once it has had no request for 10 s and holds no idle connection: it waits for its next input without a timer. Woken, it first makes up for five ticks, so that the module has looked over all its servers before it decides anything. Rejected: ticks that grow longer while idle (1,000 timers all the same), and a module without ticks (each decision of the platform's proxy would change). The platform's proxy does not rest.

--- a/crates/engine/src/driver.rs
+++ b/crates/engine/src/driver.rs
@@ -33,6 +33,10 @@
 /// What the client is told has to be on its way this long before the client gives up, whatever happens.
 const LAST_RESORT: Duration = Duration::from_millis(4);
 const SWEEP: Duration = Duration::from_secs(1); // between looks at idle connections
+/// A pool that has had nothing to do for so long rests, where it may: by then the module's averages and slots stand still.
+const REST: Duration = Duration::from_secs(10);
+/// The module's ticks that a pool makes up for when it is woken: as many as it takes to look over all servers once.
+const WAKING: usize = 5;
 
 /// A request that lacks its answer or has attempts out.
 struct Live {
@@ -68,6 +72,8 @@
     pub discovery: Option<Rc<Place>>,
     /// The account that the pool's work is put on, in a process of many tenants.
     pub account: Option<Rc<dyn Account>>,
+    /// Whether it may rest: with nothing to do it has no timer, so that thousands of idle pools take no time.
+    pub rests: bool,
     /// Told when the module wants a watch.
     pub watch: Rc<Notify>,
     /// Told once discovery has told the list.
@@ -113,7 +119,14 @@
         // for an earlier time, and when it has fired; it may fire before anything is due.
         let mut alarm = pin!(sleep_until(sweep));
         let mut fired = false;
+        let mut busy = Instant::now();
         loop {
+            if self.parts.rests && self.may_rest(&mut busy) {
+                let Some(input) = inputs.recv().await else { return };
+                self.wake();
+                self.take(input);
+                (busy, fired) = (Instant::now(), true);
+            }
             let next = self.due.peek().map_or(sweep, |Reverse((at, _))| (*at).min(sweep));
             if std::mem::take(&mut fired) || next < alarm.deadline() {
                 alarm.as_mut().reset(next);
@@ -144,6 +157,26 @@
         }
     }
 
+    /// Whether a pool that was last seen busy then has had nothing to do since, for long enough.
+    fn may_rest(&self, busy: &mut Instant) -> bool {
+        if !self.live.is_empty() {
+            *busy = Instant::now();
+        }
+        busy.elapsed() >= REST && !self.parts.upstreams.has_idle()
+    }
+
+    /// The module hears of the time that has passed, before it hears of anything else.
+    fn wake(&mut self) {
+        for _ in 0..WAKING {
+            for Reverse((_, due)) in std::mem::take(&mut self.due) {
+                // Requests have none left: nothing but the module's own tick means anything.
+                if let Due::Module(token) = due {
+                    self.handle(Event::Timer(token));
+                }
+            }
+        }
+    }
+
     fn take(&mut self, input: Input) {
         match input {
             Input::Request(arrival) => self.request(*arrival),
--- a/crates/engine/src/process.rs
+++ b/crates/engine/src/process.rs
@@ -153,6 +153,7 @@
         peers,
         discovery: Some(place.clone()),
         account: None,
+        rests: false,
         watch: watch.clone(),
         life: life.clone(),
         counts: counts.clone(),
--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -123,6 +123,7 @@
             peers: None,
             discovery: None,
             account: account.clone(),
+            rests: true,
             watch: Rc::new(Notify::new()),
             life: life.clone(),
             counts: counts.clone(),
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -264,6 +264,11 @@
         });
     }
 
+    /// Whether connections stand idle, which have to be looked after.
+    pub fn has_idle(&self) -> bool {
+        self.endpoints.borrow().iter().any(|e| !e.idle.borrow().is_empty())
+    }
+
     /// Closes the connection that has stood idle longest, whosever it is.
     pub fn close_idle(&self) {
         let endpoints = self.endpoints.borrow();
