Kill the hosted service again and again, measure 1,000 tenants, and serve a demonstration

The store's format 2 has an index of whom a line of the log concerns (a tenant's audit had to read the whole log); a store of format 1 is brought to it in one transaction.

Seen: migration ended at each write boundary, the store whole after each.

--- a/crates/admin/src/answers.rs
+++ b/crates/admin/src/answers.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use store::Entry;
 
-use crate::access::Role;
+use crate::access::{Role, Who};
 use crate::difference::Difference;
 
 /// A tenant in a list.
@@ -122,14 +122,15 @@
 }
 
 impl Line {
-    /// An entry as it is told.
-    pub fn of(number: u64, entry: Entry, oversees: bool) -> Self {
+    /// An entry as it is told to somebody: of a change of several tenants, one tenant hears of itself.
+    pub fn of(number: u64, entry: Entry, who: &Who) -> Self {
+        let oversees = who.oversees();
         Line {
             number,
             at_ms: entry.at_ms,
             by: By::from(&entry.by),
             action: entry.action,
-            tenant: entry.subject,
+            tenant: who.tenant.clone().or(entry.subject),
             detail: entry.detail,
             version: entry.version.filter(|_| oversees),
         }
--- a/crates/admin/src/versions.rs
+++ b/crates/admin/src/versions.rs
@@ -164,7 +164,6 @@
 /// The audit log, the newest first.
 pub fn audit(desk: &mut Desk, call: &Call) -> Result<Outcome, Problem> {
     let limit = call.limit()?;
-    let oversees = call.who.oversees();
     let asked = call.query.get("tenant").map(String::as_str);
     let subject = match (&call.who.tenant, asked) {
         (Some(own), Some(other)) if own != other => return Err(no_tenant(other)),
@@ -172,6 +171,6 @@
         (None, asked) => asked,
     };
     let lines = desk.store()?.audit(subject, below(call)?, limit + 1)?;
-    let items = lines.into_iter().map(|(n, entry)| Line::of(n, entry, oversees)).collect();
+    let items = lines.into_iter().map(|(n, entry)| Line::of(n, entry, &call.who)).collect();
     Ok(Reply::of(page(items, limit, |l: &Line| l.number)).into())
 }
--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -12,7 +12,7 @@
 use ::lab::rogue::{self, Wrong};
 use ::lab::scenario::Scenario;
 use ::lab::sim::decider::Sabotage;
-use ::lab::{floods, real, report, shares, shipped};
+use ::lab::{floods, real, report, service, shares, shipped};
 use indicatif::{ProgressBar, ProgressStyle};
 
 /// A rule was broken.
@@ -115,6 +115,28 @@
         #[arg(long, value_name = "COMMAND")]
         service: Option<String>,
     },
+    /// Kills the hosted service during changes, again and again: each time one whole version must be there.
+    #[command(after_help = CODES)]
+    Kills {
+        /// How many times.
+        #[arg(long, default_value_t = 500)]
+        kills: u64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Measures the hosted service with many tenants, most of them idle, beside one with a single tenant.
+    #[command(after_help = CODES)]
+    Tenants {
+        /// How many.
+        #[arg(long, default_value_t = 1000)]
+        count: usize,
+        /// Changes under load.
+        #[arg(long, default_value_t = 200)]
+        changes: u64,
+        /// Seconds that they are idle before that is measured: a pool rests after 10, its connections are closed after 15.
+        #[arg(long, default_value_t = 18)]
+        idle: u64,
+    },
     /// Plays ways to share one process between tenants against each other, in virtual time.
     Shares {
         /// Seeds.
@@ -293,6 +315,8 @@
                 floods::Kind::ALL.iter().map(|(_, k)| *k).filter(|k| kind.is_none_or(|only| only == *k));
             flood(&kinds.collect::<Vec<_>>(), Duration::from_secs(seconds), repeat, apart, service.as_deref())
         }
+        Command::Kills { kills, seed } => tell_kills(kills, seed),
+        Command::Tenants { count, changes, idle } => tell_tenants(count, Duration::from_secs(idle), changes),
         Command::Shares { repeat, json } => {
             tell_shares("event loop's time", &shares::TIME_COLUMNS, &shares::time(repeat), json);
             tell_shares("stock", &shares::STOCK_COLUMNS, &shares::stock(repeat), json);
@@ -622,6 +646,63 @@
     Ok(0)
 }
 
+/// This program, as a command that others start.
+fn own() -> Result<Vec<String>, String> {
+    let own = std::env::current_exe().map_err(|e| format!("this program's own path: {e}"))?;
+    Ok(vec![own.to_string_lossy().into_owned()])
+}
+
+/// A directory for a measurement's files.
+fn place_for(what: &str) -> PathBuf {
+    std::env::temp_dir().join("canvascart-lab").join(format!("{what}-{}", std::process::id()))
+}
+
+fn tell_kills(kills: u64, seed: u64) -> Result<u8, String> {
+    let dir = place_for("kills");
+    let tick = progress("kills", false);
+    let played = service::kills::play(&own()?, kills, seed, &dir, tick);
+    let mut told = match played {
+        Ok(told) => told,
+        Err(e) => {
+            tracing::error!(error = %e, "it could not be played");
+            return Ok(NOT_RUN);
+        }
+    };
+    told.restarts_ms.sort_by(f64::total_cmp);
+    let at = |q: f64| told.restarts_ms.get((q * (told.restarts_ms.len() as f64 - 1.0)) as usize).copied();
+    let [came, there] = told.under_way;
+    println!("{} kills, {} changes acknowledged", told.kills, told.acknowledged);
+    println!(
+        "{came} kills came while a change was under way; {there} of these changes were there afterwards"
+    );
+    println!("restart p50 {:.0} ms, p99 {:.0} ms", at(0.5).unwrap_or(0.0), at(0.99).unwrap_or(0.0));
+    println!("mixed or lost versions: {}", told.broken.len());
+    told.broken.iter().for_each(|what| println!("  {what}"));
+    if told.broken.is_empty() {
+        let _ = std::fs::remove_dir_all(&dir); // else it shows what was broken
+        return Ok(0);
+    }
+    println!("the state is kept in {}", dir.display());
+    Ok(BROKEN)
+}
+
+fn tell_tenants(count: usize, idle: Duration, changes: u64) -> Result<u8, String> {
+    let dir = place_for("tenants");
+    let mut all = Vec::new();
+    for tenants in [1, count] {
+        match service::tenants::measure(&own()?, tenants, idle, changes, &dir) {
+            Ok(measured) => all.push(measured),
+            Err(e) => {
+                tracing::error!(tenants, error = %e, "it could not be measured");
+                return Ok(NOT_RUN);
+            }
+        }
+    }
+    print!("{}", service::tenants::table(&all));
+    let _ = std::fs::remove_dir_all(&dir); // nothing but the state
+    Ok(0)
+}
+
 /// Prints what the ways to share came to: the mean over the seeds, with the least and the most.
 fn tell_shares(what: &str, columns: &[&str], rows: &[shares::Row], json: bool) {
     if !json {
--- a/crates/canvascart/src/main.rs
+++ b/crates/canvascart/src/main.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod capture;
 mod client;
+mod demo;
 mod drill;
 mod lab;
 mod log;
--- a/crates/canvascart/src/serve.rs
+++ b/crates/canvascart/src/serve.rs
@@ -1,6 +1,6 @@
 //! `canvascart serve`: many tenants in one process, as a configuration file says.
 
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,6 +15,8 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::LocalSet;
 
+use crate::demo::Demo;
+
 /// It could not be started.
 const NOT_STARTED: u8 = 3;
 
@@ -27,8 +29,11 @@
 #[command(after_help = CODES)]
 pub struct Arguments {
     /// The configuration, in TOML (docs/hosted.md).
-    #[arg(long, value_name = "FILE")]
-    config: PathBuf,
+    #[arg(long, value_name = "FILE", required_unless_present = "demo")]
+    config: Option<PathBuf>,
+    /// Serves two tenants from an emulated fleet in this process, and tells where; nothing of it is kept.
+    #[arg(long, conflicts_with_all = ["config", "check", "read_only_state"])]
+    demo: bool,
     /// Checks the configuration, names all that is wrong with it, and ends.
     #[arg(long)]
     check: bool,
@@ -63,21 +68,23 @@
 /// # Errors
 /// What is wrong with the configuration.
 pub fn run(arguments: &Arguments) -> Result<u8, String> {
-    let service = read(&arguments.config)?;
-    if arguments.check {
+    let demo = if arguments.demo { Some(Demo::new().map_err(|e| format!("--demo: {e}"))?) } else { None };
+    let service = match (&demo, &arguments.config) {
+        (Some(demo), _) => demo.service()?,
+        (None, Some(file)) => read(file)?,
+        (None, None) => return Err("give --config FILE, or --demo".into()),
+    };
+    if let (true, Some(file)) = (arguments.check, &arguments.config) {
         let (tenants, servers) =
             (service.tenants.len(), service.tenants.iter().map(|t| t.servers.len()).sum::<usize>());
         let listeners = service.listeners.len();
-        println!(
-            "{}: good: {listeners} listeners, {tenants} tenants, {servers} servers",
-            arguments.config.display()
-        );
+        println!("{}: good: {listeners} listeners, {tenants} tenants, {servers} servers", file.display());
         return Ok(0);
     }
     engine::service::log_as("canvascart");
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-    let outcome = LocalSet::new().block_on(&runtime, serve(service, arguments));
+    let outcome = LocalSet::new().block_on(&runtime, serve(service, arguments, demo.as_ref()));
     runtime.shutdown_background();
     Ok(outcome.unwrap_or_else(|e| {
         tracing::error!(error = e, "it could not be started");
@@ -102,9 +109,11 @@
 struct Administration {
     api: Arc<Api>,
     orders: UnboundedReceiver<Order>,
+    /// Where the API listens, if it does.
+    address: Option<SocketAddr>,
 }
 
-async fn serve(service: Service, arguments: &Arguments) -> Result<u8, String> {
+async fn serve(service: Service, arguments: &Arguments, demo: Option<&Demo>) -> Result<u8, String> {
     let on = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
     let mut signals = Signals {
         term: on(SignalKind::terminate())?,
@@ -119,6 +128,9 @@
             None
         }
     };
+    if let (Some(demo), Some(administration)) = (demo, &administration) {
+        demo.tell(&plane, administration.address);
+    }
     loop {
         let order = async {
             match &mut administration {
@@ -129,12 +141,15 @@
         tokio::select! {
             _ = signals.term.recv() => break,
             _ = signals.int.recv() => break,
-            _ = signals.hup.recv() => reload(&plane, &arguments.config, administration.as_mut()),
+            _ = signals.hup.recv() => match &arguments.config {
+                Some(file) => reload(&plane, file, administration.as_mut()),
+                None => tracing::info!("the demonstration has no configuration to read anew"),
+            },
             Some(order) = order => order.obey(&plane),
         }
     }
     tracing::info!("ends: what was taken is answered");
-    if let Some(Administration { api, mut orders }) = administration {
+    if let Some(Administration { api, mut orders, .. }) = administration {
         api.desk().close("the service is ending");
         while let Ok(order) = orders.try_recv() {
             order.obey(&plane);
@@ -163,6 +178,7 @@
     let (version, tenants) = (desk.version(), desk.service().tenants.len());
     tracing::info!(version, tenants, "the state is in effect");
     let (api, orders) = Api::new(desk);
+    let mut listens = None;
     if let Some(settings) = &file.admin {
         let at = |e: std::io::Error| format!("admin: {}: {e}", settings.address);
         let listener = TcpListener::bind(&settings.address).map_err(at)?;
@@ -180,8 +196,9 @@
         };
         std::thread::Builder::new().name("admin".into()).spawn(run).map_err(at)?;
         tracing::info!(%address, "the administration API listens");
+        listens = Some(address);
     }
-    Ok(Administration { api, orders })
+    Ok(Administration { api, orders, address: listens })
 }
 
 /// Reads the file anew and goes over to what it says; where there is durable state, to its listeners alone.
@@ -203,7 +220,7 @@
     }
     let done = match administration {
         None => plane.apply(next),
-        Some(Administration { api, orders }) => {
+        Some(Administration { api, orders, .. }) => {
             // While the desk is held nothing is stored; what is stored is carried out first.
             let mut desk = api.desk();
             while let Ok(order) = orders.try_recv() {
--- a/crates/canvascart/tests/admin.rs
+++ b/crates/canvascart/tests/admin.rs
@@ -304,3 +304,51 @@
         assert!(late.clone().all(|(.., text)| text == name) && late.count() > 0);
     }
 }
+
+#[test]
+fn kills_during_changes_leave_whole_versions() {
+    let ran = canvascart(&["lab", "kills", "--kills", "12", "--seed", "5"]);
+    let said = String::from_utf8(ran.stdout).unwrap();
+    assert_eq!(ran.status.code(), Some(0), "{said}{}", String::from_utf8_lossy(&ran.stderr));
+    assert!(said.contains("12 kills") && said.contains("mixed or lost versions: 0"), "{said}");
+}
+
+#[test]
+fn many_tenants_are_measured_and_each_change_is_seen() {
+    let ran = canvascart(&["lab", "tenants", "--count", "20", "--changes", "3", "--idle", "0"]);
+    let said = String::from_utf8(ran.stdout).unwrap();
+    assert_eq!(ran.status.code(), Some(0), "{said}{}", String::from_utf8_lossy(&ran.stderr));
+    assert!(said.contains("each further idle tenant"), "{said}");
+}
+
+#[test]
+fn the_demonstration_serves_two_tenants_and_is_administered() {
+    use std::io::{BufRead, BufReader};
+    let mut child = Command::new(env!("CARGO_BIN_EXE_canvascart"))
+        .args(["serve", "--demo"])
+        .stdout(std::process::Stdio::piped())
+        .stderr(std::process::Stdio::null())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines().map_while(Result::ok);
+    let mut next = |what: &str| lines.find(|l| l.contains(what)).unwrap_or_else(|| panic!("no {what}"));
+    let words = |line: &str| line.split_whitespace().map(str::to_owned).collect::<Vec<_>>();
+    for tenant in ["north", "south"] {
+        let url = words(&next(tenant))[1].clone();
+        let (address, path) = url.strip_prefix("http://").unwrap().split_once('/').unwrap();
+        let mut client = Client::new(address.parse().unwrap());
+        client.send("GET", &format!("/{path}"), "x", "");
+        let answer = client.answer();
+        assert_eq!(answer.status(), 200);
+        assert!(answer.text().contains("\"class\":\"lookup\""), "{}", answer.text());
+    }
+    let command = words(&next("canvascart admin"));
+    let admin = Admin { url: command[3].clone(), token: command[5].clone().into() };
+    let status = admin.ok(&["status"]);
+    assert!(status.contains("north") && status.contains("south"), "{status}");
+    let directory = admin.token.parent().unwrap().to_owned();
+    let id = child.id().to_string();
+    assert!(Command::new("kill").args(["-s", "INT", &id]).status().unwrap().success());
+    assert!(child.wait().unwrap().success());
+    assert!(!directory.exists(), "what it wrote goes with it");
+}
--- a/crates/lab/src/floods/mod.rs
+++ b/crates/lab/src/floods/mod.rs
@@ -2,7 +2,7 @@
 //! way strains another thing that the tenants share. The quiet tenant is measured before and during the flood, in the
 //! same run.
 
-mod fleet;
+pub(crate) mod fleet;
 
 use std::cell::{Cell, RefCell};
 use std::io::{self, BufRead, BufReader};
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 //! recorded day.
 
 pub mod chance;
+pub mod demo;
 pub mod experiment;
 pub mod floods;
 pub mod ledger;
@@ -20,6 +21,7 @@
 pub mod rogue;
 pub mod scenario;
 pub mod score;
+pub mod service;
 pub mod settings;
 pub mod shares;
 pub mod shipped;
--- a/crates/store/src/dump.rs
+++ b/crates/store/src/dump.rs
@@ -7,7 +7,9 @@
 use serde_json::Value;
 
 use crate::error::StoreError;
-use crate::format::{AUDIT, FORMAT, HEADS, REPLIES, REPLY_ORDER, ROWS, TOKENS, VERSIONS, pack, unpack};
+use crate::format::{
+    AUDIT, AUDIT_OF, FORMAT, HEADS, REPLIES, REPLY_ORDER, ROWS, TOKENS, VERSIONS, pack, unpack,
+};
 use crate::record::{Entry, Row};
 use crate::store::Store;
 
@@ -143,6 +145,10 @@
         }
         Line::Audit { n, entry } => {
             t.open_table(AUDIT)?.insert(n, pack(&entry)?.as_slice())?;
+            let mut of = t.open_table(AUDIT_OF)?;
+            for name in entry.names() {
+                of.insert((name, n), ())?;
+            }
         }
         Line::Token { id, token } => {
             t.open_table(TOKENS)?.insert(id.as_str(), pack(&token)?.as_slice())?;
--- a/crates/store/src/format.rs
+++ b/crates/store/src/format.rs
@@ -2,14 +2,15 @@
 //!
 //! The database has checksums of its own, but looks at them only after a crash; these are looked at on each read.
 
-use redb::{Database, TableDefinition, TableError};
+use redb::{Database, ReadableTable as _, TableDefinition, TableError};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::error::StoreError;
+use crate::record::Entry;
 
 /// The format that this program writes.
-pub const FORMAT: u64 = 1;
+pub const FORMAT: u64 = 2;
 
 /// Numbers about the store itself.
 pub const META: TableDefinition<&str, u64> = TableDefinition::new("meta");
@@ -21,6 +22,8 @@
 pub const VERSIONS: TableDefinition<u64, u64> = TableDefinition::new("versions");
 /// The audit log.
 pub const AUDIT: TableDefinition<u64, &[u8]> = TableDefinition::new("audit");
+/// The lines of the audit log that concern a name: the subject's, and those that the documents' scopes end in. Since format 2.
+pub const AUDIT_OF: TableDefinition<(&str, u64), ()> = TableDefinition::new("audit-of");
 /// Tokens by id.
 pub const TOKENS: TableDefinition<&str, &[u8]> = TableDefinition::new("tokens");
 /// Replies to writes that may be repeated, by key.
@@ -48,25 +51,38 @@
     serde_json::from_slice(whole.1).map_err(|e| StoreError::Damaged(format!("{}: {e}", what())))
 }
 
-/// Makes a new store's tables, or brings an older store's to this program's format. Nothing is written where nothing has to be.
+/// Makes a new store's tables, or brings an older store's to this program's format. Nothing is written where nothing has to be;
+/// what is written is one transaction, so that a process that ends meanwhile leaves the old format.
 pub fn prepare(database: &Database) -> Result<(), StoreError> {
-    match database.begin_read()?.open_table(META) {
-        Ok(meta) => match meta.get(FORMAT_KEY)?.map(|v| v.value()) {
-            Some(FORMAT) => return Ok(()),
-            Some(found) if found > FORMAT => return Err(StoreError::Newer { found, known: FORMAT }),
-            _ => {}
-        },
-        Err(TableError::TableDoesNotExist(_)) => {}
+    let found = match database.begin_read()?.open_table(META) {
+        Ok(meta) => meta.get(FORMAT_KEY)?.map(|v| v.value()),
+        Err(TableError::TableDoesNotExist(_)) => None,
         Err(e) => return Err(e.into()),
+    };
+    match found {
+        Some(FORMAT) => return Ok(()),
+        Some(found) if found > FORMAT => return Err(StoreError::Newer { found, known: FORMAT }),
+        _ => {}
     }
     let write = database.begin_write()?;
     write.open_table(ROWS)?;
     write.open_table(HEADS)?;
     write.open_table(VERSIONS)?;
-    write.open_table(AUDIT)?;
     write.open_table(TOKENS)?;
     write.open_table(REPLIES)?;
     write.open_table(REPLY_ORDER)?;
+    {
+        // Format 1 had no table of whom a line concerns.
+        let (audit, mut of) = (write.open_table(AUDIT)?, write.open_table(AUDIT_OF)?);
+        for line in audit.iter()? {
+            let (n, entry) = line?;
+            let n = n.value();
+            let entry: Entry = unpack(entry.value(), &|| format!("line {n} of the audit log"))?;
+            for name in entry.names() {
+                of.insert((name, n), ())?;
+            }
+        }
+    }
     write.open_table(META)?.insert(FORMAT_KEY, FORMAT)?;
     Ok(write.commit()?)
 }
--- a/crates/store/src/read.rs
+++ b/crates/store/src/read.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 
 use crate::error::StoreError;
-use crate::format::{AUDIT, HEADS, REPLIES, ROWS, TOKENS, VERSIONS, unpack};
+use crate::format::{AUDIT, AUDIT_OF, HEADS, REPLIES, ROWS, TOKENS, VERSIONS, unpack};
 use crate::record::{Entry, Head, Row, State};
 use crate::store::{Store, guard};
 
@@ -128,27 +128,30 @@
         entry.map(|entry| unpack(entry.value(), &|| line(n))).transpose()
     }
 
-    /// Lines of the audit log, the newest first, below one, at most so many; of one tenant where it is named.
+    /// Lines of the audit log, the newest first, below one, at most so many; those that concern a name where one is given.
     ///
     /// # Errors
     /// The store can't be read.
     pub fn audit(
-        &self, subject: Option<&str>, below: u64, most: usize,
+        &self, name: Option<&str>, below: u64, most: usize,
     ) -> Result<Vec<(u64, Entry)>, StoreError> {
         let read = self.database()?.begin_read()?;
         let audit = read.open_table(AUDIT)?;
-        let mut all = Vec::new();
-        for entry in audit.range(..below)?.rev() {
-            let (n, entry) = entry?;
-            let entry: Entry = unpack(entry.value(), &|| line(n.value()))?;
-            if subject.is_none_or(|s| entry.subject.as_deref() == Some(s)) {
-                all.push((n.value(), entry));
-            }
-            if all.len() >= most {
-                break;
-            }
-        }
-        Ok(all)
+        let Some(name) = name else {
+            let lines = audit.range(..below)?.rev().take(most).map(|l| {
+                let (n, entry) = l?;
+                Ok((n.value(), unpack(entry.value(), &|| line(n.value()))?))
+            });
+            return lines.collect();
+        };
+        let of = read.open_table(AUDIT_OF)?;
+        let lines = of.range((name, 0)..(name, below))?.rev().take(most).map(|l| {
+            let n = l?.0.value().1;
+            let entry = audit.get(n)?;
+            let entry = entry.ok_or_else(|| StoreError::Damaged(format!("{} is missing", line(n))))?;
+            Ok((n, unpack(entry.value(), &|| line(n))?))
+        });
+        lines.collect()
     }
 
     /// The reply that a repeated write gets.
@@ -176,6 +179,7 @@
         state(self.database()?)?;
         let read = self.database()?.begin_read()?;
         let (rows, audit) = (read.open_table(ROWS)?, read.open_table(AUDIT)?);
+        let (of, mut pointed) = (read.open_table(AUDIT_OF)?, 0);
         for row in rows.iter()? {
             let (key, row) = row?;
             let (scope, rev) = key.value();
@@ -183,7 +187,17 @@
         }
         for entry in audit.iter()? {
             let (n, entry) = entry?;
-            unpack::<Entry>(entry.value(), &|| line(n.value()))?;
+            let n = n.value();
+            let entry: Entry = unpack(entry.value(), &|| line(n))?;
+            for name in entry.names() {
+                if of.get((name, n))?.is_none() {
+                    return Err(StoreError::Damaged(format!("{} is not among those of {name}", line(n))));
+                }
+                pointed += 1;
+            }
+        }
+        if redb::ReadableTableMetadata::len(&of)? != pointed {
+            return Err(StoreError::Damaged("lines of the audit log are named that are not there".into()));
         }
         let mut expected = None;
         for version in read.open_table(VERSIONS)?.iter()? {
--- a/crates/store/src/record.rs
+++ b/crates/store/src/record.rs
@@ -1,6 +1,6 @@
 //! What a store keeps.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -37,6 +37,14 @@
     pub edits: Vec<Edited>,
 }
 
+impl Entry {
+    /// The names that it concerns, each once: its subject's, and those that its documents' scopes end in.
+    pub fn names(&self) -> BTreeSet<&str> {
+        let edited = self.edits.iter().filter_map(|e| e.scope.split_once('/').map(|(_, name)| name));
+        self.subject.as_deref().into_iter().chain(edited).collect()
+    }
+}
+
 /// A document that changed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Edited {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -11,7 +11,9 @@
 
 use crate::FILE;
 use crate::error::StoreError;
-use crate::format::{AUDIT, HEADS, REPLIES, REPLY_ORDER, ROWS, TOKENS, VERSIONS, pack, prepare, unpack};
+use crate::format::{
+    AUDIT, AUDIT_OF, HEADS, REPLIES, REPLY_ORDER, ROWS, TOKENS, VERSIONS, pack, prepare, unpack,
+};
 use crate::record::{Author, Edited, Entry, Head, Row, State};
 
 /// Opens the database: a file, or what a test puts in its place.
@@ -231,6 +233,11 @@
                 };
             }
             transaction.open_table(AUDIT)?.insert(number, pack(entry)?.as_slice())?;
+            let mut of = transaction.open_table(AUDIT_OF)?;
+            for name in entry.names() {
+                of.insert((name, number), ())?;
+            }
+            drop(of);
             if let Some((key, reply)) = &write.reply {
                 transaction.open_table(REPLIES)?.insert(key.as_str(), pack(reply)?.as_slice())?;
                 transaction.open_table(REPLY_ORDER)?.insert(number, (write.at_ms, key.as_str()))?;
@@ -250,6 +257,7 @@
         let mut gone = Vec::new();
         let (mut versions, mut rows) = (t.open_table(VERSIONS)?, t.open_table(ROWS)?);
         let (mut heads, mut audit) = (t.open_table(HEADS)?, t.open_table(AUDIT)?);
+        let mut of = t.open_table(AUDIT_OF)?;
         for _ in 0..GOING {
             let ends = (versions.first()?.map(|(v, _)| v.value()), versions.last()?.map(|(v, _)| v.value()));
             let (Some(first), Some(last)) = ends else { break };
@@ -282,7 +290,13 @@
         for _ in 0..GOING {
             let first = audit.first()?.map(|(n, _)| n.value());
             let Some(first) = first.filter(|first| *first < until) else { break };
-            audit.remove(first)?;
+            let entry: Entry = match audit.remove(first)? {
+                Some(line) => unpack(line.value(), &|| format!("line {first} of the audit log"))?,
+                None => break,
+            };
+            for name in entry.names() {
+                of.remove((name, first))?;
+            }
         }
         let (mut order, mut replies) = (t.open_table(REPLY_ORDER)?, t.open_table(REPLIES)?);
         for _ in 0..GOING {
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -216,6 +216,52 @@
     assert!(said.contains("use the program that wrote it"), "{said}");
 }
 
+/// A store as the program of format 1 wrote it: without the table of whom a line concerns.
+#[test]
+fn an_older_store_is_brought_to_the_new_format_whole_or_not_at_all() {
+    let older = || {
+        let disk = Disk::default();
+        let (mut store, _) = Store::with(disk.opener(), Keep::default()).unwrap();
+        for n in 0..30 {
+            let scope = format!("tenant/{}", ["x", "y"][n % 2]);
+            let edits = vec![(scope, Some(json!(n))), ("tenant/z".into(), Some(json!(n)))];
+            store.commit(&Write { subject: None, ..write(store.entry(), edits) }).unwrap();
+        }
+        drop(store);
+        let database = disk.opener()().unwrap();
+        let change = database.begin_write().unwrap();
+        let of = redb::TableDefinition::<(&str, u64), ()>::new("audit-of");
+        assert!(change.delete_table(of).unwrap());
+        let meta = redb::TableDefinition::<&str, u64>::new("meta");
+        change.open_table(meta).unwrap().insert("format", 1).unwrap();
+        change.commit().unwrap();
+        drop(database);
+        disk
+    };
+    let good = |disk: &Disk| {
+        let (mut store, state) = Store::with(disk.opener(), Keep::default()).unwrap();
+        assert_eq!((state.version, state.documents.len()), (30, 3));
+        let of = |name| store.audit(Some(name), u64::MAX, 100).unwrap().len();
+        assert_eq!([of("x"), of("y"), of("z"), of("tenant/x")], [15, 15, 30, 0]);
+        assert_eq!(
+            store.audit(Some("x"), 20, 3).unwrap().iter().map(|(n, _)| *n).collect::<Vec<_>>(),
+            [19, 17, 15]
+        );
+        store.check().unwrap();
+    };
+    let disk = older();
+    let before = disk.operations();
+    good(&disk);
+    let whole = disk.operations() - before;
+    let mut rng = Rng::with_seed(3);
+    for at in 1..=whole {
+        let disk = older();
+        disk.end_at(before + at);
+        let _ = Store::with(disk.opener(), Keep::default()).map(drop); // it ends somewhere in there
+        good(&disk.after(End::PowerCut, &mut rng));
+    }
+}
+
 #[test]
 fn damage_anywhere_is_told_of_or_does_no_harm_and_the_snapshot_is_there() {
     let directory = Directory::new("damage");
