Follow a fleet through etcd's watch, and serve tenants whose servers have all just started

Found by the first test of a followed list: a tenant whose servers have all just started, with a class whose aim is 2 s, got no answer at all, by the administration API too. Seen: the list reached the module, each request waited until its aim and was refused; excluded: the list's way (logged), the account (nothing refused); with a server said to be old it was served. At fault: the terms that the hosted service gives the module (limits.fall = 1 s), by which a request expected to take over a quarter of it is too heavy for a cold server (choice.rs, heavy): nothing was ever measured. The span is not known there and now unlimited; the cold server's budget stays. The module is untouched. A test fails without it.

--- a/crates/admin/tests/http.rs
+++ b/crates/admin/tests/http.rs
@@ -58,6 +58,7 @@
                             name,
                             ready: true,
                             servers: [1, 1],
+                            fleet: None,
                             former_pools: 0,
                             sockets: 0,
                             in_flight: 0,
--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -12,7 +12,7 @@
 use ::lab::rogue::{self, Wrong};
 use ::lab::scenario::Scenario;
 use ::lab::sim::decider::Sabotage;
-use ::lab::{floods, real, report, service, shares, shipped};
+use ::lab::{floods, followers, real, report, service, shares, shipped};
 use indicatif::{ProgressBar, ProgressStyle};
 
 /// A rule was broken.
@@ -137,6 +137,19 @@
         #[arg(long, default_value_t = 18)]
         idle: u64,
     },
+    /// Measures the following of a fleet in etcd, against the stand-in.
+    #[command(after_help = CODES)]
+    Followers {
+        /// Sizes of the list.
+        #[arg(long, value_delimiter = ',', default_value = "100,1000,10000")]
+        servers: Vec<usize>,
+        /// Removals under load.
+        #[arg(long, default_value_t = 20)]
+        removals: usize,
+        /// Leaves out how 100 followers come back.
+        #[arg(long)]
+        no_stampede: bool,
+    },
     /// Plays ways to share one process between tenants against each other, in virtual time.
     Shares {
         /// Seeds.
@@ -317,6 +330,12 @@
         }
         Command::Kills { kills, seed } => tell_kills(kills, seed),
         Command::Tenants { count, changes, idle } => tell_tenants(count, Duration::from_secs(idle), changes),
+        Command::Followers { servers, removals, no_stampede } => {
+            Ok(tell_followers(&servers, removals, !no_stampede, &own()?).unwrap_or_else(|e| {
+                tracing::error!(error = %e, "it could not be measured");
+                NOT_RUN
+            }))
+        }
         Command::Shares { repeat, json } => {
             tell_shares("event loop's time", &shares::TIME_COLUMNS, &shares::time(repeat), json);
             tell_shares("stock", &shares::STOCK_COLUMNS, &shares::stock(repeat), json);
@@ -703,6 +722,27 @@
     Ok(0)
 }
 
+fn tell_followers(
+    sizes: &[usize], removals: usize, stampede: bool, command: &[String],
+) -> std::io::Result<u8> {
+    let all = sizes.iter().map(|n| followers::size(*n)).collect::<Result<Vec<_>, _>>()?;
+    print!("{}", followers::table(&all));
+    if stampede {
+        for jitter in [false, true] {
+            let (most, came) = followers::stampede(jitter)?;
+            let how = if jitter { "with chance" } else { "without chance" };
+            println!("100 followers, waits {how}: at most {most} connections in 100 ms, {came} in 5 s");
+        }
+    }
+    let dir = place_for("followers");
+    let [median, most] = followers::last_request(command, removals, &dir)?;
+    println!(
+        "removal's write to the server's last request: p50 {median:.1} ms, most {most:.1} ms of {removals}"
+    );
+    let _ = std::fs::remove_dir_all(&dir); // nothing but a configuration
+    Ok(if most > 1000.0 { BROKEN } else { 0 })
+}
+
 /// Prints what the ways to share came to: the mean over the seeds, with the least and the most.
 fn tell_shares(what: &str, columns: &[&str], rows: &[shares::Row], json: bool) {
     if !json {
--- a/crates/canvascart/src/main.rs
+++ b/crates/canvascart/src/main.rs
@@ -5,6 +5,7 @@
 mod client;
 mod demo;
 mod drill;
+mod fleet;
 mod lab;
 mod log;
 mod replay;
@@ -45,6 +46,8 @@
     Serve(serve::Arguments),
     /// Administers a running `serve`: tenants, servers, classes, limits, versions, tokens.
     Admin(admin::Arguments),
+    /// Registers servers in etcd, drains them, lists them, watches them.
+    Fleet(fleet::Arguments),
     /// Looks after the durable state of a `serve` that does not run.
     #[command(subcommand)]
     Store(state::Command),
@@ -100,6 +103,7 @@
         Command::Lab(command) => lab::run(command),
         Command::Serve(arguments) => serve::run(&arguments),
         Command::Admin(arguments) => admin::run(arguments),
+        Command::Fleet(arguments) => fleet::run(arguments),
         Command::Store(command) => state::run(&command),
         Command::Config(command) => serve::config(&command),
         Command::Proxy { arguments } => return engine::process::main(arguments.into_iter()),
--- a/crates/canvascart/src/serve.rs
+++ b/crates/canvascart/src/serve.rs
@@ -1,5 +1,6 @@
 //! `canvascart serve`: many tenants in one process, as a configuration file says.
 
+use std::cell::OnceCell;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -7,10 +8,12 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use ::admin::{Api, Desk, Order};
+use ::fleet::Keys;
 use hosted::check;
 use hosted::document::Service;
 use hosted::plan::Plan;
-use hosted::plane::Plane;
+use hosted::plane::{Follow, Plane};
+use tokio::runtime::Handle;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::LocalSet;
@@ -120,7 +123,7 @@
         int: on(SignalKind::interrupt())?,
         hup: on(SignalKind::hangup())?,
     };
-    let plane = Plane::new(&service.process);
+    let plane = Plane::new(&service.process, lists());
     let mut administration = match &service.state {
         Some(_) => Some(administer(&plane, &service, arguments.read_only_state)?),
         None => {
@@ -164,6 +167,47 @@
     Ok(0)
 }
 
+/// Follows tenants' lists on a thread of its own, so that no list takes time of the loop that serves. The thread is there once
+/// the first list is.
+fn lists() -> Follow {
+    let thread: OnceCell<Option<Handle>> = OnceCell::new();
+    Box::new(move |tenant, settings, seed| {
+        let (to, updates) = tokio::sync::mpsc::unbounded_channel();
+        let pool = settings.pool.clone().unwrap_or_else(|| tenant.name.clone());
+        let keys = Keys::new(&settings.prefix, &pool);
+        let mut limits = ::fleet::Limits::default();
+        (limits.rules.guard, limits.rules.hold) = (settings.guard.0, settings.hold.0 as u64);
+        let user = settings.user_file.as_ref().and_then(|file| match std::fs::read_to_string(file) {
+            Ok(text) => text.trim().split_once(':').map(|(n, p)| (n.to_owned(), p.to_owned())),
+            Err(e) => {
+                tracing::error!(tenant = tenant.name, file, error = %e, "etcd's user can't be read");
+                None
+            }
+        });
+        let etcd = etcd::Settings { user, ..etcd::Settings::new(settings.etcd.clone()) };
+        let follow = etcd::follow(etcd::Plain, etcd, tenant.name.clone(), keys, limits, seed, to);
+        match thread.get_or_init(|| lists_thread().map_err(|e| tracing::error!(error = %e, "lists")).ok()) {
+            Some(handle) => drop(handle.spawn(follow)),
+            None => tracing::error!(tenant = tenant.name, "its list can't be followed"),
+        }
+        updates
+    })
+}
+
+fn lists_thread() -> std::io::Result<Handle> {
+    let (tell, told) = std::sync::mpsc::channel();
+    std::thread::Builder::new().name("lists".into()).spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let _ = tell.send(
+            runtime.as_ref().map(|r| r.handle().clone()).map_err(|e| std::io::Error::other(e.to_string())),
+        );
+        if let Ok(runtime) = runtime {
+            runtime.block_on(std::future::pending::<()>());
+        }
+    })?;
+    told.recv().map_err(std::io::Error::other)?
+}
+
 /// Opens the state, serves what it says, and starts the administration API on a thread of its own.
 fn administer(plane: &Rc<Plane>, file: &Service, read_only: bool) -> Result<Administration, String> {
     let now_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
--- a/crates/canvascart/tests/admin.rs
+++ b/crates/canvascart/tests/admin.rs
@@ -305,6 +305,22 @@
     }
 }
 
+#[test]
+fn a_tenant_that_comes_with_servers_that_have_just_started_is_served() {
+    let directory = Directory::new("cold");
+    let config =
+        [directory.tables(), listener("public", "127.0.0.1:0", "host", ""), tenant("north", "", &[])];
+    let service = Running::start("cold", &config.concat());
+    let admin = Admin::of(&service, &directory.0);
+    let (a, b) = (says("a"), says("b"));
+    let file = directory.0.join("west.toml");
+    let cold = tenant("west", "", &[("a", a.address), ("b", b.address)]).replace("warm = true\n", "");
+    std::fs::write(&file, cold).unwrap();
+    admin.ok(&["apply", "-f", file.to_str().unwrap()]);
+    let at = service.addresses()["public"];
+    wait_for("an answer", || Client::new(at).get("west.example", "").status() == 200);
+}
+
 #[test]
 fn kills_during_changes_leave_whole_versions() {
     let ran = canvascart(&["lab", "kills", "--kills", "12", "--seed", "5"]);
--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -83,6 +83,11 @@
         self.inbox.put(Input::List { scope: Scope::Full, seq: None, hosts });
     }
 
+    /// Lines that have changed; all others stand.
+    pub fn changed(&self, hosts: Vec<Host>) {
+        self.inbox.put(Input::List { scope: Scope::Delta, seq: None, hosts });
+    }
+
     /// Whether the pool still runs.
     pub fn is_alive(&self) -> bool {
         self.alive.strong_count() > 0
--- a/crates/hosted/src/check.rs
+++ b/crates/hosted/src/check.rs
@@ -129,6 +129,23 @@
     faults.within(&format!("{at}/rules/dial-timeout"), t.rules.dial_timeout.0, 1.0, 60_000.0);
     faults.within(&format!("{at}/rules/idle-close"), t.rules.idle_close.0, 100.0, 3.6e6);
     faults.within(&format!("{at}/rules/retry-after"), t.rules.retry_after.0, 1.0, 3.6e6);
+    if let Some(fleet) = &t.fleet {
+        if !t.servers.is_empty() {
+            faults.put(&format!("{at}/server"), "its servers are followed by fleet, and not named here");
+        }
+        for (i, url) in fleet.etcd.iter().enumerate() {
+            let address =
+                url.strip_prefix("http://").and_then(|a| a.trim_end_matches('/').parse::<SocketAddr>().ok());
+            if address.is_none() {
+                faults.put(
+                    &format!("{at}/fleet/etcd/{i}"),
+                    format!("\"{url}\" is not like \"http://127.0.0.1:2379\""),
+                );
+            }
+        }
+        faults.within(&format!("{at}/fleet/guard"), fleet.guard.0, 0.01, 1.0);
+        faults.within(&format!("{at}/fleet/hold"), fleet.hold.0, 0.0, 3.6e6);
+    }
     for (i, s) in t.servers.iter().enumerate() {
         faults.address(&format!("{at}/server/{i}/address"), &s.address);
     }
--- a/crates/hosted/src/document.rs
+++ b/crates/hosted/src/document.rs
@@ -149,12 +149,53 @@
     #[serde(rename = "class")]
     #[schemars(length(min = 1, max = 64))]
     pub classes: Vec<Class>,
+    /// Where its list of servers is followed; without it, `server` is the list.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<Fleet>,
     /// Its servers.
     #[serde(rename = "server", default)]
     #[schemars(length(max = 10_000))]
     pub servers: Vec<Server>,
 }
 
+/// Where a tenant's list of servers is followed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Fleet {
+    /// Members of etcd, such as `http://127.0.0.1:2379`.
+    #[schemars(length(min = 1, max = 16))]
+    pub etcd: Vec<String>,
+    /// What the keys begin with.
+    #[serde(default = "prefix")]
+    #[schemars(length(min = 1, max = 256))]
+    pub prefix: String,
+    /// The pool's name in the keys; the tenant's without it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(regex(pattern = r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"))]
+    pub pool: Option<String>,
+    /// A file with NAME:PASSWORD, where etcd asks for them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub user_file: Option<String>,
+    /// When more than this part of the servers with leases lose them together, they are held for `hold`; 100 % for never.
+    #[serde(default = "half")]
+    pub guard: Share,
+    /// As above.
+    #[serde(default = "minute")]
+    pub hold: Span,
+}
+
+fn prefix() -> String {
+    "/canvascart/v1".into()
+}
+
+fn half() -> Share {
+    Share(0.5)
+}
+
+fn minute() -> Span {
+    Span(60_000.0)
+}
+
 /// What a tenant may have of what all share. Caps hold however idle the others are; without one there is only the share.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case", default)]
--- a/crates/hosted/src/plan.rs
+++ b/crates/hosted/src/plan.rs
@@ -53,7 +53,7 @@
                 Some(other) => {
                     let change = Change {
                         pool: other.classes != tenant.classes || other.rules != tenant.rules,
-                        servers: other.servers != tenant.servers,
+                        servers: other.servers != tenant.servers || other.fleet != tenant.fleet,
                         limits: other.limits != tenant.limits,
                     };
                     if !change.is_none() {
--- a/crates/hosted/src/plane.rs
+++ b/crates/hosted/src/plane.rs
@@ -14,6 +14,7 @@
 use engine::account::Account;
 use engine::pool::Pool;
 use engine::service::{self, Feed, Host, Process, Router, Running, Terms};
+use fleet::{Told, Update};
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{StatusCode, Uri};
 use schemars::JsonSchema;
@@ -21,6 +22,7 @@
 use settings::{Connections, Names, index_of};
 use tenancy::{Caps, Limits};
 use tokio::net::TcpListener;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, spawn_local};
 use wharfhitch::{Class, Discovery, Effect, Prices, Rating, Settings, ZoneId};
@@ -38,11 +40,31 @@
     /// Pools of earlier versions that still end what they have; they hear of drains and ends of servers, too.
     former: Vec<Feed>,
     births: Births,
+    /// Its list, where that is followed.
+    followed: Option<Followed>,
     seed: u64,
     /// Counts the pools that this tenant has had.
     pools: u64,
 }
 
+/// A list that is followed; dropped, it is followed no longer.
+struct Followed {
+    settings: document::Fleet,
+    /// The list; none before the first.
+    hosts: Option<BTreeMap<String, Host>>,
+    status: Option<fleet::Status>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Followed {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Follows a tenant's list as these settings say, under a seed, for as long as somebody listens.
+pub type Follow = Box<dyn Fn(&Tenant, &document::Fleet, u64) -> UnboundedReceiver<Update>>;
+
 struct Open {
     address: SocketAddr,
     stop: watch::Sender<bool>,
@@ -62,6 +84,7 @@
     version: Cell<u64>,
     seed: u64,
     most: usize,
+    follow: Follow,
     myself: Weak<Plane>,
 }
 
@@ -75,6 +98,9 @@
     pub ready: bool,
     /// Servers that take new work, and all.
     pub servers: [usize; 2],
+    /// What its list is at, where that is followed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<FleetStatus>,
     /// Pools of earlier versions that still end what they have.
     pub former_pools: usize,
     /// Connections of its clients.
@@ -89,9 +115,23 @@
     pub refused: [u64; 5],
 }
 
+/// What a list that is followed is at.
+#[derive(Clone, Debug, PartialEq, Serialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub struct FleetStatus {
+    /// `listing`, `watching`, `behind`, `resyncing` or `stale`.
+    pub state: String,
+    /// The store's revision up to which everything is known.
+    pub revision: i64,
+    /// Servers whose present values can't be read; their last good ones stay.
+    pub quarantined: usize,
+    /// Servers that are held as their leases ended together.
+    pub held: usize,
+}
+
 impl Plane {
     /// A plane with nothing to serve yet.
-    pub fn new(process: &document::Process) -> Rc<Self> {
+    pub fn new(process: &document::Process, follow: Follow) -> Rc<Self> {
         let book = Book::new(Limits {
             sockets: process.sockets,
             in_flight: process.in_flight,
@@ -112,6 +152,7 @@
             version: Cell::new(0),
             seed: process.seed.unwrap_or_else(|| fastrand::u64(..)),
             most: process.sockets as usize,
+            follow,
             myself: myself.clone(),
         })
     }
@@ -180,6 +221,9 @@
         if change.pool {
             self.renew(live);
         }
+        if change.servers {
+            self.attend(live);
+        }
         if change.servers || change.pool {
             live.births.note(&live.document.servers, first, unix_ms());
             live.tell();
@@ -227,11 +271,44 @@
         let running = self.pool(&tenant, &account, seed, 0);
         let mut births = Births::default();
         births.note(&tenant.servers, first, unix_ms());
-        let live = Live { document: tenant, account, running, former: Vec::new(), births, seed, pools: 1 };
+        let mut live = Live {
+            document: tenant,
+            account,
+            running,
+            former: Vec::new(),
+            births,
+            followed: None,
+            seed,
+            pools: 1,
+        };
+        self.attend(&mut live);
         live.tell();
         live
     }
 
+    /// Follows a tenant's list as its document says now. What is known of the list stands until another one comes.
+    fn attend(&self, live: &mut Live) {
+        let Some(settings) = live.document.fleet.clone() else {
+            live.followed = None;
+            return;
+        };
+        if live.followed.as_ref().is_some_and(|f| f.settings == settings) {
+            return;
+        }
+        let mut updates = (self.follow)(&live.document, &settings, live.seed);
+        let (plane, name) = (self.myself.clone(), live.document.name.clone());
+        let task = spawn_local(async move {
+            while let Some(update) = updates.recv().await {
+                let Some(plane) = plane.upgrade() else { return };
+                let mut tenants = plane.tenants.borrow_mut();
+                let Some(live) = tenants.get_mut(&name) else { return };
+                live.hear(update);
+            }
+        });
+        let hosts = live.followed.take().and_then(|mut f| f.hosts.take());
+        live.followed = Some(Followed { settings, hosts, status: None, task });
+    }
+
     fn pool(&self, tenant: &Tenant, account: &Rc<Holder>, seed: u64, number: u64) -> Running {
         let (plane, name) = (self.myself.clone(), tenant.name.clone());
         let seed = seed.wrapping_add(number);
@@ -318,19 +395,78 @@
             share: Some(s.size),
             born_ms: self.births.of(&s.name),
         };
-        let hosts: Vec<Host> = self.document.servers.iter().map(host).collect();
+        let hosts: Vec<Host> = match &self.followed {
+            None => self.document.servers.iter().map(host).collect(),
+            Some(Followed { hosts: Some(hosts), .. }) => hosts.values().cloned().collect(),
+            Some(_) => return, // it is not known yet
+        };
         self.former.iter().filter(|f| f.is_alive()).for_each(|f| f.whole(hosts.clone()));
         self.running.feed.whole(hosts);
     }
+
+    /// Takes what has become of a list that is followed, and tells all its pools.
+    fn hear(&mut self, update: Update) {
+        let Some(followed) = &mut self.followed else { return };
+        let changed = match update {
+            Update::Status(status) => {
+                followed.status = Some(status);
+                return;
+            }
+            Update::Told(Told::Whole(all)) => {
+                followed.hosts = Some(all.iter().map(|s| (s.name.clone(), host(s))).collect());
+                return self.tell();
+            }
+            Update::Told(Told::Is(server)) => {
+                let host = host(&server);
+                followed.hosts.get_or_insert_default().insert(server.name, host.clone());
+                host
+            }
+            Update::Told(Told::Gone(name)) => {
+                let Some(host) = followed.hosts.as_mut().and_then(|h| h.remove(&name)) else { return };
+                Host { health: "removed".into(), ..host }
+            }
+        };
+        self.former.iter().filter(|f| f.is_alive()).for_each(|f| f.changed(vec![changed.clone()]));
+        self.running.feed.changed(vec![changed]);
+    }
+}
+
+/// A server of a list that is followed, as the module takes it.
+fn host(server: &fleet::Server) -> Host {
+    let entry = &server.entry;
+    Host {
+        host: server.name.clone(),
+        dial: Some(entry.address),
+        site: entry.zone.clone(),
+        class: entry.kind.clone(),
+        block: None,
+        health: if entry.state == fleet::State::Up { "up" } else { "draining" }.into(),
+        share: Some(entry.size),
+        born_ms: server.born_ms as f64,
+    }
 }
 
 fn status((name, live): (&String, &Live)) -> TenantStatus {
     let used = live.account.used();
-    let servers = &live.document.servers;
+    let listed = &live.document.servers;
+    let servers = match &live.followed {
+        None => [listed.iter().filter(|s| s.state == State::Up).count(), listed.len()],
+        Some(followed) => {
+            let hosts = followed.hosts.iter().flat_map(BTreeMap::values);
+            [hosts.clone().filter(|h| h.health == "up").count(), hosts.count()]
+        }
+    };
+    let followed = live.followed.as_ref().and_then(|f| f.status.as_ref()).map(|s| FleetStatus {
+        state: s.phase.to_string(),
+        revision: s.revision,
+        quarantined: s.servers[1],
+        held: s.servers[2],
+    });
     TenantStatus {
         name: name.clone(),
         ready: live.running.pool.is_ready(),
-        servers: [servers.iter().filter(|s| s.state == State::Up).count(), servers.len()],
+        servers,
+        fleet: followed,
         former_pools: live.former.iter().filter(|f| f.is_alive()).count(),
         sockets: used.sockets,
         in_flight: used.in_flight,
@@ -391,7 +527,8 @@
             start_capacity: rules.cold_from.0,
             cold: rules.cold.0,
             fall_multiple: 1.0,
-            fall: 1000.0,
+            // How long a cold server bears too much is not known here: its budget alone keeps it, and no class is too heavy.
+            fall: f64::MAX,
             max_attempts: rules.max_attempts,
         },
     };
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod demo;
 pub mod experiment;
 pub mod floods;
+pub mod followers;
 pub mod ledger;
 pub mod load;
 pub mod oracle;
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -38,6 +38,9 @@
     }
 }
 
+/// Bytes of pages that the database keeps in memory: present documents are kept beside it, the past is read rarely.
+const CACHE: usize = 4 << 20;
+
 /// One write makes so many old things go at most, so that no write takes long.
 const GOING: usize = 64;
 
@@ -87,7 +90,7 @@
         if !file.exists() {
             make(directory, &file)?;
         }
-        Store::with(Box::new(move || Ok(Database::open(&file)?)), keep)
+        Store::with(Box::new(move || Ok(Database::builder().set_cache_size(CACHE).open(&file)?)), keep)
     }
 
     /// Opens the store of a directory that must be there.
