--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -111,6 +111,9 @@
         /// Floods a second process like the first instead: what the machine takes, and not the sharing of a process.
         #[arg(long)]
         apart: bool,
+        /// Changes the quiet tenant all the while, by the administration API.
+        #[arg(long)]
+        changing: bool,
         /// Runs a service, as `canvascart` does with the arguments that are put behind; without it, this program.
         #[arg(long, value_name = "COMMAND")]
         service: Option<String>,
@@ -323,10 +326,16 @@
         }
         Command::Report { dirs } => Ok(tell_again(&dirs)),
         Command::Peer(peer) => run_peer(peer),
-        Command::Floods { kind, seconds, repeat, apart, service } => {
+        Command::Floods { kind, seconds, repeat, apart, changing, service } => {
             let kinds =
                 floods::Kind::ALL.iter().map(|(_, k)| *k).filter(|k| kind.is_none_or(|only| only == *k));
-            flood(&kinds.collect::<Vec<_>>(), Duration::from_secs(seconds), repeat, apart, service.as_deref())
+            flood(
+                &kinds.collect::<Vec<_>>(),
+                Duration::from_secs(seconds),
+                repeat,
+                [apart, changing],
+                service.as_deref(),
+            )
         }
         Command::Kills { kills, seed } => tell_kills(kills, seed),
         Command::Tenants { count, changes, idle } => tell_tenants(count, Duration::from_secs(idle), changes),
@@ -621,7 +630,7 @@
 
 /// Floods a service in each way and prints how the quiet tenant fared, run by run.
 fn flood(
-    kinds: &[floods::Kind], span: Duration, repeat: u64, apart: bool, service: Option<&str>,
+    kinds: &[floods::Kind], span: Duration, repeat: u64, how: [bool; 2], service: Option<&str>,
 ) -> Result<u8, String> {
     let own = std::env::current_exe().map_err(|e| format!("this program's own path: {e}"))?;
     let command: Vec<String> = match service {
@@ -640,7 +649,7 @@
     );
     for &kind in kinds {
         for seed in 1..=repeat.max(1) {
-            let f = match floods::flood(kind, &command, span, seed, apart, &dir) {
+            let f = match floods::flood(kind, &command, span, seed, how, &dir) {
                 Ok(f) => f,
                 Err(e) => {
                     tracing::error!(?kind, error = %e, "it could not be measured");
@@ -659,6 +668,9 @@
                 f.late_ms,
                 if f.late_ms > FLOOD_LATE { "  void: sent late" } else { "" },
             );
+            if f.changes > 0 {
+                println!("{:<13} {} changes of the quiet tenant meanwhile", "", f.changes);
+            }
         }
     }
     let _ = std::fs::remove_dir_all(&dir); // nothing but configurations
--- a/crates/canvascart/tests/admin.rs
+++ b/crates/canvascart/tests/admin.rs
@@ -321,6 +321,35 @@
     wait_for("an answer", || Client::new(at).get("west.example", "").status() == 200);
 }
 
+/// Tenants come and go: what they leave behind does not add up.
+#[test]
+fn removed_pools_free_their_memory() {
+    let directory = Directory::new("memory");
+    let config =
+        [directory.tables(), listener("public", "127.0.0.1:0", "host", ""), tenant("stays", "", &[])];
+    let service = Running::start("memory", &config.concat());
+    let admin = Admin::of(&service, &directory.0);
+    let server: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let many: String =
+        (0..300).map(|n| tenant(&format!("t{n}"), "", &[("a", server), ("b", server)])).collect();
+    let (all, one) = (directory.0.join("all.toml"), directory.0.join("one.toml"));
+    std::fs::write(&all, many).unwrap();
+    std::fs::write(&one, tenant("stays", "", &[])).unwrap();
+    let resident = || {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", service.child.id())).unwrap();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap();
+        line.split_whitespace().next().unwrap().parse::<u64>().unwrap()
+    };
+    let mut after = Vec::new();
+    for _ in 0..8 {
+        admin.ok(&["apply", "-f", all.to_str().unwrap()]);
+        admin.ok(&["apply", "-f", one.to_str().unwrap(), "--prune"]);
+        after.push(resident());
+    }
+    // A round holds 10 MB and more in pools and documents; kept versions take some tens of KB of it.
+    assert!(after[7] < after[2] + after[2] / 4, "kB after each round: {after:?}");
+}
+
 #[test]
 fn kills_during_changes_leave_whole_versions() {
     let ran = canvascart(&["lab", "kills", "--kills", "12", "--seed", "5"]);
--- a/crates/canvascart/tests/fleet.rs
+++ b/crates/canvascart/tests/fleet.rs
@@ -106,7 +106,8 @@
     wait_for("a request at the server", || {
         if held.seen().is_empty() {
             waiting = Client::new(at);
-            waiting.send("GET", "/lookup/1", "north.example", "");
+            // A checkout is waited for until its deadline, a lookup only until its aim.
+            waiting.send("POST", "/checkout/1", "north.example", "Content-Length: 0\r\n");
             std::thread::sleep(Duration::from_millis(100));
         }
         !held.seen().is_empty()
@@ -114,8 +115,13 @@
     etcd.put("north", "fresh", &fresh, State::Up);
     etcd.put("north", "held", &held, State::Draining);
     wait_for("work goes elsewhere", || Client::new(at).get("north.example", "").text() == "fresh");
+    // One may have gone there before the drain was told; none does afterwards.
+    let before = held.seen().len();
+    for _ in 0..20 {
+        assert_eq!(Client::new(at).get("north.example", "").text(), "fresh");
+    }
     etcd.delete("north", "held");
-    assert_eq!(held.seen().len(), 1);
+    assert_eq!(held.seen().len(), before);
     gate.open();
     assert_eq!(waiting.answer().text(), "held");
 }
--- a/crates/lab/src/floods/mod.rs
+++ b/crates/lab/src/floods/mod.rs
@@ -21,6 +21,7 @@
 
 use crate::chance::{Use, stream};
 use crate::real::http::{Start, Wire};
+use crate::service::Line;
 use fleet::{Fleet, LARGE};
 
 /// A way to flood, and what it strains.
@@ -83,6 +84,8 @@
     pub served_per_s: f64,
     /// How late the quiet tenant's requests were sent at the 99th percentile in ms: beyond a few, the run is void.
     pub late_ms: f64,
+    /// Changes of the quiet tenant that were made meanwhile.
+    pub changes: u64,
 }
 
 impl Flood {
@@ -103,7 +106,7 @@
 
 /// What both tenants' classes look like, and what the process has. It is small, so that one core of this machine can flood it
 /// ten times over.
-fn config(fleet: &Fleet, kind: Kind) -> String {
+fn config(fleet: &Fleet, kind: Kind, state: Option<&Path>) -> String {
     let class = |name: &str, effect: &str| {
         format!(
             "[[tenant.class]]\nname = \"{name}\"\neffect = \"{effect}\"\naim = \"500 ms\"\ndeadline = \"1 s\"\nlate-worth = \
@@ -121,8 +124,15 @@
             class("checkout", "unsafe")
         )
     };
+    let state = state.map_or(String::new(), |directory| {
+        format!(
+            "[state]\ndirectory = {:?}\n[admin]\naddress = \"127.0.0.1:0\"\n",
+            directory.display().to_string()
+        )
+    });
     let flooding = if kind == Kind::Hangs { &fleet.hanging } else { &fleet.flooded };
     [
+        &state,
         "[process]\nsockets = 256\nin-flight = 128\nbytes = \"4 MiB\"\nloop-share = \"40 %\"\nturning-share = \"10 \
          %\"\nseed = 1\n",
         "[[listener]]\nname = \"quiet\"\naddress = \"127.0.0.1:0\"\ntenant-by = \"listener\"\ntenant = \"quiet\"\n",
@@ -138,6 +148,8 @@
     child: Child,
     quiet: SocketAddr,
     flood: SocketAddr,
+    /// Its administration API, if it has one.
+    admin: Option<SocketAddr>,
 }
 
 impl Drop for Service {
@@ -149,7 +161,7 @@
 
 impl Service {
     /// Starts it by a command that takes the arguments of `canvascart`, and reads from its log where it listens.
-    fn start(command: &[String], config: &Path) -> io::Result<Self> {
+    fn start(command: &[String], config: &Path, administered: bool) -> io::Result<Self> {
         let (program, arguments) =
             command.split_first().ok_or_else(|| io::Error::other("no service is named"))?;
         let mut child = Command::new(program)
@@ -162,10 +174,10 @@
             .spawn()?;
         let stderr = child.stderr.take().ok_or_else(|| io::Error::other("it has no log"))?;
         let none = SocketAddr::from(([0, 0, 0, 0], 0));
-        let mut service = Service { child, quiet: none, flood: none };
+        let mut service = Service { child, quiet: none, flood: none, admin: None };
         let mut lines = BufReader::new(stderr).lines();
         let mut said = String::new();
-        while service.quiet == none || service.flood == none {
+        while service.quiet == none || service.flood == none || administered && service.admin.is_none() {
             let Some(line) = lines.next().transpose()? else {
                 return Err(io::Error::other(format!("the service did not come up: {said}")));
             };
@@ -174,6 +186,7 @@
             match (value["listener"].as_str(), address) {
                 (Some("quiet"), Some(address)) => service.quiet = address,
                 (Some("flood"), Some(address)) => service.flood = address,
+                (None, address @ Some(_)) => service.admin = address,
                 _ => said = line,
             }
         }
@@ -183,19 +196,30 @@
 }
 
 /// Floods a service once; `span` is the length of each half. Files go into `dir`. With `apart` the flood goes to a second
-/// process like the first: what the quiet tenant loses then, the machine takes, and not the sharing of a process.
+/// process like the first: what the quiet tenant loses then, the machine takes, and not the sharing of a process. With `changing`
+/// the quiet tenant's limits are changed by the administration API all the while.
 ///
 /// # Errors
 /// The service, a server or a socket could not be had.
 pub fn flood(
-    kind: Kind, command: &[String], span: Duration, seed: u64, apart: bool, dir: &Path,
+    kind: Kind, command: &[String], span: Duration, seed: u64, [apart, changing]: [bool; 2], dir: &Path,
 ) -> io::Result<Flood> {
     std::fs::create_dir_all(dir)?;
     let fleet = Fleet::start()?;
     let file = dir.join(format!("flood-{}.toml", kind.name()));
-    std::fs::write(&file, config(&fleet, kind))?;
-    let service = Service::start(command, &file)?;
-    let other = if apart { Some(Service::start(command, &file)?) } else { None };
+    let state = dir.join("state");
+    if changing && state.exists() {
+        std::fs::remove_dir_all(&state)?;
+    }
+    std::fs::write(&file, config(&fleet, kind, changing.then_some(state.as_path())))?;
+    let service = Service::start(command, &file, changing)?;
+    let other = if apart { Some(Service::start(command, &file, false)?) } else { None };
+    let until = Instant::now() + 2 * span + SETTLE;
+    let changes = service.admin.map(|at| {
+        let token = std::fs::read_to_string(state.join("operator.token"))?;
+        Ok::<_, io::Error>(thread::spawn(move || change(at, &token, until)))
+    });
+    let changes = changes.transpose()?;
     let begin = Instant::now() + Duration::from_millis(200);
     let floods = [begin + span, begin + 2 * span + SETTLE];
     let at = other.as_ref().unwrap_or(&service).flood;
@@ -208,7 +232,10 @@
     ))?;
     let (sent, served) = flooding.join().map_err(|_| io::Error::other("the flood panicked"))??;
     let seconds = (floods[1] - floods[0]).as_secs_f64();
+    let changes =
+        changes.map(|c| c.join().map_err(|_| io::Error::other("the changes panicked"))?).transpose()?;
     Ok(Flood {
+        changes: changes.unwrap_or(0),
         kind,
         quiet: quiet.halves,
         sent_per_s: sent as f64 / seconds,
@@ -217,6 +244,21 @@
     })
 }
 
+/// Changes the quiet tenant's limits and one of its servers, again and again; returns how often.
+fn change(at: SocketAddr, token: &str, until: Instant) -> io::Result<u64> {
+    let mut line = Line::admin(at, token);
+    let mut n = 0;
+    while Instant::now() < until {
+        let limits = serde_json::json!({ "in-flight": 100 + n % 10 });
+        line.json("PUT", "/v1/tenants/quiet/limits", "", &limits)?;
+        let act = if n % 2 == 0 { "drain" } else { "resume" };
+        line.json("POST", &format!("/v1/tenants/quiet/servers/quiet-0/{act}"), "", &serde_json::Value::Null)?;
+        n += 1;
+        thread::sleep(Duration::from_millis(50));
+    }
+    Ok(2 * n)
+}
+
 fn on_thread<T>(future: impl Future<Output = io::Result<T>>) -> io::Result<T> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let outcome = LocalSet::new().block_on(&runtime, future);
