Measure following under other names, as one that comes and goes is held back

lab followers took the same names again and again; the fourth return is held back for 10 s, as it should be, and the run ended.

--- a/crates/lab/src/followers.rs
+++ b/crates/lab/src/followers.rs
@@ -226,7 +226,8 @@
         thread::sleep(Duration::from_secs(1));
         let mut late = Vec::new();
         for n in 0..removals {
-            let (name, witness) = (format!("w{}", n % 3), &witnesses[n % 3]);
+            // Under another name each time: one that comes and goes would be held back.
+            let (name, next, witness) = (format!("w{n}"), format!("w{}", n + 3), &witnesses[n % 3]);
             let gone = start.elapsed().as_micros() as f64;
             // A server that nobody asked would keep the rule without a merit.
             if witness.asked.swap(0, Ordering::Relaxed) == 0 {
@@ -235,7 +236,7 @@
             delete(&standin, &name);
             thread::sleep(Duration::from_millis(1200));
             late.push((witness.asked.load(Ordering::Relaxed) as f64 - gone).max(0.0) / 1000.0);
-            put(&standin, &name, witness.address);
+            put(&standin, &next, witness.address);
             let begin = Instant::now();
             while witness.asked.load(Ordering::Relaxed) as f64 <= gone + 1.2e6
                 && begin.elapsed().as_secs() < 5
