Start the hosted service in one way for all that the lab does with it; part long files

The floods and the kills started the service each in its own words; now both wait for listeners and the API by the same code. No change of behaviour.

--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -1,5 +1,7 @@
 //! `canvascart lab`: plays scenarios and says what came of them.
 
+mod hosted;
+
 use std::io::{IsTerminal as _, Write as _};
 use std::net::SocketAddr;
 use std::num::NonZero;
@@ -12,7 +14,7 @@
 use ::lab::rogue::{self, Wrong};
 use ::lab::scenario::Scenario;
 use ::lab::sim::decider::Sabotage;
-use ::lab::{floods, followers, real, report, service, shares, shipped};
+use ::lab::{floods, real, report, shares, shipped};
 use indicatif::{ProgressBar, ProgressStyle};
 
 /// A rule was broken.
@@ -337,10 +339,12 @@
                 service.as_deref(),
             )
         }
-        Command::Kills { kills, seed } => tell_kills(kills, seed),
-        Command::Tenants { count, changes, idle } => tell_tenants(count, Duration::from_secs(idle), changes),
+        Command::Kills { kills, seed } => hosted::kills(kills, seed),
+        Command::Tenants { count, changes, idle } => {
+            hosted::tenants(count, Duration::from_secs(idle), changes)
+        }
         Command::Followers { servers, removals, no_stampede } => {
-            Ok(tell_followers(&servers, removals, !no_stampede, &own()?).unwrap_or_else(|e| {
+            Ok(hosted::followers(&servers, removals, !no_stampede, &hosted::own()?).unwrap_or_else(|e| {
                 tracing::error!(error = %e, "it could not be measured");
                 NOT_RUN
             }))
@@ -677,84 +681,6 @@
     Ok(0)
 }
 
-/// This program, as a command that others start.
-fn own() -> Result<Vec<String>, String> {
-    let own = std::env::current_exe().map_err(|e| format!("this program's own path: {e}"))?;
-    Ok(vec![own.to_string_lossy().into_owned()])
-}
-
-/// A directory for a measurement's files.
-fn place_for(what: &str) -> PathBuf {
-    std::env::temp_dir().join("canvascart-lab").join(format!("{what}-{}", std::process::id()))
-}
-
-fn tell_kills(kills: u64, seed: u64) -> Result<u8, String> {
-    let dir = place_for("kills");
-    let tick = progress("kills", false);
-    let played = service::kills::play(&own()?, kills, seed, &dir, tick);
-    let mut told = match played {
-        Ok(told) => told,
-        Err(e) => {
-            tracing::error!(error = %e, "it could not be played");
-            return Ok(NOT_RUN);
-        }
-    };
-    told.restarts_ms.sort_by(f64::total_cmp);
-    let at = |q: f64| told.restarts_ms.get((q * (told.restarts_ms.len() as f64 - 1.0)) as usize).copied();
-    let [came, there] = told.under_way;
-    println!("{} kills, {} changes acknowledged", told.kills, told.acknowledged);
-    println!(
-        "{came} kills came while a change was under way; {there} of these changes were there afterwards"
-    );
-    println!("restart p50 {:.0} ms, p99 {:.0} ms", at(0.5).unwrap_or(0.0), at(0.99).unwrap_or(0.0));
-    println!("mixed or lost versions: {}", told.broken.len());
-    told.broken.iter().for_each(|what| println!("  {what}"));
-    if told.broken.is_empty() {
-        let _ = std::fs::remove_dir_all(&dir); // else it shows what was broken
-        return Ok(0);
-    }
-    println!("the state is kept in {}", dir.display());
-    Ok(BROKEN)
-}
-
-fn tell_tenants(count: usize, idle: Duration, changes: u64) -> Result<u8, String> {
-    let dir = place_for("tenants");
-    let mut all = Vec::new();
-    for tenants in [1, count] {
-        match service::tenants::measure(&own()?, tenants, idle, changes, &dir) {
-            Ok(measured) => all.push(measured),
-            Err(e) => {
-                tracing::error!(tenants, error = %e, "it could not be measured");
-                return Ok(NOT_RUN);
-            }
-        }
-    }
-    print!("{}", service::tenants::table(&all));
-    let _ = std::fs::remove_dir_all(&dir); // nothing but the state
-    Ok(0)
-}
-
-fn tell_followers(
-    sizes: &[usize], removals: usize, stampede: bool, command: &[String],
-) -> std::io::Result<u8> {
-    let all = sizes.iter().map(|n| followers::size(*n)).collect::<Result<Vec<_>, _>>()?;
-    print!("{}", followers::table(&all));
-    if stampede {
-        for jitter in [false, true] {
-            let (most, came) = followers::stampede(jitter)?;
-            let how = if jitter { "with chance" } else { "without chance" };
-            println!("100 followers, waits {how}: at most {most} connections in 100 ms, {came} in 5 s");
-        }
-    }
-    let dir = place_for("followers");
-    let [median, most] = followers::last_request(command, removals, &dir)?;
-    println!(
-        "removal's write to the server's last request: p50 {median:.1} ms, most {most:.1} ms of {removals}"
-    );
-    let _ = std::fs::remove_dir_all(&dir); // nothing but a configuration
-    Ok(if most > 1000.0 { BROKEN } else { 0 })
-}
-
 /// Prints what the ways to share came to: the mean over the seeds, with the least and the most.
 fn tell_shares(what: &str, columns: &[&str], rows: &[shares::Row], json: bool) {
     if !json {
--- a/crates/lab/src/floods/mod.rs
+++ b/crates/lab/src/floods/mod.rs
@@ -5,10 +5,9 @@
 pub(crate) mod fleet;
 
 use std::cell::{Cell, RefCell};
-use std::io::{self, BufRead, BufReader};
+use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -21,7 +20,7 @@
 
 use crate::chance::{Use, stream};
 use crate::real::http::{Start, Wire};
-use crate::service::Line;
+use crate::service::{Line, Service};
 use fleet::{Fleet, LARGE};
 
 /// A way to flood, and what it strains.
@@ -143,58 +142,6 @@
     .concat()
 }
 
-/// A service that is killed when it is no longer needed.
-struct Service {
-    child: Child,
-    quiet: SocketAddr,
-    flood: SocketAddr,
-    /// Its administration API, if it has one.
-    admin: Option<SocketAddr>,
-}
-
-impl Drop for Service {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl Service {
-    /// Starts it by a command that takes the arguments of `canvascart`, and reads from its log where it listens.
-    fn start(command: &[String], config: &Path, administered: bool) -> io::Result<Self> {
-        let (program, arguments) =
-            command.split_first().ok_or_else(|| io::Error::other("no service is named"))?;
-        let mut child = Command::new(program)
-            .args(arguments)
-            .args(["--log-format", "json", "--log", "info", "serve", "--config"])
-            .arg(config)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::piped())
-            .spawn()?;
-        let stderr = child.stderr.take().ok_or_else(|| io::Error::other("it has no log"))?;
-        let none = SocketAddr::from(([0, 0, 0, 0], 0));
-        let mut service = Service { child, quiet: none, flood: none, admin: None };
-        let mut lines = BufReader::new(stderr).lines();
-        let mut said = String::new();
-        while service.quiet == none || service.flood == none || administered && service.admin.is_none() {
-            let Some(line) = lines.next().transpose()? else {
-                return Err(io::Error::other(format!("the service did not come up: {said}")));
-            };
-            let value: serde_json::Value = serde_json::from_str(&line).unwrap_or_default();
-            let address = value["address"].as_str().and_then(|a| a.parse().ok());
-            match (value["listener"].as_str(), address) {
-                (Some("quiet"), Some(address)) => service.quiet = address,
-                (Some("flood"), Some(address)) => service.flood = address,
-                (None, address @ Some(_)) => service.admin = address,
-                _ => said = line,
-            }
-        }
-        thread::spawn(move || lines.for_each(drop)); // a log that nobody reads would stop it
-        Ok(service)
-    }
-}
-
 /// Floods a service once; `span` is the length of each half. Files go into `dir`. With `apart` the flood goes to a second
 /// process like the first: what the quiet tenant loses then, the machine takes, and not the sharing of a process. With `changing`
 /// the quiet tenant's limits are changed by the administration API all the while.
@@ -212,8 +159,8 @@
         std::fs::remove_dir_all(&state)?;
     }
     std::fs::write(&file, config(&fleet, kind, changing.then_some(state.as_path())))?;
-    let service = Service::start(command, &file, changing)?;
-    let other = if apart { Some(Service::start(command, &file, false)?) } else { None };
+    let service = Service::start(command, &file, 2, changing)?;
+    let other = if apart { Some(Service::start(command, &file, 2, false)?) } else { None };
     let until = Instant::now() + 2 * span + SETTLE;
     let changes = service.admin.map(|at| {
         let token = std::fs::read_to_string(state.join("operator.token"))?;
@@ -222,10 +169,10 @@
     let changes = changes.transpose()?;
     let begin = Instant::now() + Duration::from_millis(200);
     let floods = [begin + span, begin + 2 * span + SETTLE];
-    let at = other.as_ref().unwrap_or(&service).flood;
+    let at = other.as_ref().unwrap_or(&service).listener("flood")?;
     let flooding = thread::spawn(move || on_thread(flood_with(kind, at, floods)));
     let quiet = on_thread(quietly(
-        service.quiet,
+        service.listener("quiet")?,
         seed,
         begin,
         [span, floods[0] - begin + SETTLE, floods[1] - begin],
--- a/crates/lab/src/followers.rs
+++ b/crates/lab/src/followers.rs
@@ -209,7 +209,7 @@
         endpoints.join(", ")
     );
     let place = Place::new(dir, &tables)?;
-    let service = Service::start(command, &place.config)?;
+    let service = Service::start(command, &place.config, 1, true)?;
     let at =
         service.listeners.get("public").copied().ok_or_else(|| io::Error::other("it has no listener"))?;
     let stop = AtomicBool::new(false);
--- a/crates/lab/src/service/kills.rs
+++ b/crates/lab/src/service/kills.rs
@@ -60,11 +60,11 @@
     let (mut last, mut sent) = (0, false);
     for n in 0..=kills {
         let began = Instant::now();
-        let mut service = Service::start(command, &place.config)?;
+        let mut service = Service::start(command, &place.config, 1, true)?;
         if n > 0 {
             told.restarts_ms.push(began.elapsed().as_secs_f64() * 1000.0);
         }
-        let mut line = Line::admin(service.admin, &place.token()?);
+        let mut line = service.line(&place)?;
         match look(&mut line, last, sent) {
             Ok(there) => {
                 if sent {
--- a/crates/lab/src/service/mod.rs
+++ b/crates/lab/src/service/mod.rs
@@ -22,8 +22,8 @@
     child: Child,
     /// Where its listeners are.
     pub listeners: BTreeMap<String, SocketAddr>,
-    /// Where its administration API is.
-    pub admin: SocketAddr,
+    /// Where its administration API is, if it has one.
+    pub admin: Option<SocketAddr>,
 }
 
 impl Drop for Service {
@@ -33,12 +33,14 @@
 }
 
 impl Service {
-    /// Starts a service by a command that takes the arguments of `canvascart`, and waits until its administration API listens:
-    /// that comes last.
+    /// Starts a service by a command that takes the arguments of `canvascart`, and waits until so many listeners are up, and its
+    /// administration API if it has one.
     ///
     /// # Errors
     /// It does not come up; what it said last.
-    pub fn start(command: &[String], config: &Path) -> io::Result<Self> {
+    pub fn start(
+        command: &[String], config: &Path, listeners: usize, administered: bool,
+    ) -> io::Result<Self> {
         let (program, arguments) =
             command.split_first().ok_or_else(|| io::Error::other("no service is named"))?;
         let mut child = Command::new(program)
@@ -50,11 +52,10 @@
             .stderr(Stdio::piped())
             .spawn()?;
         let stderr = child.stderr.take().ok_or_else(|| io::Error::other("it has no log"))?;
-        let mut service =
-            Service { child, listeners: BTreeMap::new(), admin: SocketAddr::from(([0, 0, 0, 0], 0)) };
+        let mut service = Service { child, listeners: BTreeMap::new(), admin: None };
         let mut lines = BufReader::new(stderr).lines();
         let mut said = String::new();
-        while service.admin.port() == 0 {
+        while service.listeners.len() < listeners || administered && service.admin.is_none() {
             let Some(line) = lines.next().transpose()? else {
                 return Err(io::Error::other(format!("the service did not come up: {said}")));
             };
@@ -64,7 +65,7 @@
                 (Some("listens"), Some(name), Some(address)) => {
                     service.listeners.insert(name.to_owned(), address);
                 }
-                (Some("the administration API listens"), _, Some(address)) => service.admin = address,
+                (Some("the administration API listens"), _, address) => service.admin = address,
                 _ => said = line,
             }
         }
@@ -72,6 +73,24 @@
         Ok(service)
     }
 
+    /// Where a listener is.
+    ///
+    /// # Errors
+    /// There is none of this name.
+    pub fn listener(&self, name: &str) -> io::Result<SocketAddr> {
+        let found = self.listeners.get(name).copied();
+        found.ok_or_else(|| io::Error::other(format!("the service has no listener {name}")))
+    }
+
+    /// A connection to its administration API.
+    ///
+    /// # Errors
+    /// It has none, or no token is there.
+    pub fn line(&self, place: &Place) -> io::Result<Line> {
+        let at = self.admin.ok_or_else(|| io::Error::other("the service has no administration API"))?;
+        Ok(Line::admin(at, &place.token()?))
+    }
+
     /// Its process.
     pub fn id(&self) -> u32 {
         self.child.id()
--- a/crates/lab/src/service/tenants.rs
+++ b/crates/lab/src/service/tenants.rs
@@ -70,8 +70,8 @@
 ) -> io::Result<Measured> {
     let fleet = Fleet::start()?;
     let place = Place::new(dir, "")?;
-    let mut service = Service::start(command, &place.config)?;
-    let mut admin = Line::admin(service.admin, &place.token()?);
+    let mut service = Service::start(command, &place.config, 1, true)?;
+    let mut admin = service.line(&place)?;
     let mut measured = Measured { tenants, ..Measured::default() };
     let all: Vec<Value> = (0..tenants).map(|n| document(n, &fleet.quiet)).collect();
     let began = Instant::now();
@@ -87,7 +87,7 @@
 
     service.kill();
     let began = Instant::now();
-    service = Service::start(command, &place.config)?;
+    service = Service::start(command, &place.config, 1, true)?;
     let at =
         service.listeners.get("public").copied().ok_or_else(|| io::Error::other("it has no listener"))?;
     let one = "X-Tenant-Id: t00000\r\n";
@@ -97,7 +97,7 @@
         return Err(io::Error::other(format!("the first lookup got {status}")));
     }
     measured.resident_mb[1] = resident_mb(service.id()).unwrap_or(0.0);
-    let mut admin = Line::admin(service.admin, &place.token()?);
+    let mut admin = service.line(&place)?;
     under_load(&mut admin, at, changes, &mut measured)?;
     measured.admission_ns = admission(tenants);
     Ok(measured)
