--- a/crates/admin/tests/http.rs
+++ b/crates/admin/tests/http.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use admin::operations::{OPERATIONS, openapi};
 use admin::{Api, Order};
@@ -315,14 +315,19 @@
     let made = served.call("POST", "/v1/tokens", "", &json!({ "name": "n", "role": "read-only" }));
     let (id, token) = (made.body["id"].as_str().unwrap(), made.body["token"].as_str().unwrap());
     let mut stream = served.connect();
-    let head = format!("GET /v1/events HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {token}\r\n\r\n");
+    let head = format!(
+        "GET /v1/events HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer {token}\r\n\r\n"
+    );
     stream.write_all(head.as_bytes()).unwrap();
     let mut reader = BufReader::new(stream);
     assert_eq!(got(&mut reader).status, 200);
     assert_eq!(served.call("DELETE", &format!("/v1/tokens/{id}"), "", &Value::Null).status, 200);
     served.call("PUT", "/v1/tenants/north/limits", "", &json!({ "weight": 2.0 }));
-    let mut rest = String::new();
-    reader.read_to_string(&mut rest).unwrap();
+    // Signs of life come every 2 s for as long as it goes on.
+    let (mut rest, end) = (String::new(), Instant::now() + Duration::from_secs(20));
+    while reader.read_line(&mut rest).unwrap() > 0 {
+        assert!(Instant::now() < end, "the stream goes on: {rest}");
+    }
     assert!(!rest.contains("event: version"), "{rest}");
 }
 
