--- a/crates/admin/src/answers.rs
+++ b/crates/admin/src/answers.rs
@@ -196,6 +196,15 @@
     pub overlap_s: u64,
 }
 
+/// Which instance is to lead.
+#[derive(Clone, Debug, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case", default)]
+pub struct StepDown {
+    /// Its name; any other with a vote without it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub to: Option<String>,
+}
+
 /// A token.
 #[derive(Clone, Debug, Serialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/admin/src/call.rs
+++ b/crates/admin/src/call.rs
@@ -4,17 +4,20 @@
 
 use hosted::plan::Prepared;
 use schemars::JsonSchema;
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::access::Who;
+use crate::desk::Agreed;
 use crate::events::Happened;
 use crate::problem::Problem;
 
 /// A call that was read whole.
 #[derive(Clone, Debug)]
 pub struct Call {
+    /// Its id, where it was passed on by another instance, or may be.
+    pub id: Option<String>,
     /// Who calls.
     pub who: Who,
     /// What the path names, by its parameters.
@@ -36,7 +39,7 @@
 }
 
 /// What a caller gets.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Reply {
     /// The status.
     pub status: u16,
@@ -49,7 +52,7 @@
 }
 
 /// What the plane has to be asked.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ask {
     /// How one tenant fares.
     Pool(String),
@@ -69,6 +72,8 @@
     Reply(Reply),
     /// What is stored must be carried out; then this is the answer, and the event is told.
     Change(Box<(Prepared, Reply, Happened)>),
+    /// This is to be agreed on with others; then it is stored, and this is the answer.
+    Agree(Box<(Agreed, Reply)>),
     /// The plane knows.
     Ask(Ask),
 }
--- a/crates/admin/src/desk.rs
+++ b/crates/admin/src/desk.rs
@@ -8,6 +8,7 @@
 use hosted::check;
 use hosted::document::{Service, Tenant};
 use hosted::plan::Prepared;
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use sha2::{Digest as _, Sha256};
 use store::{Author, Keep, State, Store, StoreError, Write, snapshot};
@@ -35,6 +36,50 @@
     tokens: BTreeMap<String, Token>,
     service: Arc<Service>,
     form: Form,
+    /// Whether what is to be stored is agreed on with others first.
+    agrees: bool,
+}
+
+/// What is to be stored, with what goes with it. It can be written down, so that others can store the same.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Agreed {
+    /// What is stored.
+    pub write: Write,
+    /// What changes for which tenants.
+    pub tenants: Vec<Changed>,
+}
+
+/// What the form of [`Agreed`] is numbered by. A program that does not know the number can't take the change.
+const AGREED: u64 = 1;
+
+impl Agreed {
+    /// As it goes into the log.
+    pub fn write_down(&self) -> String {
+        json!({ "format": AGREED, "change": self }).to_string()
+    }
+
+    /// As it comes from the log.
+    ///
+    /// # Errors
+    /// It is of a program that this one does not know.
+    pub fn read(text: &str) -> Result<Self, String> {
+        let program = env!("CARGO_PKG_VERSION");
+        let unknown = |what: String| format!("this program ({program}) can't read the change: {what}");
+        let value: Value = serde_json::from_str(text).map_err(|e| unknown(e.to_string()))?;
+        if value["format"] != AGREED {
+            return Err(unknown(format!("its form is {}, and it knows {AGREED}", value["format"])));
+        }
+        serde_json::from_value(value["change"].clone()).map_err(|e| unknown(e.to_string()))
+    }
+}
+
+/// What comes of something that was stored.
+pub struct Stored {
+    /// What the plane has to carry out, if documents changed.
+    pub prepared: Option<Prepared>,
+    /// What is told of it.
+    pub happened: Option<Happened>,
 }
 
 /// A change as a handler wants it.
@@ -124,6 +169,7 @@
         now_ms: u64,
     ) -> Result<Self, String> {
         let mut desk = Desk {
+            agrees: file.cluster.is_some(),
             store,
             read_only,
             directory,
@@ -133,16 +179,149 @@
             service: Arc::default(),
             form: Form::of::<Tenant>()?,
         };
-        if desk.state.entry == 0 && desk.read_only.is_none() {
+        // Where others have a say, they may have versions already.
+        if desk.state.entry == 0 && desk.read_only.is_none() && !desk.agrees {
             desk.begin(file, now_ms)?;
         }
+        desk.look_at(file)?;
+        Ok(desk)
+    }
+
+    /// Takes what is stored for the present service. Before anything is, nothing is served.
+    fn look_at(&mut self, file: &Service) -> Result<(), String> {
         let token = |(id, t): (&String, &Value)| -> Result<(String, Token), String> {
             let token = serde_json::from_value(t.clone()).map_err(|e| format!("token {id}: {e}"))?;
             Ok((id.clone(), token))
         };
-        desk.tokens = desk.state.tokens.iter().map(token).collect::<Result<_, _>>()?;
-        desk.service = Arc::new(desk.fit(file)?);
-        Ok(desk)
+        self.tokens = self.state.tokens.iter().map(token).collect::<Result<_, _>>()?;
+        self.service = if self.agrees && self.state.entry == 0 {
+            Arc::new(Service { listeners: Vec::new(), tenants: Vec::new(), ..file.clone() })
+        } else {
+            Arc::new(self.fit(file)?)
+        };
+        Ok(())
+    }
+
+    /// The first version of a cluster that is founded here, unless there are some; what there is then, as text.
+    ///
+    /// # Errors
+    /// It can't be stored, or does not fit.
+    pub fn found(&mut self, file: &Service, now_ms: u64) -> Result<(u64, u64, String), String> {
+        if self.state.entry == 0 {
+            self.begin(file, now_ms)?;
+        }
+        self.look_at(file)?;
+        Ok((self.state.version, self.state.entry, self.export()?))
+    }
+
+    /// All that is stored, as text.
+    ///
+    /// # Errors
+    /// It can't be read.
+    pub fn export(&self) -> Result<String, String> {
+        let store = self.store.as_ref().ok_or("the state is read-only")?;
+        let mut text = Vec::new();
+        store::export(store, &mut text).map_err(|e| e.to_string())?;
+        String::from_utf8(text).map_err(|e| e.to_string())
+    }
+
+    /// What others have stored takes the place of what is stored here.
+    ///
+    /// # Errors
+    /// It can't be read or stored, or does not fit the file; then what was here is served no more.
+    pub fn replace(&mut self, file: &Service, text: &str) -> Result<(), String> {
+        let store = self.store.as_mut().ok_or("the state is read-only")?;
+        self.state = store::replace(store, text.as_bytes()).map_err(|e| e.to_string())?;
+        self.stale = true;
+        self.look_at(file)
+    }
+
+    /// How much is stored.
+    pub fn entry(&self) -> u64 {
+        self.state.entry
+    }
+
+    /// The service as it would be after a change, and the change's documents as they are read.
+    fn after(&self, write: &Write) -> Result<Service, String> {
+        let mut next = (*self.service).clone();
+        for (scope, document) in &write.edits {
+            let Some(name) = tenant_of(scope) else { continue };
+            let faults = |f: Vec<Fault>| {
+                let all = f.iter().map(|f| format!("{name}: {}: {}", f.key(), f.what));
+                all.collect::<Vec<_>>().join("; ")
+            };
+            let read = document.as_ref().map(|d| self.form.read::<Tenant>(d).map_err(faults)).transpose()?;
+            match (next.tenants.binary_search_by(|t| t.name.as_str().cmp(&name)), read) {
+                (Ok(at), Some(tenant)) => next.tenants[at] = tenant,
+                (Ok(at), None) => drop(next.tenants.remove(at)),
+                (Err(at), Some(tenant)) => next.tenants.insert(at, tenant),
+                (Err(_), None) => {}
+            }
+        }
+        Ok(next)
+    }
+
+    /// Whether this instance can take a change.
+    ///
+    /// # Errors
+    /// Why not.
+    pub fn can_take(&self, agreed: &Agreed) -> Result<(), String> {
+        if let Some(why) = &self.read_only {
+            return Err(format!("nothing can be stored here: {why}"));
+        }
+        if agreed.write.base != self.state.entry {
+            return Err(format!(
+                "it was made on entry {}, and here is {}",
+                agreed.write.base, self.state.entry
+            ));
+        }
+        let faults = check::faults(&self.after(&agreed.write)?);
+        let all: Vec<String> = faults.iter().map(|f| format!("{}: {}", f.key(), f.what)).collect();
+        if all.is_empty() { Ok(()) } else { Err(all.join("; ")) }
+    }
+
+    /// Stores what is agreed on. What is stored already is not stored twice.
+    ///
+    /// # Errors
+    /// It can't be stored, or does not fit.
+    pub fn take(&mut self, agreed: &Agreed) -> Result<Stored, Problem> {
+        let write = &agreed.write;
+        if write.base < self.state.entry {
+            return Ok(Stored { prepared: None, happened: None });
+        }
+        let prepared = match write.edits.is_empty() {
+            true => None,
+            false => {
+                let next = self.after(write).map_err(Problem::internal)?;
+                Some(Prepared::between(&self.service, Arc::new(next)))
+            }
+        };
+        self.put(agreed, prepared)
+    }
+
+    /// Stores something, and goes over to what it comes to.
+    fn put(&mut self, agreed: &Agreed, prepared: Option<Prepared>) -> Result<Stored, Problem> {
+        let write = &agreed.write;
+        self.commit(write)?;
+        for (id, token) in &write.tokens {
+            match token {
+                Some(t) => match serde_json::from_value(t.clone()) {
+                    Ok(token) => drop(self.tokens.insert(id.clone(), token)),
+                    Err(e) => tracing::error!(id, error = %e, "a token can't be read"),
+                },
+                None => drop(self.tokens.remove(id)),
+            }
+        }
+        let Some(prepared) = prepared else { return Ok(Stored { prepared: None, happened: None }) };
+        self.service = prepared.next.clone();
+        let happened = Happened {
+            version: self.state.version,
+            at_ms: write.at_ms,
+            by: By { id: write.by.id.clone(), name: write.by.name.clone() },
+            action: write.action.clone(),
+            tenants: agreed.tenants.clone(),
+        };
+        Ok(Stored { prepared: Some(prepared), happened: Some(happened) })
     }
 
     /// The first version: the file's tenants, and an operator's token, whose secret goes into a file.
@@ -402,17 +581,16 @@
             edits: edits.into_iter().map(|(name, d)| (scope(&name), d)).collect(),
             reply: kept(call, &reply)?,
         };
-        self.commit(&write)?;
-        write.tokens.iter().for_each(|(id, _)| drop(self.tokens.remove(id)));
-        self.service = prepared.next.clone();
-        let happened = Happened {
-            version: self.state.version,
-            at_ms: call.now_ms,
-            by: By { id: call.who.id.clone(), name: call.who.name.clone() },
-            action: draft.action.into(),
-            tenants: changed,
-        };
-        Ok(Outcome::Change(Box::new((prepared, reply, happened))))
+        let agreed = Agreed { write, tenants: changed };
+        if self.agrees {
+            return Ok(Outcome::Agree(Box::new((agreed, reply))));
+        }
+        match self.put(&agreed, Some(prepared))? {
+            Stored { prepared: Some(prepared), happened: Some(happened) } => {
+                Ok(Outcome::Change(Box::new((prepared, reply, happened))))
+            }
+            _ => Ok(reply.into()),
+        }
     }
 
     /// Stores a change of tokens, and answers with the body.
@@ -422,7 +600,7 @@
     pub fn change_tokens(
         &mut self, call: &Call, action: &str, subject: Option<String>, id: &str, token: Option<Token>,
         mut reply: Reply,
-    ) -> Result<Reply, Problem> {
+    ) -> Result<Outcome, Problem> {
         if let Some(why) = &self.read_only {
             return Err(Problem::read_only(why.clone()));
         }
@@ -440,15 +618,17 @@
             tokens: vec![(id.to_owned(), stored)],
             reply: kept(call, &reply)?,
         };
-        self.commit(&write)?;
-        match token {
-            Some(token) => drop(self.tokens.insert(id.to_owned(), token)),
-            None => drop(self.tokens.remove(id)),
+        let agreed = Agreed { write, tenants: Vec::new() };
+        if !self.agrees {
+            self.put(&agreed, None)?;
         }
         if let (Some(secret), Some(body)) = (secret, reply.body.as_object_mut()) {
             body.insert("token".into(), secret);
         }
-        Ok(reply)
+        match self.agrees {
+            true => Ok(Outcome::Agree(Box::new((agreed, reply)))),
+            false => Ok(reply.into()),
+        }
     }
 
     /// The tokens of tenants that go. They must not open a later tenant of the same name.
@@ -588,7 +768,8 @@
 const KEY: usize = 256;
 
 fn reply_key(call: &Call) -> Result<Option<String>, Problem> {
-    let Some(key) = &call.idempotency_key else { return Ok(None) };
+    // A call that is passed on to another instance may come again by itself.
+    let Some(key) = &call.idempotency_key else { return Ok(call.id.as_ref().map(|id| format!("call {id}"))) };
     if key.is_empty() || key.len() > KEY {
         return Err(Problem::malformed(format!("Idempotency-Key: it has 1 to {KEY} letters")));
     }
--- a/crates/admin/src/http.rs
+++ b/crates/admin/src/http.rs
@@ -15,6 +15,7 @@
 };
 use axum::http::{HeaderMap, HeaderName, Method, Response, StatusCode};
 use axum::routing::{MethodFilter, MethodRouter, on};
+use hosted::document::Service;
 use hosted::plan::Prepared;
 use hosted::plane::{Plane, TenantStatus};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -29,8 +30,9 @@
 use crate::call::{Ask, Call, Outcome, Reply};
 use crate::desk::{Desk, no_tenant};
 use crate::events::Happened;
-use crate::operations::{Act, OPERATIONS, Operation, openapi};
+use crate::operations::{Act, Joint, OPERATIONS, Operation, openapi};
 use crate::problem::Problem;
+use crate::together::{Passed, Together, no_cluster};
 
 /// Connections at once.
 const CONNECTIONS: usize = 256;
@@ -55,6 +57,12 @@
 pub enum Order {
     /// Carry a change out, and tell when it is in effect.
     CarryOut(Box<Prepared>, oneshot::Sender<Result<(), String>>),
+    /// Nothing new is to be decided; tell when that is so.
+    Close(oneshot::Sender<()>),
+    /// What is served now is this version of the cluster's.
+    OpenAt(u64, oneshot::Sender<()>),
+    /// Serve this, whatever was served.
+    Serve(Arc<Service>, oneshot::Sender<Result<(), String>>),
     /// Tell how a tenant fares, or all.
     Status(Option<String>, oneshot::Sender<Vec<TenantStatus>>),
 }
@@ -66,6 +74,22 @@
             Order::CarryOut(prepared, done) => {
                 let _ = done.send(plane.carry_out(*prepared)); // who asked may have left
             }
+            Order::Close(done) => {
+                plane.close();
+                let _ = done.send(());
+            }
+            Order::OpenAt(version, done) => {
+                plane.open_at(version);
+                let _ = done.send(());
+            }
+            Order::Serve(service, done) => {
+                let served = if *plane.document() == *service {
+                    Ok(())
+                } else {
+                    plane.apply((*service).clone()).map(drop)
+                };
+                let _ = done.send(served);
+            }
             Order::Status(None, tell) => _ = tell.send(plane.status()),
             Order::Status(Some(name), tell) => _ = tell.send(plane.status_of(&name).into_iter().collect()),
         }
@@ -80,6 +104,8 @@
     streams: Arc<Semaphore>,
     /// Something may have been stored.
     stored: Notify,
+    /// Where it is one of many instances.
+    together: Option<Together>,
 }
 
 fn now_ms() -> u64 {
@@ -89,6 +115,11 @@
 impl Api {
     /// An API over a desk; the orders go to the plane.
     pub fn new(desk: Desk) -> (Arc<Self>, mpsc::UnboundedReceiver<Order>) {
+        Api::among(desk, None)
+    }
+
+    /// The same, as one of many instances.
+    pub fn among(desk: Desk, together: Option<Together>) -> (Arc<Self>, mpsc::UnboundedReceiver<Order>) {
         let (orders, told) = mpsc::unbounded_channel();
         let api = Api {
             desk: Mutex::new(desk),
@@ -96,6 +127,7 @@
             events: broadcast::channel(LAG).0,
             streams: Arc::new(Semaphore::new(STREAMS)),
             stored: Notify::new(),
+            together,
         };
         (Arc::new(api), told)
     }
@@ -157,6 +189,23 @@
         }
     }
 
+    pub(crate) fn together(&self) -> Option<&Together> {
+        self.together.as_ref()
+    }
+
+    pub(crate) fn give(&self, order: Order) {
+        let _ = self.orders.send(order); // a plane that has ended is seen by its silence
+    }
+
+    /// Something was stored, so that the snapshot lags behind.
+    pub(crate) fn stored(&self) {
+        self.stored.notify_one();
+    }
+
+    pub(crate) fn happened(&self, happened: Happened) {
+        let _ = self.events.send(Arc::new(happened)); // nobody may listen
+    }
+
     async fn status(&self, tenant: Option<String>) -> Result<Vec<TenantStatus>, Problem> {
         let (tell, told) = oneshot::channel();
         let _ = self.orders.send(Order::Status(tenant, tell)); // a plane that has ended is seen below
@@ -165,17 +214,9 @@
 
     /// Decides a call, and carries out what it changes.
     async fn decide(&self, operation: &Operation, call: &Call) -> Result<Reply, Problem> {
-        let Act::Desk(act) = operation.act else {
-            return Err(Problem::internal("it is no operation of the desk"));
-        };
         let decided = {
             let mut desk = self.desk();
-            let repeated = if operation.writes() && !call.dry_run()? { desk.repeated(call)? } else { None };
-            let outcome = match repeated {
-                Some(reply) => Outcome::Reply(reply),
-                None => act(&mut desk, call)?,
-            };
-            match outcome {
+            match operation.act_on(&mut desk, call)? {
                 // The order is given while the desk is held, so that orders come in the order of versions.
                 Outcome::Change(change) => {
                     let (prepared, reply, happened) = *change;
@@ -185,6 +226,7 @@
                 }
                 Outcome::Reply(reply) => Err(Ok(reply)),
                 Outcome::Ask(ask) => Err(Err(ask)),
+                Outcome::Agree(_) => return Err(Problem::internal("it was not passed on")),
             }
         };
         match decided {
@@ -193,16 +235,22 @@
                 told.await
                     .map_err(|_| Problem::internal(format!("the service is ending; {stored}")))?
                     .map_err(|e| Problem::internal(format!("{e}; {stored}")))?;
-                let _ = self.events.send(Arc::new(happened)); // nobody may listen
+                self.happened(happened);
                 Ok(reply)
             }
             Err(Ok(reply)) => Ok(reply),
-            Err(Err(Ask::Pool(name))) => {
+            Err(Err(ask)) => self.tell_of(ask, call.who.tenant.clone()).await,
+        }
+    }
+
+    /// How tenants fare here.
+    async fn tell_of(&self, ask: Ask, own: Option<String>) -> Result<Reply, Problem> {
+        match ask {
+            Ask::Pool(name) => {
                 let status = self.status(Some(name.clone())).await?.pop().ok_or_else(|| no_tenant(&name))?;
                 Ok(Reply::of(status))
             }
-            Err(Err(Ask::Service { version, read_only })) => {
-                let own = call.who.tenant.clone();
+            Ask::Service { version, read_only } => {
                 let mut tenants = self.status(own).await?;
                 tenants.truncate(TOLD);
                 Ok(Reply::of(ServiceStatus { version, read_only, tenants }))
@@ -219,14 +267,24 @@
             return Ok(answer(&Reply::of(openapi())));
         }
         let now_ms = now_ms();
-        let who = self.desk().who(header(&AUTHORIZATION)?.as_deref(), now_ms)?;
-        who.may(operation.needs)?;
+        let authorization = header(&AUTHORIZATION)?;
+        let who = self.desk().who(authorization.as_deref(), now_ms);
+        // Another instance may know a token that is not known here yet; the one that leads decides.
+        let who = match (&self.together, &authorization, operation.act) {
+            (Some(_), Some(_), Act::Desk(_) | Act::Together(_)) => who.ok(),
+            _ => {
+                let who = who?;
+                who.may(operation.needs)?;
+                Some(who)
+            }
+        };
         let query = queries(head.uri.query().unwrap_or(""))?;
         let known = |key: &&String| operation.query.contains(&key.as_str());
         if let Some(unknown) = query.keys().find(|key| !known(key)) {
             return Err(Problem::malformed(format!("the query's {unknown} is not known here")));
         }
         if let Act::Events = operation.act {
+            let who = who.ok_or_else(|| Problem::internal("nobody reads"))?;
             return self.stream(who, header(&HeaderName::from_static("last-event-id"))?);
         }
         let too_large = || Problem::too_large(format!("more than {BODY} bytes, or cut off"));
@@ -247,8 +305,9 @@
             (None, true) => Value::Null,
             (None, false) => return Err(Problem::malformed("this takes no body")),
         };
-        let call = Call {
-            who,
+        let passed = Passed {
+            operation: operation.id.into(),
+            authorization,
             path,
             query,
             if_match: header(&HeaderName::from_static("if-match"))?,
@@ -258,6 +317,34 @@
             body,
             now_ms,
         };
+        match (&self.together, operation.act) {
+            (None, Act::Together(_)) => return Err(no_cluster()),
+            (Some(_), Act::Together(Joint::Status)) => {
+                return self.cluster_status(&passed).await.map(|reply| answer(&reply));
+            }
+            (Some(together), _) => {
+                let reply = match together.pass(&passed).await? {
+                    Ok(reply) => reply,
+                    Err(ask) => self.tell_of(ask, who.and_then(|w| w.tenant)).await?,
+                };
+                return Ok(answer(&reply));
+            }
+            (None, _) => {}
+        }
+        let who = who.ok_or_else(|| Problem::internal("nobody calls"))?;
+        let Passed { path, query, if_match, if_none_match, idempotency_key, target, body, .. } = passed;
+        let call = Call {
+            id: None,
+            who,
+            path,
+            query,
+            if_match,
+            if_none_match,
+            idempotency_key,
+            target,
+            body,
+            now_ms,
+        };
         let reply = self.decide(operation, &call).await;
         if operation.writes() {
             self.stored.notify_one();
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -5,6 +5,8 @@
 //! - [`operations`]: the table of all operations, from which the routes and the OpenAPI document are made.
 //! - [`Api`]: serves the desk over HTTP, and passes what has been stored on to the plane as [`Order`]s.
 //!
+//! - [`Together`]: the same among the instances of a cluster.
+//!
 //! A change is checked, stored, carried out and then acknowledged, in this order. It decides nothing about requests.
 
 mod access;
@@ -18,6 +20,7 @@
 mod place;
 mod problem;
 mod tenants;
+mod together;
 mod tokens;
 mod versions;
 
@@ -27,3 +30,4 @@
 pub use events::Happened;
 pub use http::{Api, Order};
 pub use problem::Problem;
+pub use together::Together;
--- a/crates/admin/src/operations.rs
+++ b/crates/admin/src/operations.rs
@@ -11,7 +11,8 @@
 
 use crate::access::Needs;
 use crate::answers::{
-    Apply, Back, Compared, Line, Listed, NewToken, Rotate, ServiceStatus, TokenView, Version, Written,
+    Apply, Back, Compared, Line, Listed, NewToken, Rotate, ServiceStatus, StepDown, TokenView, Version,
+    Written,
 };
 use crate::call::{Call, Outcome, Page};
 use crate::desk::Desk;
@@ -30,6 +31,19 @@
     Events,
     /// The OpenAPI document.
     Document,
+    /// It concerns the cluster that this instance is one of.
+    Together(Joint),
+}
+
+/// What concerns a cluster.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Joint {
+    /// How it looks.
+    Status,
+    /// A member is removed.
+    Remove,
+    /// Another instance is to lead.
+    StepDown,
 }
 
 /// One operation of the API.
@@ -56,6 +70,21 @@
 }
 
 impl Operation {
+    /// What the desk makes of a call; one that was made before gets the answer that it got then.
+    ///
+    /// # Errors
+    /// Why it is turned down.
+    pub fn act_on(&self, desk: &mut Desk, call: &Call) -> Result<Outcome, Problem> {
+        let Act::Desk(act) = self.act else {
+            return Err(Problem::internal("it is no operation of the desk"));
+        };
+        let repeated = if self.writes() && !call.dry_run()? { desk.repeated(call)? } else { None };
+        match repeated {
+            Some(reply) => Ok(Outcome::Reply(reply)),
+            None => act(desk, call),
+        }
+    }
+
     /// Whether it may change something.
     pub fn writes(&self) -> bool {
         self.method != "GET"
@@ -204,6 +233,12 @@
         "Gives a token another secret; the former one stays good for a while";
     GET "/v1/events" "events" Read NONE [] 200 String, Act::Events,
         "Server-sent events: versions as they take effect, and how tenants fare";
+    GET "/v1/cluster" "clusterStatus" Oversee NONE [] 200 Map<String, Value>, Act::Together(Joint::Status),
+        "How the cluster looks: from here, and from the instance that leads";
+    DELETE "/v1/cluster/members/{member}" "removeMember" Operate NONE [] 200 Map<String, Value>, Act::Together(Joint::Remove),
+        "Removes a member that is gone for good, once it surely decides nothing any more";
+    POST "/v1/cluster/step-down" "stepDown" Operate NONE [StepDown, false] 200 Map<String, Value>, Act::Together(Joint::StepDown),
+        "Lets another instance lead";
     GET "/v1/openapi.json" "openapi" Nothing NONE [] 200 Map<String, Value>, Act::Document,
         "This document";
 }
--- a/crates/admin/src/problem.rs
+++ b/crates/admin/src/problem.rs
@@ -53,6 +53,8 @@
     wrong_method = 405, "wrong-method", "Not a method of this resource";
     /// It does not fit the rest of the service.
     conflict = 409, "conflict", "It does not fit the rest of the service";
+    /// The instances of the cluster did not all take it.
+    given_up = 409, "given-up", "Not all instances can take it";
     /// It is no longer kept.
     gone = 410, "gone", "It is no longer kept";
     /// Someone else has changed it meanwhile.
@@ -69,6 +71,8 @@
     busy = 429, "busy", "Too much at once";
     /// A fault of the program.
     internal = 500, "internal", "The service has failed";
+    /// No instance of the cluster leads.
+    no_leader = 503, "no-leader", "No instance of the cluster leads";
     /// Nothing can be changed now.
     read_only = 503, "read-only", "The state is read-only";
     /// The disk is full.
--- a/crates/admin/src/tokens.rs
+++ b/crates/admin/src/tokens.rs
@@ -92,7 +92,7 @@
         location: Some(format!("/v1/tokens/{id}")),
         ..Reply::of(view(&id, &token, Some(whole)))
     };
-    Ok(desk.change_tokens(call, "token.add", new.tenant, &id, Some(token), reply)?.into())
+    desk.change_tokens(call, "token.add", new.tenant, &id, Some(token), reply)
 }
 
 /// A token that a caller may change: an operator any, a tenant admin those of its tenant.
@@ -112,7 +112,7 @@
     token.rotate(secret, call.now_ms.saturating_add(overlap_s.saturating_mul(1000)));
     let reply = Reply::of(view(&id, &token, Some(whole)));
     let subject = token.tenant.clone();
-    Ok(desk.change_tokens(call, "token.rotate", subject, &id, Some(token), reply)?.into())
+    desk.change_tokens(call, "token.rotate", subject, &id, Some(token), reply)
 }
 
 /// Ends a token at once.
@@ -123,5 +123,5 @@
         return Err(Problem::conflict("it is the last operator's token; make another first"));
     }
     let reply = Reply::of(view(&id, &token, None));
-    Ok(desk.change_tokens(call, "token.revoke", token.tenant, &id, None, reply)?.into())
+    desk.change_tokens(call, "token.revoke", token.tenant, &id, None, reply)
 }
--- a/crates/admin/tests/http.rs
+++ b/crates/admin/tests/http.rs
@@ -52,7 +52,8 @@
         thread::spawn(move || {
             while let Some(order) = orders.blocking_recv() {
                 match order {
-                    Order::CarryOut(_, done) => _ = done.send(Ok(())),
+                    Order::CarryOut(_, done) | Order::Serve(_, done) => _ = done.send(Ok(())),
+                    Order::Close(done) | Order::OpenAt(_, done) => _ = done.send(()),
                     Order::Status(name, tell) => {
                         let status = |name: String| hosted::plane::TenantStatus {
                             name,
--- a/crates/admin/tests/service/mod.rs
+++ b/crates/admin/tests/service/mod.rs
@@ -101,6 +101,7 @@
         let parts = template.split('/').zip(path.split('/'));
         let named = parts.filter_map(|(t, p)| Some((t.strip_prefix('{')?.strip_suffix('}')?, p)));
         Call {
+            id: None,
             who: self.who.clone(),
             path: named.map(|(k, v)| (k.to_owned(), v.to_owned())).collect(),
             query: pairs.map(|(k, v)| (k.to_owned(), v.to_owned())).collect::<BTreeMap<_, _>>(),
@@ -127,6 +128,7 @@
         Ok(match act(&mut self.desk, call)? {
             Outcome::Reply(reply) => reply,
             Outcome::Change(change) => change.1,
+            Outcome::Agree(_) => panic!("there is no cluster"),
             Outcome::Ask(ask) => Reply::of(format!("{ask:?}")),
         })
     }
--- a/crates/canvascart/src/admin/mod.rs
+++ b/crates/canvascart/src/admin/mod.rs
@@ -1,8 +1,8 @@
 //! `canvascart admin`: the administration API from the command line.
 
 mod arguments;
-mod table;
-mod wire;
+pub(crate) mod table;
+pub(crate) mod wire;
 
 use std::io::Write as _;
 use std::path::Path;
@@ -20,7 +20,7 @@
 /// It differs, or something would change.
 const DIFFERS: u8 = 1;
 /// The API can't be reached.
-const UNREACHED: u8 = 3;
+pub(crate) const UNREACHED: u8 = 3;
 /// It turned the call down.
 const TURNED_DOWN: u8 = 4;
 /// Somebody else has changed it meanwhile.
@@ -59,12 +59,7 @@
 /// # Errors
 /// Wrong usage.
 pub fn run(arguments: Arguments) -> Result<u8, String> {
-    let token = match &arguments.token_file {
-        Some(file) => std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?,
-        None => std::env::var("CANVASCART_TOKEN")
-            .map_err(|_| "no token: give --token-file, or CANVASCART_TOKEN".to_owned())?,
-    };
-    let wire = Wire::new(&arguments.url, token.trim().to_owned())?;
+    let wire = Wire::new(&arguments.url, token(arguments.token_file.as_deref())?)?;
     let admin = Admin {
         wire,
         json: arguments.json,
@@ -82,8 +77,18 @@
     }
 }
 
+/// The token of a file, or of the environment.
+pub(crate) fn token(file: Option<&std::path::Path>) -> Result<String, String> {
+    let token = match file {
+        Some(file) => std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?,
+        None => std::env::var("CANVASCART_TOKEN")
+            .map_err(|_| "no token: give --token-file, or CANVASCART_TOKEN".to_owned())?,
+    };
+    Ok(token.trim().to_owned())
+}
+
 /// The exit code of an answer that turned a call down.
-fn code_of(status: u16) -> u8 {
+pub(crate) fn code_of(status: u16) -> u8 {
     match status {
         401 | 403 => NO_RIGHT,
         404 | 410 => NOT_THERE,
@@ -94,7 +99,7 @@
 }
 
 /// A problem document in words.
-fn words(problem: &Value) -> String {
+pub(crate) fn words(problem: &Value) -> String {
     let mut text = format!("{}: {}", cell(&problem["title"]), cell(&problem["detail"]));
     for error in problem["errors"].as_array().into_iter().flatten() {
         text += &format!("\n  {}: {}", cell(&error["pointer"]), cell(&error["detail"]));
--- /dev/null
+++ b/crates/canvascart/src/cluster/mod.rs
@@ -0,0 +1,103 @@
+//! An instance of a cluster: its gate, and its member on a thread of its own.
+
+mod command;
+
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ::admin::Api;
+use ::cluster::machine::{self, Micros, Rules};
+use engine::gate::{Gate, Terms};
+use hosted::document::{Cluster, Service, WhenCutOff};
+use links::member::{self, Said, Settings, Told};
+use links::right::Right;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+
+use crate::serve::unix_ms;
+
+pub use command::{Arguments, run};
+
+/// Bytes of a key at least.
+const KEY: usize = 16;
+
+/// The gate that an instance's decisions pass.
+pub fn gate(cluster: &Cluster, right: Arc<Right>) -> Rc<Gate> {
+    let changed = right.changed();
+    let terms = Terms {
+        hold: Duration::from_secs_f64(cluster.hold.0 / 1000.0),
+        retry: cluster.retry_after.0,
+        stamps: cluster.stamps,
+    };
+    Gate::new(Box::new(move |version| right.may_decide(version)), changed, terms)
+}
+
+fn micros(ms: f64) -> Micros {
+    (ms * 1000.0) as Micros
+}
+
+fn settings(cluster: &Cluster, directory: &str) -> Result<Settings, String> {
+    let at = |what: String| format!("cluster.key-file: {}: {what}", cluster.key_file);
+    let key = std::fs::read_to_string(&cluster.key_file).map_err(|e| at(e.to_string()))?;
+    let key = key.trim().as_bytes().to_vec();
+    if key.len() < KEY {
+        return Err(at(format!("a key has {KEY} bytes at least, and this one {}", key.len())));
+    }
+    let rules = Rules {
+        lease: micros(cluster.lease.0),
+        short: micros(cluster.change_lease.0),
+        drift: (cluster.drift.0 * 1e6) as u32,
+        deadline: micros(cluster.deadline.0),
+        when_cut_off: match cluster.when_cut_off {
+            WhenCutOff::Refuse => machine::WhenCutOff::Refuse,
+            WhenCutOff::Serve => machine::WhenCutOff::Serve,
+        },
+        voters: cluster.voters,
+    };
+    Ok(Settings {
+        name: cluster.instance.clone(),
+        cluster: cluster.name.clone(),
+        address: cluster.address.clone(),
+        zone: cluster.zone.clone(),
+        peers: cluster.peers.clone(),
+        key,
+        directory: Path::new(directory).to_owned(),
+        rules,
+    })
+}
+
+/// Starts the member; what it tells is to be followed.
+///
+/// # Errors
+/// Its log, its key or its address can't be had.
+pub fn join(
+    file: &Service, api: &Arc<Api>, hears: UnboundedReceiver<Said>, right: Arc<Right>,
+) -> Result<UnboundedReceiver<Told>, String> {
+    let (Some(cluster), Some(state)) = (&file.cluster, &file.state) else {
+        return Err("cluster: it needs [state]".into());
+    };
+    let settings = settings(cluster, &state.directory)?;
+    let (tells, told) = unbounded_channel();
+    let (founder, founded) = (api.clone(), file.clone());
+    let begin = Box::new(move || founder.desk().found(&founded, unix_ms()));
+    let (opened, waits) = std::sync::mpsc::channel();
+    let run = move || {
+        let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+            Ok(runtime) => runtime,
+            Err(e) => return drop(opened.send(Err(e.to_string()))),
+        };
+        runtime.block_on(async {
+            match member::open(settings, tells, hears, right, begin).await {
+                Ok(driven) => {
+                    let _ = opened.send(Ok(())); // who started it waits
+                    driven.run().await;
+                }
+                Err(e) => _ = opened.send(Err(e)),
+            }
+        });
+    };
+    std::thread::Builder::new().name("cluster".into()).spawn(run).map_err(|e| e.to_string())?;
+    waits.recv().map_err(|e| e.to_string())?.map_err(|e| format!("cluster: {e}"))?;
+    Ok(told)
+}
--- a/crates/canvascart/src/main.rs
+++ b/crates/canvascart/src/main.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod capture;
 mod client;
+mod cluster;
 mod demo;
 mod drill;
 mod fleet;
@@ -46,6 +47,8 @@
     Serve(serve::Arguments),
     /// Administers a running `serve`: tenants, servers, classes, limits, versions, tokens.
     Admin(admin::Arguments),
+    /// Looks after the instances of a `serve` that act as one.
+    Cluster(cluster::Arguments),
     /// Registers servers in etcd, drains them, lists them, watches them.
     Fleet(fleet::Arguments),
     /// Looks after the durable state of a `serve` that does not run.
@@ -103,6 +106,7 @@
         Command::Lab(command) => lab::run(command),
         Command::Serve(arguments) => serve::run(&arguments),
         Command::Admin(arguments) => admin::run(arguments),
+        Command::Cluster(arguments) => cluster::run(arguments),
         Command::Fleet(arguments) => fleet::run(arguments),
         Command::Store(command) => state::run(&command),
         Command::Config(command) => serve::config(&command),
--- a/crates/canvascart/src/serve.rs
+++ b/crates/canvascart/src/serve.rs
@@ -7,17 +7,20 @@
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use ::admin::{Api, Desk, Order};
+use ::admin::{Api, Desk, Order, Together};
 use ::fleet::Keys;
 use hosted::check;
 use hosted::document::Service;
 use hosted::plan::Plan;
 use hosted::plane::{Follow, Plane};
+use links::member::Said;
+use links::right::Right;
 use tokio::runtime::Handle;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::LocalSet;
 
+use crate::cluster;
 use crate::demo::Demo;
 
 /// It could not be started.
@@ -114,6 +117,8 @@
     orders: UnboundedReceiver<Order>,
     /// Where the API listens, if it does.
     address: Option<SocketAddr>,
+    /// The cluster's member, where there is one.
+    member: Option<UnboundedSender<Said>>,
 }
 
 async fn serve(service: Service, arguments: &Arguments, demo: Option<&Demo>) -> Result<u8, String> {
@@ -123,9 +128,11 @@
         int: on(SignalKind::interrupt())?,
         hup: on(SignalKind::hangup())?,
     };
-    let plane = Plane::new(&service.process, lists());
+    let right = service.cluster.as_ref().map(|_| Arc::new(Right::default()));
+    let gate = service.cluster.as_ref().zip(right.clone()).map(|(c, right)| cluster::gate(c, right));
+    let plane = Plane::behind(&service.process, lists(), gate);
     let mut administration = match &service.state {
-        Some(_) => Some(administer(&plane, &service, arguments.read_only_state)?),
+        Some(_) => Some(administer(&plane, &service, arguments.read_only_state, right)?),
         None => {
             plane.apply(service)?;
             None
@@ -152,7 +159,8 @@
         }
     }
     tracing::info!("ends: what was taken is answered");
-    if let Some(Administration { api, mut orders, .. }) = administration {
+    if let Some(Administration { api, mut orders, member, .. }) = administration {
+        member.inspect(|member| _ = member.send(Said::Rest)); // one that has ended rests already
         api.desk().close("the service is ending");
         while let Ok(order) = orders.try_recv() {
             order.obey(&plane);
@@ -208,9 +216,11 @@
     told.recv().map_err(std::io::Error::other)?
 }
 
-/// Opens the state, serves what it says, and starts the administration API on a thread of its own.
-fn administer(plane: &Rc<Plane>, file: &Service, read_only: bool) -> Result<Administration, String> {
-    let now_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+/// Opens the state, serves what it says, and starts the administration API on a thread of its own; in a cluster, the member too.
+fn administer(
+    plane: &Rc<Plane>, file: &Service, read_only: bool, right: Option<Arc<Right>>,
+) -> Result<Administration, String> {
+    let now_ms = unix_ms();
     let desk = Desk::open(file, read_only, now_ms)?;
     if desk.version() > 0 && !file.tenants.is_empty() {
         tracing::info!(
@@ -221,28 +231,53 @@
     plane.apply((*desk.service()).clone())?;
     let (version, tenants) = (desk.version(), desk.service().tenants.len());
     tracing::info!(version, tenants, "the state is in effect");
-    let (api, orders) = Api::new(desk);
+    let (said, hears) = unbounded_channel();
+    let member = right.as_ref().map(|_| said.clone());
+    let together = member.clone().map(|said| Together::new(said, file.clone()));
+    let (api, orders) = Api::among(desk, together);
+    let told = match (&file.cluster, right) {
+        (Some(_), Some(right)) => Some(cluster::join(file, &api, hears, right)?),
+        _ => None,
+    };
     let mut listens = None;
-    if let Some(settings) = &file.admin {
-        let at = |e: std::io::Error| format!("admin: {}: {e}", settings.address);
-        let listener = TcpListener::bind(&settings.address).map_err(at)?;
-        listener.set_nonblocking(true).map_err(at)?;
-        let address = listener.local_addr().map_err(at)?;
+    let listener = match &file.admin {
+        Some(settings) => {
+            let at = |e: std::io::Error| format!("admin: {}: {e}", settings.address);
+            let listener = TcpListener::bind(&settings.address).map_err(at)?;
+            listener.set_nonblocking(true).map_err(at)?;
+            let address = listener.local_addr().map_err(at)?;
+            tracing::info!(%address, "the administration API listens");
+            listens = Some(address);
+            Some(listener)
+        }
+        None => None,
+    };
+    if listener.is_some() || told.is_some() {
         let served = api.clone();
         let run = move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-            runtime.block_on(served.serve(listener))
+            runtime.block_on(async {
+                let follows = told.map(|told| tokio::spawn(served.clone().follow(told)));
+                match (listener, follows) {
+                    (Some(listener), _) => served.serve(listener).await,
+                    (None, Some(follows)) => follows.await.map_err(std::io::Error::other),
+                    (None, None) => Ok(()),
+                }
+            })
         };
         let run = move || {
             if let Err(e) = run() {
                 tracing::error!(error = %e, "the administration API has ended");
             }
         };
-        std::thread::Builder::new().name("admin".into()).spawn(run).map_err(at)?;
-        tracing::info!(%address, "the administration API listens");
-        listens = Some(address);
+        std::thread::Builder::new().name("admin".into()).spawn(run).map_err(|e| e.to_string())?;
     }
-    Ok(Administration { api, orders, address: listens })
+    Ok(Administration { api, orders, address: listens, member })
+}
+
+/// Unix time.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
 /// Reads the file anew and goes over to what it says; where there is durable state, to its listeners alone.
@@ -257,9 +292,11 @@
         }
     };
     let now = plane.document();
-    if (&next.process, &next.admin, &next.state) != (&now.process, &now.admin, &now.state) {
+    if (&next.process, &next.admin, &next.state, &next.cluster)
+        != (&now.process, &now.admin, &now.state, &now.cluster)
+    {
         tracing::warn!(
-            "[process], [admin] and [state] hold from start to end; what is new there waits for the next start"
+            "[process], [admin], [state] and [cluster] hold from start to end; what is new there waits for the next start"
         );
     }
     let done = match administration {
--- /dev/null
+++ b/crates/canvascart/tests/cluster.rs
@@ -0,0 +1,276 @@
+//! Several processes of the program that act as one, with faults between them.
+use std::collections::BTreeSet;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use lab::net::Mode;
+use lab::service::changes::{Known, Ledger, Planted, Play, begin, judge, play, server};
+use lab::service::fleet::Fleet;
+use serde_json::{Value, json};
+
+const SOON: &str = "lease = \"2 s\"\nchange-lease = \"1500 ms\"\ndeadline = \"8 s\"";
+
+fn command() -> Vec<String> {
+    vec![env!("CARGO_BIN_EXE_canvascart").to_owned()]
+}
+
+/// A directory that goes with the test.
+struct Directory(PathBuf);
+
+impl Directory {
+    fn new() -> Self {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let n = NEXT.fetch_add(1, Ordering::Relaxed);
+        Directory(std::env::temp_dir().join(format!("canvascart-cluster-{}-{n}", std::process::id())))
+    }
+}
+
+impl Drop for Directory {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn fleet(directory: &Directory, instances: usize, cluster: &str) -> Fleet {
+    let at = server(&Ledger::default()).unwrap();
+    let command = command();
+    let play = Play {
+        command: &command,
+        instances,
+        changes: 0,
+        cluster,
+        seed: 1,
+        dir: &directory.0,
+        planted: Planted::Nothing,
+    };
+    begin(&play, at).unwrap()
+}
+
+/// Sets the tenant's limit at an instance; the status and the body.
+fn set(fleet: &Fleet, i: usize, n: u64, more: &str) -> (u16, Value) {
+    let body = json!({ "in-flight": n }).to_string();
+    let more = format!("If-Match: *\r\n{more}");
+    let (status, body) = fleet.line(i).unwrap().call("PUT", "/v1/tenants/a/limits", &more, &body).unwrap();
+    (status, serde_json::from_slice(&body).unwrap())
+}
+
+fn limit(fleet: &Fleet, i: usize) -> u64 {
+    let limits = fleet.line(i).unwrap().json("GET", "/v1/tenants/a/limits", "", &Value::Null).unwrap();
+    limits["in-flight"].as_u64().unwrap()
+}
+
+#[test]
+fn a_change_at_any_instance_is_seen_at_each() {
+    let directory = Directory::new();
+    let fleet = fleet(&directory, 5, SOON);
+    for (i, n) in (0..5).zip(2001..) {
+        let (status, body) = set(&fleet, i, n, "");
+        assert_eq!(status, 200, "{body}");
+        assert!((0..5).all(|other| limit(&fleet, other) == n), "after change at {i}");
+    }
+    let (first, again) =
+        (set(&fleet, 1, 3000, "Idempotency-Key: k\r\n"), set(&fleet, 2, 3000, "Idempotency-Key: k\r\n"));
+    assert_eq!(first, again, "the same call at another instance is the same call");
+    let status = fleet.status(3).unwrap();
+    let members = status["leader"]["members"].as_array().unwrap();
+    assert_eq!(members.len(), 5);
+    assert_eq!(members.iter().filter(|m| m["votes"] == true).count(), 3);
+    assert!(members.iter().all(|m| m["version"] == status["leader"]["version"]), "{status}");
+}
+
+#[test]
+fn one_that_stands_still_is_passed_after_its_lease_and_decides_nothing_when_it_wakes() {
+    let directory = Directory::new();
+    let fleet = fleet(&directory, 5, SOON);
+    let leader = fleet.leader().unwrap();
+    let still = (0..5).find(|i| *i != leader).unwrap();
+    fleet.pause(still, true);
+    let began = Instant::now();
+    let (status, body) = set(&fleet, leader, 2001, "");
+    assert_eq!(status, 200, "{body}");
+    assert!(began.elapsed() > Duration::from_millis(500), "its lease ran: {:?}", began.elapsed());
+    assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
+    fleet.link(leader, still, Mode::Hold);
+    fleet.pause(still, false);
+    assert!(!fleet.is_up(still), "its lease has run out");
+    fleet.link(leader, still, Mode::Pass);
+    fleet.ready().unwrap();
+    assert_eq!(limit(&fleet, still), 2001);
+}
+
+#[test]
+fn the_one_that_leads_dies_with_a_change_under_way_and_the_call_is_done_once() {
+    let directory = Directory::new();
+    let mut fleet = fleet(&directory, 5, SOON);
+    let leader = fleet.leader().unwrap();
+    let others: Vec<usize> = (0..5).filter(|i| *i != leader).collect();
+    // One is not heard, so that the change waits for its lease; then the one that leads goes.
+    (0..5).for_each(|to| fleet.link(others[0], to, Mode::Hold));
+    let mut line = fleet.line(others[1]).unwrap();
+    let asked = std::thread::spawn(move || {
+        let body = json!({ "in-flight": 2001 }).to_string();
+        line.call("PUT", "/v1/tenants/a/limits", "If-Match: *\r\nIdempotency-Key: once\r\n", &body).unwrap()
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    fleet.kill(leader);
+    (0..5).for_each(|to| fleet.link(others[0], to, Mode::Pass));
+    let (status, body) = asked.join().unwrap();
+    assert_eq!(status, 200, "{}", String::from_utf8_lossy(&body));
+    assert!(others.iter().all(|i| limit(&fleet, *i) == 2001));
+    let (status, again) = set(&fleet, others[2], 2001, "Idempotency-Key: once\r\n");
+    assert_eq!((status, serde_json::from_slice::<Value>(&body).unwrap()), (200, again));
+    fleet.start(leader).unwrap();
+    fleet.ready().unwrap();
+    let versions = fleet.line(leader).unwrap().json("GET", "/v1/versions", "", &Value::Null).unwrap();
+    assert_eq!(versions["items"].as_array().unwrap().len(), 2, "{versions}");
+}
+
+#[test]
+fn where_the_cut_off_serve_a_change_is_given_up_and_told_by_whom() {
+    let directory = Directory::new();
+    let fleet = fleet(&directory, 5, &format!("{SOON}\nwhen-cut-off = \"serve\""));
+    let leader = fleet.leader().unwrap();
+    let cut = (0..5).find(|i| *i != leader).unwrap();
+    fleet.isolate(cut, Mode::Cut);
+    let (status, body) = set(&fleet, leader, 2001, "");
+    assert_eq!((status, body["type"].as_str()), (409, Some("/problems/given-up")), "{body}");
+    assert!(body["detail"].as_str().unwrap().contains(fleet.name(cut)), "{body}");
+    assert!(fleet.is_up(cut), "it serves on");
+    fleet.isolate(cut, Mode::Pass);
+    let (status, body) = set(&fleet, cut, 2001, "");
+    assert_eq!(status, 200, "{body}");
+}
+
+#[test]
+fn an_empty_disk_comes_back_as_a_new_member_and_a_removed_one_is_refused() {
+    let directory = Directory::new();
+    let mut fleet = fleet(&directory, 5, SOON);
+    let leader = fleet.leader().unwrap();
+    let lost = (0..5).find(|i| *i != leader && *i != 0).unwrap();
+    assert_eq!(set(&fleet, leader, 2001, "").0, 200);
+    let id = |fleet: &Fleet| {
+        let status = fleet.status(leader).unwrap();
+        let members = status["leader"]["members"].as_array().unwrap().clone();
+        members.iter().find(|m| m["name"] == fleet.name(lost)).and_then(|m| m["id"].as_u64())
+    };
+    let before = id(&fleet).unwrap();
+    fleet.kill(lost);
+    std::fs::remove_dir_all(fleet.state(lost)).unwrap();
+    fleet.start(lost).unwrap();
+    fleet.ready().unwrap();
+    assert_eq!(limit(&fleet, lost), 2001);
+    assert!(id(&fleet).unwrap() > before, "it never votes with a forgotten vote");
+
+    let target = format!("/v1/cluster/members/{}", fleet.name(lost));
+    fleet.isolate(lost, Mode::Cut);
+    let (status, _) = fleet.line(leader).unwrap().call("DELETE", &target, "", "").unwrap();
+    assert_eq!(status, 200);
+    assert_eq!(id(&fleet), None);
+    fleet.isolate(lost, Mode::Pass);
+    assert_eq!(set(&fleet, leader, 2002, "").0, 200);
+    assert!(!fleet.is_up(lost), "it is no member any more");
+}
+
+#[test]
+fn without_most_of_those_who_vote_nothing_changes_and_nobody_decides_beyond_a_lease() {
+    let directory = Directory::new();
+    let mut fleet = fleet(&directory, 5, SOON);
+    let status = fleet.status(0).unwrap();
+    let members = status["leader"]["members"].as_array().unwrap().clone();
+    let votes: BTreeSet<&str> =
+        members.iter().filter(|m| m["votes"] == true).filter_map(|m| m["name"].as_str()).collect();
+    let voters: Vec<usize> = (0..5).filter(|i| votes.contains(fleet.name(*i))).collect();
+    let left = (0..5).find(|i| !voters.contains(i)).unwrap();
+    voters[..2].iter().for_each(|i| fleet.kill(*i));
+    assert!(fleet.is_up(left), "its lease runs");
+    fleet.wait("its lease's end", |f| !f.is_up(left)).unwrap();
+    voters[..2].iter().for_each(|i| fleet.start(*i).unwrap());
+    fleet.ready().unwrap();
+    assert_eq!(set(&fleet, left, 2001, "").0, 200);
+}
+
+#[test]
+fn under_faults_by_chance_no_change_is_half_taken_and_the_judge_sees_one_that_is() {
+    let (directory, command) = (Directory::new(), command());
+    let mut terms = Play {
+        command: &command,
+        instances: 5,
+        changes: 8,
+        cluster: SOON,
+        seed: 5,
+        dir: &directory.0,
+        planted: Planted::Nothing,
+    };
+    let played = play(&terms, |_| ()).unwrap();
+    assert_eq!(played.broken, Vec::<String>::new());
+    let done = played.changes.values().filter(|k| matches!(k, Some(Known::Done(_)))).count();
+    assert!(
+        done >= 4 && played.decisions > 1000,
+        "{done} of {:?}, {} decisions",
+        played.changes,
+        played.decisions
+    );
+    terms.changes = 3;
+    terms.planted = Planted::LateDecisions;
+    let played = play(&terms, |_| ()).unwrap();
+    assert!(played.broken.iter().any(|b| b.contains("after")), "{played:?}");
+    assert!(judge(&[]).is_empty());
+}
+
+#[test]
+fn a_peer_that_sends_rubbish_is_closed_and_counted_and_bad_files_name_the_key() {
+    use std::io::{Read as _, Write as _};
+    let directory = Directory::new();
+    let fleet = fleet(&directory, 1, SOON);
+    let own = fleet.status(0).unwrap();
+    let links = own["leader"]["members"][0]["address"].as_str().unwrap().to_owned();
+    for bytes in [vec![b'x'; 200], b"GET / HTTP/1.1\r\n\r\n".repeat(9), vec![0; 64]] {
+        let mut peer = std::net::TcpStream::connect(&links).unwrap();
+        peer.write_all(&bytes).unwrap();
+        peer.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        let mut answer = Vec::new();
+        let _ = peer.read_to_end(&mut answer); // a reset is an end as well
+        assert!(answer.is_empty());
+    }
+    fleet.wait("the counts", |f| f.status(0).unwrap()["here"]["letters"][3] == 3).unwrap();
+
+    let text = std::fs::read_to_string(fleet.config(0)).unwrap();
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    for (bad, says) in [
+        (text.replace("lease = \"2 s\"", "lease = \"9 s\""), "cluster.deadline"),
+        (text.replace("change-lease = \"1500 ms\"", "change-lease = \"3 s\""), "cluster.change-lease"),
+        (text.replace("zone = \"z0\"", "zone = 4"), "cluster.zone"),
+        (text.replace("[state]\n", "[state]\nnothing = 1\n"), "state"),
+        (text.replace("instance = \"i00\"", "instance = \"I\""), "cluster.instance"),
+    ] {
+        let file = directory.0.join("bad.toml");
+        std::fs::write(&file, bad).unwrap();
+        let ran =
+            Command::new(&command()[0]).args(["serve", "--check", "--config"]).arg(&file).output().unwrap();
+        let said = String::from_utf8_lossy(&ran.stderr).into_owned();
+        assert_eq!(ran.status.code(), Some(2), "{said}");
+        assert!(said.contains(says) && said.contains("bad.toml:"), "{says}: {said}");
+    }
+    let short = directory.0.join("short.key");
+    std::fs::write(&short, "short").unwrap();
+    let key = text.lines().find(|l| l.starts_with("key-file")).unwrap();
+    let links = text.replace(key, &format!("key-file = {:?}", short.display().to_string()));
+    let port = text.replacen(
+        "address = \"127.0.0.1:0\"\nzone",
+        &format!("address = \"{}\"\nzone", taken.local_addr().unwrap()),
+        1,
+    );
+    let state = format!("{:?}", directory.0.join("other").display().to_string());
+    for (bad, says) in [(links, "16 bytes"), (port, "in use")] {
+        let file = directory.0.join("bad.toml");
+        let own = format!("{:?}", fleet.state(0).display().to_string());
+        std::fs::write(&file, bad.replace(&own, &state)).unwrap();
+        let ran = Command::new(&command()[0]).args(["serve", "--config"]).arg(&file).output().unwrap();
+        let said = String::from_utf8_lossy(&ran.stderr).into_owned();
+        assert_eq!(ran.status.code(), Some(3), "{said}");
+        assert!(said.contains(says), "{says}: {said}");
+    }
+}
--- /dev/null
+++ b/crates/cluster/tests/sim.rs
@@ -0,0 +1,203 @@
+//! Whole nodes in virtual time, with faults between them, and the judge seen failing.
+use cluster::machine::{Micros, Outcome, Rules, WhenCutOff};
+use cluster::node::Node;
+use cluster::sim::{Sim, World};
+
+const S: Micros = 1_000_000;
+
+fn rules(when_cut_off: WhenCutOff) -> Rules {
+    Rules { lease: 5 * S, short: 3 * S, drift: 20_000, deadline: 15 * S, when_cut_off, voters: 3 }
+}
+
+fn ready(sim: &mut Sim) {
+    let end = sim.now + 60 * S;
+    let all = |s: &Sim| (0..s.count()).all(|i| !s.runs(i) || s.decides(i).is_some());
+    assert!(sim.until(end, all), "not all may decide");
+}
+
+fn fleet(count: usize, mode: WhenCutOff, seed: u64) -> Sim {
+    let mut sim = Sim::new(count, 3, &rules(mode), World::default(), seed);
+    ready(&mut sim);
+    let voters =
+        |s: &Sim| s.leader().and_then(|l| s.node(l)).is_some_and(|n| n.voters().len() == 3.min(s.count()));
+    let end = sim.now + 60 * S;
+    assert!(sim.until(end, voters), "no three voters");
+    sim
+}
+
+/// Plays a change to its end; returns what became of it and how long that took.
+fn change(sim: &mut Sim, id: &str, most: Micros) -> (Outcome, Micros) {
+    let end = sim.now + most;
+    let begin = sim.now;
+    while sim.change(id).is_err() {
+        assert!(sim.now < end, "no leader takes {id}");
+        sim.run(100_000);
+    }
+    let ended = |s: &Sim| s.played[id].ended.is_some();
+    assert!(sim.until(end, ended), "{id} has no end");
+    let (at, outcome) = sim.played[id].ended.clone().unwrap();
+    (outcome, at - begin)
+}
+
+#[test]
+fn a_change_takes_hold_everywhere_and_voters_stand_in_different_zones() {
+    let mut sim = fleet(7, WhenCutOff::Refuse, 1);
+    let (outcome, took) = change(&mut sim, "one", 10 * S);
+    assert_eq!(outcome, Outcome::InEffect(1));
+    assert!(took < S, "{took} us");
+    let leader: &Node = sim.node(sim.leader().unwrap()).unwrap();
+    let machine = leader.machine().unwrap();
+    let mut zones: Vec<&str> = machine
+        .members
+        .values()
+        .filter(|m| leader.voters().contains(&m.id))
+        .map(|m| m.zone.as_str())
+        .collect();
+    zones.sort_unstable();
+    assert_eq!(zones, ["z0", "z1", "z2"]);
+    sim.run(S);
+    assert!((0..7).all(|i| sim.decides(i) == Some(1)));
+    assert_eq!(sim.broken, []);
+}
+
+#[test]
+fn one_instance_that_can_not_take_it_is_enough() {
+    let mut sim = fleet(5, WhenCutOff::Refuse, 2);
+    sim.fault(4, Some("its listener's port is taken"));
+    let (outcome, _) = change(&mut sim, "one", 10 * S);
+    let Outcome::GivenUp(why) = outcome else { panic!("{outcome:?}") };
+    assert_eq!((why[0].by.as_str(), why[0].why.as_str()), ("i4", "its listener's port is taken"));
+    sim.fault(4, None);
+    assert_eq!(change(&mut sim, "two", 10 * S).0, Outcome::InEffect(1), "its number was not used up");
+    assert_eq!(sim.broken, []);
+}
+
+#[test]
+fn where_the_cut_off_refuse_a_change_waits_for_their_leases_and_no_longer() {
+    for (seed, how) in ["cut", "killed", "paused"].iter().enumerate() {
+        let mut sim = fleet(6, WhenCutOff::Refuse, 10 + seed as u64);
+        let one = (0..6).find(|i| Some(*i) != sim.leader()).unwrap();
+        match *how {
+            "cut" => sim.isolate(one, true),
+            "killed" => sim.kill(one),
+            _ => sim.pause(one, true),
+        }
+        let (outcome, took) = change(&mut sim, "one", 30 * S);
+        assert_eq!(outcome, Outcome::InEffect(1), "{how}");
+        assert!(took > 3 * S && took < 6 * S, "{how}: {took} us");
+        sim.run(2 * S);
+        match *how {
+            "cut" => sim.isolate(one, false),
+            "killed" => sim.start(one),
+            _ => sim.pause(one, false),
+        }
+        assert_eq!(sim.decides(one), None, "{how}: it has not caught up yet");
+        ready(&mut sim);
+        assert_eq!(sim.decides(one), Some(1));
+        assert_eq!(sim.broken, [], "{how}");
+    }
+}
+
+#[test]
+fn where_the_cut_off_serve_a_change_is_given_up_and_a_removed_member_waited_for_no_more() {
+    let mut sim = fleet(5, WhenCutOff::Serve, 20);
+    let one = (0..5).find(|i| Some(*i) != sim.leader()).unwrap();
+    sim.isolate(one, true);
+    let (outcome, took) = change(&mut sim, "one", 40 * S);
+    let Outcome::GivenUp(why) = outcome else { panic!("{outcome:?}") };
+    assert_eq!((why.len(), why[0].by.clone()), (1, format!("i{one}")));
+    assert!(took >= 15 * S, "{took}");
+    assert_eq!(sim.decides(one), Some(0), "it serves on");
+    sim.kill(one); // what an operator says who removes it
+    let end = sim.now + 30 * S;
+    while sim.remove(one) != Ok(true) {
+        assert!(sim.now < end);
+        sim.run(100_000);
+    }
+    assert_eq!(change(&mut sim, "two", 40 * S).0, Outcome::InEffect(1));
+    assert_eq!(sim.broken, []);
+}
+
+#[test]
+fn without_a_majority_they_refuse_after_a_lease_or_serve_on() {
+    for (mode, serves) in [(WhenCutOff::Refuse, false), (WhenCutOff::Serve, true)] {
+        let mut sim = fleet(6, mode, 30);
+        let leader = sim.node(sim.leader().unwrap()).unwrap();
+        let voters = leader.voters();
+        let gone: Vec<usize> =
+            (0..6).filter(|i| voters.contains(&sim.node(*i).unwrap().id())).take(2).collect();
+        gone.iter().for_each(|i| sim.kill(*i));
+        sim.run(3 * S);
+        let left: Vec<usize> = (0..6).filter(|i| !gone.contains(i)).collect();
+        assert!(left.iter().all(|i| sim.decides(*i) == Some(0)), "a lease less a report goes on");
+        sim.run(3 * S);
+        assert!(left.iter().all(|i| sim.decides(*i).is_some() == serves), "{mode:?}");
+        gone.iter().for_each(|i| sim.start(*i));
+        ready(&mut sim);
+        assert_eq!(change(&mut sim, "one", 30 * S).0, Outcome::InEffect(1));
+        assert_eq!(sim.broken, []);
+    }
+}
+
+/// Faults by chance while one change follows another.
+fn storm(mode: WhenCutOff, seed: u64, ignored: bool) -> Sim {
+    let world = World { lost: 10, ..World::default() };
+    let mut sim = Sim::new(7, 3, &rules(mode), world, seed);
+    ready(&mut sim);
+    sim.lease_ignored = ignored;
+    let mut chance = fastrand::Rng::with_seed(seed ^ 0xFA);
+    for round in 0..12 {
+        for i in 0..7 {
+            match chance.u32(..14) {
+                0 => sim.kill(i),
+                1 => sim.pause(i, true),
+                2 => sim.isolate(i, true),
+                3 => (0..7).filter(|o| *o != i).for_each(|o| sim.cut(i, o, true)),
+                4 => (0..7).for_each(|o| sim.delay(o, i, 8 * S)),
+                _ => {}
+            }
+        }
+        let _ = sim.change(&format!("c{round}")); // there may be no leader
+        sim.run(chance.u64(S..12 * S));
+        for i in 0..7 {
+            sim.isolate(i, false);
+            (0..7).for_each(|o| sim.delay(o, i, 0));
+            if sim.node(i).is_none() {
+                sim.start(i);
+            }
+            sim.pause(i, false);
+        }
+        sim.run(chance.u64(..4 * S));
+    }
+    sim
+}
+
+#[test]
+fn under_faults_by_chance_no_former_version_is_decided_under() {
+    for mode in [WhenCutOff::Refuse, WhenCutOff::Serve] {
+        let mut taken = 0;
+        for seed in 0..6 {
+            let mut sim = storm(mode, seed, false);
+            assert_eq!(sim.broken, [], "{mode:?} seed {seed}");
+            ready(&mut sim);
+            sim.run(30 * S);
+            // All know the same of each change, and none is half taken.
+            let machines: Vec<_> = (0..7).map(|i| sim.node(i).unwrap().machine().unwrap()).collect();
+            assert!(machines.iter().all(|m| m.version == machines[0].version && m.change.is_none()));
+            for (id, played) in &sim.played {
+                let told: Vec<_> = machines.iter().map(|m| m.outcome(id)).collect();
+                assert!(told.iter().all(|o| *o == told[0]), "{id}: {told:?}");
+                assert_eq!(played.ended.as_ref().map(|(_, o)| o), told[0], "{id}");
+            }
+            taken += machines[0].version;
+        }
+        println!("{mode:?}: {taken} changes took hold");
+        assert!(taken > 20, "{mode:?}: only {taken} changes took hold");
+    }
+}
+
+#[test]
+fn the_judge_sees_a_lease_that_is_ignored() {
+    let broken = (0..6).filter(|seed| !storm(WhenCutOff::Refuse, *seed, true).broken.is_empty()).count();
+    assert!(broken > 0);
+}
--- a/crates/engine/src/driver.rs
+++ b/crates/engine/src/driver.rs
@@ -21,6 +21,7 @@
 use crate::capture::{Capture, Pending};
 use crate::clock::Clock;
 use crate::discovery::{self, Place};
+use crate::gate::{Ticket, stamp};
 use crate::hosts::Host;
 use crate::inbox::{Answer, Arrival, FAILED, GONE, Inbox, Input, REFUSED, SERVED};
 use crate::lifecycle::Life;
@@ -70,6 +71,8 @@
     pub peers: Option<Rc<Peers>>,
     /// Where lists are asked for, in a pool whose module asks for them.
     pub discovery: Option<Rc<Place>>,
+    /// The pool's place at the gate, in a process that acts as one with others.
+    pub gate: Option<Rc<Ticket>>,
     /// The account that the pool's work is put on, in a process of many tenants.
     pub account: Option<Rc<dyn Account>>,
     /// Whether it may rest: with nothing to do it has no timer, so that thousands of idle pools take no time.
@@ -218,7 +221,18 @@
     }
 
     fn request(&mut self, arrival: Arrival) {
-        let Arrival { id, class, tenant, key, hint, patience, deadline, message, answer } = arrival;
+        let Arrival { id, class, tenant, key, hint, patience, deadline, mut message, answer, decided } =
+            arrival;
+        if let Some(gate) = &self.parts.gate {
+            let Some(now) = gate.decide() else {
+                let _ = answer.send(Answer::Again(Box::new(message))); // its client may have left
+                return;
+            };
+            decided.inspect(|d| d.set(Some(now)));
+            if gate.stamps() {
+                stamp(&mut message.headers, now);
+            }
+        }
         let last = deadline - LAST_RESORT;
         let whole = message.body.upload().is_none();
         let budget = last.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0;
--- a/crates/engine/src/frontend.rs
+++ b/crates/engine/src/frontend.rs
@@ -18,7 +18,7 @@
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -29,6 +29,7 @@
 
 use crate::account::{self, Account};
 use crate::figures::Flight;
+use crate::gate::{Gate, stamp};
 use crate::guard::Guard;
 use crate::inbox::{Answer, Arrival, Inbox, Input, REFUSED};
 use crate::lifecycle::{Idle, Life};
@@ -228,6 +229,11 @@
     /// Whether requests can be served.
     fn is_up(&self) -> bool;
 
+    /// The gate that all requests pass, in a process that acts as one with others.
+    fn gate(&self) -> Option<&Gate> {
+        None
+    }
+
     /// The longest wait that any client is ready for.
     fn longest(&self) -> Duration;
 
@@ -424,11 +430,18 @@
             async move {
                 client.busy.set(true);
                 let by = client.whole_by(client.begun.take().unwrap_or_else(Instant::now));
+                let closed = match front.router.gate().filter(|_| request.uri().path() != "/up") {
+                    Some(gate) => gate.pass().await.err(),
+                    None => None,
+                };
+                // After the gate and in the same turn, so that the routes are those of the version that it let pass under.
                 let pool = front.router.pool(request.uri(), request.headers());
                 let figures = pool.as_ref().ok().and_then(|p| p.features.figures.as_ref().map(|f| (f, p)));
                 let flight = figures.and_then(|(f, pool)| f.begin(&request, &pool.terms.borrow().names));
                 let mut response = match &pool {
                     _ if request.uri().path() == "/up" && !over => front.up().map(Inbound::from),
+                    Ok(pool) if closed.is_some() => front.refused(pool, closed.unwrap_or_default()).await,
+                    Err(_) if closed.is_some() => finished(Ok(Answer::Refused(closed))),
                     Err((status, text)) => plain(*status, text).map(Inbound::from),
                     Ok(pool) if over => turn_away(pool, request).map(Inbound::from),
                     Ok(pool) => front.respond(pool, request, &client, by, flight.as_ref()).await,
@@ -537,31 +550,59 @@
             upload.into_iter().for_each(drain);
             return self.refused(pool, FULL).await;
         }
+        // What its pool is found by, where that may have to be done anew.
+        let way = self.router.gate().map(|_| (head.method.clone(), head.uri.clone(), head.headers.clone()));
         let mut headers = head.headers;
         strip(&mut headers);
-        let id = RequestId(self.next.replace(self.next.get() + 1));
-        let (answer, answered) = oneshot::channel();
         let named = pool.features.drills.as_ref().and_then(|_| headers.get("x-request-id").cloned());
-        let message = Outgoing { method: head.method, uri: target(&head.uri), headers, body };
-        let Asked { class, tenant, key, hint, patience } = asked;
-        let deadline = Instant::now() + patience; // a request's time counts from its last byte
-        pool.inbox.put(Input::Request(Box::new(Arrival {
-            id,
-            class,
-            tenant,
-            key,
-            hint,
-            patience,
-            deadline,
-            message,
-            answer,
-        })));
-        // Hyper drops this future when the client leaves.
-        let mut leaves = Leaves { inbox: &pool.inbox, id, waits: true };
-        let answer = answered.await;
-        leaves.waits = false;
+        let mut message = Outgoing { method: head.method, uri: target(&head.uri), headers, body };
+        let mut asked = asked;
+        let deadline = Instant::now() + asked.patience; // a request's time counts from its last byte
+        let decided = way.as_ref().map(|_| Rc::new(Cell::new(None)));
+        let mut pool = pool.clone();
+        let class = asked.class;
+        let answer = loop {
+            let id = RequestId(self.next.replace(self.next.get() + 1));
+            let (answer, answered) = oneshot::channel();
+            let Asked { class, tenant, key, hint, patience } = asked;
+            pool.inbox.put(Input::Request(Box::new(Arrival {
+                id,
+                class,
+                tenant,
+                key,
+                hint,
+                patience,
+                deadline,
+                message,
+                answer,
+                decided: decided.clone(),
+            })));
+            // Hyper drops this future when the client leaves.
+            let mut leaves = Leaves { inbox: &pool.inbox, id, waits: true };
+            let answer = answered.await;
+            leaves.waits = false;
+            drop(leaves);
+            match (answer, &way) {
+                (Ok(Answer::Again(back)), Some(way)) => {
+                    message = *back;
+                    match self.ask_anew(&pool, way).await {
+                        Ok(anew) => (pool, asked) = anew,
+                        Err(response) => {
+                            upload.into_iter().for_each(drain);
+                            return response;
+                        }
+                    }
+                }
+                (answer, _) => break answer,
+            }
+        };
         upload.into_iter().for_each(drain);
-        let response = finished(answer);
+        let mut response = finished(answer);
+        if let (Some(decided), Some(gate)) = (decided.and_then(|d| d.get()), self.router.gate())
+            && gate.stamps()
+        {
+            stamp(response.headers_mut(), decided);
+        }
         let Some(drills) = &pool.features.drills else { return response };
         let Some(hit) = drills.meet(class.0, named.as_ref()) else { return response };
         if let Some(flight) = flight {
@@ -570,6 +611,26 @@
         drills.act(&hit, response).await
     }
 
+    /// Finds the pool of a request anew that was not decided yet when a change took hold.
+    async fn ask_anew(
+        &self, before: &Rc<Pool>, (method, uri, headers): &(Method, Uri, HeaderMap),
+    ) -> Result<(Rc<Pool>, Asked), Response<Inbound>> {
+        if let Some(gate) = self.router.gate()
+            && let Err(wait) = gate.pass().await
+        {
+            return Err(self.refused(before, wait).await);
+        }
+        let error = |(status, text)| plain(status, text).map(Inbound::from);
+        let pool = self.router.pool(uri, headers).map_err(error)?;
+        let asked = pool.read(method, uri, headers).map_err(error)?;
+        let same = match (&pool.account, &before.account) {
+            (Some(now), Some(then)) => Rc::ptr_eq(now, then),
+            _ => true,
+        };
+        // It stands on another tenant's account by now: that one may have no room.
+        if same { Ok((pool, asked)) } else { Err(self.refused(&pool, FULL).await) }
+    }
+
     /// Puts a request on its tenant's account, in a process of many; the span in ms to wait where there is no room.
     fn admit(
         &self, pool: &Rc<Pool>, client: &Client, headers: &HeaderMap, body: &Incoming,
@@ -709,7 +770,10 @@
             }
             response.map(Inbound::from)
         }
-        Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed").map(Inbound::from),
+        // One that was not decided is asked anew by whoever can.
+        Ok(Answer::Failed | Answer::Again(_)) | Err(_) => {
+            plain(StatusCode::BAD_GATEWAY, "failed").map(Inbound::from)
+        }
     }
 }
 
--- a/crates/engine/src/inbox.rs
+++ b/crates/engine/src/inbox.rs
@@ -1,11 +1,14 @@
 //! What the parts tell the driver, and what a front gets back: arrivals in, one final answer out.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 use wharfhitch::{ClassId, Key, Millis, Outcome, RequestId, Scope, Settings, TenantId};
 
+use crate::gate::Decided;
 use crate::hosts::Host;
 use crate::message::{Outgoing, Reply};
 use crate::vars::Held;
@@ -63,6 +66,8 @@
     pub deadline: Instant,
     pub message: Outgoing,
     pub answer: oneshot::Sender<Answer>,
+    /// What it was decided under, where that is told.
+    pub decided: Option<Rc<Cell<Option<Decided>>>>,
 }
 
 /// The one final answer.
@@ -71,6 +76,8 @@
     /// Trying again is harmless, after a while if one is named.
     Refused(Option<Millis>),
     Failed,
+    /// It was not decided, as it came to a pool of a former version or while nothing is decided: it is to be asked anew.
+    Again(Box<Outgoing>),
 }
 
 /// Where all parts put what they have seen.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -14,6 +14,7 @@
 mod driver;
 mod figures;
 mod frontend;
+pub mod gate;
 mod guard;
 mod hosts;
 mod inbox;
--- a/crates/engine/src/process.rs
+++ b/crates/engine/src/process.rs
@@ -146,6 +146,7 @@
     let watch = Rc::new(Notify::new());
     let place = discovery::Place::new(config.discovery);
     let parts = Parts {
+        gate: None,
         clock,
         capture: capture.clone(),
         inbox: inbox.clone(),
--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -18,6 +18,7 @@
 use crate::clock::Clock;
 use crate::driver::{Driver, Parts};
 use crate::frontend::{self, Frontend};
+use crate::gate::{Gate, Ticket};
 use crate::inbox::{Inbox, Input};
 use crate::lifecycle::Life;
 use crate::pool::{Features, Pool};
@@ -40,6 +41,8 @@
     next: Rc<Cell<u64>>,
     /// Memory for what passes through.
     room: Rc<Room>,
+    /// The gate, where the process acts as one with others.
+    gate: Option<Rc<Gate>>,
 }
 
 /// What a pool is told at its start.
@@ -61,9 +64,17 @@
     /// Where its list is told, for as long as it runs.
     pub feed: Feed,
     upstreams: Rc<Upstreams>,
+    gate: Option<Rc<Ticket>>,
 }
 
 impl Running {
+    /// It is a former version's from here on: it decides nothing new.
+    pub fn end(&self) {
+        if let Some(gate) = &self.gate {
+            gate.end();
+        }
+    }
+
     /// Closes the connection to a server that has stood idle longest.
     pub fn make_room(&self) {
         self.upstreams.close_idle();
@@ -98,7 +109,19 @@
     /// A process that holds at most so many connections to servers.
     pub fn new(sockets: usize) -> Self {
         let sockets = Arc::new(Semaphore::new(sockets.min(Semaphore::MAX_PERMITS)));
-        Process { clock: Clock::new(), sockets, next: Rc::default(), room: Room::new(MEMORY) }
+        Process { clock: Clock::new(), sockets, next: Rc::default(), room: Room::new(MEMORY), gate: None }
+    }
+
+    /// All that its pools decide passes this gate.
+    #[must_use]
+    pub fn behind(mut self, gate: Option<Rc<Gate>>) -> Self {
+        self.gate = gate;
+        self
+    }
+
+    /// The gate that all passes, if there is one.
+    pub fn gate(&self) -> Option<&Gate> {
+        self.gate.as_deref()
     }
 
     /// The time on the process's clock.
@@ -120,7 +143,9 @@
             Upstreams::new(&terms.connections, sockets, account.clone(), counts.clone(), self.room.clone());
         let upstreams = Rc::new(upstreams);
         let life = Rc::new(Life::new(self.clock, false));
+        let gate = self.gate.clone().map(Ticket::new);
         let parts = Parts {
+            gate: gate.clone(),
             clock: self.clock,
             capture: None,
             inbox: inbox.clone(),
@@ -159,7 +184,7 @@
             account,
             strict: false,
         };
-        Running { pool: Rc::new(pool), feed: Feed { inbox, alive }, upstreams }
+        Running { pool: Rc::new(pool), feed: Feed { inbox, alive }, upstreams, gate }
     }
 
     /// Serves a listener with at most so many connections until `stop`, and then until all that was taken is answered.
--- a/crates/hosted/src/check.rs
+++ b/crates/hosted/src/check.rs
@@ -5,7 +5,7 @@
 
 use documents::{DocumentError, Fault, Form, Problem};
 
-use crate::document::{Service, Tenant, TenantBy};
+use crate::document::{Cluster, Service, Tenant, TenantBy};
 
 /// Reads a service's configuration.
 ///
@@ -63,6 +63,9 @@
             );
         }
     }
+    if let Some(cluster) = &service.cluster {
+        in_cluster(&mut faults, cluster, service.state.is_some());
+    }
     faults.once("tenant", service.tenants.iter().map(|t| t.name.as_str()), "name");
     for (i, l) in service.listeners.iter().enumerate() {
         let at = format!("/listener/{i}");
@@ -102,6 +105,34 @@
     faults.0
 }
 
+/// What is wrong with what is said of the cluster.
+fn in_cluster(faults: &mut Faults, c: &Cluster, has_state: bool) {
+    if !has_state {
+        faults.put("/state", "it is missing: a cluster's log needs a place");
+    }
+    faults.address("/cluster/address", &c.address);
+    for (name, address) in &c.peers {
+        if *name == c.instance {
+            faults.put(&format!("/cluster/peers/{name}"), "it is this instance itself");
+        }
+        faults.address(&format!("/cluster/peers/{name}"), address);
+    }
+    faults.within("/cluster/lease", c.lease.0, 500.0, 600_000.0);
+    faults.within("/cluster/change-lease", c.change_lease.0, 500.0, 600_000.0);
+    faults.within("/cluster/drift", c.drift.0, 0.0, 0.2);
+    faults.within("/cluster/hold", c.hold.0, 0.0, 10_000.0);
+    faults.within("/cluster/retry-after", c.retry_after.0, 1.0, 3.6e6);
+    if c.change_lease.0 > c.lease.0 {
+        faults.put("/cluster/change-lease", "it is at most the lease");
+    }
+    if c.deadline.0 < 2.0 * c.lease.0 || c.deadline.0 > 3.6e6 {
+        faults.put(
+            "/cluster/deadline",
+            "it is from twice the lease, so that a change outlasts the lease of an instance that is gone, to an hour",
+        );
+    }
+}
+
 /// What is wrong with one tenant, whose document stands at this pointer.
 fn tenant(faults: &mut Faults, at: &str, t: &Tenant) {
     let classes = t.classes.iter().map(|c| c.name.as_str());
--- a/crates/hosted/src/document.rs
+++ b/crates/hosted/src/document.rs
@@ -17,10 +17,16 @@
     pub listeners: Vec<Listener>,
     /// Where the administration API is.
     #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Admin")]
     pub admin: Option<Admin>,
     /// Where versions are kept.
     #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Durable")]
     pub state: Option<Durable>,
+    /// The other instances that this one acts as one with.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Cluster")]
+    pub cluster: Option<Cluster>,
     /// Who is served. With `state` these are taken into the first, empty state alone.
     #[serde(rename = "tenant", default)]
     #[schemars(length(max = 10_000))]
@@ -100,6 +106,98 @@
     1000
 }
 
+/// Instances that act as one. It needs `state`, where its log is kept, and holds from start to end. What says so is agreed on
+/// when the cluster is founded, and holds for all.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Cluster {
+    /// The cluster's name.
+    #[schemars(regex(pattern = r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"))]
+    pub name: String,
+    /// This instance's name in it.
+    #[schemars(regex(pattern = r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"))]
+    pub instance: String,
+    /// Address and port for the others.
+    pub address: String,
+    /// Where this instance stands; those with a vote are spread over zones.
+    #[serde(default = "here")]
+    #[schemars(length(min = 1, max = 64))]
+    pub zone: String,
+    /// The file with the key that all instances share: 16 bytes at least.
+    pub key_file: String,
+    /// Other instances and their addresses. A cluster is founded once all that stand here are there and name the same.
+    #[serde(default)]
+    #[schemars(length(max = 64))]
+    pub peers: std::collections::BTreeMap<String, String>,
+    /// How many instances have a vote (agreed on).
+    #[serde(default = "three")]
+    #[schemars(range(min = 1, max = 9))]
+    pub voters: usize,
+    /// How long an instance decides by itself after it was last heard (agreed on).
+    #[serde(default = "lease")]
+    pub lease: Span,
+    /// The same for one that has said that it can take a change under way (agreed on).
+    #[serde(default = "change_lease")]
+    pub change_lease: Span,
+    /// No clock runs faster or slower than true time by more than this (agreed on).
+    #[serde(default = "drift")]
+    pub drift: Share,
+    /// A change that is not decided within this span is given up (agreed on).
+    #[serde(default = "minute")]
+    pub deadline: Span,
+    /// What an instance does that hears from nobody (agreed on).
+    #[serde(default)]
+    pub when_cut_off: WhenCutOff,
+    /// A request waits for so long at most for a change to take hold.
+    #[serde(default = "hold")]
+    pub hold: Span,
+    /// A refused client is asked to come again after about so long.
+    #[serde(default = "second")]
+    pub retry_after: Span,
+    /// Answers, and requests to servers, tell by X-Canvascart-Decided under which version and when they were decided.
+    #[serde(default)]
+    pub stamps: bool,
+}
+
+/// What an instance does that hears from nobody.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum WhenCutOff {
+    /// Its lease runs out, and it refuses; changes go on without it.
+    #[default]
+    Refuse,
+    /// It serves on; a change waits for it, and is given up at its deadline.
+    Serve,
+}
+
+fn here() -> String {
+    "here".into()
+}
+
+fn three() -> usize {
+    3
+}
+
+fn lease() -> Span {
+    Span(15_000.0)
+}
+
+fn change_lease() -> Span {
+    Span(3000.0)
+}
+
+fn drift() -> Share {
+    Share(0.02)
+}
+
+fn hold() -> Span {
+    Span(200.0)
+}
+
+fn second() -> Span {
+    Span(1000.0)
+}
+
 /// Where requests come in.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
--- a/crates/hosted/src/plane.rs
+++ b/crates/hosted/src/plane.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use engine::account::Account;
+use engine::gate::Gate;
 use engine::pool::Pool;
 use engine::service::{self, Feed, Host, Process, Router, Running, Terms};
 use fleet::{Told, Update};
@@ -132,6 +133,11 @@
 impl Plane {
     /// A plane with nothing to serve yet.
     pub fn new(process: &document::Process, follow: Follow) -> Rc<Self> {
+        Plane::behind(process, follow, None)
+    }
+
+    /// The same, where all that is decided passes a gate. It opens with the versions that [`Plane::open_at`] tells.
+    pub fn behind(process: &document::Process, follow: Follow, gate: Option<Rc<Gate>>) -> Rc<Self> {
         let book = Book::new(Limits {
             sockets: process.sockets,
             in_flight: process.in_flight,
@@ -142,7 +148,7 @@
         });
         spawn_local(book.clone().give_turns());
         Rc::new_cyclic(|myself| Plane {
-            process: Rc::new(Process::new(process.server_sockets as usize)),
+            process: Rc::new(Process::new(process.server_sockets as usize).behind(gate)),
             book,
             document: RefCell::new(Arc::new(Service { process: process.clone(), ..Service::default() })),
             routes: RefCell::default(),
@@ -178,6 +184,7 @@
         for name in &plan.removed {
             if let Some(live) = self.tenants.borrow_mut().remove(name) {
                 // Its servers get nothing new; what is under way there ends, and with it the pool.
+                live.running.end();
                 live.running.feed.whole(Vec::new());
                 live.former.iter().for_each(|f| f.whole(Vec::new()));
             }
@@ -330,6 +337,7 @@
         let running = self.pool(&live.document, &live.account, live.seed, live.pools);
         live.pools += 1;
         let old = std::mem::replace(&mut live.running, running);
+        old.end();
         live.former.push(old.feed);
         live.former.retain(Feed::is_alive);
     }
@@ -348,6 +356,21 @@
         }
     }
 
+    /// Nothing new is decided from here on, until a version opens.
+    pub fn close(&self) {
+        self.process.gate().inspect(|gate| gate.close());
+    }
+
+    /// What is served now is this version of the cluster's.
+    pub fn open_at(&self, version: u64) {
+        self.process.gate().inspect(|gate| gate.open(version));
+    }
+
+    /// Requests that waited at the gate, and those that it refused.
+    pub fn gate_counts(&self) -> [u64; 2] {
+        self.process.gate().map(Gate::counts).unwrap_or_default()
+    }
+
     /// Where the listeners are, by name.
     pub fn addresses(&self) -> BTreeMap<String, SocketAddr> {
         self.listeners.borrow().iter().map(|(name, open)| (name.clone(), open.address)).collect()
@@ -567,7 +590,11 @@
     }
 
     fn is_up(&self) -> bool {
-        self.plane.version.get() > 0
+        self.plane.version.get() > 0 && self.gate().is_none_or(Gate::is_open)
+    }
+
+    fn gate(&self) -> Option<&Gate> {
+        self.plane.process.gate()
     }
 
     fn longest(&self) -> Duration {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod followers;
 pub mod ledger;
 pub mod load;
+pub mod net;
 pub mod oracle;
 pub mod price;
 pub mod real;
--- /dev/null
+++ b/crates/lab/src/service/changes.rs
@@ -0,0 +1,445 @@
+//! Changes of policy among many processes, some of them broken: who decided what under which version, and what became of each
+//! change.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{self, BufRead as _, BufReader, Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rand::Rng as _;
+use serde_json::{Value, json};
+
+use super::fleet::{Fleet, Terms};
+use crate::chance::{Use, stream};
+use crate::net::Mode;
+
+/// From one request of a client to its next.
+const PACE: Duration = Duration::from_millis(4);
+/// How long a client waits.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// How long a change may take, from its call to its answer.
+const LONG: Duration = Duration::from_secs(60);
+
+/// One decision: its moment on the machine's clock in us, the version, and who was seen to make it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Decision {
+    /// The moment.
+    pub at: u64,
+    /// The version.
+    pub version: u64,
+    /// The instance, where it is known.
+    pub by: Option<usize>,
+}
+
+/// What was seen of all decisions, by clients and by servers.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger(Arc<Mutex<Vec<Decision>>>);
+
+impl Ledger {
+    fn put(&self, stamp: &str, by: Option<usize>) {
+        let mut parts = stamp.split_whitespace().map(str::parse);
+        if let (Some(Ok(version)), Some(Ok(at))) = (parts.next(), parts.next()) {
+            self.0.lock().unwrap_or_else(PoisonError::into_inner).push(Decision { at, version, by });
+        }
+    }
+
+    /// What was seen, by its moment.
+    pub fn sorted(&self) -> Vec<Decision> {
+        let mut all = self.0.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        all.sort_unstable();
+        all
+    }
+}
+
+/// Decisions under a version that were made after one under a later version, each with that one.
+pub fn judge(decisions: &[Decision]) -> Vec<(Decision, Decision)> {
+    let mut newest: Option<Decision> = None;
+    let mut broken = Vec::new();
+    for decision in decisions {
+        match newest {
+            Some(n) if decision.version < n.version && decision.at > n.at => broken.push((*decision, n)),
+            Some(n) if decision.version <= n.version => {}
+            _ => newest = Some(*decision),
+        }
+    }
+    broken
+}
+
+/// Reads the head of a message and its body; the value of the stamp's header, and the status.
+fn read(from: &mut BufReader<TcpStream>) -> io::Result<(u16, Option<String>)> {
+    let (mut length, mut stamp, mut status, mut first) = (0, None, 0, true);
+    loop {
+        let mut line = String::new();
+        if from.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let line = line.trim_end().to_ascii_lowercase();
+        if line.is_empty() {
+            break;
+        }
+        if std::mem::take(&mut first) {
+            status = line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+        }
+        match line.split_once(": ") {
+            Some(("content-length", n)) => length = n.parse().map_err(io::Error::other)?,
+            Some(("x-canvascart-decided", s)) => stamp = Some(s.to_owned()),
+            _ => {}
+        }
+    }
+    io::copy(&mut from.take(length), &mut io::sink())?;
+    Ok((status, stamp))
+}
+
+/// A server that answers all at once, and notes what each request was decided under.
+///
+/// # Errors
+/// A port can't be had.
+pub fn server(ledger: &Ledger) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let ledger = ledger.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let ledger = ledger.clone();
+            thread::spawn(move || {
+                let _ = stream.set_nodelay(true); // slower without, no worse
+                let mut stream = BufReader::new(stream);
+                while let Ok((_, stamp)) = read(&mut stream) {
+                    stamp.into_iter().for_each(|s| ledger.put(&s, None));
+                    let said = stream.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                    if said.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    Ok(address)
+}
+
+/// What clients of an instance saw.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Seen {
+    /// Requests that were served, refused, and not answered.
+    pub served: u64,
+    /// As above.
+    pub refused: u64,
+    /// As above.
+    pub unanswered: u64,
+}
+
+/// A client of one instance, until it is told to end.
+fn client(fleet: &Mutex<Fleet>, i: usize, ledger: &Ledger, end: &AtomicBool) -> Seen {
+    let mut seen = Seen::default();
+    let mut connection: Option<BufReader<TcpStream>> = None;
+    let mut at = None;
+    while !end.load(Ordering::Relaxed) {
+        thread::sleep(PACE);
+        if connection.is_none() {
+            at = fleet.lock().unwrap_or_else(PoisonError::into_inner).public(i);
+        }
+        let Some(to) = at else { continue };
+        let ask = |connection: &mut Option<BufReader<TcpStream>>| -> io::Result<(u16, Option<String>)> {
+            if connection.is_none() {
+                let stream = TcpStream::connect_timeout(&to, PATIENCE)?;
+                stream.set_read_timeout(Some(PATIENCE))?;
+                stream.set_nodelay(true)?;
+                *connection = Some(BufReader::new(stream));
+            }
+            let Some(stream) = connection else { return Err(io::ErrorKind::NotConnected.into()) };
+            stream.get_mut().write_all(b"GET /lookup/1 HTTP/1.1\r\nHost: lab\r\nX-Tenant-Id: a\r\n\r\n")?;
+            read(stream)
+        };
+        match ask(&mut connection) {
+            Ok((status, stamp)) => {
+                if let Some(stamp) = stamp {
+                    ledger.put(&stamp, Some(i));
+                }
+                if status == 200 { seen.served += 1 } else { seen.refused += 1 }
+            }
+            Err(_) => {
+                connection = None;
+                seen.unanswered += 1;
+            }
+        }
+    }
+    seen
+}
+
+/// The tables of the one tenant that is changed.
+fn tenant(server: SocketAddr, n: u64) -> Value {
+    json!({
+        "name": "a",
+        "limits": { "in-flight": 1000 + n },
+        "class": [{ "name": "lookup", "effect": "safe", "aim": "500 ms", "deadline": "2 s" }],
+        "server": [{ "name": "s", "address": server.to_string(), "size": 64, "warm": true }],
+    })
+}
+
+/// What became of a change, as whoever asked for it knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Known {
+    /// It was acknowledged, after so long.
+    Done(Duration),
+    /// It was given up everywhere, or turned down.
+    GivenUp,
+    /// No answer told.
+    Unknown,
+}
+
+/// What came of a run.
+#[derive(Debug, Default)]
+pub struct Played {
+    /// What became of each change, by its number.
+    pub changes: BTreeMap<u64, Option<Known>>,
+    /// What should not have been.
+    pub broken: Vec<String>,
+    /// Decisions that were looked at.
+    pub decisions: usize,
+    /// What clients saw.
+    pub seen: Vec<Seen>,
+    /// What was done to the fleet.
+    pub faults: u64,
+}
+
+/// A fault that is planted, to see the judge notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Planted {
+    /// None.
+    Nothing,
+    /// Decisions are told as if those of one instance came late: as one would whose lease is not looked at.
+    LateDecisions,
+}
+
+/// How a run is played.
+pub struct Play<'a> {
+    /// Takes the arguments of `canvascart`.
+    pub command: &'a [String],
+    /// How many instances.
+    pub instances: usize,
+    /// How many changes are asked for.
+    pub changes: u64,
+    /// Lines of `[cluster]`.
+    pub cluster: &'a str,
+    /// What chance is drawn from.
+    pub seed: u64,
+    /// Where files go.
+    pub dir: &'a Path,
+    /// A planted fault.
+    pub planted: Planted,
+}
+
+/// Starts a fleet that takes requests; its one tenant has a server of the lab's.
+///
+/// # Errors
+/// It does not come up.
+pub fn begin(play: &Play, server: SocketAddr) -> io::Result<Fleet> {
+    let tenants = format!(
+        "[[tenant]]\nname = \"a\"\n[tenant.limits]\nin-flight = 1000\n[[tenant.class]]\nname = \"lookup\"\neffect = \
+         \"safe\"\naim = \"500 ms\"\ndeadline = \"2 s\"\n[[tenant.server]]\nname = \"s\"\naddress = \"{server}\"\nsize = \
+         64\nwarm = true\n"
+    );
+    let terms = Terms { cluster: play.cluster.into(), tenants, zones: 3 };
+    let mut fleet = Fleet::new(play.command, play.instances, &terms, play.dir)?;
+    for i in 0..play.instances {
+        fleet.start(i)?;
+    }
+    fleet.ready()?;
+    Ok(fleet)
+}
+
+/// Asks for a change at an instance.
+fn change(fleet: &Mutex<Fleet>, i: usize, server: SocketAddr, n: u64) -> Known {
+    let line = fleet.lock().unwrap_or_else(PoisonError::into_inner).line(i);
+    let Ok(mut line) = line else { return Known::Unknown };
+    let began = Instant::now();
+    let body = json!({ "tenant": [tenant(server, n)] }).to_string();
+    let key = format!("Idempotency-Key: change-{n}\r\n");
+    match line.call("POST", "/v1/apply", &key, &body) {
+        Ok((200..300, _)) => Known::Done(began.elapsed()),
+        Ok((409 | 412 | 422, _)) => Known::GivenUp,
+        _ => Known::Unknown,
+    }
+}
+
+/// The number that an instance's API shows.
+fn shown(fleet: &Mutex<Fleet>, i: usize) -> Option<u64> {
+    let mut line = fleet.lock().unwrap_or_else(PoisonError::into_inner).line(i).ok()?;
+    let limits = line.json("GET", "/v1/tenants/a/limits", "", &Value::Null).ok()?;
+    limits["in-flight"].as_u64()?.checked_sub(1000)
+}
+
+/// Plays changes under faults by chance.
+///
+/// # Errors
+/// The fleet can't be started, or does not come back.
+pub fn play(play: &Play, mut tick: impl FnMut(f64)) -> io::Result<Played> {
+    let ledger = Ledger::default();
+    let server = server(&ledger)?;
+    let fleet = Mutex::new(begin(play, server)?);
+    let end = AtomicBool::new(false);
+    let mut played = Played::default();
+    let outcome: io::Result<()> = thread::scope(|threads| {
+        let clients: Vec<_> = (0..play.instances)
+            .map(|i| {
+                threads.spawn({
+                    let (f, l, e) = (&fleet, &ledger, &end);
+                    move || client(f, i, l, e)
+                })
+            })
+            .collect();
+        let changed = drive(play, &fleet, server, &mut played, &mut tick);
+        end.store(true, Ordering::Relaxed);
+        played.seen = clients.into_iter().filter_map(|c| c.join().ok()).collect();
+        changed
+    });
+    outcome?;
+    let mut decisions = ledger.sorted();
+    if play.planted == Planted::LateDecisions {
+        for d in decisions.iter_mut().filter(|d| d.by == Some(0)) {
+            d.at += 200_000;
+        }
+        decisions.sort_unstable();
+    }
+    played.decisions = decisions.len();
+    for (late, newer) in judge(&decisions).into_iter().take(8) {
+        played.broken.push(format!("{late:?} after {newer:?}"));
+    }
+    Ok(played)
+}
+
+/// Faults and changes, one after another, and what all know in the end.
+fn drive(
+    play: &Play, fleet: &Mutex<Fleet>, server: SocketAddr, played: &mut Played, tick: &mut impl FnMut(f64),
+) -> io::Result<()> {
+    let lock = || fleet.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut rng = stream(play.seed, Use::Faults);
+    let count = play.instances;
+    let mut down = BTreeSet::new();
+    for n in 1..=play.changes {
+        tick(n as f64 / play.changes as f64);
+        // At most a third is broken at once, so that most changes can take hold.
+        if rng.random_bool(0.6) && down.len() < count / 3 {
+            let i = rng.random_range(0..count);
+            if down.insert(i) {
+                played.faults += 1;
+                match rng.random_range(0..5) {
+                    0 => lock().kill(i),
+                    1 => lock().pause(i, true),
+                    2 => lock().isolate(i, Mode::Cut),
+                    3 => lock().isolate(i, Mode::Hold),
+                    _ => (0..count).for_each(|to| lock().link(i, to, Mode::Cut)), // it hears, and is not heard
+                }
+            }
+        }
+        let at = (0..count).cycle().skip(rng.random_range(0..count)).find(|i| !down.contains(i)).unwrap_or(0);
+        let known = thread::scope(|threads| {
+            let asked = threads.spawn(|| change(fleet, at, server, n));
+            // Sometimes the one that leads goes in the middle.
+            if rng.random_bool(0.15) && down.len() < count / 3 {
+                thread::sleep(Duration::from_millis(rng.random_range(0..30)));
+                let leader = lock().leader();
+                if let Some(leader) = leader.filter(|l| *l != at && down.insert(*l)) {
+                    played.faults += 1;
+                    lock().kill(leader);
+                }
+            }
+            asked.join().unwrap_or(Known::Unknown)
+        });
+        if let Known::Done(_) = known {
+            // Whoever has seen a change at one instance sees it at each other.
+            let other = (0..count).cycle().skip(rng.random_range(0..count)).find(|i| !down.contains(i));
+            if let Some(shown) = other.and_then(|i| shown(fleet, i))
+                && shown < n
+            {
+                played.broken.push(format!("change {shown} is shown after {n} was acknowledged"));
+            }
+        }
+        played.changes.insert(n, Some(known));
+        if rng.random_bool(0.5) {
+            heal(fleet, &mut down)?;
+            thread::sleep(Duration::from_millis(rng.random_range(0..400)));
+        }
+    }
+    heal(fleet, &mut down)?;
+    lock().ready()?;
+    thread::sleep(Duration::from_millis(300));
+    history(fleet, play, played)
+}
+
+fn heal(fleet: &Mutex<Fleet>, down: &mut BTreeSet<usize>) -> io::Result<()> {
+    for i in std::mem::take(down) {
+        let mut fleet = fleet.lock().unwrap_or_else(PoisonError::into_inner);
+        fleet.isolate(i, Mode::Pass);
+        fleet.pause(i, false);
+        if !fleet.runs(i) {
+            fleet.start(i)?;
+        }
+    }
+    Ok(())
+}
+
+/// What the versions hold in the end: each acknowledged change once, none that was given up, and the same at each instance.
+fn history(fleet: &Mutex<Fleet>, play: &Play, played: &mut Played) -> io::Result<()> {
+    let end = Instant::now() + LONG;
+    let mut lines = Vec::new();
+    for i in 0..play.instances {
+        lines.push(fleet.lock().unwrap_or_else(PoisonError::into_inner).line(i)?);
+    }
+    let versions = |line: &mut super::Line| -> io::Result<Vec<u64>> {
+        let all = line.json("GET", "/v1/versions?limit=1000", "", &Value::Null)?;
+        let numbers = all["items"].as_array().into_iter().flatten().filter_map(|v| v["number"].as_u64());
+        Ok(numbers.collect())
+    };
+    let mut first = versions(&mut lines[0])?;
+    for (i, line) in lines.iter_mut().enumerate() {
+        while versions(line)? != first && Instant::now() < end {
+            thread::sleep(Duration::from_millis(100));
+        }
+        if versions(line)? != first {
+            played.broken.push(format!("instance {i} has other versions than the first"));
+        }
+    }
+    first.sort_unstable();
+    if first.windows(2).any(|w| w[0] + 1 != w[1]) {
+        played.broken.push("versions have gaps, or were given twice".into());
+    }
+    let mut there: BTreeMap<u64, u64> = BTreeMap::new();
+    for version in &first {
+        let document = lines[0].json("GET", &format!("/v1/versions/{version}"), "", &Value::Null)?;
+        if let Some(n) =
+            document["tenant"][0]["limits"]["in-flight"].as_u64().and_then(|n| n.checked_sub(1000))
+        {
+            *there.entry(n).or_default() += 1;
+        }
+    }
+    for (n, known) in &played.changes {
+        let times = there.get(n).copied().unwrap_or(0);
+        let good = match known {
+            Some(Known::Done(_)) => times == 1,
+            Some(Known::GivenUp) => times == 0,
+            _ => times <= 1,
+        };
+        if !good {
+            played.broken.push(format!("change {n}, which is {known:?}, took hold {times} times"));
+        }
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_decision_under_a_former_version_is_seen_and_one_at_the_same_moment_is_none() {
+        let d = |at, version| Decision { at, version, by: None };
+        assert_eq!(judge(&[d(1, 1), d(2, 1), d(3, 2), d(4, 2)]), []);
+        assert_eq!(judge(&[d(1, 1), d(2, 2), d(3, 1), d(4, 2)]), [(d(3, 1), d(2, 2))]);
+        assert_eq!(judge(&[d(2, 1), d(2, 2)]), []);
+    }
+}
--- /dev/null
+++ b/crates/links/src/member.rs
@@ -0,0 +1,685 @@
+//! The loop that drives one member: letters, disk and clock to the cluster's part, and what comes of it to the application.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use cluster::fence::Until;
+use cluster::machine::{Effect, Machine, Member, Micros, Outcome, Phase, Proposal, Rules, Version};
+use cluster::node::{Message, Node, Output, Persist, Refusal, Saved, TICK, found};
+use serde::{Deserialize, Serialize};
+use store::log::{Append, Log, Logged};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::clock;
+use crate::frame::Key;
+use crate::letter::{Body, Letter, Sender};
+use crate::post::Post;
+use crate::right::Right;
+
+/// From one look at the clock to the next.
+const STEP: Duration = Duration::from_millis(20);
+/// From one time that something is asked for to the next.
+const AGAIN: Micros = 300_000;
+/// Letters taken in one turn, before what they came to is put on disk.
+const TURN: usize = 256;
+/// Calls that wait for the one that leads.
+const CALLS: usize = 1024;
+
+/// What an operator says of a member.
+#[derive(Clone)]
+pub struct Settings {
+    /// Its name.
+    pub name: String,
+    /// The cluster's name.
+    pub cluster: String,
+    /// Where it listens for the others.
+    pub address: String,
+    /// Where it stands.
+    pub zone: String,
+    /// The other members that are known from the start: where each is, by name.
+    pub peers: BTreeMap<String, String>,
+    /// The cluster's key.
+    pub key: Vec<u8>,
+    /// Where its log is kept.
+    pub directory: PathBuf,
+    /// What all go by, if this one founds the cluster.
+    pub rules: Rules,
+}
+
+/// What the application is told, in this order.
+#[derive(Debug)]
+pub enum Told {
+    /// Whether a change can be taken: [`Said::Checked`].
+    Check(Proposal),
+    /// Nothing is to be decided any more under the present version: [`Said::Closed`].
+    Close(Proposal),
+    /// A version is in effect: [`Said::Opened`].
+    Open(Version, Proposal),
+    /// Something is stored.
+    Note(Proposal),
+    /// What the log came to until here; it replaces what the application has, if that is less: [`Said::Restored`].
+    Restore(Machine, String),
+    /// All that was told until here is to be written down: [`Said::Saved`].
+    Save,
+    /// What was read by this number may be answered with what there is now; or not, as another leads.
+    Read(u64, bool),
+    /// A call has come, by its id: [`Said::Answered`].
+    Call(String, String),
+    /// The member has ended: nothing may be decided any more.
+    Ended(String),
+}
+
+/// What the application says.
+#[derive(Debug)]
+pub enum Said {
+    /// A change can be taken, or why not.
+    Checked(String, Result<(), String>),
+    /// Nothing is decided any more, for this change.
+    Closed(String),
+    /// A version is served.
+    Opened(Version),
+    /// What was restored is served, at this version.
+    Restored(Version, Option<(String, Phase)>),
+    /// The application's state.
+    Saved(String),
+    /// The answer to a call.
+    Answered(String, Result<String, String>),
+    /// A call gets no answer here, as another leads; whoever took it asks that one.
+    Unanswered(String),
+    /// Something is to be agreed on; its end comes when it is known.
+    Propose(Proposal, bool, oneshot::Sender<Result<Outcome, Refusal>>),
+    /// Something was read, and is to be known to be current: [`Told::Read`].
+    Confirm(u64),
+    /// A call for whoever leads.
+    Call(String, String, oneshot::Sender<Result<String, String>>),
+    /// The service is ending: nothing is decided any more, and no change need wait for this member.
+    Rest,
+    /// How the cluster looks from here.
+    Status(oneshot::Sender<Status>),
+    /// A member is to be removed; whether it is gone.
+    Remove(String, oneshot::Sender<Result<bool, Refusal>>),
+    /// Another one is to lead.
+    StepDown(Option<String>, oneshot::Sender<Result<(), Refusal>>),
+}
+
+/// How the cluster looks from one member.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Status {
+    /// This member's name, and its number.
+    pub name: String,
+    /// As above.
+    pub id: u64,
+    /// The cluster's own id.
+    pub cluster: String,
+    /// Who leads.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub leader: Option<String>,
+    /// The term of leading, and how far the log is applied.
+    pub term: u64,
+    /// As above.
+    pub applied: u64,
+    /// The version in effect.
+    pub version: u64,
+    /// What this member decides under; none if it is fenced.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub decides: Option<u64>,
+    /// Why it is fenced.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub fenced: Option<String>,
+    /// The members.
+    pub members: Vec<MemberStatus>,
+    /// The change under way.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub change: Option<ChangeStatus>,
+    /// Letters sent, their bytes, letters dropped, and links ended for rubbish.
+    pub letters: [u64; 4],
+}
+
+/// One member, as the one that leads sees it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct MemberStatus {
+    /// Its name.
+    pub name: String,
+    /// Its number.
+    pub id: u64,
+    /// Where it stands.
+    pub zone: String,
+    /// Where it listens.
+    pub address: String,
+    /// Whether it has a vote.
+    pub votes: bool,
+    /// The version that it serves, as it last said.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub version: Option<u64>,
+    /// When it was last heard, in ms.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub heard_ms: Option<u64>,
+    /// For so long it may still decide at most, in ms; none if it surely does not, and -1 if until it says otherwise.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub holds_ms: Option<i64>,
+}
+
+/// A change under way.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ChangeStatus {
+    /// Its id.
+    pub id: String,
+    /// `checking` or `closing`.
+    pub phase: String,
+    /// The members that it waits for.
+    pub waits_for: Vec<String>,
+}
+
+/// Who a member is, as its log has it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Identity {
+    cluster: String,
+    id: u64,
+    name: String,
+}
+
+/// What founds a cluster: the version, how much is stored, and the application's state.
+pub type Beginning = Box<dyn FnOnce() -> Result<(Version, u64, String), String> + Send>;
+
+/// A member that can be driven.
+pub struct Driven {
+    settings: Settings,
+    log: Log,
+    post: Post,
+    letters: mpsc::Receiver<Letter>,
+    to: mpsc::UnboundedSender<Told>,
+    from: mpsc::UnboundedReceiver<Said>,
+    right: Arc<Right>,
+    starts: u32,
+    begin: Option<Beginning>,
+    identity: Option<Identity>,
+    node: Option<Node>,
+    address: String,
+    /// Who is asked about, before this one is a member: what each has said.
+    told: BTreeMap<String, Body>,
+    ask_due: Micros,
+    /// Where others are that wrote.
+    heard: BTreeMap<u64, (String, String)>,
+    waiting: BTreeMap<String, Vec<oneshot::Sender<Result<Outcome, Refusal>>>>,
+    /// Calls of this instance that wait for the one that leads.
+    calls: BTreeMap<String, Call>,
+    /// Calls that are being answered here: who asked.
+    answering: BTreeMap<String, BTreeSet<Option<String>>>,
+}
+
+struct Call {
+    text: String,
+    due: Micros,
+    sent_to: Option<u64>,
+    answer: oneshot::Sender<Result<String, String>>,
+}
+
+/// Opens a member's log and listens; it is driven by [`Driven::run`].
+///
+/// # Errors
+/// The log or the address can't be had.
+pub async fn open(
+    settings: Settings, to: mpsc::UnboundedSender<Told>, from: mpsc::UnboundedReceiver<Said>,
+    right: Arc<Right>, begin: Beginning,
+) -> Result<Driven, String> {
+    let (log, logged) = Log::open(&settings.directory).map_err(|e| e.to_string())?;
+    let at = |e: io::Error| format!("{}: {e}", settings.address);
+    let listener = TcpListener::bind(&settings.address).await.map_err(at)?;
+    let address = listener.local_addr().map_err(at)?.to_string();
+    tracing::info!(address, "the cluster's links listen");
+    let (put, letters) = mpsc::channel(TURN * 4);
+    let post = Post::new(Key::new(&settings.cluster, &settings.key), listener, put);
+    let mut driven = Driven {
+        post,
+        letters,
+        to,
+        from,
+        right,
+        starts: logged.starts,
+        begin: Some(begin),
+        identity: None,
+        node: None,
+        address,
+        told: BTreeMap::new(),
+        ask_due: 0,
+        heard: BTreeMap::new(),
+        waiting: BTreeMap::new(),
+        calls: BTreeMap::new(),
+        answering: BTreeMap::new(),
+        log,
+        settings,
+    };
+    driven.remember(&logged)?;
+    Ok(driven)
+}
+
+impl Driven {
+    /// Goes on as the member that the log tells of, if it tells of one.
+    fn remember(&mut self, logged: &Logged) -> Result<(), String> {
+        let Some(bytes) = &logged.identity else { return Ok(()) };
+        let identity: Identity = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
+        if identity.name != self.settings.name {
+            return Err(format!(
+                "the directory is the member \"{}\"'s, and this one is \"{}\"",
+                identity.name, self.settings.name
+            ));
+        }
+        let (snapshot, entries, hard) =
+            (logged.snapshot.clone(), logged.entries.clone(), logged.hard.clone());
+        self.begin_with(identity, &Saved { snapshot, entries, hard })
+    }
+
+    fn begin_with(&mut self, identity: Identity, saved: &Saved) -> Result<(), String> {
+        let node = Node::new(identity.id, saved, self.starts, fastrand::u64(..), clock::now());
+        self.node = Some(node.map_err(|e| e.to_string())?);
+        tracing::info!(name = identity.name, id = identity.id, cluster = identity.cluster, "is a member");
+        self.identity = Some(identity);
+        Ok(())
+    }
+
+    /// Drives it until the application has gone, or the disk fails.
+    pub async fn run(mut self) {
+        let end = self.drive().await;
+        self.right.set(None);
+        let why = end.err().unwrap_or_else(|| "the service is ending".into());
+        let _ = self.to.send(Told::Ended(why)); // nobody may be there to hear it
+    }
+
+    async fn drive(&mut self) -> Result<(), String> {
+        let mut step = interval(STEP);
+        step.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        self.carry_out()?;
+        loop {
+            tokio::select! {
+                letter = self.letters.recv() => match letter {
+                    Some(letter) => {
+                        self.letter(letter)?;
+                        for _ in 0..TURN {
+                            let Ok(letter) = self.letters.try_recv() else { break };
+                            self.letter(letter)?;
+                        }
+                    }
+                    None => return Ok(()),
+                },
+                said = self.from.recv() => match said {
+                    Some(said) => self.said(said),
+                    None => return Ok(()),
+                },
+                _ = step.tick() => self.step()?,
+            }
+            self.carry_out()?;
+        }
+    }
+
+    fn me(&self) -> Sender {
+        let (id, cluster) = self.identity.as_ref().map_or((0, String::new()), |i| (i.id, i.cluster.clone()));
+        Sender { name: self.settings.name.clone(), address: self.address.clone(), id, cluster }
+    }
+
+    fn write(&mut self, name: &str, address: &str, body: Body) {
+        // What the operator's file says of where another is goes before what that one says itself.
+        let address = self.settings.peers.get(name).map_or(address, String::as_str).to_owned();
+        let letter = Letter { from: self.me(), body };
+        self.post.send(name, &address, &letter);
+    }
+
+    fn write_to(&mut self, id: u64, body: Body) {
+        let of = |m: &Machine| {
+            let found = m.members.iter().find(|(_, member)| member.id == id);
+            found.map(|(name, member)| (name.clone(), member.address.clone()))
+        };
+        let known = self.node.as_ref().and_then(Node::machine).and_then(of);
+        if let Some((name, address)) = known.or_else(|| self.heard.get(&id).cloned()) {
+            self.write(&name, &address, body);
+        }
+    }
+
+    fn step(&mut self) -> Result<(), String> {
+        let now = clock::now();
+        if let Some(node) = &mut self.node {
+            node.tick(now);
+        } else if now >= self.ask_due {
+            self.ask_due = now + AGAIN;
+            self.seek()?;
+        }
+        self.forward(now);
+        Ok(())
+    }
+
+    /// Looks for a cluster to join, and founds one where all that the file names are there and none has one.
+    fn seek(&mut self) -> Result<(), String> {
+        let mut names: Vec<String> = self.settings.peers.keys().cloned().collect();
+        names.push(self.settings.name.clone());
+        names.sort_unstable();
+        names.dedup();
+        let same = |name: &String| {
+            *name == self.settings.name
+                || matches!(self.told.get(name), Some(Body::Tell { leader: None, names: n }) if *n == names)
+        };
+        if names[0] == self.settings.name && names.iter().all(same) {
+            return self.found();
+        }
+        let leader = self.told.values().find_map(|body| match body {
+            Body::Tell { leader: Some(leader), .. } => Some(leader.clone()),
+            _ => None,
+        });
+        if let Some((name, address)) = leader {
+            self.write(&name, &address, Body::Join { zone: self.settings.zone.clone() });
+        }
+        for (name, address) in self.settings.peers.clone() {
+            self.write(&name, &address, Body::Ask { names: names.clone() });
+        }
+        Ok(())
+    }
+
+    fn found(&mut self) -> Result<(), String> {
+        let Some(begin) = self.begin.take() else { return Ok(()) };
+        let (version, entry, state) = begin()?;
+        let cluster = format!("{:016x}{:016x}", fastrand::u64(..), fastrand::u64(..));
+        let (name, zone) = (self.settings.name.clone(), self.settings.zone.clone());
+        let member = Member { id: 1, address: self.address.clone(), zone };
+        let rules = self.settings.rules.clone();
+        let machine = Machine::found(cluster.clone(), rules, name.clone(), member, version, entry);
+        let saved = found(&machine, state, 1);
+        let identity = Identity { cluster, id: 1, name };
+        self.save_identity(&identity, &saved)?;
+        tracing::info!(cluster = identity.cluster, version, "founds the cluster");
+        self.begin_with(identity, &saved)
+    }
+
+    fn save_identity(&mut self, identity: &Identity, saved: &Saved) -> Result<(), String> {
+        let identity = serde_json::to_vec(identity).map_err(|e| e.to_string())?;
+        let append = Append {
+            snapshot: saved.snapshot.as_deref().map(|s| (1, s)),
+            hard: saved.hard.as_deref(),
+            identity: Some(&identity),
+            ..Append::default()
+        };
+        self.log.append(append).map_err(|e| e.to_string())
+    }
+
+    fn letter(&mut self, letter: Letter) -> Result<(), String> {
+        let Letter { from, body } = letter;
+        let now = clock::now();
+        let ours = self.identity.as_ref().is_some_and(|i| i.cluster == from.cluster);
+        match body {
+            Body::Node(to, message) => {
+                let Some(node) = self.node.as_mut().filter(|n| ours && n.id() == to) else { return Ok(()) };
+                if node.machine().is_none_or(|m| m.name_of(from.id).is_none()) {
+                    self.heard.insert(from.id, (from.name, from.address));
+                    if self.heard.len() > CALLS {
+                        self.heard.pop_first();
+                    }
+                }
+                node.receive(now, from.id, message);
+            }
+            Body::Ask { names } => {
+                let mut own: Vec<String> = self.settings.peers.keys().cloned().collect();
+                own.push(self.settings.name.clone());
+                own.sort_unstable();
+                own.dedup();
+                let _ = names; // whoever asks compares
+                let leader = self.leader();
+                if leader.is_some() || self.identity.is_none() {
+                    self.write(&from.name, &from.address, Body::Tell { leader, names: own });
+                }
+            }
+            Body::Tell { .. } => _ = self.told.insert(from.name, body),
+            Body::Join { zone } => {
+                let Some(node) = &mut self.node else { return Ok(()) };
+                match node.join(now, &from.name, &from.address, &zone) {
+                    Ok(Some(id)) => self.write(&from.name, &from.address, Body::Joined(Ok(id))),
+                    Ok(None) | Err(Refusal::NotLeading(_)) => {} // it asks again
+                    Err(e) => self.write(&from.name, &from.address, Body::Joined(Err(e.to_string()))),
+                }
+            }
+            Body::Joined(Ok(id)) if self.identity.is_none() => {
+                let identity = Identity { cluster: from.cluster, id, name: self.settings.name.clone() };
+                self.save_identity(&identity, &Saved::default())?;
+                self.begin_with(identity, &Saved::default())?;
+            }
+            Body::Joined(Ok(_)) => {}
+            Body::Joined(Err(why)) => tracing::info!(why, "has not joined yet"),
+            Body::Call(id, text) if ours => self.called(id, text, Some(from.name)),
+            Body::Reply(id, answer) if ours => {
+                if let Some(call) = self.calls.remove(&id) {
+                    let _ = call.answer.send(answer); // who asked may have left
+                }
+            }
+            Body::Call(..) | Body::Reply(..) => {}
+        }
+        Ok(())
+    }
+
+    fn leader(&self) -> Option<(String, String)> {
+        let node = self.node.as_ref()?;
+        let leader = node.leader()?;
+        let (name, member) = node.machine()?.members.iter().find(|(_, m)| m.id == leader)?;
+        Some((name.clone(), member.address.clone()))
+    }
+
+    /// A call for the one that leads has come, from here or from another.
+    fn called(&mut self, id: String, text: String, from: Option<String>) {
+        if !self.node.as_ref().is_some_and(Node::leads) || self.answering.len() >= CALLS {
+            return; // it is made again
+        }
+        let first = !self.answering.contains_key(&id);
+        self.answering.entry(id.clone()).or_default().insert(from);
+        if first {
+            let _ = self.to.send(Told::Call(id, text)); // the application may have gone
+        }
+    }
+
+    /// Passes calls on to the one that leads, and again where it has changed or says nothing.
+    fn forward(&mut self, now: Micros) {
+        self.calls.retain(|_, call| !call.answer.is_closed());
+        let leader = self.node.as_ref().and_then(Node::leader);
+        let due = |c: &Call| now >= c.due || c.sent_to != leader;
+        let ids: Vec<String> = self.calls.iter().filter(|(_, c)| due(c)).map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            let Some(call) = self.calls.get_mut(&id) else { continue };
+            (call.due, call.sent_to) = (now + AGAIN, leader);
+            let text = call.text.clone();
+            match leader {
+                Some(to) if Some(to) == self.node.as_ref().map(Node::id) => self.called(id, text, None),
+                Some(to) => self.write_to(to, Body::Call(id, text)),
+                None => {}
+            }
+        }
+    }
+
+    fn said(&mut self, said: Said) {
+        let now = clock::now();
+        match said {
+            Said::Call(id, text, answer) => {
+                if self.calls.len() >= CALLS {
+                    let _ = answer.send(Err("too many calls wait".into()));
+                    return;
+                }
+                self.calls.insert(id, Call { text, due: 0, sent_to: None, answer });
+                return self.forward(now);
+            }
+            Said::Answered(id, answer) => return self.answered(&id, answer),
+            Said::Unanswered(id) => {
+                self.answering.remove(&id);
+                return;
+            }
+            Said::Status(tell) => {
+                let _ = tell.send(self.status(now));
+                return;
+            }
+            _ => {}
+        }
+        let Some(node) = &mut self.node else { return };
+        match said {
+            Said::Checked(change, result) => node.checked(now, &change, result.err()),
+            Said::Closed(change) => node.closed(now, &change),
+            Said::Opened(version) => node.carried(now, version),
+            Said::Restored(version, change) => {
+                node.carried(now, version);
+                if let Some((change, Phase::Closing)) = change {
+                    node.closed(now, &change);
+                }
+            }
+            Said::Saved(state) => node.shorten(now, state),
+            Said::Rest => node.rest(now),
+            Said::Confirm(read) => {
+                if node.confirm(now, read).is_err() {
+                    let _ = self.to.send(Told::Read(read, false));
+                }
+            }
+            Said::Propose(proposal, note, tell) => {
+                let id = proposal.id.clone();
+                match node.propose(now, proposal, note) {
+                    Ok(()) => self.waiting.entry(id).or_default().push(tell),
+                    Err(e) => _ = tell.send(Err(e)),
+                }
+            }
+            Said::Remove(name, tell) => _ = tell.send(node.leave(now, &name)),
+            Said::StepDown(to, tell) => {
+                let id = to.and_then(|name| node.machine()?.members.get(&name).map(|m| m.id));
+                let _ = tell.send(node.step_down(now, id));
+            }
+            Said::Call(..) | Said::Answered(..) | Said::Unanswered(_) | Said::Status(_) => {}
+        }
+    }
+
+    fn answered(&mut self, id: &str, answer: Result<String, String>) {
+        for who in self.answering.remove(id).unwrap_or_default() {
+            match who {
+                Some(name) => {
+                    let address = self.node.as_ref().and_then(Node::machine);
+                    let address = address.and_then(|m| m.members.get(&name)).map(|m| m.address.clone());
+                    if let Some(address) = address {
+                        self.write(&name, &address, Body::Reply(id.to_owned(), answer.clone()));
+                    }
+                }
+                None => {
+                    if let Some(call) = self.calls.remove(id) {
+                        let _ = call.answer.send(answer.clone());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Does what the member's part asks for, in its order.
+    fn carry_out(&mut self) -> Result<(), String> {
+        loop {
+            let outputs = self.node.as_mut().map(Node::outputs).unwrap_or_default();
+            if outputs.is_empty() {
+                return Ok(());
+            }
+            for output in outputs {
+                self.output(output)?;
+            }
+        }
+    }
+
+    fn tell(&self, told: Told) {
+        let _ = self.to.send(told); // an application that has gone is seen where it is heard
+    }
+
+    fn output(&mut self, output: Output) -> Result<(), String> {
+        match output {
+            Output::Persist(Persist { snapshot, whole, entries, hard }) => {
+                let append = Append {
+                    snapshot: snapshot.as_ref().map(|(n, s)| (*n, s.as_slice())),
+                    whole,
+                    entries: &entries,
+                    hard: hard.as_deref(),
+                    identity: None,
+                };
+                self.log.append(append).map_err(|e| format!("the log: {e}"))?;
+            }
+            Output::Send(to, message) => self.write_to(to, Body::Node(to, message)),
+            Output::Effect(Effect::Check(proposal)) => self.tell(Told::Check(proposal)),
+            Output::Effect(Effect::Close(proposal)) => self.tell(Told::Close(proposal)),
+            Output::Effect(Effect::Open(version, proposal)) => self.tell(Told::Open(version, proposal)),
+            Output::Effect(Effect::Note(proposal)) => self.tell(Told::Note(proposal)),
+            Output::Effect(Effect::Ended(id, outcome)) => {
+                for waits in self.waiting.remove(&id).unwrap_or_default() {
+                    let _ = waits.send(Ok(outcome.clone())); // who asked may have left
+                }
+            }
+            Output::Effect(Effect::Members) => {
+                let machine = self.node.as_ref().and_then(Node::machine);
+                let names: BTreeSet<String> =
+                    machine.map(|m| m.members.keys().cloned().collect()).unwrap_or_default();
+                let peers: BTreeSet<String> = self.settings.peers.keys().cloned().collect();
+                self.post.keep(|name| names.contains(name) || peers.contains(name));
+            }
+            Output::Restore(machine, state) => self.tell(Told::Restore(machine, state)),
+            Output::Right(right) => self.right.set(right),
+            Output::Confirmed(reads) => reads.into_iter().for_each(|r| self.tell(Told::Read(r, true))),
+            Output::Unconfirmed(reads) => reads.into_iter().for_each(|r| self.tell(Told::Read(r, false))),
+            Output::Long => self.tell(Told::Save),
+        }
+        Ok(())
+    }
+
+    fn status(&self, now: Micros) -> Status {
+        let counts = self.post.counts();
+        let letters = [&counts.sent, &counts.bytes, &counts.dropped, &counts.rubbish];
+        let letters = letters.map(|c| c.load(Ordering::Relaxed));
+        let me = self.me();
+        let mut status =
+            Status { name: me.name, id: me.id, cluster: me.cluster, letters, ..Status::default() };
+        let Some(node) = &self.node else {
+            status.fenced = Some("it has not joined yet".into());
+            return status;
+        };
+        (status.term, status.applied) = node.position();
+        status.leader = self.leader().map(|(name, _)| name);
+        match node.fence().may_decide(now) {
+            Ok(version) => status.decides = Some(version),
+            Err(why) => status.fenced = Some(why.to_string()),
+        }
+        let Some(machine) = node.machine() else { return status };
+        status.version = machine.version;
+        let voters = node.voters();
+        let member = |(name, m): (&String, &Member)| {
+            let seen = node.warden().and_then(|w| w.seen(m.id));
+            let (heard, bound, version) = seen.unwrap_or_default();
+            MemberStatus {
+                name: name.clone(),
+                id: m.id,
+                zone: m.zone.clone(),
+                address: m.address.clone(),
+                votes: voters.contains(&m.id),
+                version,
+                heard_ms: heard.map(|h| now.saturating_sub(h) / 1000),
+                holds_ms: match bound {
+                    Some(Until::Forever) => Some(-1),
+                    Some(Until::Before(until)) if until > now => Some(((until - now) / 1000) as i64),
+                    _ => None,
+                },
+            }
+        };
+        status.members = machine.members.iter().map(member).collect();
+        status.change = machine.change.as_ref().map(|change| ChangeStatus {
+            id: change.proposal.id.clone(),
+            phase: match change.phase {
+                Phase::Checking => "checking".into(),
+                Phase::Closing => "closing".into(),
+            },
+            waits_for: node.waits(now).into_iter().map(|w| w.name).collect(),
+        });
+        status
+    }
+}
+
+/// The shortest span in which anything is looked at.
+pub const LOOK: Micros = TICK;
+
+/// A message, for those who only pass it on.
+pub type Passed = Message;
--- /dev/null
+++ b/crates/links/src/post.rs
@@ -0,0 +1,216 @@
+//! The post: one link out to each member that letters are for, and all links in. A letter that can't go in time is dropped: whoever
+//! needs it writes again.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::{sleep, timeout};
+
+use crate::frame::{self, ANSWER, HEAD, Key, OPENING, Rubbish, Sealer};
+use crate::letter::Letter;
+
+/// Letters that wait for one member.
+const QUEUE: usize = 1024;
+/// Links in at once.
+const LINKS: usize = 2048;
+/// How long a link may take to open, and a write to go out.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// From one try to open a link to the next.
+const AGAIN: Duration = Duration::from_millis(100);
+/// A link that says nothing for so long is closed.
+const SILENCE: Duration = Duration::from_secs(60);
+
+/// What the post has seen.
+#[derive(Debug, Default)]
+pub struct Counts {
+    /// Letters that went out, and their bytes.
+    pub sent: AtomicU64,
+    /// As above.
+    pub bytes: AtomicU64,
+    /// Letters that were dropped, as they could not go in time.
+    pub dropped: AtomicU64,
+    /// Links that were ended as rubbish came by them.
+    pub rubbish: AtomicU64,
+}
+
+/// The post.
+pub struct Post {
+    key: Key,
+    counts: Arc<Counts>,
+    /// By name: where it is, and the letters that wait for it.
+    out: BTreeMap<String, (String, mpsc::Sender<Vec<u8>>)>,
+}
+
+fn drawn() -> io::Result<[u8; 16]> {
+    let mut bytes = [0; 16];
+    getrandom::fill(&mut bytes).map_err(|e| io::Error::other(e.to_string()))?;
+    Ok(bytes)
+}
+
+fn rubbish(what: Rubbish) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, what)
+}
+
+impl Post {
+    /// A post under a key; what comes in goes to `letters`.
+    pub fn new(key: Key, listener: TcpListener, letters: mpsc::Sender<Letter>) -> Self {
+        let counts = Arc::new(Counts::default());
+        tokio::spawn(receive(key.clone(), listener, letters, counts.clone()));
+        Post { key, counts, out: BTreeMap::new() }
+    }
+
+    /// What it has seen.
+    pub fn counts(&self) -> &Arc<Counts> {
+        &self.counts
+    }
+
+    /// Sends a letter to whoever is there, under that name.
+    pub fn send(&mut self, name: &str, address: &str, letter: &Letter) {
+        let gone = |(at, out): &(String, mpsc::Sender<_>)| at != address || out.is_closed();
+        if self.out.get(name).is_none_or(gone) {
+            let (out, letters) = mpsc::channel(QUEUE);
+            tokio::spawn(deliver(self.key.clone(), address.to_owned(), letters, self.counts.clone()));
+            self.out.insert(name.to_owned(), (address.to_owned(), out));
+        }
+        if let Some((_, out)) = self.out.get(name)
+            && out.try_send(letter.write()).is_err()
+        {
+            self.counts.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Nothing goes to others than these any more.
+    pub fn keep(&mut self, names: impl Fn(&str) -> bool) {
+        self.out.retain(|name, _| names(name));
+    }
+}
+
+async fn within<T>(what: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    timeout(PATIENCE, what).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+async fn dial(key: &Key, address: &str) -> io::Result<(TcpStream, Sealer)> {
+    let address: SocketAddr = address.parse().map_err(io::Error::other)?;
+    let mut stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let number = drawn()?;
+    stream.write_all(&frame::opening(key, number)).await?;
+    let mut answer = [0; ANSWER];
+    stream.read_exact(&mut answer).await?;
+    let sealer = frame::opened(key, number, &answer).map_err(rubbish)?;
+    Ok((stream, sealer))
+}
+
+/// Delivers letters to one member, over one link after another.
+async fn deliver(key: Key, address: String, mut letters: mpsc::Receiver<Vec<u8>>, counts: Arc<Counts>) {
+    let mut link: Option<(TcpStream, Sealer)> = None;
+    let mut told = false;
+    while let Some(letter) = letters.recv().await {
+        if link.is_none() {
+            match within(dial(&key, &address)).await {
+                Ok(opened) => (link, told) = (Some(opened), false),
+                Err(e) => {
+                    if !told {
+                        tracing::warn!(address, error = %e, "no link to a member");
+                        told = true;
+                    }
+                    // What waited is too old by the next try.
+                    let mut dropped = 1;
+                    while letters.try_recv().is_ok() {
+                        dropped += 1;
+                    }
+                    counts.dropped.fetch_add(dropped, Ordering::Relaxed);
+                    sleep(AGAIN).await;
+                    continue;
+                }
+            }
+        }
+        let Some((stream, sealer)) = &mut link else { continue };
+        let head = match sealer.seal(&letter) {
+            Ok(head) => head,
+            Err(e) => {
+                tracing::error!(error = %e, "a letter can't be sent");
+                continue;
+            }
+        };
+        let write = async {
+            stream.write_all(&head).await?;
+            stream.write_all(&letter).await
+        };
+        match within(write).await {
+            Ok(()) => {
+                counts.sent.fetch_add(1, Ordering::Relaxed);
+                counts.bytes.fetch_add((HEAD + letter.len()) as u64, Ordering::Relaxed);
+            }
+            Err(_) => {
+                counts.dropped.fetch_add(1, Ordering::Relaxed);
+                link = None;
+            }
+        }
+    }
+}
+
+async fn receive(key: Key, listener: TcpListener, letters: mpsc::Sender<Letter>, counts: Arc<Counts>) {
+    let room = Arc::new(Semaphore::new(LINKS));
+    loop {
+        let Ok(place) = room.clone().acquire_owned().await else { return };
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(e) => {
+                tracing::warn!(error = %e, "a link can't be taken");
+                sleep(AGAIN).await;
+                continue;
+            }
+        };
+        let (key, letters, counts) = (key.clone(), letters.clone(), counts.clone());
+        tokio::spawn(async move {
+            if let Err(e) = read(&key, stream, &letters).await
+                && e.kind() == io::ErrorKind::InvalidData
+            {
+                counts.rubbish.fetch_add(1, Ordering::Relaxed);
+                tracing::warn!(%peer, error = %e, "a link is closed");
+            }
+            drop(place);
+        });
+    }
+}
+
+async fn read(key: &Key, stream: TcpStream, letters: &mpsc::Sender<Letter>) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut stream = BufReader::new(stream);
+    let mut sealer = within(async {
+        let mut opening = [0; OPENING];
+        stream.read_exact(&mut opening).await?;
+        let (answer, sealer) = frame::answer(key, &opening, drawn()?).map_err(rubbish)?;
+        stream.get_mut().write_all(&answer).await?;
+        Ok(sealer)
+    })
+    .await?;
+    loop {
+        let mut head = [0; HEAD];
+        match timeout(SILENCE, stream.read_exact(&mut head)).await {
+            Ok(read) => _ = read?,
+            Err(_) => return Ok(()),
+        }
+        let length = Sealer::length(&head).map_err(rubbish)?;
+        let mut letter = Vec::new();
+        // Room grows with what comes, so that a length alone takes none.
+        match timeout(SILENCE, (&mut stream).take(length as u64).read_to_end(&mut letter)).await {
+            Ok(Ok(read)) if read == length => {}
+            _ => return Err(io::ErrorKind::UnexpectedEof.into()),
+        }
+        sealer.check(&head, &letter).map_err(rubbish)?;
+        let letter = Letter::read(&letter);
+        let letter = letter.ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, "it is no letter"))?;
+        if letters.send(letter).await.is_err() {
+            return Ok(()); // the member has ended
+        }
+    }
+}
--- /dev/null
+++ b/crates/links/src/right.rs
@@ -0,0 +1,74 @@
+//! A member's right to decide, as the thread that serves requests looks at it for each decision.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use cluster::fence::Until;
+use cluster::machine::{Micros, Version};
+use tokio::sync::Notify;
+
+use crate::clock;
+
+/// Shared by the thread that drives the member, which writes it, and the one that serves, which reads it.
+#[derive(Debug, Default)]
+pub struct Right {
+    /// The moment from which on nothing may be decided, by [`clock::now`].
+    until: AtomicU64,
+    version: AtomicU64,
+    changed: Arc<Notify>,
+}
+
+impl Right {
+    /// Told when it has changed.
+    pub fn changed(&self) -> Arc<Notify> {
+        self.changed.clone()
+    }
+
+    /// The member's right is this from now on.
+    pub fn set(&self, right: Option<(Version, Until)>) {
+        self.put(right);
+        self.changed.notify_waiters();
+    }
+
+    fn put(&self, right: Option<(Version, Until)>) {
+        // While the version changes there is no right at all: a reader that sees the new moment sees the new version, too.
+        let (version, until) = match right {
+            None => return self.until.store(0, Ordering::SeqCst),
+            Some((version, Until::Forever)) => (version, u64::MAX),
+            Some((version, Until::Before(until))) => (version, until),
+        };
+        if self.version.load(Ordering::SeqCst) != version {
+            self.until.store(0, Ordering::SeqCst);
+            self.version.store(version, Ordering::SeqCst);
+        }
+        self.until.store(until, Ordering::SeqCst);
+    }
+
+    /// Whether something may be decided under a version now; the moment of the decision, if so.
+    pub fn may_decide(&self, version: Version) -> Option<Micros> {
+        let until = self.until.load(Ordering::SeqCst);
+        // In this order: the right is read before the clock, so that it held at the moment that is told.
+        let right = until > 0 && self.version.load(Ordering::SeqCst) == version;
+        let now = clock::now();
+        (right && now < until).then_some(now)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn it_ends_with_its_moment_and_is_for_one_version() {
+        let right = Right::default();
+        assert_eq!(right.may_decide(0), None);
+        right.set(Some((3, Until::Forever)));
+        assert!(right.may_decide(3).is_some() && right.may_decide(2).is_none());
+        right.set(Some((4, Until::Before(clock::now() + 60_000_000))));
+        assert!(right.may_decide(4).is_some() && right.may_decide(3).is_none());
+        right.set(Some((4, Until::Before(clock::now()))));
+        assert_eq!(right.may_decide(4), None);
+        right.set(None);
+        assert_eq!(right.may_decide(4), None);
+    }
+}
--- a/crates/store/src/dump.rs
+++ b/crates/store/src/dump.rs
@@ -10,7 +10,7 @@
 use crate::format::{
     AUDIT, AUDIT_OF, FORMAT, HEADS, REPLIES, REPLY_ORDER, ROWS, TOKENS, VERSIONS, pack, unpack,
 };
-use crate::record::{Entry, Row};
+use crate::record::{Entry, Row, State};
 use crate::store::Store;
 
 #[derive(Serialize, Deserialize)]
@@ -102,11 +102,21 @@
 /// # Errors
 /// The line that is wrong; the store is not empty.
 pub fn import(store: &mut Store, from: impl BufRead) -> Result<(), StoreError> {
-    let wrong = |line: usize, what: String| StoreError::Import { line, what };
     if store.entry() > 0 {
         return Err(wrong(0, "the store is not empty: import into a new directory".into()));
     }
     let transaction = store.database()?.begin_write()?;
+    fill(&transaction, from)?;
+    transaction.commit()?;
+    store.look_again()?;
+    store.check()
+}
+
+fn wrong(line: usize, what: String) -> StoreError {
+    StoreError::Import { line, what }
+}
+
+fn fill(transaction: &WriteTransaction, from: impl BufRead) -> Result<(), StoreError> {
     let mut lines = 0;
     for (i, text) in from.lines().enumerate() {
         let line: Line = serde_json::from_str(&text?).map_err(|e| wrong(i + 1, e.to_string()))?;
@@ -119,16 +129,35 @@
                 return Err(wrong(i + 1, "only the first line says the format".into()));
             }
             _ if i == 0 => return Err(wrong(1, "this is no export of a store".into())),
-            line => take(&transaction, line)?,
+            line => take(transaction, line)?,
         }
         lines = i + 1;
     }
     if lines == 0 {
         return Err(wrong(1, "there is nothing in it".into()));
     }
+    Ok(())
+}
+
+/// Puts what was exported in the place of all that a store holds, whole or not at all.
+///
+/// # Errors
+/// The line that is wrong.
+pub fn replace(store: &mut Store, from: impl BufRead) -> Result<State, StoreError> {
+    let transaction = store.database()?.begin_write()?;
+    transaction.open_table(ROWS)?.retain(|_, _| false)?;
+    transaction.open_table(HEADS)?.retain(|_, _| false)?;
+    transaction.open_table(VERSIONS)?.retain(|_, _| false)?;
+    transaction.open_table(AUDIT)?.retain(|_, _| false)?;
+    transaction.open_table(AUDIT_OF)?.retain(|_, _| false)?;
+    transaction.open_table(TOKENS)?.retain(|_, _| false)?;
+    transaction.open_table(REPLIES)?.retain(|_, _| false)?;
+    transaction.open_table(REPLY_ORDER)?.retain(|_, _| false)?;
+    fill(&transaction, from)?;
     transaction.commit()?;
-    store.look_again()?;
-    store.check()
+    let state = store.look_again()?;
+    store.check()?;
+    Ok(state)
 }
 
 fn take(t: &WriteTransaction, line: Line) -> Result<(), StoreError> {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,17 +6,19 @@
 //!
 //! - [`Store`]: the present documents and all kept versions; [`Write`]: what one change does.
 //! - [`StoreError`]: what is wrong, and what to do about it.
+//! - [`log::Log`]: the log of a cluster's member, in a file of its own.
 //! - [`snapshot`]: the last known good documents in a file of their own, for a start beside a damaged store.
 
 mod dump;
 mod error;
 mod format;
+pub mod log;
 mod read;
 mod record;
 pub mod snapshot;
 mod store;
 
-pub use dump::{export, import};
+pub use dump::{export, import, replace};
 pub use error::StoreError;
 pub use format::FORMAT;
 pub use record::{Author, Edited, Entry, Head, Row, State};
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -7,6 +7,7 @@
 use std::path::Path;
 
 use redb::{Database, ReadableTable as _, WriteTransaction};
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::FILE;
@@ -45,7 +46,7 @@
 const GOING: usize = 64;
 
 /// What one change does. All of it is there afterwards, or none.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Write {
     /// The last line of the audit log that it was made on.
     pub base: u64,
@@ -140,8 +141,11 @@
     }
 
     /// Reads anew what is there, after it was changed in another way than by [`Store::commit`].
-    pub(crate) fn look_again(&mut self) -> Result<(), StoreError> {
-        self.reopen().map(drop)
+    ///
+    /// # Errors
+    /// As [`Store::open`].
+    pub fn look_again(&mut self) -> Result<State, StoreError> {
+        self.reopen()
     }
 
     pub(crate) fn database(&self) -> Result<&Database, StoreError> {
