--- a/crates/admin/src/http.rs
+++ b/crates/admin/src/http.rs
@@ -323,7 +323,7 @@
                 return self.cluster_status(&passed).await.map(|reply| answer(&reply));
             }
             (Some(together), _) => {
-                let reply = match together.pass(&passed).await? {
+                let reply = match together.pass(&passed, operation.writes()).await? {
                     Ok(reply) => reply,
                     Err(ask) => self.tell_of(ask, who.and_then(|w| w.tenant)).await?,
                 };
--- a/crates/admin/src/together.rs
+++ b/crates/admin/src/together.rs
@@ -23,6 +23,8 @@
 use crate::operations::{Act, Joint, OPERATIONS, Operation};
 use crate::problem::Problem;
 
+/// How long a read may take where nobody leads.
+const READ: Duration = Duration::from_secs(10);
 /// How often a change is made anew that something else overtook.
 const ANEW: u32 = 4;
 /// How long the one that leads is waited for to tell how the cluster looks.
@@ -121,10 +123,11 @@
     }
 
     /// Passes a call on to the one that leads, and waits for what comes of it.
-    pub async fn pass(&self, passed: &Passed) -> Result<Result<Reply, Ask>, Problem> {
+    pub async fn pass(&self, passed: &Passed, writes: bool) -> Result<Result<Reply, Ask>, Problem> {
+        let patience = if writes { self.patience } else { READ };
         let text = serde_json::to_string(passed).map_err(|e| Problem::internal(e.to_string()))?;
         let id = new_id()?;
-        let given = timeout(self.patience, self.ask(|tell| Said::Call(id, text, tell))).await;
+        let given = timeout(patience, self.ask(|tell| Said::Call(id, text, tell))).await;
         let lost = || {
             Problem::no_leader("no instance leads, or none that can be reached; it may have been done or not")
         };
@@ -399,7 +402,7 @@
         // Where nobody leads, what is known here is told all the same.
         let who = self.desk().who(passed.authorization.as_deref(), passed.now_ms)?;
         who.may(crate::access::Needs::Oversee)?;
-        let leader = match timeout(STATUS, together.pass(passed)).await {
+        let leader = match timeout(STATUS, together.pass(passed, false)).await {
             Ok(Ok(Ok(reply))) => reply.body,
             _ => Value::Null,
         };
--- a/crates/canvascart/src/cluster/mod.rs
+++ b/crates/canvascart/src/cluster/mod.rs
@@ -29,6 +29,7 @@
         hold: Duration::from_secs_f64(cluster.hold.0 / 1000.0),
         retry: cluster.retry_after.0,
         stamps: cluster.stamps,
+        seed: fastrand::u64(..),
     };
     Gate::new(Box::new(move |version| right.may_decide(version)), changed, terms)
 }
--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -1,6 +1,7 @@
 //! `canvascart lab`: plays scenarios and says what came of them.
 
 mod hosted;
+mod together;
 
 use std::io::{IsTerminal as _, Write as _};
 use std::net::SocketAddr;
@@ -129,6 +130,25 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Changes the policy of many processes that act as one, while some of them are killed, stopped and cut off.
+    #[command(after_help = CODES)]
+    Changes {
+        /// How many processes.
+        #[arg(long, default_value_t = 12)]
+        instances: usize,
+        /// Changes under each seed.
+        #[arg(long, default_value_t = 25)]
+        changes: u64,
+        /// Seeds, from 1 on.
+        #[arg(long, default_value_t = 20)]
+        seeds: u64,
+        /// What an instance does that hears from nobody.
+        #[arg(long, value_name = "refuse|serve", default_value = "refuse")]
+        when_cut_off: String,
+        /// Measures how long changes take instead, at so many processes each, beside one without others.
+        #[arg(long, value_delimiter = ',', value_name = "N,N")]
+        pace: Option<Vec<usize>>,
+    },
     /// Measures the hosted service with many tenants, most of them idle, beside one with a single tenant.
     #[command(after_help = CODES)]
     Tenants {
@@ -340,6 +360,10 @@
             )
         }
         Command::Kills { kills, seed } => hosted::kills(kills, seed),
+        Command::Changes { changes, pace: Some(sizes), .. } => together::pace(&sizes, changes),
+        Command::Changes { instances, changes, seeds, when_cut_off, pace: None } => {
+            together::changes(instances, changes, seeds, &when_cut_off)
+        }
         Command::Tenants { count, changes, idle } => {
             hosted::tenants(count, Duration::from_secs(idle), changes)
         }
--- a/crates/canvascart/src/lab/hosted.rs
+++ b/crates/canvascart/src/lab/hosted.rs
@@ -14,7 +14,7 @@
 }
 
 /// A directory for a measurement's files.
-fn place_for(what: &str) -> PathBuf {
+pub fn place_for(what: &str) -> PathBuf {
     std::env::temp_dir().join("canvascart-lab").join(format!("{what}-{}", std::process::id()))
 }
 
--- /dev/null
+++ b/crates/canvascart/src/lab/together.rs
@@ -0,0 +1,144 @@
+//! What the lab does with many processes that act as one.
+
+use ::lab::service::changes::{Known, Planted, Play, Played, play};
+use ::lab::service::pace::{Fare, Row, among, in_virtual_time, single};
+use cluster::machine::{Rules, WhenCutOff};
+
+use super::hosted::{own, place_for};
+use super::{BROKEN, NOT_RUN, progress};
+
+/// Short leases, so that a run shows many of them.
+const SHORT: &str = "lease = \"2 s\"\nchange-lease = \"1500 ms\"\ndeadline = \"8 s\"";
+/// What is used without a word.
+const USUAL: &str = "lease = \"15 s\"";
+
+fn usual() -> Rules {
+    let second = 1_000_000;
+    Rules {
+        lease: 15 * second,
+        short: 3 * second,
+        drift: 20_000,
+        deadline: 60 * second,
+        when_cut_off: WhenCutOff::Refuse,
+        voters: 3,
+    }
+}
+
+/// Changes under faults by chance; tells what came of them.
+pub fn changes(instances: usize, changes: u64, seeds: u64, when_cut_off: &str) -> Result<u8, String> {
+    if !matches!(when_cut_off, "refuse" | "serve") {
+        return Err(format!("--when-cut-off {when_cut_off}: it is refuse or serve"));
+    }
+    let (command, dir) = (own()?, place_for("changes"));
+    let cluster = format!("{SHORT}\nwhen-cut-off = \"{when_cut_off}\"");
+    let mut all: Vec<Played> = Vec::new();
+    for seed in 1..=seeds {
+        let terms = Play {
+            command: &command,
+            instances,
+            changes,
+            cluster: &cluster,
+            seed,
+            dir: &dir,
+            planted: Planted::Nothing,
+        };
+        let played = match play(&terms, progress("changes", false)) {
+            Ok(played) => played,
+            Err(e) => {
+                tracing::error!(seed, error = %e, "it could not be played; the state is kept in {}", dir.display());
+                return Ok(NOT_RUN);
+            }
+        };
+        let count = |of: fn(&Known) -> bool| played.changes.values().flatten().filter(|k| of(k)).count();
+        println!(
+            "seed {seed}: {} done, {} given up, {} not known; {} faults, {} decisions, {} broken",
+            count(|k| matches!(k, Known::Done(_))),
+            count(|k| *k == Known::GivenUp),
+            count(|k| *k == Known::Unknown),
+            played.faults,
+            played.decisions,
+            played.broken.len(),
+        );
+        played.broken.iter().for_each(|what| println!("  {what}"));
+        let broken = !played.broken.is_empty();
+        all.push(played);
+        if broken {
+            println!("the state is kept in {}", dir.display());
+            return Ok(BROKEN);
+        }
+    }
+    let known = all.iter().flat_map(|p| p.changes.values()).flatten();
+    let mut ms: Vec<f64> = known
+        .filter_map(|k| match k {
+            Known::Done(took) => Some(took.as_secs_f64() * 1000.0),
+            _ => None,
+        })
+        .collect();
+    ms.sort_by(f64::total_cmp);
+    let at = |q: f64| ms.get((q * ms.len().saturating_sub(1) as f64) as usize).copied().unwrap_or(f64::NAN);
+    let seen = all.iter().flat_map(|p| &p.seen);
+    let sums = seen.fold([0, 0, 0], |[s, r, u], c| [s + c.served, r + c.refused, u + c.unanswered]);
+    println!("{} acknowledged, p50 {:.0} ms, p99 {:.0} ms", ms.len(), at(0.5), at(0.99));
+    println!("requests: {} served, {} refused, {} without an answer", sums[0], sums[1], sums[2]);
+    let _ = std::fs::remove_dir_all(&dir); // nothing in it is needed
+    Ok(0)
+}
+
+fn tell(row: &Row) {
+    let idle = row.idle.map_or("-".into(), |[l, b]| format!("{l:.1} / {b:.0}"));
+    println!(
+        "| {} | {} | {:.1} | {:.1} | {:.1} | {} | {} | {idle} |",
+        row.what,
+        row.fare,
+        row.first_ms,
+        row.at(0.5),
+        row.at(0.99),
+        row.requests[0],
+        row.requests[1],
+    );
+    row.broken.iter().for_each(|b| println!("BROKEN: {b}"));
+}
+
+/// How long changes take.
+pub fn pace(sizes: &[usize], changes: u64) -> Result<u8, String> {
+    let (command, dir) = (own()?, place_for("pace"));
+    println!(
+        "| what | state | first ms | p50 ms | p99 ms | served | refused | idle letters / bytes a second |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    let mut broken = false;
+    let mut rows = vec![single(&command, changes, &dir).map_err(|e| e.to_string())];
+    rows.iter().flatten().for_each(tell);
+    for instances in sizes {
+        for fare in Fare::ALL {
+            let terms = Play {
+                command: &command,
+                instances: *instances,
+                changes,
+                cluster: USUAL,
+                seed: 1,
+                dir: &dir,
+                planted: Planted::Nothing,
+            };
+            let row = among(&terms, fare).map_err(|e| e.to_string());
+            row.iter().for_each(tell);
+            rows.push(row);
+        }
+    }
+    for fare in Fare::ALL {
+        let row = in_virtual_time(300, fare, changes, &usual(), 1);
+        row.iter().for_each(tell);
+        rows.push(row);
+    }
+    for row in rows {
+        match row {
+            Ok(row) => broken |= !row.broken.is_empty(),
+            Err(e) => {
+                tracing::error!(error = e, "it could not be measured");
+                return Ok(NOT_RUN);
+            }
+        }
+    }
+    let _ = std::fs::remove_dir_all(&dir); // nothing in it is needed
+    Ok(if broken { BROKEN } else { 0 })
+}
--- a/crates/canvascart/src/serve.rs
+++ b/crates/canvascart/src/serve.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use ::admin::{Api, Desk, Order, Together};
 use ::fleet::Keys;
@@ -26,6 +26,9 @@
 /// It could not be started.
 const NOT_STARTED: u8 = 3;
 
+/// How long an instance that ends waits for its last word to go out.
+const PARTING: Duration = Duration::from_millis(50);
+
 const CODES: &str = "Exit codes: 0 ended as told, 2 wrong usage or configuration, 3 could not be started.
 
 SIGTERM and SIGINT end it once all that was taken is answered. SIGHUP makes it read the file anew; a file with an error in
@@ -160,7 +163,9 @@
     }
     tracing::info!("ends: what was taken is answered");
     if let Some(Administration { api, mut orders, member, .. }) = administration {
-        member.inspect(|member| _ = member.send(Said::Rest)); // one that has ended rests already
+        if let Some(member) = member {
+            end_among(&plane, &mut orders, &member).await;
+        }
         api.desk().close("the service is ending");
         while let Ok(order) = orders.try_recv() {
             order.obey(&plane);
@@ -175,6 +180,21 @@
     Ok(0)
 }
 
+/// Ends an instance of a cluster: what was taken is answered, under whatever version takes hold meanwhile; then it holds
+/// nothing that a change would wait for.
+async fn end_among(plane: &Plane, orders: &mut UnboundedReceiver<Order>, member: &UnboundedSender<Said>) {
+    let drained = plane.drain();
+    tokio::pin!(drained);
+    loop {
+        tokio::select! {
+            () = &mut drained => break,
+            Some(order) = orders.recv() => order.obey(plane),
+        }
+    }
+    let _ = member.send(Said::Rest); // one that has ended rests already
+    tokio::time::sleep(PARTING).await;
+}
+
 /// Follows tenants' lists on a thread of its own, so that no list takes time of the loop that serves. The thread is there once
 /// the first list is.
 fn lists() -> Follow {
--- a/crates/cluster/src/warden.rs
+++ b/crates/cluster/src/warden.rs
@@ -214,7 +214,7 @@
         if change.phase == Phase::Closing {
             return waits.is_empty().then_some(Command::Open { change: id });
         }
-        let faults = self.faults(machine, change);
+        let faults = self.faults(now, machine, change);
         if !faults.is_empty() {
             return Some(Command::GiveUp { change: id, why: faults });
         }
@@ -234,8 +234,10 @@
         Some(Command::GiveUp { change: id, why })
     }
 
-    fn faults(&self, machine: &Machine, change: &Change) -> Vec<Reason> {
-        let fault = |(name, id): (&String, u64)| match &self.books.get(&id)?.checked {
+    /// What those find wrong with a change that may decide. One that is fenced keeps nobody from going on.
+    fn faults(&self, now: Micros, machine: &Machine, change: &Change) -> Vec<Reason> {
+        let may = |id| self.books.get(&id).filter(|book| !Self::is_over(book, now));
+        let fault = |(name, id): (&String, u64)| match &may(id)?.checked {
             Some((of, Some(why))) if *of == change.proposal.id => Some(reason(name, why)),
             _ => None,
         };
--- a/crates/engine/src/gate.rs
+++ b/crates/engine/src/gate.rs
@@ -1,7 +1,7 @@
 //! The gate of a process that acts as one with others: whether a request may be decided now, and under which version of the
 //! policy. Who holds the right to decide, and until when, is found elsewhere; here it is asked for each decision.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,6 +35,8 @@
     pub retry: Millis,
     /// Whether answers and requests to servers tell what they were decided under.
     pub stamps: bool,
+    /// What chance is drawn from.
+    pub seed: u64,
 }
 
 /// The gate.
@@ -44,8 +46,11 @@
     version: Cell<Option<u64>>,
     /// Since when nothing is decided, as a change is about to take hold.
     closing: Cell<Option<Instant>>,
+    /// When the last version opened.
+    opened: Cell<Option<Instant>>,
     changed: Arc<Notify>,
     counts: Cell<[u64; 2]>,
+    chance: RefCell<fastrand::Rng>,
 }
 
 impl Gate {
@@ -56,8 +61,10 @@
             terms,
             version: Cell::new(None),
             closing: Cell::new(None),
+            opened: Cell::new(None),
             changed,
             counts: Cell::new([0; 2]),
+            chance: RefCell::new(fastrand::Rng::with_seed(terms.seed)),
         })
     }
 
@@ -70,6 +77,7 @@
     pub fn open(&self, version: u64) {
         self.version.set(Some(version));
         self.closing.set(None);
+        self.opened.set(Some(Instant::now()));
         self.changed.notify_waiters();
     }
 
@@ -108,11 +116,13 @@
         if self.is_open() {
             return Ok(());
         }
-        let Some(since) = self.closing.get() else {
-            // A version that has just opened may lack its right for a moment; one that is cut off lacks it for long.
-            return self.wait(Instant::now() + self.terms.hold / 4).await;
+        // A version that has just opened may lack its right for a moment; one that is cut off lacks it for long, and refuses at once.
+        let end = match (self.closing.get(), self.opened.get()) {
+            (Some(since), _) => since + self.terms.hold,
+            (None, Some(opened)) => opened + self.terms.hold / 4,
+            (None, None) => Instant::now(),
         };
-        self.wait(since + self.terms.hold).await
+        self.wait(end).await
     }
 
     async fn wait(&self, end: Instant) -> Result<(), Millis> {
@@ -125,7 +135,7 @@
             if Instant::now() >= end || timeout_at(end, changed).await.is_err() {
                 self.count(1);
                 // Spread, so that those who are refused together do not come again together.
-                return Err(self.terms.retry * (0.75 + 0.5 * fastrand::f64()));
+                return Err(self.terms.retry * (0.75 + 0.5 * self.chance.borrow_mut().f64()));
             }
         }
     }
@@ -167,7 +177,7 @@
 mod tests {
     use super::*;
 
-    const TERMS: Terms = Terms { hold: Duration::from_millis(100), retry: 1000.0, stamps: false };
+    const TERMS: Terms = Terms { hold: Duration::from_millis(100), retry: 1000.0, stamps: false, seed: 1 };
 
     #[tokio::test(start_paused = true)]
     async fn requests_wait_for_a_change_for_a_moment_and_are_then_refused_at_once() {
--- a/crates/lab/src/service/changes.rs
+++ b/crates/lab/src/service/changes.rs
@@ -133,7 +133,7 @@
 }
 
 /// A client of one instance, until it is told to end.
-fn client(fleet: &Mutex<Fleet>, i: usize, ledger: &Ledger, end: &AtomicBool) -> Seen {
+pub(super) fn client(fleet: &Mutex<Fleet>, i: usize, ledger: &Ledger, end: &AtomicBool) -> Seen {
     let mut seen = Seen::default();
     let mut connection: Option<BufReader<TcpStream>> = None;
     let mut at = None;
@@ -233,16 +233,26 @@
     pub planted: Planted,
 }
 
+/// The one tenant, as a configuration has it.
+pub(super) fn tables(server: SocketAddr) -> String {
+    format!(
+        "[[tenant]]\nname = \"a\"\n[tenant.limits]\nin-flight = 1000\n[[tenant.class]]\nname = \"lookup\"\neffect = \
+         \"safe\"\naim = \"500 ms\"\ndeadline = \"2 s\"\n[[tenant.server]]\nname = \"s\"\naddress = \"{server}\"\nsize = \
+         64\nwarm = true\n"
+    )
+}
+
+/// A change, as the API takes it.
+pub(super) fn body(server: SocketAddr, n: u64) -> String {
+    json!({ "tenant": [tenant(server, n)] }).to_string()
+}
+
 /// Starts a fleet that takes requests; its one tenant has a server of the lab's.
 ///
 /// # Errors
 /// It does not come up.
 pub fn begin(play: &Play, server: SocketAddr) -> io::Result<Fleet> {
-    let tenants = format!(
-        "[[tenant]]\nname = \"a\"\n[tenant.limits]\nin-flight = 1000\n[[tenant.class]]\nname = \"lookup\"\neffect = \
-         \"safe\"\naim = \"500 ms\"\ndeadline = \"2 s\"\n[[tenant.server]]\nname = \"s\"\naddress = \"{server}\"\nsize = \
-         64\nwarm = true\n"
-    );
+    let tenants = tables(server);
     let terms = Terms { cluster: play.cluster.into(), tenants, zones: 3 };
     let mut fleet = Fleet::new(play.command, play.instances, &terms, play.dir)?;
     for i in 0..play.instances {
@@ -257,7 +267,7 @@
     let line = fleet.lock().unwrap_or_else(PoisonError::into_inner).line(i);
     let Ok(mut line) = line else { return Known::Unknown };
     let began = Instant::now();
-    let body = json!({ "tenant": [tenant(server, n)] }).to_string();
+    let body = body(server, n);
     let key = format!("Idempotency-Key: change-{n}\r\n");
     match line.call("POST", "/v1/apply", &key, &body) {
         Ok((200..300, _)) => Known::Done(began.elapsed()),
--- a/crates/lab/src/service/mod.rs
+++ b/crates/lab/src/service/mod.rs
@@ -3,6 +3,7 @@
 pub mod changes;
 pub mod fleet;
 pub mod kills;
+pub mod pace;
 pub mod tenants;
 
 use std::collections::BTreeMap;
