--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -148,6 +148,9 @@
         /// Measures how long changes take instead, at so many processes each, beside one without others.
         #[arg(long, value_delimiter = ',', value_name = "N,N")]
         pace: Option<Vec<usize>>,
+        /// With --pace: measures so many instances in virtual time as well.
+        #[arg(long, value_name = "N", requires = "pace")]
+        in_virtual_time: Option<usize>,
     },
     /// Measures the hosted service with many tenants, most of them idle, beside one with a single tenant.
     #[command(after_help = CODES)]
@@ -360,8 +363,10 @@
             )
         }
         Command::Kills { kills, seed } => hosted::kills(kills, seed),
-        Command::Changes { changes, pace: Some(sizes), .. } => together::pace(&sizes, changes),
-        Command::Changes { instances, changes, seeds, when_cut_off, pace: None } => {
+        Command::Changes { changes, pace: Some(sizes), in_virtual_time, .. } => {
+            together::pace(&sizes, in_virtual_time, changes)
+        }
+        Command::Changes { instances, changes, seeds, when_cut_off, pace: None, .. } => {
             together::changes(instances, changes, seeds, &when_cut_off)
         }
         Command::Tenants { count, changes, idle } => {
