Let a leader that was deposed go of what it proposed, so that it takes changes when it leads again

Cause, found by reading: a call that waited for a proposal's end held the desk's turn to write; where the proposal was lost with the leading, no end was ever heard, and every later write at that instance waited behind it (links/member.rs, `waiting`; admin/together.rs, `obey`). Now whoever waits is told once the member leads no more, and asks the one that leads, under the same id. Seen: a test with five processes cuts the leader with a call in hand, lets another lead, hands the leading back by step-down, and changes there again.

--- a/crates/admin/src/together.rs
+++ b/crates/admin/src/together.rs
@@ -289,6 +289,8 @@
             desk.service()
         };
         self.stored();
+        // What a change held off that was under way before; one that is now does so again.
+        self.give(Order::HoldOff(BTreeMap::new()));
         let (done, told) = oneshot::channel();
         self.give(Order::Serve(service, done));
         told.await.map_err(|_| "the service is ending".to_owned())?
--- a/crates/canvascart/tests/cluster.rs
+++ b/crates/canvascart/tests/cluster.rs
@@ -172,6 +172,37 @@
     assert_eq!(versions["items"].as_array().unwrap().len(), 2, "{versions}");
 }
 
+#[test]
+fn one_that_led_and_lost_what_it_proposed_takes_changes_when_it_leads_again() {
+    let directory = Directory::new();
+    let fleet = fleet(&directory, 5, SOON);
+    let first = fleet.leader().unwrap();
+    let other = (0..5).find(|i| *i != first).unwrap();
+    fleet.isolate(first, Mode::Cut);
+    let mut line = fleet.line(first).unwrap();
+    let asked = std::thread::spawn(move || {
+        line.call("PUT", "/v1/tenants/a/limits", "If-Match: *\r\n", "{ \"in-flight\": 2001 }").unwrap()
+    });
+    fleet
+        .wait("another leads", |f| {
+            let leads = f.status(other).ok().and_then(|s| s["leader"]["name"].as_str().map(str::to_owned));
+            leads.is_some_and(|name| name != f.name(first))
+        })
+        .unwrap();
+    fleet.isolate(first, Mode::Pass);
+    let (status, said) = asked.join().unwrap();
+    assert_eq!(status, 200, "the call was passed on: {}", String::from_utf8_lossy(&said));
+    let body = json!({ "to": fleet.name(first) }).to_string();
+    fleet
+        .wait("it leads again", |f| {
+            let _ = f.line(other).unwrap().call("POST", "/v1/cluster/step-down", "", &body); // until it has caught up
+            f.leader() == Some(first)
+        })
+        .unwrap();
+    assert_eq!(set(&fleet, first, 2002, "").0, 200);
+    assert_eq!(limit(&fleet, other), 2002);
+}
+
 #[test]
 fn where_the_cut_off_serve_a_change_is_given_up_and_told_by_whom() {
     let directory = Directory::new();
--- a/crates/cluster/src/fence.rs
+++ b/crates/cluster/src/fence.rs
@@ -132,7 +132,7 @@
         self.floor = self.seq + 1;
     }
 
-    /// It gives up its right, and takes no other.
+    /// It gives up its right, and takes no other before it serves a version again.
     pub fn rest(&mut self) {
         (self.version, self.until) = (None, None);
     }
--- a/crates/links/src/member.rs
+++ b/crates/links/src/member.rs
@@ -590,6 +590,7 @@
         loop {
             let outputs = self.node.as_mut().map(Node::outputs).unwrap_or_default();
             if outputs.is_empty() {
+                self.let_go();
                 return Ok(());
             }
             for output in outputs {
@@ -598,6 +599,17 @@
         }
     }
 
+    /// Where this member leads no more, what it proposed may get lost, and its end may never be heard of: whoever waits for it asks
+    /// the one that leads.
+    fn let_go(&mut self) {
+        if self.waiting.is_empty() || self.node.as_ref().is_some_and(Node::leads) {
+            return;
+        }
+        for waits in std::mem::take(&mut self.waiting).into_values().flatten() {
+            let _ = waits.send(Err(Refusal::NotLeading(None))); // who asked may have left
+        }
+    }
+
     fn tell(&self, told: Told) {
         let _ = self.to.send(told); // an application that has gone is seen where it is heard
     }
