--- a/crates/admin/src/call.rs
+++ b/crates/admin/src/call.rs
@@ -62,6 +62,8 @@
         version: Option<u64>,
         /// Why nothing can be changed, if so.
         read_only: Option<String>,
+        /// The one tenant that the caller may see; all without it.
+        own: Option<String>,
     },
 }
 
--- a/crates/admin/src/desk.rs
+++ b/crates/admin/src/desk.rs
@@ -51,12 +51,16 @@
 }
 
 /// What the form of [`Agreed`] is numbered by. A program that does not know the number can't take the change.
-const AGREED: u64 = 1;
+fn form() -> u64 {
+    // What a program says that is newer than this one.
+    fail::fail_point!("agreed-form", |said| said.and_then(|n| n.parse().ok()).unwrap_or(2));
+    1
+}
 
 impl Agreed {
     /// As it goes into the log.
     pub fn write_down(&self) -> String {
-        json!({ "format": AGREED, "change": self }).to_string()
+        json!({ "format": form(), "change": self }).to_string()
     }
 
     /// As it comes from the log.
@@ -67,8 +71,8 @@
         let program = env!("CARGO_PKG_VERSION");
         let unknown = |what: String| format!("this program ({program}) can't read the change: {what}");
         let value: Value = serde_json::from_str(text).map_err(|e| unknown(e.to_string()))?;
-        if value["format"] != AGREED {
-            return Err(unknown(format!("its form is {}, and it knows {AGREED}", value["format"])));
+        if value["format"] != form() {
+            return Err(unknown(format!("its form is {}, and it knows {}", value["format"], form())));
         }
         serde_json::from_value(value["change"].clone()).map_err(|e| unknown(e.to_string()))
     }
--- /dev/null
+++ b/crates/admin/src/figures.rs
@@ -0,0 +1,153 @@
+//! Figures of this instance as Prometheus text: its part in the cluster, what its gate did, and how its tenants fare.
+
+use std::fmt::Write as _;
+
+use hosted::plane::TenantStatus;
+use links::member::Status;
+
+/// What an instance is told to have been turned away for, as [`TenantStatus::refused`] has it.
+const CAUSES: [&str; 5] = ["sockets", "in-flight", "bytes", "time", "servers"];
+
+/// A label's value, escaped.
+fn escaped(value: &str) -> String {
+    value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+}
+
+struct Text(String);
+
+impl Text {
+    /// A figure's kind and meaning, then its samples: labels, as they stand between braces, and values.
+    fn put(&mut self, name: &str, kind: &str, help: &str, samples: impl IntoIterator<Item = (String, f64)>) {
+        let _ = writeln!(self.0, "# HELP canvascart_{name} {help}\n# TYPE canvascart_{name} {kind}"); // a string takes all
+        for (labels, value) in samples {
+            let braces = if labels.is_empty() { String::new() } else { format!("{{{labels}}}") };
+            let _ = writeln!(self.0, "canvascart_{name}{braces} {value}");
+        }
+    }
+
+    fn one(&mut self, name: &str, kind: &str, help: &str, value: f64) {
+        self.put(name, kind, help, [(String::new(), value)]);
+    }
+}
+
+fn flag(holds: bool) -> f64 {
+    f64::from(u8::from(holds))
+}
+
+/// All figures. The cluster's are there where this is one of its instances; `gate` is how many requests waited at the gate, and
+/// how many it refused.
+pub fn text(cluster: Option<(&Status, [u64; 2])>, tenants: &[TenantStatus]) -> String {
+    let mut text = Text(String::new());
+    if let Some((s, [waited, refused])) = cluster {
+        let leads = s.leader.as_ref() == Some(&s.name);
+        text.one(
+            "cluster_version",
+            "gauge",
+            "The version in effect, as far as this instance knows.",
+            s.version as f64,
+        );
+        text.one(
+            "cluster_decides",
+            "gauge",
+            "1 while this instance may decide requests.",
+            flag(s.decides.is_some()),
+        );
+        text.one("cluster_leads", "gauge", "1 while this instance leads.", flag(leads));
+        text.one(
+            "cluster_leader_known",
+            "gauge",
+            "1 while this instance knows who leads.",
+            flag(s.leader.is_some()),
+        );
+        text.one("cluster_term", "counter", "The term of leading.", s.term as f64);
+        text.one("cluster_applied", "counter", "How far the log is applied here.", s.applied as f64);
+        text.one("cluster_members", "gauge", "Members of the cluster.", s.members.len() as f64);
+        let votes = s.members.iter().filter(|m| m.votes).count();
+        text.one("cluster_voters", "gauge", "Members with a vote.", votes as f64);
+        text.one(
+            "cluster_change_under_way",
+            "gauge",
+            "1 while a change is being decided.",
+            flag(s.change.is_some()),
+        );
+        let ends = ["in-effect", "given-up"].map(|end| format!("end=\"{end}\""));
+        let help = "Changes whose end was heard of here since the start.";
+        text.put("cluster_changes_total", "counter", help, ends.into_iter().zip(s.changes.map(|n| n as f64)));
+        let [sent, bytes, dropped, rubbish] = s.letters.map(|n| n as f64);
+        text.one("cluster_letters_total", "counter", "Letters sent to other instances.", sent);
+        text.one("cluster_letter_bytes_total", "counter", "Bytes of these.", bytes);
+        text.one("cluster_letters_dropped_total", "counter", "Letters that could not go in time.", dropped);
+        text.one(
+            "cluster_links_refused_total",
+            "counter",
+            "Links that were ended as rubbish came by them.",
+            rubbish,
+        );
+        text.one(
+            "gate_waited_total",
+            "counter",
+            "Requests that waited for a change to take hold.",
+            waited as f64,
+        );
+        text.one(
+            "gate_refused_total",
+            "counter",
+            "Requests that were refused, as nothing may be decided.",
+            refused as f64,
+        );
+    }
+    let of = |t: &TenantStatus| format!("tenant=\"{}\"", escaped(&t.name));
+    let each = |f: fn(&TenantStatus) -> f64| tenants.iter().map(move |t| (of(t), f(t)));
+    text.put("tenant_in_flight", "gauge", "Requests in flight.", each(|t| t.in_flight as f64));
+    text.put("tenant_sockets", "gauge", "Connections of clients.", each(|t| t.sockets as f64));
+    text.put("tenant_servers", "gauge", "Servers that take new work.", each(|t| t.servers[0] as f64));
+    let refused = tenants.iter().flat_map(|t| {
+        let causes = CAUSES.into_iter().zip(t.refused);
+        causes.map(move |(cause, n)| (format!("{},cause=\"{cause}\"", of(t)), n as f64))
+    });
+    text.put("tenant_refused_total", "counter", "Times a tenant was turned away.", refused);
+    text.0
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_line_is_a_sample_with_escaped_labels_or_tells_of_one() {
+        let status = Status {
+            name: "a".into(),
+            leader: Some("a".into()),
+            version: 7,
+            decides: Some(7),
+            changes: [3, 1],
+            letters: [5, 600, 0, 2],
+            ..Status::default()
+        };
+        let tenant = TenantStatus {
+            name: "a\"b\\".into(),
+            ready: true,
+            servers: [2, 3],
+            fleet: None,
+            former_pools: 0,
+            sockets: 4,
+            in_flight: 5,
+            bytes: 6,
+            loop_ms: 0.0,
+            refused: [1, 2, 3, 4, 5],
+        };
+        let text = text(Some((&status, [8, 9])), &[tenant]);
+        for wanted in [
+            "canvascart_cluster_version 7",
+            "canvascart_cluster_leads 1",
+            "canvascart_cluster_changes_total{end=\"given-up\"} 1",
+            "canvascart_cluster_links_refused_total 2",
+            "canvascart_gate_refused_total 9",
+            "canvascart_tenant_in_flight{tenant=\"a\\\"b\\\\\"} 5",
+            "canvascart_tenant_refused_total{tenant=\"a\\\"b\\\\\",cause=\"time\"} 4",
+        ] {
+            assert!(text.lines().any(|l| l == wanted), "{wanted} in\n{text}");
+        }
+        assert!(super::text(None, &[]).lines().all(|l| !l.contains("cluster")));
+    }
+}
--- a/crates/admin/src/http.rs
+++ b/crates/admin/src/http.rs
@@ -30,6 +30,7 @@
 use crate::call::{Ask, Call, Outcome, Reply};
 use crate::desk::{Desk, no_tenant};
 use crate::events::Happened;
+use crate::figures;
 use crate::operations::{Act, Joint, OPERATIONS, Operation, openapi};
 use crate::problem::Problem;
 use crate::together::{Passed, Together, no_cluster};
@@ -65,6 +66,8 @@
     OpenAt(u64, oneshot::Sender<()>),
     /// Serve this, whatever was served.
     Serve(Arc<Service>, oneshot::Sender<Result<(), String>>),
+    /// Tell how many requests waited at the gate, and how many it refused.
+    Gate(oneshot::Sender<[u64; 2]>),
     /// Tell how a tenant fares, or all.
     Status(Option<String>, oneshot::Sender<Vec<TenantStatus>>),
 }
@@ -93,6 +96,7 @@
                 };
                 let _ = done.send(served);
             }
+            Order::Gate(tell) => _ = tell.send(plane.gate_counts()),
             Order::Status(None, tell) => _ = tell.send(plane.status()),
             Order::Status(Some(name), tell) => _ = tell.send(plane.status_of(&name).into_iter().collect()),
         }
@@ -196,6 +200,13 @@
         self.together.as_ref()
     }
 
+    /// The file of an instance of a cluster was read anew: a state that comes from the others is held against it from here on.
+    pub fn reloaded(&self, file: Service) {
+        if let Some(together) = &self.together {
+            together.reloaded(file);
+        }
+    }
+
     pub(crate) fn give(&self, order: Order) {
         let _ = self.orders.send(order); // a plane that has ended is seen by its silence
     }
@@ -242,18 +253,18 @@
                 Ok(reply)
             }
             Err(Ok(reply)) => Ok(reply),
-            Err(Err(ask)) => self.tell_of(ask, call.who.tenant.clone()).await,
+            Err(Err(ask)) => self.tell_of(ask).await,
         }
     }
 
     /// How tenants fare here.
-    async fn tell_of(&self, ask: Ask, own: Option<String>) -> Result<Reply, Problem> {
+    async fn tell_of(&self, ask: Ask) -> Result<Reply, Problem> {
         match ask {
             Ask::Pool(name) => {
                 let status = self.status(Some(name.clone())).await?.pop().ok_or_else(|| no_tenant(&name))?;
                 Ok(Reply::of(status))
             }
-            Ask::Service { version, read_only } => {
+            Ask::Service { version, read_only, own } => {
                 let mut tenants = self.status(own).await?;
                 tenants.truncate(TOLD);
                 Ok(Reply::of(ServiceStatus { version, read_only, tenants }))
@@ -281,6 +292,9 @@
                 Some(who)
             }
         };
+        if let Act::Figures = operation.act {
+            return self.figures().await;
+        }
         let query = queries(head.uri.query().unwrap_or(""))?;
         let known = |key: &&String| operation.query.contains(&key.as_str());
         if let Some(unknown) = query.keys().find(|key| !known(key)) {
@@ -328,7 +342,7 @@
             (Some(together), _) => {
                 let reply = match together.pass(&passed, operation.writes()).await? {
                     Ok(reply) => reply,
-                    Err(ask) => self.tell_of(ask, who.and_then(|w| w.tenant)).await?,
+                    Err(ask) => self.tell_of(ask).await?,
                 };
                 return Ok(answer(&reply));
             }
@@ -355,6 +369,27 @@
         reply.map(|reply| answer(&reply))
     }
 
+    /// Figures of this instance, whoever leads.
+    async fn figures(&self) -> Result<Response<Body>, Problem> {
+        let mut tenants = self.status(None).await?;
+        tenants.truncate(TOLD);
+        let text = match &self.together {
+            None => figures::text(None, &tenants),
+            Some(together) => {
+                let (tell, told) = oneshot::channel();
+                self.give(Order::Gate(tell));
+                let ending = || Problem::internal("the service is ending");
+                let gate = told.await.map_err(|_| ending())?;
+                let status = together.status().await.ok_or_else(ending)?;
+                figures::text(Some((&status, gate)), &tenants)
+            }
+        };
+        let response = Response::builder()
+            .header(CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8")
+            .header(CACHE_CONTROL, "no-store");
+        response.body(Body::from(text)).map_err(|e| Problem::internal(e.to_string()))
+    }
+
     fn stream(self: &Arc<Self>, who: Who, last: Option<String>) -> Result<Response<Body>, Problem> {
         let place = self.streams.clone().try_acquire_owned();
         let place = place.map_err(|_| Problem::busy(format!("{STREAMS} streams of events are open")))?;
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -15,6 +15,7 @@
 mod desk;
 mod difference;
 mod events;
+mod figures;
 mod http;
 pub mod operations;
 mod place;
--- a/crates/admin/src/operations.rs
+++ b/crates/admin/src/operations.rs
@@ -31,6 +31,8 @@
     Events,
     /// The OpenAPI document.
     Document,
+    /// Figures of this instance.
+    Figures,
     /// It concerns the cluster that this instance is one of.
     Together(Joint),
 }
@@ -233,6 +235,8 @@
         "Gives a token another secret; the former one stays good for a while";
     GET "/v1/events" "events" Read NONE [] 200 String, Act::Events,
         "Server-sent events: versions as they take effect, and how tenants fare";
+    GET "/v1/figures" "figures" Oversee NONE [] 200 String, Act::Figures,
+        "Figures of this instance, as Prometheus text: the cluster's, and how tenants fare";
     GET "/v1/cluster" "clusterStatus" Oversee NONE [] 200 Map<String, Value>, Act::Together(Joint::Status),
         "How the cluster looks: from here, and from the instance that leads";
     DELETE "/v1/cluster/members/{member}" "removeMember" Operate NONE [] 200 Map<String, Value>, Act::Together(Joint::Remove),
@@ -295,7 +299,11 @@
         }
     }
     let (status, answer) = operation.answer;
-    let media = if operation.id == "events" { "text/event-stream" } else { "application/json" };
+    let media = match operation.act {
+        Act::Events => "text/event-stream",
+        Act::Figures => "text/plain",
+        _ => "application/json",
+    };
     let mut described = json!({
         "operationId": operation.id,
         "summary": operation.summary,
--- a/crates/admin/src/tenants.rs
+++ b/crates/admin/src/tenants.rs
@@ -196,5 +196,5 @@
 pub fn status(desk: &mut Desk, call: &Call) -> Result<Outcome, Problem> {
     let version = call.who.oversees().then(|| desk.version());
     let read_only = desk.read_only().map(str::to_owned);
-    Ok(Outcome::Ask(Ask::Service { version, read_only }))
+    Ok(Outcome::Ask(Ask::Service { version, read_only, own: call.who.tenant.clone() }))
 }
--- a/crates/admin/src/together.rs
+++ b/crates/admin/src/together.rs
@@ -40,8 +40,8 @@
     next_read: AtomicU64,
     /// One change at a time is decided by the one that leads.
     writing: tokio::sync::Mutex<()>,
-    /// What the file says of the process and its listeners.
-    file: Service,
+    /// What the file says of the process and its listeners, as it was last taken.
+    file: Mutex<Service>,
     /// How long a call may take.
     patience: Duration,
 }
@@ -97,11 +97,16 @@
             reads: Mutex::default(),
             next_read: AtomicU64::new(1),
             writing: tokio::sync::Mutex::default(),
-            file,
+            file: Mutex::new(file),
             patience: Duration::from_secs_f64(2.0 * deadline / 1000.0 + 10.0),
         }
     }
 
+    /// The file was read anew, and its listeners are in effect.
+    pub fn reloaded(&self, file: Service) {
+        self.file.lock().unwrap_or_else(PoisonError::into_inner).listeners = file.listeners;
+    }
+
     fn say(&self, said: Said) {
         let _ = self.said.send(said); // a member that has ended answers nothing
     }
@@ -284,7 +289,7 @@
         let service = {
             let mut desk = self.desk();
             if desk.entry() < entry {
-                desk.replace(&together.file, state)?;
+                desk.replace(&together.file.lock().unwrap_or_else(PoisonError::into_inner), state)?;
             }
             desk.service()
         };
--- a/crates/admin/tests/http.rs
+++ b/crates/admin/tests/http.rs
@@ -54,6 +54,7 @@
                 match order {
                     Order::CarryOut(_, done) | Order::Serve(_, done) => _ = done.send(Ok(())),
                     Order::HoldOff(_) => {}
+                    Order::Gate(tell) => _ = tell.send([0; 2]),
                     Order::Close(done) | Order::OpenAt(_, done) => _ = done.send(()),
                     Order::Status(name, tell) => {
                         let status = |name: String| hosted::plane::TenantStatus {
--- a/crates/canvascart/src/cluster/mod.rs
+++ b/crates/canvascart/src/cluster/mod.rs
@@ -65,6 +65,7 @@
         key,
         directory: Path::new(directory).to_owned(),
         rules,
+        log_entries: cluster.log_entries,
     })
 }
 
--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -142,9 +142,15 @@
         /// Seeds, from 1 on.
         #[arg(long, default_value_t = 20)]
         seeds: u64,
+        /// Fleets at once, each with a seed of its own.
+        #[arg(long, default_value_t = 1)]
+        at_once: usize,
         /// What an instance does that hears from nobody.
         #[arg(long, value_name = "refuse|serve", default_value = "refuse")]
         when_cut_off: String,
+        /// Measures what a request costs instead: without [cluster], and at one of 1 and of 3 instances, in turn.
+        #[arg(long, conflicts_with = "pace")]
+        cost: bool,
         /// Measures how long changes take instead, at so many processes each, beside one without others.
         #[arg(long, value_delimiter = ',', value_name = "N,N")]
         pace: Option<Vec<usize>>,
@@ -366,8 +372,9 @@
         Command::Changes { changes, pace: Some(sizes), in_virtual_time, .. } => {
             together::pace(&sizes, in_virtual_time, changes)
         }
-        Command::Changes { instances, changes, seeds, when_cut_off, pace: None, .. } => {
-            together::changes(instances, changes, seeds, &when_cut_off)
+        Command::Changes { cost: true, .. } => together::cost(),
+        Command::Changes { instances, changes, seeds, at_once, when_cut_off, pace: None, .. } => {
+            together::changes(instances, changes, seeds, at_once, &when_cut_off)
         }
         Command::Tenants { count, changes, idle } => {
             hosted::tenants(count, Duration::from_secs(idle), changes)
--- a/crates/canvascart/src/lab/together.rs
+++ b/crates/canvascart/src/lab/together.rs
@@ -1,14 +1,20 @@
 //! What the lab does with many processes that act as one.
 
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::thread;
+
 use ::lab::service::changes::{Known, Planted, Play, Played, play};
 use ::lab::service::pace::{Fare, Row, among, in_virtual_time, single};
 use cluster::machine::{Rules, WhenCutOff};
 
 use super::hosted::{own, place_for};
-use super::{BROKEN, NOT_RUN, progress};
+use super::{BROKEN, NOT_RUN};
 
 /// Short leases, so that a run shows many of them.
 const SHORT: &str = "lease = \"2 s\"\nchange-lease = \"1500 ms\"\ndeadline = \"8 s\"";
+/// Rounds in which each way is asked.
+const ROUNDS: usize = 10;
 /// What is used without a word.
 const USUAL: &str = "lease = \"15 s\"";
 
@@ -24,15 +30,24 @@
     }
 }
 
-/// Changes under faults by chance; tells what came of them.
-pub fn changes(instances: usize, changes: u64, seeds: u64, when_cut_off: &str) -> Result<u8, String> {
+/// Changes under faults by chance, each seed in a fleet of its own; tells what came of them.
+pub fn changes(
+    instances: usize, changes: u64, seeds: u64, at_once: usize, when_cut_off: &str,
+) -> Result<u8, String> {
     if !matches!(when_cut_off, "refuse" | "serve") {
         return Err(format!("--when-cut-off {when_cut_off}: it is refuse or serve"));
     }
     let (command, dir) = (own()?, place_for("changes"));
     let cluster = format!("{SHORT}\nwhen-cut-off = \"{when_cut_off}\"");
-    let mut all: Vec<Played> = Vec::new();
-    for seed in 1..=seeds {
+    let next = AtomicU64::new(1);
+    let all: Mutex<Vec<Played>> = Mutex::default();
+    let failed = AtomicU8::new(0);
+    let one = || loop {
+        let seed = next.fetch_add(1, Ordering::Relaxed);
+        if seed > seeds || failed.load(Ordering::Relaxed) != 0 {
+            return;
+        }
+        let dir = dir.join(format!("seed-{seed}"));
         let terms = Play {
             command: &command,
             instances,
@@ -42,11 +57,11 @@
             dir: &dir,
             planted: Planted::Nothing,
         };
-        let played = match play(&terms, progress("changes", false)) {
+        let played = match play(&terms, |_| ()) {
             Ok(played) => played,
             Err(e) => {
                 tracing::error!(seed, error = %e, "it could not be played; the state is kept in {}", dir.display());
-                return Ok(NOT_RUN);
+                return failed.store(NOT_RUN, Ordering::Relaxed);
             }
         };
         let count = |of: fn(&Known) -> bool| played.changes.values().flatten().filter(|k| of(k)).count();
@@ -60,15 +75,22 @@
             played.broken.len(),
         );
         played.broken.iter().for_each(|what| println!("  {what}"));
-        let broken = !played.broken.is_empty();
-        all.push(played);
-        if broken {
+        if played.broken.is_empty() {
+            let _ = std::fs::remove_dir_all(&dir); // nothing in it is needed
+        } else {
             println!("the state is kept in {}", dir.display());
-            return Ok(BROKEN);
+            failed.store(BROKEN, Ordering::Relaxed);
         }
+        all.lock().unwrap_or_else(PoisonError::into_inner).push(played);
+    };
+    thread::scope(|threads| (0..at_once.clamp(1, 16)).for_each(|_| _ = threads.spawn(one)));
+    if failed.load(Ordering::Relaxed) != 0 {
+        return Ok(failed.load(Ordering::Relaxed));
     }
+    let all = all.into_inner().unwrap_or_else(PoisonError::into_inner);
     let known = all.iter().flat_map(|p| p.changes.values()).flatten();
     let mut ms: Vec<f64> = known
+        .clone()
         .filter_map(|k| match k {
             Known::Done(took) => Some(took.as_secs_f64() * 1000.0),
             _ => None,
@@ -78,6 +100,13 @@
     let at = |q: f64| ms.get((q * ms.len().saturating_sub(1) as f64) as usize).copied().unwrap_or(f64::NAN);
     let seen = all.iter().flat_map(|p| &p.seen);
     let sums = seen.fold([0, 0, 0], |[s, r, u], c| [s + c.served, r + c.refused, u + c.unanswered]);
+    let count = |of: fn(&Known) -> bool| known.clone().filter(|k| of(k)).count();
+    let (given_up, unknown) = (count(|k| *k == Known::GivenUp), count(|k| *k == Known::Unknown));
+    let (faults, decisions) =
+        (all.iter().map(|p| p.faults).sum::<u64>(), all.iter().map(|p| p.decisions).sum::<usize>());
+    println!(
+        "{seeds} seeds: {faults} faults, {decisions} decisions, {given_up} changes given up, {unknown} not known"
+    );
     println!("{} acknowledged, p50 {:.0} ms, p99 {:.0} ms", ms.len(), at(0.5), at(0.99));
     println!("requests: {} served, {} refused, {} without an answer", sums[0], sums[1], sums[2]);
     let _ = std::fs::remove_dir_all(&dir); // nothing in it is needed
@@ -144,3 +173,30 @@
     let _ = std::fs::remove_dir_all(&dir); // nothing in it is needed
     Ok(if broken { BROKEN } else { 0 })
 }
+
+/// What a request costs.
+pub fn cost() -> Result<u8, String> {
+    let (command, dir) = (own()?, place_for("cost"));
+    println!("| what | requests | p50 us | p99 us | CPU us a request (standard deviation of rounds) |");
+    println!("| --- | --- | --- | --- | --- |");
+    match ::lab::service::cost::cost(&command, ROUNDS, &dir) {
+        Ok(costs) => {
+            for c in costs {
+                let (cpu, spread) = c.cpu();
+                println!(
+                    "| {} | {} | {:.0} | {:.0} | {cpu:.1} ({spread:.1}) |",
+                    c.what,
+                    c.us.len(),
+                    c.at(0.5),
+                    c.at(0.99)
+                );
+            }
+        }
+        Err(e) => {
+            tracing::error!(error = %e, "it could not be measured");
+            return Ok(NOT_RUN);
+        }
+    }
+    let _ = std::fs::remove_dir_all(&dir); // nothing in it is needed
+    Ok(0)
+}
--- a/crates/canvascart/src/main.rs
+++ b/crates/canvascart/src/main.rs
@@ -6,6 +6,8 @@
 mod cluster;
 mod demo;
 mod drill;
+#[cfg(feature = "failpoints")]
+mod failpoints;
 mod fleet;
 mod lab;
 mod log;
@@ -99,6 +101,8 @@
         eprintln!("canvascart: {text}");
         return ExitCode::from(USAGE);
     }
+    #[cfg(feature = "failpoints")]
+    failpoints::follow();
     let outcome = match arguments.command {
         Command::Client(arguments) => client::run(arguments),
         Command::Capture(command) => capture::run(command),
--- a/crates/canvascart/src/serve.rs
+++ b/crates/canvascart/src/serve.rs
@@ -337,6 +337,8 @@
                 let (plan, service) = (prepared.plan.clone(), prepared.next.clone());
                 plane.carry_out(prepared)?;
                 desk.reloaded(service);
+                drop(desk);
+                api.reloaded(next);
                 Ok(plan)
             })
         }
--- a/crates/canvascart/tests/cluster.rs
+++ b/crates/canvascart/tests/cluster.rs
@@ -63,6 +63,15 @@
     limits["in-flight"].as_u64().unwrap()
 }
 
+/// Those who have a vote.
+fn voters(fleet: &Fleet) -> Vec<usize> {
+    let status = fleet.status(0).unwrap();
+    let members = status["leader"]["members"].as_array().unwrap().clone();
+    let votes: BTreeSet<&str> =
+        members.iter().filter(|m| m["votes"] == true).filter_map(|m| m["name"].as_str()).collect();
+    (0..fleet.count()).filter(|i| votes.contains(fleet.name(*i))).collect()
+}
+
 #[test]
 fn a_change_at_any_instance_is_seen_at_each() {
     let directory = Directory::new();
@@ -203,6 +212,102 @@
     assert_eq!(limit(&fleet, other), 2002);
 }
 
+#[test]
+fn halves_that_both_get_changes_agree_once_they_are_joined() {
+    let directory = Directory::new();
+    let fleet = fleet(&directory, 5, SOON);
+    let leader = fleet.leader().unwrap();
+    let votes = voters(&fleet);
+    // The one that leads stands alone with those that have no vote.
+    let (few, most): (Vec<usize>, Vec<usize>) = (0..5).partition(|i| *i == leader || !votes.contains(i));
+    let links = |mode| {
+        for (a, b) in few.iter().flat_map(|a| most.iter().map(move |b| (*a, *b))) {
+            fleet.link(a, b, mode);
+            fleet.link(b, a, mode);
+        }
+    };
+    links(Mode::Cut);
+    let mut line = fleet.line(leader).unwrap();
+    let asked = std::thread::spawn(move || {
+        line.call("PUT", "/v1/tenants/a/limits", "If-Match: *\r\n", "{ \"in-flight\": 2001 }").unwrap()
+    });
+    assert_eq!(set(&fleet, most[0], 2002, "").0, 200, "most of those who vote go on");
+    fleet.wait("leases' ends", |f| few.iter().all(|i| !f.is_up(*i))).unwrap();
+    links(Mode::Pass);
+    fleet.ready().unwrap();
+    let (status, said) = asked.join().unwrap();
+    assert_eq!(status, 200, "it was asked for again at the other: {}", String::from_utf8_lossy(&said));
+    assert!((0..5).all(|i| limit(&fleet, i) == 2001), "and so came after");
+    let versions = fleet.line(few[0]).unwrap().json("GET", "/v1/versions", "", &Value::Null).unwrap();
+    assert_eq!(versions["items"].as_array().unwrap().len(), 3, "{versions}");
+}
+
+#[test]
+fn one_that_lags_behind_a_log_that_was_shortened_goes_on_from_a_snapshot() {
+    let directory = Directory::new();
+    let fleet = fleet(&directory, 5, &format!("{SOON}\nlog-entries = 16"));
+    let leader = fleet.leader().unwrap();
+    let lags = (0..5).find(|i| *i != leader).unwrap();
+    fleet.isolate(lags, Mode::Cut);
+    for n in 2001..2041 {
+        assert_eq!(set(&fleet, leader, n, "").0, 200);
+    }
+    fleet.isolate(lags, Mode::Pass);
+    fleet.ready().unwrap();
+    assert_eq!(limit(&fleet, lags), 2040);
+    let log = fleet.log(lags);
+    assert!(log.contains("goes on from a snapshot of the log"), "{log}");
+    let figures = fleet.line(lags).unwrap().call("GET", "/v1/figures", "", "").unwrap();
+    let figures = String::from_utf8(figures.1).unwrap();
+    assert!(
+        figures.contains("canvascart_cluster_decides 1") && figures.contains("tenant=\"a\""),
+        "{figures}"
+    );
+}
+
+#[test]
+#[cfg(feature = "failpoints")]
+fn a_voter_with_a_slow_disk_holds_no_change_up_for_long() {
+    let directory = Directory::new();
+    let fleet = fleet(&directory, 5, SOON);
+    let leader = fleet.leader().unwrap();
+    let slow = voters(&fleet).into_iter().find(|i| *i != leader).unwrap();
+    fleet.fail(slow, "cluster-log=sleep(2000)").unwrap();
+    for n in 2001..2004 {
+        let began = Instant::now();
+        assert_eq!(set(&fleet, leader, n, "").0, 200);
+        assert!(
+            began.elapsed() < Duration::from_secs(4),
+            "a lease is waited for at most: {:?}",
+            began.elapsed()
+        );
+    }
+    fleet.fail(slow, "").unwrap();
+    fleet.ready().unwrap();
+    assert_eq!(limit(&fleet, slow), 2003);
+}
+
+#[test]
+#[cfg(feature = "failpoints")]
+fn a_change_of_a_newer_program_is_given_up_with_who_can_not_read_it() {
+    let directory = Directory::new();
+    let fleet = fleet(&directory, 5, SOON);
+    let leader = fleet.leader().unwrap();
+    fleet.fail(leader, "agreed-form=return(2)").unwrap();
+    let (status, body) = set(&fleet, leader, 2001, "");
+    assert_eq!((status, body["type"].as_str()), (409, Some("/problems/given-up")), "{body}");
+    let detail = body["detail"].as_str().unwrap();
+    let older = (0..5).find(|i| *i != leader && detail.contains(fleet.name(*i))).unwrap();
+    assert!(
+        detail.contains("its form is 2, and it knows 1") && !detail.contains(fleet.name(leader)),
+        "{detail}"
+    );
+    // The same call of one that writes what all can read.
+    fleet.fail(leader, "").unwrap();
+    assert_eq!(set(&fleet, older, 2001, "").0, 200);
+    assert!((0..5).all(|i| limit(&fleet, i) == 2001));
+}
+
 #[test]
 fn where_the_cut_off_serve_a_change_is_given_up_and_told_by_whom() {
     let directory = Directory::new();
@@ -253,11 +358,7 @@
 fn without_most_of_those_who_vote_nothing_changes_and_nobody_decides_beyond_a_lease() {
     let directory = Directory::new();
     let mut fleet = fleet(&directory, 5, SOON);
-    let status = fleet.status(0).unwrap();
-    let members = status["leader"]["members"].as_array().unwrap().clone();
-    let votes: BTreeSet<&str> =
-        members.iter().filter(|m| m["votes"] == true).filter_map(|m| m["name"].as_str()).collect();
-    let voters: Vec<usize> = (0..5).filter(|i| votes.contains(fleet.name(*i))).collect();
+    let voters = voters(&fleet);
     let left = (0..5).find(|i| !voters.contains(i)).unwrap();
     voters[..2].iter().for_each(|i| fleet.kill(*i));
     assert!(fleet.is_up(left), "its lease runs");
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -24,8 +24,8 @@
 const BATCH: u64 = 1 << 20;
 /// Bytes of entries that may wait to be agreed on.
 const UNCOMMITTED: u64 = 64 << 20;
-/// Entries after which the log is shortened.
-const LONG: u64 = 1024;
+/// Entries after which the log is shortened, unless [`Node::keep`] says otherwise.
+pub const LONG: u64 = 1024;
 /// Reads that wait for confirmation at once.
 const READS: usize = 4096;
 
@@ -124,6 +124,10 @@
     chance: fastrand::Rng,
     last_tick: Micros,
     report_due: Micros,
+    /// When it is to be looked at next who has a vote.
+    voters_due: Micros,
+    /// Entries after which the log is shortened.
+    most: u64,
     was: (StateRole, u64),
     /// What the log came to when the instance's state was asked for.
     long: Option<(Machine, u64, u64, ConfState)>,
@@ -222,6 +226,8 @@
             chance: fastrand::Rng::with_seed(seed ^ id.wrapping_mul(0x9E37_79B9_7F4A_7C15)),
             last_tick: now,
             report_due: now,
+            voters_due: now,
+            most: LONG,
             was: (StateRole::Follower, 0),
             long: None,
             outputs: Vec::new(),
@@ -247,6 +253,11 @@
         self.raw.raft.set_randomized_election_timeout(ticks);
     }
 
+    /// The log is shortened after so many entries.
+    pub fn keep(&mut self, entries: u64) {
+        self.most = entries.max(1);
+    }
+
     /// What is to be done, in order; asked for after each call.
     pub fn outputs(&mut self) -> Vec<Output> {
         std::mem::take(&mut self.outputs)
@@ -711,7 +722,7 @@
     fn ask_for_state(&mut self) {
         let log = self.raw.store();
         let (held, wanted) = (log.first(), log.wanted.get());
-        let due = self.applied >= held + LONG || (wanted && self.applied >= held);
+        let due = self.applied >= held + self.most || (wanted && self.applied >= held);
         if let Some(machine) = self.machine.as_ref().filter(|_| due && self.long.is_none()) {
             log.wanted.set(false);
             let conf = self.raw.raft.prs().conf().to_conf_state();
@@ -745,6 +756,12 @@
     /// Sees that so many members have a vote as the rules say, over as many zones as can be, and that one which is lost for
     /// good has none. One step at a time, as the library takes them.
     fn keep_voters(&mut self, now: Micros) {
+        // It takes a look at all members, which no message is worth while there are enough.
+        let most = self.machine.as_ref().map_or(0, |m| m.rules.voters);
+        if self.warden.is_none() || now < self.voters_due && self.voters().len() >= most {
+            return;
+        }
+        self.voters_due = now + TICK;
         let Some(changes) = self.next_voters(now) else { return };
         let _ = self.put_members(&changes, None); // it is tried again
     }
@@ -762,7 +779,8 @@
             let close = |p: &raft::Progress| p.recent_active && p.matched > 0 && p.matched + 64 >= last;
             progress.get(id).is_some_and(close)
         };
-        let zone = |id: u64| machine.members.values().find(|m| m.id == id).map(|m| m.zone.as_str());
+        let zones: BTreeMap<u64, &str> = machine.members.values().map(|m| (m.id, m.zone.as_str())).collect();
+        let zone = |id: u64| zones.get(&id).copied();
         let in_zone = |z: Option<&str>| voters.iter().filter(|v| !gone(**v) && zone(**v) == z).count();
         let mut candidates: Vec<(usize, u64)> = machine
             .members
--- a/crates/hosted/src/document.rs
+++ b/crates/hosted/src/document.rs
@@ -154,6 +154,10 @@
     /// A refused client is asked to come again after about so long.
     #[serde(default = "second")]
     pub retry_after: Span,
+    /// Entries after which the log is shortened; one that lags by more gets the whole state.
+    #[serde(default = "log_entries")]
+    #[schemars(range(min = 16, max = 1_000_000))]
+    pub log_entries: u64,
     /// Answers, and requests to servers, tell by X-Canvascart-Decided under which version and when they were decided.
     #[serde(default)]
     pub stamps: bool,
@@ -174,6 +178,10 @@
     "here".into()
 }
 
+fn log_entries() -> u64 {
+    1024
+}
+
 fn three() -> usize {
     3
 }
--- a/crates/lab/src/service/changes.rs
+++ b/crates/lab/src/service/changes.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -22,6 +22,8 @@
 const PACE: Duration = Duration::from_millis(4);
 /// How long a client waits.
 const PATIENCE: Duration = Duration::from_secs(3);
+/// Instances with a vote, without a word in the terms.
+const VOTERS: usize = 3;
 /// How long a change may take, from its call to its answer.
 const LONG: Duration = Duration::from_secs(60);
 
@@ -266,6 +268,12 @@
         fleet.start(i)?;
     }
     fleet.ready()?;
+    // As many have a vote as will, so that what is broken next finds the cluster whole.
+    let votes = |f: &Fleet| -> Option<usize> {
+        let status = f.status(0).ok()?;
+        Some(status["leader"]["members"].as_array()?.iter().filter(|m| m["votes"] == true).count())
+    };
+    fleet.wait("those who vote", |f| votes(f).is_some_and(|n| n >= VOTERS.min(play.instances)))?;
     Ok(fleet)
 }
 
@@ -329,6 +337,21 @@
     Ok(played)
 }
 
+/// Breaks an instance in one of the ways that there are.
+fn hurt(fleet: &Mutex<Fleet>, i: usize, rng: &mut impl rand::Rng) {
+    let mut fleet = fleet.lock().unwrap_or_else(PoisonError::into_inner);
+    let count = fleet.count();
+    match rng.random_range(0..7) {
+        0 => fleet.kill(i),
+        1 => fleet.pause(i, true),
+        2 => fleet.isolate(i, Mode::Cut),
+        3 => fleet.isolate(i, Mode::Hold),
+        4 => (0..count).for_each(|to| fleet.link(i, to, Mode::Cut)), // it hears, and is not heard
+        5 => (0..count).for_each(|from| fleet.link(from, i, Mode::Hold)), // it is heard, and does not hear
+        _ => (0..count).for_each(|to| fleet.delay(i, to, Duration::from_secs(3))), // by more than a lease
+    }
+}
+
 /// Faults and changes, one after another, and what all know in the end.
 fn drive(
     play: &Play, fleet: &Mutex<Fleet>, server: SocketAddr, played: &mut Played, tick: &mut impl FnMut(f64),
@@ -337,46 +360,70 @@
     let mut rng = stream(play.seed, Use::Faults);
     let count = play.instances;
     let mut down = BTreeSet::new();
-    for n in 1..=play.changes {
-        tick(n as f64 / play.changes as f64);
-        // At most a third is broken at once, so that most changes can take hold.
-        if rng.random_bool(0.6) && down.len() < count / 3 {
-            let i = rng.random_range(0..count);
-            if down.insert(i) {
-                played.faults += 1;
-                match rng.random_range(0..5) {
-                    0 => lock().kill(i),
-                    1 => lock().pause(i, true),
-                    2 => lock().isolate(i, Mode::Cut),
-                    3 => lock().isolate(i, Mode::Hold),
-                    _ => (0..count).for_each(|to| lock().link(i, to, Mode::Cut)), // it hears, and is not heard
+    let mut next = 1;
+    while next <= play.changes {
+        tick(next as f64 / play.changes as f64);
+        // Mostly a third is broken at most, so that changes can take hold; now and then 70 % at once.
+        let (least, most) =
+            if rng.random_bool(0.1) { (count * 7 / 10, count * 7 / 10) } else { (down.len() + 1, count / 3) };
+        if rng.random_bool(0.6) {
+            while down.len() < least.min(most) {
+                let i = rng.random_range(0..count);
+                if down.insert(i) {
+                    played.faults += 1;
+                    hurt(fleet, i, &mut rng);
                 }
             }
         }
-        let at = (0..count).cycle().skip(rng.random_range(0..count)).find(|i| !down.contains(i)).unwrap_or(0);
-        let known = thread::scope(|threads| {
-            let asked = threads.spawn(|| change(fleet, at, server, n));
+        // Now and then two are asked for at once, at two instances.
+        let both = next < play.changes && rng.random_bool(0.2);
+        let asked: Vec<u64> = (next..=next + u64::from(both)).collect();
+        next += asked.len() as u64;
+        let healthy = |from: usize, down: &BTreeSet<usize>| {
+            (0..count).cycle().skip(from).take(count).find(|i| !down.contains(i)).unwrap_or(0)
+        };
+        let mut known = thread::scope(|threads| -> io::Result<Vec<(u64, Known)>> {
+            let (tell, told) = mpsc::channel();
+            for n in &asked {
+                let (n, at, tell) = (*n, healthy(rng.random_range(0..count), &down), tell.clone());
+                threads.spawn(move || tell.send((n, change(fleet, at, server, n)))); // whoever drives listens to the end
+            }
+            drop(tell);
             // Sometimes the one that leads goes in the middle.
             if rng.random_bool(0.15) && down.len() < count / 3 {
                 thread::sleep(Duration::from_millis(rng.random_range(0..30)));
                 let leader = lock().leader();
-                if let Some(leader) = leader.filter(|l| *l != at && down.insert(*l)) {
+                if let Some(leader) = leader.filter(|l| down.insert(*l)) {
                     played.faults += 1;
                     lock().kill(leader);
                 }
             }
-            asked.join().unwrap_or(Known::Unknown)
-        });
-        if let Known::Done(_) = known {
+            // Whatever is broken is mended sooner or later, also while a change waits for it.
+            let mut known = Vec::new();
+            let patience = Instant::now() + Duration::from_millis(rng.random_range(500..10_000));
+            while known.len() < asked.len() {
+                match told.recv_timeout(patience.saturating_duration_since(Instant::now())) {
+                    Ok(one) => known.push(one),
+                    Err(_) => {
+                        heal(fleet, &mut down)?;
+                        known.extend(told.iter());
+                        break;
+                    }
+                }
+            }
+            Ok(known)
+        })?;
+        known.sort_by_key(|(n, _)| *n);
+        if known.len() == asked.len() && known.iter().all(|(_, k)| matches!(k, Known::Done(_))) {
             // Whoever has seen a change at one instance sees it at each other.
-            let other = (0..count).cycle().skip(rng.random_range(0..count)).find(|i| !down.contains(i));
-            if let Some(shown) = other.and_then(|i| shown(fleet, i))
-                && shown < n
+            if let Some(shown) = shown(fleet, healthy(rng.random_range(0..count), &down))
+                && !asked.contains(&shown)
             {
-                played.broken.push(format!("change {shown} is shown after {n} was acknowledged"));
+                played.broken.push(format!("change {shown} is shown after {asked:?} were acknowledged"));
             }
         }
-        played.changes.insert(n, Some(known));
+        played.changes.extend(asked.iter().map(|n| (*n, None)));
+        played.changes.extend(known.into_iter().map(|(n, k)| (n, Some(k))));
         if rng.random_bool(0.5) {
             heal(fleet, &mut down)?;
             thread::sleep(Duration::from_millis(rng.random_range(0..400)));
@@ -392,6 +439,7 @@
     for i in std::mem::take(down) {
         let mut fleet = fleet.lock().unwrap_or_else(PoisonError::into_inner);
         fleet.isolate(i, Mode::Pass);
+        (0..fleet.count()).for_each(|to| fleet.delay(i, to, Duration::ZERO));
         fleet.pause(i, false);
         if !fleet.runs(i) {
             fleet.start(i)?;
--- a/crates/lab/src/service/fleet.rs
+++ b/crates/lab/src/service/fleet.rs
@@ -88,14 +88,19 @@
                 peers.map(|((_, to), l)| format!("{} = \"{}\"", name(*to), l.address)).collect();
             let text = format!(
                 "[state]\ndirectory = {:?}\n[admin]\naddress = \"127.0.0.1:0\"\n[cluster]\nname = \"lab\"\ninstance = \
-                 \"{}\"\naddress = \"127.0.0.1:0\"\nzone = \"z{}\"\nkey-file = {:?}\nstamps = true\npeers = {{ {} }}\n{}\n\
+                 \"{}\"\naddress = \"127.0.0.1:0\"\nzone = \"z{}\"\nkey-file = {:?}\npeers = {{ {} }}\n{}\n\
                  [[listener]]\nname = \"public\"\naddress = \"127.0.0.1:0\"\ntenant-by = \"header\"\n{}",
                 own.join("state").display().to_string(),
                 name(i),
                 i % terms.zones.max(1),
                 key.display().to_string(),
                 peers.join(", "),
-                terms.cluster,
+                // Stamps, unless the terms say something of them.
+                if terms.cluster.contains("stamps") {
+                    terms.cluster.clone()
+                } else {
+                    format!("{}\nstamps = true", terms.cluster)
+                },
                 terms.tenants,
             );
             let config = own.join("serve.toml");
@@ -143,6 +148,7 @@
             .args(arguments)
             .args(["--log-format", "json", "--log", "info", "serve", "--config"])
             .arg(&instance.config)
+            .env("CANVASCART_FAILPOINTS", instance.config.with_file_name("failpoints"))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
@@ -223,6 +229,19 @@
         self.signal(i, if paused { Signal::STOP } else { Signal::CONT });
     }
 
+    /// Sets what happens at failpoints of an instance that runs, `NAME=ACTIONS` a line, and waits until it does.
+    ///
+    /// # Errors
+    /// The instance's program has none: it is no test build.
+    pub fn fail(&self, i: usize, points: &str) -> io::Result<()> {
+        let file = self.instances[i].config.with_file_name("failpoints");
+        let aside = file.with_extension("new");
+        std::fs::write(&aside, points)?;
+        std::fs::rename(aside, &file)?;
+        let taken = file.with_extension("taken");
+        self.wait("the failpoints", |_| std::fs::read_to_string(&taken).is_ok_and(|t| t == points))
+    }
+
     /// Whether an instance's process is there.
     pub fn runs(&self, i: usize) -> bool {
         self.instances[i].child.is_some()
--- a/crates/lab/src/service/mod.rs
+++ b/crates/lab/src/service/mod.rs
@@ -1,6 +1,7 @@
 //! The hosted service with durable state as a process, and its administration API: what is asked of both over real sockets.
 
 pub mod changes;
+pub mod cost;
 pub mod fleet;
 pub mod kills;
 pub mod pace;
--- a/crates/links/src/member.rs
+++ b/crates/links/src/member.rs
@@ -50,6 +50,8 @@
     pub directory: PathBuf,
     /// What all go by, if this one founds the cluster.
     pub rules: Rules,
+    /// Entries after which the log is shortened.
+    pub log_entries: u64,
 }
 
 /// What the application is told, in this order.
@@ -142,6 +144,9 @@
     pub change: Option<ChangeStatus>,
     /// Letters sent, their bytes, letters dropped, and links ended for rubbish.
     pub letters: [u64; 4],
+    /// Changes whose end was heard of here since the start: in effect, and given up.
+    #[serde(default)]
+    pub changes: [u64; 2],
 }
 
 /// One member, as the one that leads sees it.
@@ -216,6 +221,8 @@
     calls: BTreeMap<String, Call>,
     /// Calls that are being answered here: who asked.
     answering: BTreeMap<String, BTreeSet<Option<String>>>,
+    /// Changes whose end was heard of: in effect, and given up.
+    changes: [u64; 2],
 }
 
 struct Call {
@@ -266,6 +273,7 @@
         waiting: BTreeMap::new(),
         calls: BTreeMap::new(),
         answering: BTreeMap::new(),
+        changes: [0; 2],
         log,
         settings,
     };
@@ -291,7 +299,9 @@
 
     fn begin_with(&mut self, identity: Identity, saved: &Saved) -> Result<(), String> {
         let node = Node::new(identity.id, saved, self.starts, fastrand::u64(..), clock::now());
-        self.node = Some(node.map_err(|e| e.to_string())?);
+        let mut node = node.map_err(|e| e.to_string())?;
+        node.keep(self.settings.log_entries);
+        self.node = Some(node);
         tracing::info!(name = identity.name, id = identity.id, cluster = identity.cluster, "is a member");
         self.identity = Some(identity);
         Ok(())
@@ -624,6 +634,7 @@
                     hard: hard.as_deref(),
                     identity: None,
                 };
+                fail::fail_point!("cluster-log"); // a slow disk
                 self.log.append(append).map_err(|e| format!("the log: {e}"))?;
             }
             Output::Send(to, message) => self.write_to(to, Body::Node(to, message)),
@@ -632,8 +643,13 @@
             Output::Effect(Effect::Open(version, proposal)) => self.tell(Told::Open(version, proposal)),
             Output::Effect(Effect::Note(proposal)) => self.tell(Told::Note(proposal)),
             Output::Effect(Effect::Ended(id, outcome)) => {
-                if matches!(outcome, Outcome::GivenUp(_)) {
-                    self.tell(Told::GivenUp);
+                match &outcome {
+                    Outcome::InEffect(_) => self.changes[0] += 1,
+                    Outcome::GivenUp(_) => {
+                        self.changes[1] += 1;
+                        self.tell(Told::GivenUp);
+                    }
+                    Outcome::Stored | Outcome::Overtaken => {}
                 }
                 for waits in self.waiting.remove(&id).unwrap_or_default() {
                     let _ = waits.send(Ok(outcome.clone())); // who asked may have left
@@ -646,7 +662,10 @@
                 let peers: BTreeSet<String> = self.settings.peers.keys().cloned().collect();
                 self.post.keep(|name| names.contains(name) || peers.contains(name));
             }
-            Output::Restore(machine, state) => self.tell(Told::Restore(machine, state)),
+            Output::Restore(machine, state) => {
+                tracing::info!(version = machine.version, "goes on from a snapshot of the log");
+                self.tell(Told::Restore(machine, state));
+            }
             Output::Right(right) => self.right.set(right),
             Output::Confirmed(reads) => reads.into_iter().for_each(|r| self.tell(Told::Read(r, true))),
             Output::Unconfirmed(reads) => reads.into_iter().for_each(|r| self.tell(Told::Read(r, false))),
@@ -660,8 +679,14 @@
         let letters = [&counts.sent, &counts.bytes, &counts.dropped, &counts.rubbish];
         let letters = letters.map(|c| c.load(Ordering::Relaxed));
         let me = self.me();
-        let mut status =
-            Status { name: me.name, id: me.id, cluster: me.cluster, letters, ..Status::default() };
+        let mut status = Status {
+            name: me.name,
+            id: me.id,
+            cluster: me.cluster,
+            letters,
+            changes: self.changes,
+            ..Status::default()
+        };
         let Some(node) = &self.node else {
             status.fenced = Some("it has not joined yet".into());
             return status;
