--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -9,6 +9,7 @@
 mod capture;
 mod clock;
 mod config;
+mod connection;
 mod discovery;
 mod drills;
 mod driver;
--- a/crates/engine/tests/layers.rs
+++ b/crates/engine/tests/layers.rs
@@ -2,13 +2,14 @@
 use std::path::Path;
 
 /// The parts from the lowest up.
-const LAYERS: [&str; 26] = [
+const LAYERS: [&str; 27] = [
     "outlet",
     "log",
     "clock",
     "gate",
     "account",
     "guard",
+    "connection",
     "inherited",
     "config",
     "hosts",
