--- /dev/null
+++ b/crates/admin/src/backup.rs
@@ -0,0 +1,73 @@
+//! All that a cluster has agreed on, to be kept elsewhere, with what tells whether it is whole.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+/// The form that this program writes.
+const FORM: u64 = 1;
+
+/// A backup.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Backup {
+    /// The form's number.
+    pub canvascart_backup: u64,
+    /// The cluster's own id.
+    pub cluster: String,
+    /// The version in effect.
+    pub version: u64,
+    /// When it was made, in Unix time.
+    pub at_ms: u64,
+    /// The sum of the state.
+    pub sha256: String,
+    /// The state, as `canvascart store export` writes it.
+    pub state: String,
+}
+
+fn sum(state: &str) -> String {
+    Sha256::digest(state.as_bytes()).iter().map(|b| format!("{b:02x}")).collect()
+}
+
+impl Backup {
+    /// A backup of a state.
+    pub fn of(cluster: &str, version: u64, at_ms: u64, state: String) -> Self {
+        let (cluster, sha256) = (cluster.to_owned(), sum(&state));
+        Backup { canvascart_backup: FORM, cluster, version, at_ms, sha256, state }
+    }
+
+    /// A backup from its text, if it is whole.
+    ///
+    /// # Errors
+    /// What is wrong with it, and where.
+    pub fn read(text: &str) -> Result<Self, String> {
+        let backup: Backup = serde_json::from_str(text).map_err(|e| format!("it is no whole backup: {e}"))?;
+        if backup.canvascart_backup != FORM {
+            return Err(format!(
+                "canvascart-backup: its form is {}, and this program knows {FORM}",
+                backup.canvascart_backup
+            ));
+        }
+        if backup.sha256 != sum(&backup.state) {
+            return Err("state: its sum does not fit: it is damaged".into());
+        }
+        Ok(backup)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_backup_is_read_whole_or_not_at_all() {
+        let backup = Backup::of("c", 7, 1, "{\"a\":1}\n".into());
+        let text = serde_json::to_string(&backup).expect("it can be written");
+        assert_eq!(Backup::read(&text), Ok(backup));
+        assert!((0..text.len()).all(|n| Backup::read(&text[..n]).is_err()), "cut off");
+        let damaged = text.replace("\\\"a\\\"", "\\\"b\\\"");
+        assert!(damaged != text && Backup::read(&damaged).is_err_and(|e| e.contains("sum")));
+        assert!(
+            Backup::read(&text.replace("backup\":1", "backup\":9")).is_err_and(|e| e.contains("form is 9"))
+        );
+    }
+}
--- a/crates/admin/src/desk.rs
+++ b/crates/admin/src/desk.rs
@@ -240,6 +240,34 @@
         self.look_at(file)
     }
 
+    /// Takes what a survivor's log has beyond what is stored here, and goes on at a later version: a cluster begins anew. What there
+    /// is then, as text.
+    ///
+    /// # Errors
+    /// Something can't be read or stored, or does not fit.
+    pub fn salvage(
+        &mut self, file: &Service, payloads: &[String], version: u64, detail: String, now_ms: u64,
+    ) -> Result<(u64, u64, String), String> {
+        for payload in payloads {
+            self.take(&Agreed::read(payload)?).map_err(|p| p.detail)?;
+        }
+        let write = Write {
+            base: self.state.entry,
+            at_ms: now_ms,
+            by: Author { id: "restore".into(), name: "canvascart cluster restore".into() },
+            action: "cluster.restore".into(),
+            subject: None,
+            detail: Some(detail),
+            edits: Vec::new(),
+            tokens: Vec::new(),
+            reply: None,
+            skip_to: Some(version),
+        };
+        self.commit(&write).map_err(|e| e.to_string())?;
+        self.look_at(file)?;
+        Ok((self.state.version, self.state.entry, self.export()?))
+    }
+
     /// How much is stored.
     pub fn entry(&self) -> u64 {
         self.state.entry
@@ -347,6 +375,7 @@
             edits: file.tenants.iter().map(edit).collect::<Result<_, String>>()?,
             tokens: vec![(id, Some(token))],
             reply: None,
+            skip_to: None,
         };
         self.commit(&write).map_err(|e| e.to_string())?;
         Ok(())
@@ -585,6 +614,7 @@
             tokens: self.ending(&edits).into_iter().map(|id| (id, None)).collect(),
             edits: edits.into_iter().map(|(name, d)| (scope(&name), d)).collect(),
             reply: kept(call, &reply)?,
+            skip_to: None,
         };
         let agreed = Agreed { write, tenants: changed };
         if self.agrees {
@@ -622,6 +652,7 @@
             edits: Vec::new(),
             tokens: vec![(id.to_owned(), stored)],
             reply: kept(call, &reply)?,
+            skip_to: None,
         };
         let agreed = Agreed { write, tenants: Vec::new() };
         if !self.agrees {
--- a/crates/admin/src/http.rs
+++ b/crates/admin/src/http.rs
@@ -339,6 +339,9 @@
             (Some(_), Act::Together(Joint::Status)) => {
                 return self.cluster_status(&passed).await.map(|reply| answer(&reply));
             }
+            (Some(_), Act::Together(Joint::Vouch)) => {
+                return self.vouch(&passed).await.map(|reply| answer(&reply));
+            }
             (Some(together), _) => {
                 let reply = match together.pass(&passed, operation.writes()).await? {
                     Ok(reply) => reply,
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod access;
 mod answers;
+mod backup;
 mod call;
 mod desk;
 mod difference;
@@ -26,6 +27,7 @@
 mod versions;
 
 pub use access::{Role, Token, Who};
+pub use backup::Backup;
 pub use call::{Ask, Call, Outcome, Reply};
 pub use desk::{Desk, OPERATOR, operator};
 pub use events::Happened;
--- a/crates/admin/src/operations.rs
+++ b/crates/admin/src/operations.rs
@@ -46,6 +46,10 @@
     Remove,
     /// Another instance is to lead.
     StepDown,
+    /// The instance that is asked has its newest disk, an operator says.
+    Vouch,
+    /// All that is agreed on, to be kept elsewhere.
+    Backup,
 }
 
 /// One operation of the API.
@@ -243,6 +247,10 @@
         "Removes a member that is gone for good, once it surely decides nothing any more";
     POST "/v1/cluster/step-down" "stepDown" Operate NONE [StepDown, false] 200 Map<String, Value>, Act::Together(Joint::StepDown),
         "Lets another instance lead";
+    GET "/v1/cluster/backup" "backup" Operate NONE [] 200 Map<String, Value>, Act::Together(Joint::Backup),
+        "All that is agreed on, to be kept elsewhere: `canvascart cluster restore` begins anew from it";
+    POST "/v1/cluster/vouch" "vouch" Operate NONE [] 200 Map<String, Value>, Act::Together(Joint::Vouch),
+        "Says that the instance that is asked has its newest disk, where those who could say so are gone for good";
     GET "/v1/openapi.json" "openapi" Nothing NONE [] 200 Map<String, Value>, Act::Document,
         "This document";
 }
--- a/crates/admin/src/together.rs
+++ b/crates/admin/src/together.rs
@@ -17,6 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::access::new_id;
+use crate::backup::Backup;
 use crate::call::{Ask, Call, Outcome, Reply};
 use crate::desk::Agreed;
 use crate::http::{Api, Order};
@@ -383,6 +384,19 @@
         };
         match joint {
             Joint::Status => Some(Given::Reply(Reply::of(together.status().await?))),
+            Joint::Vouch => Some(Problem::internal("it concerns the instance that was asked").into()),
+            Joint::Backup => {
+                if !together.confirm().await {
+                    return None;
+                }
+                let status = together.status().await?;
+                let state = match self.desk().export() {
+                    Ok(state) => state,
+                    Err(e) => return Some(Problem::internal(e).into()),
+                };
+                let backup = Backup::of(&status.cluster, status.version, passed.now_ms, state);
+                Some(Given::Reply(Reply::of(backup)))
+            }
             Joint::StepDown => {
                 let to = passed.body["to"].as_str().map(str::to_owned);
                 match together.ask(|tell| Said::StepDown(to, tell)).await? {
@@ -430,6 +444,21 @@
     }
 }
 
+impl Api {
+    /// An operator's word for this instance's disk; it needs nobody who leads.
+    pub(crate) async fn vouch(&self, passed: &Passed) -> Result<Reply, Problem> {
+        let together = self.together().ok_or_else(no_cluster)?;
+        self.desk()
+            .who(passed.authorization.as_deref(), passed.now_ms)?
+            .may(crate::access::Needs::Operate)?;
+        let doubted = timeout(STATUS, together.ask(Said::Vouch)).await;
+        match doubted {
+            Ok(Some(doubted)) => Ok(Reply::of(json!({ "doubted": doubted }))),
+            _ => Err(Problem::conflict("this instance is no member yet")),
+        }
+    }
+}
+
 /// This service is not one of many instances.
 pub fn no_cluster() -> Problem {
     Problem::not_found("this service is not one of a cluster's instances")
--- a/crates/admin/src/versions.rs
+++ b/crates/admin/src/versions.rs
@@ -65,6 +65,7 @@
             detail: None,
             version: None,
             edits: Vec::new(),
+            skipped: false,
         };
         let entry = store.line(row.entry)?.unwrap_or_else(unknown);
         items.push(version(rev, entry, Vec::new(), row.document.is_none()));
--- a/crates/canvascart/src/cluster/command.rs
+++ b/crates/canvascart/src/cluster/command.rs
@@ -6,14 +6,17 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
+use super::restore::{Restore, keep};
 use crate::admin::table::{cell, table};
 use crate::admin::wire::{Wire, part};
 use crate::admin::{UNREACHED, code_of, words};
 
+/// A backup, a directory or a configuration is of no use.
+const OF_NO_USE: u8 = 5;
 /// From one look to the next with `--watch`.
 const LOOK: Duration = Duration::from_secs(1);
 
-const CODES: &str = "Exit codes: 0 done, 2 wrong usage, 3 the instance can't be reached, 4 turned down, 6 the token has no right to it, \
+const CODES: &str = "Exit codes: 0 done, 2 wrong usage, 3 the instance can't be reached, 4 turned down, 5 a backup or a directory is of no use, 6 the token has no right to it, \
 7 not there, 8 the service has failed, or no instance leads.
 
 Any instance can be asked. The token comes from --token-file, or from CANVASCART_TOKEN.";
@@ -53,6 +56,17 @@
         /// Its name.
         name: String,
     },
+    /// Keeps all that is agreed on in a file, while the service serves.
+    Backup {
+        /// The file to write; it is replaced whole.
+        #[arg(short, long, value_name = "FILE")]
+        output: PathBuf,
+    },
+    /// Begins a cluster anew where most of those who vote are lost for good: from the state directory of a survivor that does not run,
+    /// or from a backup.
+    Restore(Restore),
+    /// Says that the asked instance's disk is its newest, where it doubts that and those who could tell are gone for good.
+    Vouch,
     /// Lets another instance lead.
     StepDown {
         /// Which; any other with a vote without it.
@@ -66,6 +80,15 @@
 /// # Errors
 /// Wrong usage.
 pub fn run(arguments: Arguments) -> Result<u8, String> {
+    if let Command::Restore(restore) = &arguments.command {
+        return Ok(super::restore::restore(restore).map_or_else(
+            |e| {
+                eprintln!("canvascart: {e}");
+                OF_NO_USE
+            },
+            |()| 0,
+        ));
+    }
     let token = crate::admin::token(arguments.token_file.as_deref())?;
     let wire = Wire::new(&arguments.url, token)?;
     let done = async {
@@ -78,6 +101,22 @@
                 tell(arguments.json, &body, &format!("{name} is no member any more"));
                 Ok(())
             }
+            Command::Backup { output } => {
+                let body = call(&wire, "GET", "/v1/cluster/backup", None).await?;
+                let words = keep(&body, output).map_err(|e| (OF_NO_USE, e))?;
+                tell(arguments.json, &json!({ "backup": output }), &words);
+                Ok(())
+            }
+            Command::Restore(_) => Ok(()), // it needs no service
+            Command::Vouch => {
+                let body = call(&wire, "POST", "/v1/cluster/vouch", None).await?;
+                let words = match body["doubted"].as_bool() {
+                    Some(true) => "it takes its disk for its newest, and votes",
+                    _ => "it had no doubt of its disk",
+                };
+                tell(arguments.json, &body, words);
+                Ok(())
+            }
             Command::StepDown { to } => {
                 let body = json!({ "to": to });
                 let body = call(&wire, "POST", "/v1/cluster/step-down", Some(&body)).await?;
@@ -134,6 +173,12 @@
         Value::Null => println!("{:<9} fenced: {}", cell(&here["name"]), cell(&here["fenced"])),
         version => println!("{:<9} decides under version {}", cell(&here["name"]), cell(version)),
     }
+    if here["unproven"] == true {
+        println!("          votes for nobody: it does not know yet whether its disk is its newest");
+    }
+    if here["put-back"] == true {
+        println!("          its disk was put back from a copy: it has joined anew");
+    }
     if let Some(change) = known["change"].as_object() {
         let waits: Vec<String> = change["waits-for"].as_array().into_iter().flatten().map(cell).collect();
         let waits = if waits.is_empty() { "nobody".into() } else { waits.join(", ") };
--- a/crates/canvascart/src/cluster/mod.rs
+++ b/crates/canvascart/src/cluster/mod.rs
@@ -1,6 +1,7 @@
 //! An instance of a cluster: its gate, and its member on a thread of its own.
 
 mod command;
+mod restore;
 
 use std::path::Path;
 use std::rc::Rc;
--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -139,9 +139,12 @@
         /// Changes under each seed.
         #[arg(long, default_value_t = 25)]
         changes: u64,
-        /// Seeds, from 1 on.
+        /// Seeds.
         #[arg(long, default_value_t = 20)]
         seeds: u64,
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        from: u64,
         /// Fleets at once, each with a seed of its own.
         #[arg(long, default_value_t = 1)]
         at_once: usize,
@@ -373,8 +376,8 @@
             together::pace(&sizes, in_virtual_time, changes)
         }
         Command::Changes { cost: true, .. } => together::cost(),
-        Command::Changes { instances, changes, seeds, at_once, when_cut_off, pace: None, .. } => {
-            together::changes(instances, changes, seeds, at_once, &when_cut_off)
+        Command::Changes { instances, changes, seeds, from, at_once, when_cut_off, pace: None, .. } => {
+            together::changes(instances, changes, (from, seeds), at_once, &when_cut_off)
         }
         Command::Tenants { count, changes, idle } => {
             hosted::tenants(count, Duration::from_secs(idle), changes)
--- a/crates/canvascart/src/lab/together.rs
+++ b/crates/canvascart/src/lab/together.rs
@@ -32,19 +32,20 @@
 
 /// Changes under faults by chance, each seed in a fleet of its own; tells what came of them.
 pub fn changes(
-    instances: usize, changes: u64, seeds: u64, at_once: usize, when_cut_off: &str,
+    instances: usize, changes: u64, seeds: (u64, u64), at_once: usize, when_cut_off: &str,
 ) -> Result<u8, String> {
     if !matches!(when_cut_off, "refuse" | "serve") {
         return Err(format!("--when-cut-off {when_cut_off}: it is refuse or serve"));
     }
     let (command, dir) = (own()?, place_for("changes"));
     let cluster = format!("{SHORT}\nwhen-cut-off = \"{when_cut_off}\"");
-    let next = AtomicU64::new(1);
+    let (from, seeds) = seeds;
+    let next = AtomicU64::new(from);
     let all: Mutex<Vec<Played>> = Mutex::default();
     let failed = AtomicU8::new(0);
     let one = || loop {
         let seed = next.fetch_add(1, Ordering::Relaxed);
-        if seed > seeds || failed.load(Ordering::Relaxed) != 0 {
+        if seed >= from + seeds || failed.load(Ordering::Relaxed) != 0 {
             return;
         }
         let dir = dir.join(format!("seed-{seed}"));
--- a/crates/canvascart/src/serve.rs
+++ b/crates/canvascart/src/serve.rs
@@ -107,7 +107,11 @@
     }))
 }
 
-fn read(file: &Path) -> Result<Service, String> {
+/// Reads a configuration.
+///
+/// # Errors
+/// What is wrong with it, and where.
+pub fn read(file: &Path) -> Result<Service, String> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
     check::read(&name, &text).map_err(|e| e.to_string())
--- a/crates/canvascart/src/state.rs
+++ b/crates/canvascart/src/state.rs
@@ -121,6 +121,7 @@
         edits: Vec::new(),
         tokens: vec![(id, Some(token))],
         reply: None,
+        skip_to: None,
     })?;
     println!("{whole}");
     Ok(())
--- a/crates/canvascart/tests/cluster.rs
+++ b/crates/canvascart/tests/cluster.rs
@@ -1,76 +1,16 @@
 //! Several processes of the program that act as one, with faults between them.
-use std::collections::BTreeSet;
+mod together;
+
 use std::net::TcpListener;
-use std::path::PathBuf;
 use std::process::Command;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use lab::net::Mode;
 use lab::service::Line;
-use lab::service::changes::{Known, Ledger, Planted, Play, begin, judge, now, play, server};
+use lab::service::changes::{Known, Ledger, Planted, Play, judge, now, play, server};
 use lab::service::fleet::Fleet;
 use serde_json::{Value, json};
-
-const SOON: &str = "lease = \"2 s\"\nchange-lease = \"1500 ms\"\ndeadline = \"8 s\"";
-
-fn command() -> Vec<String> {
-    vec![env!("CARGO_BIN_EXE_canvascart").to_owned()]
-}
-
-/// A directory that goes with the test.
-struct Directory(PathBuf);
-
-impl Directory {
-    fn new() -> Self {
-        static NEXT: AtomicU32 = AtomicU32::new(0);
-        let n = NEXT.fetch_add(1, Ordering::Relaxed);
-        Directory(std::env::temp_dir().join(format!("canvascart-cluster-{}-{n}", std::process::id())))
-    }
-}
-
-impl Drop for Directory {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
-fn fleet(directory: &Directory, instances: usize, cluster: &str) -> Fleet {
-    let at = server(&Ledger::default()).unwrap();
-    let command = command();
-    let play = Play {
-        command: &command,
-        instances,
-        changes: 0,
-        cluster,
-        seed: 1,
-        dir: &directory.0,
-        planted: Planted::Nothing,
-    };
-    begin(&play, at).unwrap()
-}
-
-/// Sets the tenant's limit at an instance; the status and the body.
-fn set(fleet: &Fleet, i: usize, n: u64, more: &str) -> (u16, Value) {
-    let body = json!({ "in-flight": n }).to_string();
-    let more = format!("If-Match: *\r\n{more}");
-    let (status, body) = fleet.line(i).unwrap().call("PUT", "/v1/tenants/a/limits", &more, &body).unwrap();
-    (status, serde_json::from_slice(&body).unwrap())
-}
-
-fn limit(fleet: &Fleet, i: usize) -> u64 {
-    let limits = fleet.line(i).unwrap().json("GET", "/v1/tenants/a/limits", "", &Value::Null).unwrap();
-    limits["in-flight"].as_u64().unwrap()
-}
-
-/// Those who have a vote.
-fn voters(fleet: &Fleet) -> Vec<usize> {
-    let status = fleet.status(0).unwrap();
-    let members = status["leader"]["members"].as_array().unwrap().clone();
-    let votes: BTreeSet<&str> =
-        members.iter().filter(|m| m["votes"] == true).filter_map(|m| m["name"].as_str()).collect();
-    (0..fleet.count()).filter(|i| votes.contains(fleet.name(*i))).collect()
-}
+use together::{Directory, SOON, command, fleet, limit, set, voters};
 
 #[test]
 fn a_change_at_any_instance_is_seen_at_each() {
--- a/crates/cluster/src/machine.rs
+++ b/crates/cluster/src/machine.rs
@@ -64,6 +64,9 @@
     pub address: String,
     /// Where it stands.
     pub zone: String,
+    /// What it drew when it joined: who asks again with the same has not lost its disk meanwhile.
+    #[serde(default)]
+    pub drawn: u64,
 }
 
 /// What is agreed on.
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -1,10 +1,11 @@
 //! One instance's part in the cluster: the log's library, what the log comes to, the fence, and while it leads the warden.
 //! Without I/O: time and messages come in, and what is to be done comes out, in order.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use raft::eraftpb::{
-    ConfChangeSingle, ConfChangeType, ConfChangeV2, ConfState, Entry, EntryType, HardState, Snapshot,
+    ConfChangeSingle, ConfChangeType, ConfChangeV2, ConfState, Entry, EntryType, HardState, MessageType,
+    Snapshot,
 };
 use raft::{Config, RawNode, StateRole};
 use serde::{Deserialize, Serialize};
@@ -26,6 +27,8 @@
 const UNCOMMITTED: u64 = 64 << 20;
 /// Entries after which the log is shortened, unless [`Node::keep`] says otherwise.
 pub const LONG: u64 = 1024;
+/// From one time that a member asks whether its disk is its newest to the next.
+const HELLO: Micros = 200_000;
 /// Reads that wait for confirmation at once.
 const READS: usize = 4096;
 
@@ -39,6 +42,21 @@
     Report(Report),
     /// The leader answers.
     Grant(Grant),
+    /// One that has started, and does not know whether its disk is its newest, asks who votes; it names its last entry.
+    Hello(u64),
+    /// What whoever is asked knows.
+    Welcome(Welcome),
+}
+
+/// What a member knows of one that has started.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Welcome {
+    /// That one has acknowledged entries up to this one, at least.
+    pub acknowledged: u64,
+    /// The newest term.
+    pub term: u64,
+    /// Who votes, as far as the asked one knows.
+    pub voters: Vec<u64>,
 }
 
 /// What is to be done, in this order. Where [`Output::Persist`] fails nothing after it may be done.
@@ -60,6 +78,14 @@
     Unconfirmed(Vec<u64>),
     /// The log is long: the instance's state is asked for, by [`Node::shorten`].
     Long,
+    /// This member has acknowledged more than its disk has, as a disk does that was put back from a copy. It is to be no member
+    /// any more, and to join as a new one.
+    Forgotten {
+        /// The last entry that it has.
+        has: u64,
+        /// What it has acknowledged.
+        acknowledged: u64,
+    },
 }
 
 /// What has to outlast the process.
@@ -73,6 +99,8 @@
     pub entries: Vec<(u64, Vec<u8>)>,
     /// Term, vote and how far is agreed.
     pub hard: Option<Vec<u8>>,
+    /// What others have acknowledged to this member while it led.
+    pub acknowledged: Option<Vec<u8>>,
 }
 
 /// What has outlasted the process.
@@ -84,6 +112,8 @@
     pub entries: Vec<Vec<u8>>,
     /// As in [`Persist`].
     pub hard: Option<Vec<u8>>,
+    /// As in [`Persist`].
+    pub acknowledged: Option<Vec<u8>>,
 }
 
 /// Why a call can't be taken here and now.
@@ -102,9 +132,9 @@
 
 /// What a snapshot holds.
 #[derive(Serialize, Deserialize)]
-struct Image {
-    machine: Machine,
-    state: String,
+pub(crate) struct Image {
+    pub machine: Machine,
+    pub state: String,
 }
 
 /// One instance's part in the cluster.
@@ -131,6 +161,16 @@
     was: (StateRole, u64),
     /// What the log came to when the instance's state was asked for.
     long: Option<(Machine, u64, u64, ConfState)>,
+    /// Whether it is known that this member's disk is its newest. Until then it votes for nobody.
+    proven: bool,
+    /// Members that know of nothing that this one has forgotten.
+    vouched: BTreeSet<u64>,
+    /// It votes in later terms than this one only: it may have voted in this one and have forgotten.
+    voted: u64,
+    hello_due: Micros,
+    /// What others have acknowledged to this member while it led: it may be asked after their disks were put back.
+    acknowledged: BTreeMap<u64, u64>,
+    forgotten: bool,
     outputs: Vec<Output>,
 }
 
@@ -149,7 +189,7 @@
     let mut hard = HardState::default();
     (hard.term, hard.commit) = (1, 1);
     let snapshot = image(machine, state, 1, 1, conf);
-    Saved { snapshot: Some(bytes(&snapshot)), entries: Vec::new(), hard: Some(bytes(&hard)) }
+    Saved { snapshot: Some(bytes(&snapshot)), hard: Some(bytes(&hard)), ..Saved::default() }
 }
 
 fn image(machine: &Machine, state: String, index: u64, term: u64, conf: ConfState) -> Snapshot {
@@ -166,16 +206,19 @@
     message.write_to_bytes().unwrap_or_default() // into memory nothing fails
 }
 
-fn read<T: protobuf::Message>(bytes: &[u8]) -> Result<T, Refusal> {
+pub(crate) fn read<T: protobuf::Message>(bytes: &[u8]) -> Result<T, Refusal> {
     T::parse_from_bytes(bytes).map_err(|e| Refusal::Spoilt(e.to_string()))
 }
 
 impl Node {
-    /// A member as it was saved; one that has just joined has nothing yet. `start` numbers the starts of its process.
+    /// A member as it was saved; one that has just joined has nothing yet. `start` numbers the starts of its process. `proven` says
+    /// that its disk is known to be its newest; otherwise it votes for nobody until others have said so.
     ///
     /// # Errors
     /// What was saved can't be read.
-    pub fn new(id: u64, saved: &Saved, start: u32, seed: u64, now: Micros) -> Result<Self, Refusal> {
+    pub fn new(
+        id: u64, saved: &Saved, start: u32, proven: bool, seed: u64, now: Micros,
+    ) -> Result<Self, Refusal> {
         let snapshot: Snapshot = match &saved.snapshot {
             Some(bytes) => read(bytes)?,
             None => Snapshot::default(),
@@ -184,6 +227,10 @@
             Some(bytes) => read(bytes)?,
             None => HardState::default(),
         };
+        let acknowledged = match &saved.acknowledged {
+            Some(bytes) => serde_json::from_slice(bytes).map_err(|e| Refusal::Spoilt(e.to_string()))?,
+            None => BTreeMap::new(),
+        };
         let entries = saved.entries.iter().map(|e| read(e)).collect::<Result<Vec<Entry>, _>>()?;
         let (applied, applied_term) = (snapshot.get_metadata().index, snapshot.get_metadata().term);
         let log = Log::new(snapshot, entries, hard);
@@ -230,6 +277,13 @@
             most: LONG,
             was: (StateRole::Follower, 0),
             long: None,
+            // One that has nothing has forgotten nothing: its number is new.
+            proven: proven || saved.snapshot.is_none(),
+            vouched: BTreeSet::new(),
+            voted: 0,
+            hello_due: now,
+            acknowledged,
+            forgotten: false,
             outputs: Vec::new(),
         };
         if let Some(Image { machine, state }) = image {
@@ -316,9 +370,21 @@
     /// Time has passed. To be called each [`TICK`], or as often as can be; time lost in between is not made up for, so that an
     /// instance that stood still does not ask for an election at once.
     pub fn tick(&mut self, now: Micros) {
+        if self.forgotten {
+            return;
+        }
         if now >= self.last_tick + TICK {
             self.last_tick = if now >= self.last_tick + 3 * TICK { now } else { self.last_tick + TICK };
-            self.raw.tick();
+            if self.is_proven() {
+                self.raw.tick(); // else it would ask for votes, its own among them
+            }
+        }
+        if !self.proven && now >= self.hello_due {
+            self.hello_due = now + HELLO;
+            let last = self.raw.raft.raft_log.last_index();
+            let others = self.voters().into_iter().filter(|id| *id != self.id);
+            let hellos = others.map(|id| Output::Send(id, Message::Hello(last)));
+            self.outputs.extend(hellos.collect::<Vec<_>>());
         }
         if now >= self.report_due {
             self.report(now);
@@ -328,6 +394,9 @@
 
     /// A message has come.
     pub fn receive(&mut self, now: Micros, from: u64, message: Message) {
+        if self.forgotten {
+            return;
+        }
         match message {
             Message::Log(bytes) => {
                 // From a member that was removed nothing is taken; one that is not known yet may know more than this one.
@@ -337,16 +406,87 @@
                     && message.from == from
                     && message.to == self.id
                     && !removed
+                    && self.may_step(&message)
                 {
+                    let told = (message.msg_type, message.term, message.commit);
                     let _ = self.raw.step(message); // what does not fit is of a former term
+                    self.led(told);
                 }
             }
+            Message::Hello(_) => {
+                let led = self.raw.raft.prs().get(from).map_or(0, |p| p.matched);
+                let acknowledged = self.acknowledged.get(&from).copied().unwrap_or(0).max(led);
+                let welcome = Welcome { acknowledged, term: self.raw.raft.term, voters: self.voters() };
+                self.outputs.push(Output::Send(from, Message::Welcome(welcome)));
+            }
+            Message::Welcome(welcome) => self.welcomed(from, &welcome),
             Message::Report(report) => self.reported(now, from, &report),
             Message::Grant(grant) => self.granted(&grant),
         }
         self.work(now);
     }
 
+    /// Whether this member knows that its disk is its newest.
+    pub fn is_proven(&self) -> bool {
+        self.proven || self.voters().iter().all(|id| *id == self.id)
+    }
+
+    /// An operator says that this member's disk is its newest, where those who could say so are gone for good.
+    pub fn vouch(&mut self) {
+        self.proven = true;
+    }
+
+    /// Whether a message of the log's may be looked at. One that has forgotten what it acknowledged is told so by a leader that
+    /// counts on it; the library can't be told at all.
+    fn may_step(&mut self, message: &raft::eraftpb::Message) -> bool {
+        use MessageType::{MsgHeartbeat, MsgRequestPreVote, MsgRequestVote};
+        let last = self.raw.raft.raft_log.last_index();
+        match message.msg_type {
+            MsgHeartbeat if message.commit > last && message.term >= self.raw.raft.term => {
+                self.forget(message.commit);
+                false
+            }
+            MsgRequestVote | MsgRequestPreVote => self.is_proven() && message.term > self.voted,
+            _ => true,
+        }
+    }
+
+    /// Whoever leads was elected without the vote of one that does not know its disk. Once something of that leader's own term is
+    /// agreed on, all that was agreed on before is as well; a disk that has it has forgotten nothing that counts. It may have voted
+    /// in that term, but in no later one.
+    fn led(&mut self, (kind, term, commit): (MessageType, u64, u64)) {
+        if self.proven || !matches!(kind, MessageType::MsgAppend | MessageType::MsgHeartbeat) {
+            return;
+        }
+        let (log, now) = (&self.raw.raft.raft_log, self.raw.raft.term);
+        if now == term && log.committed >= commit && log.term(commit).is_ok_and(|t| t == term) {
+            (self.proven, self.voted) = (true, term);
+        }
+    }
+
+    fn welcomed(&mut self, from: u64, welcome: &Welcome) {
+        let last = self.raw.raft.raft_log.last_index();
+        if welcome.acknowledged > last {
+            return self.forget(welcome.acknowledged);
+        }
+        // Whoever knows other voters may know of a later time, of which this one knows nothing.
+        if self.proven || welcome.voters != self.voters() {
+            return;
+        }
+        self.voted = self.voted.max(welcome.term);
+        self.vouched.insert(from);
+        self.proven = self.voters().iter().all(|id| *id == self.id || self.vouched.contains(id));
+    }
+
+    fn forget(&mut self, acknowledged: u64) {
+        if !std::mem::replace(&mut self.forgotten, true) {
+            self.fence.rest();
+            self.tell_right();
+            let has = self.raw.raft.raft_log.last_index();
+            self.outputs.push(Output::Forgotten { has, acknowledged });
+        }
+    }
+
     fn reported(&mut self, now: Micros, from: u64, report: &Report) {
         if let (Some(warden), Some(machine)) = (&mut self.warden, &self.machine) {
             warden.report(now, from, report, machine);
@@ -469,16 +609,13 @@
     /// # Errors
     /// This instance does not lead, or something else has to end first.
     pub fn join(
-        &mut self, now: Micros, name: &str, address: &str, zone: &str,
+        &mut self, now: Micros, name: &str, address: &str, zone: &str, drawn: u64,
     ) -> Result<Option<u64>, Refusal> {
         let (warden, machine) = self.lead()?;
         let mut changes = Vec::new();
         if let Some(member) = machine.members.get(name) {
-            if member.address == address
-                && member.id != self.id
-                && warden.seen(member.id).is_some_and(|s| s.0.is_none())
-            {
-                return Ok(Some(member.id)); // it joined before, and has not been heard since
+            if member.drawn == drawn && member.id != self.id {
+                return Ok(Some(member.id)); // it joined before, and has not heard so
             }
             if member.id == self.id || !warden.is_silent(now, member.id) {
                 return Err(Refusal::Wait("an instance of this name is heard, or was a short while ago"));
@@ -487,7 +624,7 @@
         }
         let id = machine.next_id;
         changes.push(single(ConfChangeType::AddLearnerNode, id));
-        let member = Member { id, address: address.to_owned(), zone: zone.to_owned() };
+        let member = Member { id, address: address.to_owned(), zone: zone.to_owned(), drawn };
         self.put_members(&changes, Some(&Command::Join { name: name.to_owned(), member }))?;
         self.work(now);
         Ok(None)
@@ -672,6 +809,7 @@
             self.raw.mut_store().hard = hard.clone();
         }
         if persist != Persist::default() {
+            persist.acknowledged = self.note_acknowledged();
             self.outputs.push(Output::Persist(persist));
         }
         self.send(ready.take_persisted_messages());
@@ -687,6 +825,27 @@
         self.end_confirmation(now);
     }
 
+    /// What others have acknowledged, where that is more than was noted last. It goes along with what has to be written anyway, and so
+    /// may lag by one write.
+    fn note_acknowledged(&mut self) -> Option<Vec<u8>> {
+        if self.raw.raft.state != StateRole::Leader {
+            return None;
+        }
+        let others = self.raw.raft.prs().iter().filter(|(id, _)| **id != self.id);
+        let now: BTreeMap<u64, u64> = others.map(|(id, p)| (*id, p.matched)).collect();
+        let mut noted = self.acknowledged.clone();
+        noted.retain(|id, _| now.contains_key(id));
+        for (id, matched) in now {
+            let known = noted.entry(id).or_default();
+            *known = (*known).max(matched);
+        }
+        if noted == self.acknowledged {
+            return None;
+        }
+        self.acknowledged = noted;
+        serde_json::to_vec(&self.acknowledged).ok()
+    }
+
     /// Another instance's snapshot replaces what there was.
     fn restore(&mut self, snapshot: Snapshot) {
         let meta = snapshot.get_metadata();
--- a/crates/cluster/src/sim.rs
+++ b/crates/cluster/src/sim.rs
@@ -73,6 +73,8 @@
     /// Its clock's rate less one, in millionths.
     rate: i64,
     paused: bool,
+    /// Its disk was put back from a copy.
+    put_back: bool,
     /// What came while it was paused.
     held: Vec<Event>,
     /// Faults that it finds in each change, if any.
@@ -131,6 +133,24 @@
     pub looks: (u64, u64),
     /// A fault that is planted to see the judge notice: no instance looks at its lease.
     pub lease_ignored: bool,
+    /// Another: one whose disk was put back votes as if it were its newest.
+    pub all_vote: bool,
+    /// Members that found that they had forgotten what they acknowledged.
+    pub forgotten: u64,
+}
+
+/// What a disk holds at some moment.
+pub struct Copy {
+    id: u64,
+    saved: Saved,
+    after: u64,
+}
+
+impl Copy {
+    /// The member's number.
+    pub fn id(&self) -> u64 {
+        self.id
+    }
 }
 
 impl Sim {
@@ -151,6 +171,7 @@
             start: 0,
             rate: if drift == 0 { 0 } else { chance.i64(-drift..=drift) },
             paused: false,
+            put_back: false,
             held: Vec::new(),
             fault: None,
             busy_until: 0,
@@ -172,9 +193,11 @@
             sent: (0, 0),
             looks: (0, 0),
             lease_ignored: false,
+            all_vote: false,
+            forgotten: 0,
         };
         let first = &mut sim.instances[0];
-        let member = Member { id: 1, address: first.name.clone(), zone: first.zone.clone() };
+        let member = Member { id: 1, address: first.name.clone(), zone: first.zone.clone(), drawn: 0 };
         let machine = Machine::found(format!("{seed:x}"), rules.clone(), first.name.clone(), member, 0, 0);
         (first.id, first.saved, first.after) = (1, found(&machine, String::new(), 1), 1);
         sim.start(0);
@@ -202,12 +225,13 @@
     pub fn join(&mut self, i: usize) {
         let end = self.now + 60_000_000;
         let (name, zone) = (self.instances[i].name.clone(), self.instances[i].zone.clone());
+        let drawn = self.chance.u64(1..);
         loop {
             assert!(self.now < end, "{name} can't join");
             if let Some(leader) = self.leader() {
                 let clock = self.clock(leader);
                 let node = self.instances[leader].node.as_mut();
-                let said = node.map(|n| n.join(clock, &name, &name, &zone));
+                let said = node.map(|n| n.join(clock, &name, &name, &zone, drawn));
                 self.carry_out(leader);
                 if let Some(Ok(Some(id))) = said {
                     let instance = &mut self.instances[i];
@@ -235,14 +259,29 @@
             snapshot: instance.saved.snapshot.clone(),
             entries: instance.saved.entries.clone(),
             hard: instance.saved.hard.clone(),
+            acknowledged: instance.saved.acknowledged.clone(),
         };
-        let node = Node::new(instance.id, &saved, instance.start, seed, now);
+        // A process that starts again knows its disk, unless that was put back.
+        let proven = !std::mem::take(&mut instance.put_back) || self.all_vote;
+        let node = Node::new(instance.id, &saved, instance.start, proven, seed, now);
         instance.node = Some(node.expect("it can be read"));
         let start = instance.start;
         self.push(self.now, Event::Clock(i, start));
         self.carry_out(i);
     }
 
+    /// A copy of what an instance's disk holds.
+    pub fn copy(&self, i: usize) -> Copy {
+        let one = &self.instances[i];
+        Copy { id: one.id, saved: one.saved.clone(), after: one.after }
+    }
+
+    /// An instance that does not run has its disk put back from a copy.
+    pub fn put_back(&mut self, i: usize, copy: &Copy) {
+        let one = &mut self.instances[i];
+        (one.id, one.saved, one.after, one.put_back) = (copy.id, copy.saved.clone(), copy.after, true);
+    }
+
     /// The process of an instance dies.
     pub fn kill(&mut self, i: usize) {
         self.instances[i].node = None;
@@ -458,6 +497,11 @@
                 }
             }
             Output::Long => self.told(i, |n| n.shorten(clock, String::new())),
+            // Its process goes on without a member; whoever plays lets it join anew.
+            Output::Forgotten { .. } => {
+                self.forgotten += 1;
+                self.instances[i].node = None;
+            }
             Output::Right(_) | Output::Confirmed(_) | Output::Unconfirmed(_) => {}
             Output::Effect(Effect::Note(_) | Effect::Members) => {}
         }
@@ -484,6 +528,9 @@
         if let Some(hard) = persist.hard {
             instance.saved.hard = Some(hard);
         }
+        if let Some(acknowledged) = persist.acknowledged {
+            instance.saved.acknowledged = Some(acknowledged);
+        }
     }
 
     fn send(&mut self, from: usize, to: u64, message: Message) {
--- a/crates/cluster/tests/model.rs
+++ b/crates/cluster/tests/model.rs
@@ -331,7 +331,7 @@
         when_cut_off: WhenCutOff::Refuse,
         voters: 1,
     };
-    let member = |id| Member { id, address: String::new(), zone: String::new() };
+    let member = |id| Member { id, address: String::new(), zone: String::new(), drawn: 0 };
     let mut machine = Machine::found("m".into(), rules, NAMES[0].into(), member(1), 0, 0);
     machine.apply(&Command::Join { name: NAMES[1].into(), member: member(2) });
     machine
--- a/crates/cluster/tests/sim.rs
+++ b/crates/cluster/tests/sim.rs
@@ -279,3 +279,98 @@
     let broken = (0..6).filter(|seed| !storm(WhenCutOff::Refuse, *seed, true).broken.is_empty()).count();
     assert!(broken > 0);
 }
+
+/// A voter that acknowledged with the one that leads, a third that lags, and the voter's disk as it was before.
+fn put_back(all_vote: bool, seed: u64) -> Sim {
+    let mut sim = fleet(3, WhenCutOff::Refuse, seed);
+    sim.all_vote = all_vote;
+    let leader = sim.leader().unwrap();
+    let [old, lags] = [1, 2].map(|n| (leader + n) % 3);
+    assert_eq!(change(&mut sim, "before", 10 * S).0, Outcome::InEffect(1));
+    sim.run(S);
+    let copy = sim.copy(old);
+    sim.kill(lags);
+    // Acknowledged by the one that leads and by the one whose disk is put back.
+    assert_eq!(change(&mut sim, "acknowledged", 30 * S).0, Outcome::InEffect(2));
+    sim.run(S);
+    [leader, old].iter().for_each(|i| sim.kill(*i));
+    sim.put_back(old, &copy);
+    // The one that has it all comes back last.
+    [old, lags].iter().for_each(|i| sim.start(*i));
+    sim.run(30 * S);
+    if !all_vote {
+        assert_eq!((sim.leader(), sim.forgotten), (None, 0), "two that know nothing of it choose nobody");
+        assert!((0..3).all(|i| sim.decides(i).is_none()));
+    }
+    sim.start(leader);
+    sim.run(30 * S);
+    sim
+}
+
+#[test]
+fn a_disk_that_was_put_back_votes_for_nobody_and_loses_nothing() {
+    for seed in 70..74 {
+        let mut sim = put_back(false, seed);
+        assert_eq!(sim.forgotten, 1, "it is seen");
+        let old = (0..3).find(|i| sim.node(*i).is_none()).unwrap();
+        let before = sim.copy(old);
+        sim.join(old);
+        ready(&mut sim);
+        assert!((0..3).all(|i| sim.decides(i) == Some(2)), "nothing is lost");
+        assert_ne!(sim.copy(old).id(), before.id(), "it has joined under another number");
+        assert_eq!(change(&mut sim, "after", 30 * S).0, Outcome::InEffect(3));
+        assert_eq!(sim.broken, []);
+    }
+}
+
+#[test]
+fn the_judge_sees_a_put_back_disk_that_votes() {
+    // Either a version is decided under that was there before, or the change is not known any more.
+    let lost = |sim: &Sim| {
+        let known = (0..3).filter_map(|i| sim.node(i)?.machine()?.outcome("acknowledged").cloned());
+        !sim.broken.is_empty() || known.count() < 3
+    };
+    assert!((70..74).any(|seed| lost(&put_back(true, seed))));
+}
+
+#[test]
+fn a_disk_that_was_not_put_back_votes_once_all_others_or_a_leader_say_so() {
+    let mut sim = fleet(5, WhenCutOff::Refuse, 80);
+    assert_eq!(change(&mut sim, "one", 10 * S).0, Outcome::InEffect(1));
+    sim.run(S);
+    // All machines start again: none knows its disk, and all say so of each other.
+    (0..5).for_each(|i| sim.kill(i));
+    (0..5).for_each(|i| {
+        let copy = sim.copy(i);
+        sim.put_back(i, &copy);
+    });
+    (0..5).for_each(|i| sim.start(i));
+    ready(&mut sim);
+    assert_eq!((sim.forgotten, sim.decides(0)), (0, Some(1)));
+    // One alone is told by the one that leads.
+    let one = (0..5).find(|i| Some(*i) != sim.leader()).unwrap();
+    sim.kill(one);
+    let copy = sim.copy(one);
+    sim.put_back(one, &copy);
+    sim.start(one);
+    sim.run(5 * S);
+    assert!(sim.node(one).unwrap().is_proven());
+    assert_eq!(change(&mut sim, "two", 10 * S).0, Outcome::InEffect(2));
+    assert_eq!(sim.broken, []);
+}
+
+#[test]
+fn one_that_lost_its_disk_never_gets_its_number_back_from_a_leader_that_has_not_heard_it() {
+    let mut sim = fleet(5, WhenCutOff::Refuse, 90);
+    let leader = sim.leader().unwrap();
+    let voters = sim.node(leader).unwrap().voters();
+    let lost = (0..5).find(|i| !voters.contains(&sim.copy(*i).id())).unwrap();
+    let before = sim.copy(lost).id();
+    sim.kill(lost);
+    sim.kill(leader);
+    sim.join(lost); // at whoever leads next, which has not heard it
+    assert!(sim.copy(lost).id() > before);
+    sim.start(leader);
+    ready(&mut sim);
+    assert_eq!(sim.broken, []);
+}
--- a/crates/lab/src/service/changes.rs
+++ b/crates/lab/src/service/changes.rs
@@ -287,7 +287,17 @@
     match line.call("POST", "/v1/apply", &key, &body) {
         Ok((200..300, _)) => Known::Done(began.elapsed()),
         Ok((409 | 412 | 422, _)) => Known::GivenUp,
-        _ => Known::Unknown,
+        other => {
+            let what = other.map(|(status, said)| format!("{status}: {}", String::from_utf8_lossy(&said)));
+            tracing::info!(
+                n,
+                instance = i,
+                ?what,
+                ms = began.elapsed().as_millis() as u64,
+                "a change has no known end"
+            );
+            Known::Unknown
+        }
     }
 }
 
--- a/crates/lab/src/service/fleet.rs
+++ b/crates/lab/src/service/fleet.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -54,6 +54,8 @@
     command: Vec<String>,
     instances: Vec<Instance>,
     links: BTreeMap<(usize, usize), Link>,
+    /// The first operator's token, which outlasts its founder's directory.
+    token: OnceLock<String>,
 }
 
 impl Drop for Fleet {
@@ -108,7 +110,7 @@
             let state = own.join("state");
             instances.push(Instance { name: name(i), config, state, child: None, said: Arc::default() });
         }
-        Ok(Fleet { command: command.to_vec(), instances, links })
+        Ok(Fleet { command: command.to_vec(), instances, links, token: OnceLock::new() })
     }
 
     /// How many instances there are.
@@ -282,8 +284,13 @@
     /// # Errors
     /// There is none yet.
     pub fn token(&self) -> io::Result<String> {
+        if let Some(token) = self.token.get() {
+            return Ok(token.clone());
+        }
         let tokens = self.instances.iter().map(|i| std::fs::read_to_string(i.state.join("operator.token")));
-        tokens.into_iter().find(Result::is_ok).unwrap_or_else(|| Err(io::ErrorKind::NotFound.into()))
+        let token =
+            tokens.into_iter().find(Result::is_ok).unwrap_or_else(|| Err(io::ErrorKind::NotFound.into()))?;
+        Ok(self.token.get_or_init(|| token).clone())
     }
 
     /// A connection to an instance's administration API.
--- a/crates/links/src/letter.rs
+++ b/crates/links/src/letter.rs
@@ -47,11 +47,16 @@
     Join {
         /// Where it stands.
         zone: String,
+        /// What it drew; it asks again with the same.
+        #[serde(default)]
+        drawn: u64,
     },
     /// It has joined, under this number; or why it has not.
     Joined(Result<u64, String>),
     /// A call for the one that leads, by its id.
     Call(String, String),
+    /// Whoever wrote is of another cluster than this one.
+    Foreign(String),
     /// Its answer.
     Reply(String, Result<String, String>),
 }
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod frame;
 pub mod letter;
+mod mark;
 pub mod member;
 pub mod post;
 pub mod right;
--- a/crates/links/src/member.rs
+++ b/crates/links/src/member.rs
@@ -10,6 +10,7 @@
 use cluster::fence::Until;
 use cluster::machine::{Effect, Machine, Member, Micros, Outcome, Phase, Proposal, Rules, Version};
 use cluster::node::{Message, Node, Output, Persist, Refusal, Saved, TICK, found};
+use cluster::salvage::Salvage;
 use serde::{Deserialize, Serialize};
 use store::log::{Append, Log, Logged};
 use tokio::net::TcpListener;
@@ -19,6 +20,7 @@
 use crate::clock;
 use crate::frame::Key;
 use crate::letter::{Body, Letter, Sender};
+use crate::mark::Mark;
 use crate::post::Post;
 use crate::right::Right;
 
@@ -108,6 +110,8 @@
     Status(oneshot::Sender<Status>),
     /// A member is to be removed; whether it is gone.
     Remove(String, oneshot::Sender<Result<bool, Refusal>>),
+    /// An operator says that this member's disk is its newest; whether there was a doubt.
+    Vouch(oneshot::Sender<bool>),
     /// Another one is to lead.
     StepDown(Option<String>, oneshot::Sender<Result<(), Refusal>>),
 }
@@ -142,6 +146,12 @@
     /// The change under way.
     #[serde(skip_serializing_if = "Option::is_none", default)]
     pub change: Option<ChangeStatus>,
+    /// It does not know yet whether its disk is its newest, and votes for nobody.
+    #[serde(default)]
+    pub unproven: bool,
+    /// Its disk was found to have been put back from a copy since the start, and it has joined anew.
+    #[serde(default)]
+    pub put_back: bool,
     /// Letters sent, their bytes, letters dropped, and links ended for rubbish.
     pub letters: [u64; 4],
     /// Changes whose end was heard of here since the start: in effect, and given up.
@@ -194,6 +204,76 @@
     name: String,
 }
 
+/// What a member's directory tells while its process does not run.
+pub struct Kept {
+    log: Log,
+    saved: Saved,
+    identity: Option<Identity>,
+}
+
+impl Kept {
+    /// Opens the log of a directory whose process does not run.
+    ///
+    /// # Errors
+    /// It can't be had, or is damaged.
+    pub fn open(directory: &std::path::Path) -> Result<Self, String> {
+        let (log, logged) = Log::open(directory).map_err(|e| e.to_string())?;
+        let identity = logged.identity.as_deref().map(serde_json::from_slice).transpose();
+        let identity = identity.map_err(|e: serde_json::Error| e.to_string())?;
+        Ok(Kept { log, identity, saved: saved(&logged) })
+    }
+
+    /// The cluster's id and the member's name, if it is one's.
+    pub fn identity(&self) -> Option<(&str, &str)> {
+        self.identity.as_ref().map(|i| (i.cluster.as_str(), i.name.as_str()))
+    }
+
+    /// What the log tells.
+    ///
+    /// # Errors
+    /// It can't be read.
+    pub fn salvage(&self) -> Result<Salvage, String> {
+        cluster::salvage::salvage(&self.saved).map_err(|e| e.to_string())
+    }
+
+    /// From here on the directory is the one member's of a cluster of its own.
+    ///
+    /// # Errors
+    /// It can't be written; the directory is as it was, or is no member's.
+    pub fn begin_anew(&mut self, machine: &Machine, name: &str, state: String) -> Result<(), String> {
+        let id = machine.members.get(name).map_or(0, |m| m.id);
+        let saved = found(machine, state, id);
+        let identity = Identity { cluster: machine.cluster.clone(), id, name: name.to_owned() };
+        self.log.clear().map_err(|e| e.to_string())?;
+        put_identity(&mut self.log, &identity, &saved)
+    }
+}
+
+/// An id of its own for a cluster.
+pub fn new_cluster() -> String {
+    format!("{:016x}{:016x}", fastrand::u64(..), fastrand::u64(..))
+}
+
+fn saved(logged: &Logged) -> Saved {
+    Saved {
+        snapshot: logged.snapshot.clone(),
+        entries: logged.entries.clone(),
+        hard: logged.hard.clone(),
+        acknowledged: logged.acknowledged.clone(),
+    }
+}
+
+fn put_identity(log: &mut Log, identity: &Identity, saved: &Saved) -> Result<(), String> {
+    let identity = serde_json::to_vec(identity).map_err(|e| e.to_string())?;
+    let append = Append {
+        snapshot: saved.snapshot.as_deref().map(|s| (1, s)),
+        hard: saved.hard.as_deref(),
+        identity: Some(&identity),
+        ..Append::default()
+    };
+    log.append(append).map_err(|e| e.to_string())
+}
+
 /// What founds a cluster: the version, how much is stored, and the application's state.
 pub type Beginning = Box<dyn FnOnce() -> Result<(Version, u64, String), String> + Send>;
 
@@ -223,6 +303,15 @@
     answering: BTreeMap<String, BTreeSet<Option<String>>>,
     /// Changes whose end was heard of: in effect, and given up.
     changes: [u64; 2],
+    /// Tells the next start whether the disk is this one's newest.
+    mark: Mark,
+    /// The disk was found to have been put back from a copy.
+    put_back: bool,
+    /// The cluster that another member says is the others'.
+    others: Option<String>,
+    foreign_due: Micros,
+    /// By this the one that leads knows whether it is asked again by the same process without a disk, or by another.
+    drawn: u64,
 }
 
 struct Call {
@@ -274,6 +363,11 @@
         calls: BTreeMap::new(),
         answering: BTreeMap::new(),
         changes: [0; 2],
+        mark: Mark::read(&settings.directory),
+        put_back: false,
+        drawn: fastrand::u64(1..),
+        others: None,
+        foreign_due: 0,
         log,
         settings,
     };
@@ -292,13 +386,12 @@
                 identity.name, self.settings.name
             ));
         }
-        let (snapshot, entries, hard) =
-            (logged.snapshot.clone(), logged.entries.clone(), logged.hard.clone());
-        self.begin_with(identity, &Saved { snapshot, entries, hard })
+        self.begin_with(identity, &saved(logged))
     }
 
     fn begin_with(&mut self, identity: Identity, saved: &Saved) -> Result<(), String> {
-        let node = Node::new(identity.id, saved, self.starts, fastrand::u64(..), clock::now());
+        let proven = self.mark.is_fresh();
+        let node = Node::new(identity.id, saved, self.starts, proven, fastrand::u64(..), clock::now());
         let mut node = node.map_err(|e| e.to_string())?;
         node.keep(self.settings.log_entries);
         self.node = Some(node);
@@ -368,8 +461,14 @@
 
     fn step(&mut self) -> Result<(), String> {
         let now = clock::now();
+        self.mark.keep(now);
         if let Some(node) = &mut self.node {
             node.tick(now);
+            // Without one that leads it asks as one that is no member does: the others may be of another cluster by now.
+            if node.leader().is_none() && now >= self.ask_due {
+                self.ask_due = now + 4 * AGAIN;
+                self.ask();
+            }
         } else if now >= self.ask_due {
             self.ask_due = now + AGAIN;
             self.seek()?;
@@ -380,10 +479,7 @@
 
     /// Looks for a cluster to join, and founds one where all that the file names are there and none has one.
     fn seek(&mut self) -> Result<(), String> {
-        let mut names: Vec<String> = self.settings.peers.keys().cloned().collect();
-        names.push(self.settings.name.clone());
-        names.sort_unstable();
-        names.dedup();
+        let names = self.names();
         let same = |name: &String| {
             *name == self.settings.name
                 || matches!(self.told.get(name), Some(Body::Tell { leader: None, names: n }) if *n == names)
@@ -396,44 +492,51 @@
             _ => None,
         });
         if let Some((name, address)) = leader {
-            self.write(&name, &address, Body::Join { zone: self.settings.zone.clone() });
+            self.write(&name, &address, Body::Join { zone: self.settings.zone.clone(), drawn: self.drawn });
         }
+        self.ask();
+        Ok(())
+    }
+
+    /// The members that the file names, and this one.
+    fn names(&self) -> Vec<String> {
+        let mut names: Vec<String> = self.settings.peers.keys().cloned().collect();
+        names.push(self.settings.name.clone());
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+
+    /// Asks all that the file names whether there is a cluster.
+    fn ask(&mut self) {
+        let names = self.names();
         for (name, address) in self.settings.peers.clone() {
             self.write(&name, &address, Body::Ask { names: names.clone() });
         }
-        Ok(())
     }
 
     fn found(&mut self) -> Result<(), String> {
         let Some(begin) = self.begin.take() else { return Ok(()) };
         let (version, entry, state) = begin()?;
-        let cluster = format!("{:016x}{:016x}", fastrand::u64(..), fastrand::u64(..));
+        let cluster = new_cluster();
         let (name, zone) = (self.settings.name.clone(), self.settings.zone.clone());
-        let member = Member { id: 1, address: self.address.clone(), zone };
+        let member = Member { id: 1, address: self.address.clone(), zone, drawn: self.drawn };
         let rules = self.settings.rules.clone();
         let machine = Machine::found(cluster.clone(), rules, name.clone(), member, version, entry);
         let saved = found(&machine, state, 1);
         let identity = Identity { cluster, id: 1, name };
-        self.save_identity(&identity, &saved)?;
+        put_identity(&mut self.log, &identity, &saved)?;
         tracing::info!(cluster = identity.cluster, version, "founds the cluster");
         self.begin_with(identity, &saved)
     }
 
-    fn save_identity(&mut self, identity: &Identity, saved: &Saved) -> Result<(), String> {
-        let identity = serde_json::to_vec(identity).map_err(|e| e.to_string())?;
-        let append = Append {
-            snapshot: saved.snapshot.as_deref().map(|s| (1, s)),
-            hard: saved.hard.as_deref(),
-            identity: Some(&identity),
-            ..Append::default()
-        };
-        self.log.append(append).map_err(|e| e.to_string())
-    }
-
     fn letter(&mut self, letter: Letter) -> Result<(), String> {
         let Letter { from, body } = letter;
         let now = clock::now();
         let ours = self.identity.as_ref().is_some_and(|i| i.cluster == from.cluster);
+        if !ours && !from.cluster.is_empty() && matches!(body, Body::Node(..) | Body::Ask { .. }) {
+            self.foreign(now, &from);
+        }
         match body {
             Body::Node(to, message) => {
                 let Some(node) = self.node.as_mut().filter(|n| ours && n.id() == to) else { return Ok(()) };
@@ -446,20 +549,17 @@
                 node.receive(now, from.id, message);
             }
             Body::Ask { names } => {
-                let mut own: Vec<String> = self.settings.peers.keys().cloned().collect();
-                own.push(self.settings.name.clone());
-                own.sort_unstable();
-                own.dedup();
                 let _ = names; // whoever asks compares
+                let own = self.names();
                 let leader = self.leader();
                 if leader.is_some() || self.identity.is_none() {
                     self.write(&from.name, &from.address, Body::Tell { leader, names: own });
                 }
             }
             Body::Tell { .. } => _ = self.told.insert(from.name, body),
-            Body::Join { zone } => {
+            Body::Join { zone, drawn } => {
                 let Some(node) = &mut self.node else { return Ok(()) };
-                match node.join(now, &from.name, &from.address, &zone) {
+                match node.join(now, &from.name, &from.address, &zone, drawn) {
                     Ok(Some(id)) => self.write(&from.name, &from.address, Body::Joined(Ok(id))),
                     Ok(None) | Err(Refusal::NotLeading(_)) => {} // it asks again
                     Err(e) => self.write(&from.name, &from.address, Body::Joined(Err(e.to_string()))),
@@ -467,7 +567,7 @@
             }
             Body::Joined(Ok(id)) if self.identity.is_none() => {
                 let identity = Identity { cluster: from.cluster, id, name: self.settings.name.clone() };
-                self.save_identity(&identity, &Saved::default())?;
+                put_identity(&mut self.log, &identity, &Saved::default())?;
                 self.begin_with(identity, &Saved::default())?;
             }
             Body::Joined(Ok(_)) => {}
@@ -478,11 +578,27 @@
                     let _ = call.answer.send(answer); // who asked may have left
                 }
             }
+            Body::Foreign(cluster) => {
+                if self.identity.as_ref().is_some_and(|i| i.cluster != cluster) {
+                    self.others = Some(cluster);
+                }
+            }
             Body::Call(..) | Body::Reply(..) => {}
         }
         Ok(())
     }
 
+    /// A member of another cluster has written, such as one of before a restore: nothing of it is taken, and it is told so.
+    fn foreign(&mut self, now: Micros, from: &Sender) {
+        let Some(own) = self.identity.as_ref().map(|i| i.cluster.clone()).filter(|_| now >= self.foreign_due)
+        else {
+            return;
+        };
+        self.foreign_due = now + AGAIN;
+        tracing::warn!(name = from.name, cluster = from.cluster, "a member of another cluster is not heard");
+        self.write(&from.name, &from.address, Body::Foreign(own));
+    }
+
     fn leader(&self) -> Option<(String, String)> {
         let node = self.node.as_ref()?;
         let leader = node.leader()?;
@@ -567,6 +683,11 @@
                     Err(e) => _ = tell.send(Err(e)),
                 }
             }
+            Said::Vouch(tell) => {
+                let doubted = !node.is_proven();
+                node.vouch();
+                let _ = tell.send(doubted); // who asked may have left
+            }
             Said::Remove(name, tell) => _ = tell.send(node.leave(now, &name)),
             Said::StepDown(to, tell) => {
                 let id = to.and_then(|name| node.machine()?.members.get(&name).map(|m| m.id));
@@ -595,6 +716,25 @@
         }
     }
 
+    /// The disk was put back from a copy: this member has acknowledged what it does not have any more. It is a member no longer,
+    /// never votes under its number again, and joins as a new one.
+    fn begin_anew(&mut self, has: u64, acknowledged: u64) -> Result<(), String> {
+        tracing::error!(
+            has,
+            acknowledged,
+            "the log on disk is older than what this member has acknowledged, as one put back from a copy is; it joins anew"
+        );
+        self.log.clear().map_err(|e| format!("the log: {e}"))?;
+        self.right.set(None);
+        (self.node, self.identity, self.ask_due) = (None, None, 0);
+        (self.put_back, self.drawn) = (true, fastrand::u64(1..));
+        self.told.clear();
+        self.let_go();
+        // Whoever waits for an answer of this member's asks the one that leads.
+        self.answering.clear();
+        Ok(())
+    }
+
     /// Does what the member's part asks for, in its order.
     fn carry_out(&mut self) -> Result<(), String> {
         loop {
@@ -626,13 +766,14 @@
 
     fn output(&mut self, output: Output) -> Result<(), String> {
         match output {
-            Output::Persist(Persist { snapshot, whole, entries, hard }) => {
+            Output::Persist(Persist { snapshot, whole, entries, hard, acknowledged }) => {
                 let append = Append {
                     snapshot: snapshot.as_ref().map(|(n, s)| (*n, s.as_slice())),
                     whole,
                     entries: &entries,
                     hard: hard.as_deref(),
                     identity: None,
+                    acknowledged: acknowledged.as_deref(),
                 };
                 fail::fail_point!("cluster-log"); // a slow disk
                 self.log.append(append).map_err(|e| format!("the log: {e}"))?;
@@ -670,6 +811,7 @@
             Output::Confirmed(reads) => reads.into_iter().for_each(|r| self.tell(Told::Read(r, true))),
             Output::Unconfirmed(reads) => reads.into_iter().for_each(|r| self.tell(Told::Read(r, false))),
             Output::Long => self.tell(Told::Save),
+            Output::Forgotten { has, acknowledged } => self.begin_anew(has, acknowledged)?,
         }
         Ok(())
     }
@@ -687,16 +829,23 @@
             changes: self.changes,
             ..Status::default()
         };
+        status.put_back = self.put_back;
         let Some(node) = &self.node else {
             status.fenced = Some("it has not joined yet".into());
             return status;
         };
         (status.term, status.applied) = node.position();
+        status.unproven = !node.is_proven();
         status.leader = self.leader().map(|(name, _)| name);
         match node.fence().may_decide(now) {
             Ok(version) => status.decides = Some(version),
             Err(why) => status.fenced = Some(why.to_string()),
         }
+        if let (Some(other), true) = (&self.others, status.decides.is_none()) {
+            status.fenced = Some(format!(
+                "others are of the cluster {other}, as after a restore: its state directory is to be emptied, so that it joins them"
+            ));
+        }
         let Some(machine) = node.machine() else { return status };
         status.version = machine.version;
         let voters = node.voters();
--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -22,6 +22,7 @@
 const IDENTITY: &str = "identity";
 const STARTS: &str = "starts";
 const AFTER: &str = "after";
+const ACKNOWLEDGED: &str = "acknowledged";
 
 /// What a log holds when it is opened.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -34,6 +35,8 @@
     pub hard: Option<Vec<u8>>,
     /// Who the member is; none before it has joined.
     pub identity: Option<Vec<u8>>,
+    /// What others have acknowledged to it.
+    pub acknowledged: Option<Vec<u8>>,
     /// How often it was opened, with this time.
     pub starts: u32,
 }
@@ -51,6 +54,8 @@
     pub hard: Option<&'a [u8]>,
     /// Who the member is.
     pub identity: Option<&'a [u8]>,
+    /// What others have acknowledged to it.
+    pub acknowledged: Option<&'a [u8]>,
 }
 
 /// A member's log. One process has it open at a time.
@@ -119,6 +124,7 @@
                     (SNAPSHOT, append.snapshot.map(|(_, b)| b)),
                     (HARD, append.hard),
                     (IDENTITY, append.identity),
+                    (ACKNOWLEDGED, append.acknowledged),
                 ];
                 for (name, bytes) in named {
                     if let Some(bytes) = bytes {
@@ -141,6 +147,22 @@
     }
 }
 
+impl Log {
+    /// Lets go of all that it holds, but for how often it was opened: whoever had it is a member no more.
+    ///
+    /// # Errors
+    /// As [`Log::append`].
+    pub fn clear(&mut self) -> Result<(), StoreError> {
+        guard(|| {
+            let write = self.database.begin_write()?;
+            write.open_table(PARTS)?.retain(|_, _| false)?;
+            write.open_table(ENTRIES)?.retain(|_, _| false)?;
+            write.open_table(META)?.remove(AFTER)?;
+            Ok(write.commit()?)
+        })
+    }
+}
+
 fn read(database: &Database) -> Result<Logged, StoreError> {
     let read = database.begin_read()?;
     let parts = read.open_table(PARTS)?;
@@ -162,6 +184,7 @@
         entries,
         hard: part(HARD)?,
         identity: part(IDENTITY)?,
+        acknowledged: part(ACKNOWLEDGED)?,
         starts: u32::try_from(number(STARTS)?).unwrap_or(u32::MAX),
     })
 }
--- a/crates/store/src/read.rs
+++ b/crates/store/src/read.rs
@@ -203,13 +203,13 @@
         for version in read.open_table(VERSIONS)?.iter()? {
             let (version, n) = version?;
             let (version, n) = (version.value(), n.value());
-            if expected.is_some_and(|e| e != version) {
-                return Err(StoreError::Damaged(format!("before version {version} one is missing")));
-            }
-            expected = Some(version + 1);
             let entry = audit.get(n)?;
             let entry = entry.ok_or_else(|| StoreError::Damaged(format!("{} is missing", line(n))))?;
             let entry: Entry = unpack(entry.value(), &|| line(n))?;
+            if expected.is_some_and(|e| e != version) && !entry.skipped {
+                return Err(StoreError::Damaged(format!("before version {version} one is missing")));
+            }
+            expected = Some(version + 1);
             if entry.version != Some(version) {
                 return Err(StoreError::Damaged(format!("{} is not version {version}", line(n))));
             }
--- a/crates/store/src/record.rs
+++ b/crates/store/src/record.rs
@@ -32,6 +32,9 @@
     /// The version that came of it; none where no document changed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub version: Option<u64>,
+    /// Versions before it were skipped, as they may have been given where nothing is known of them any more.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub skipped: bool,
     /// The documents that changed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub edits: Vec<Edited>,
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -66,6 +66,10 @@
     pub tokens: Vec<(String, Option<Value>)>,
     /// The reply that a repetition of this write gets, by key.
     pub reply: Option<(String, Value)>,
+    /// It makes this version, if the next would be an earlier one: versions in between may have been given where nothing is known
+    /// of them any more.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub skip_to: Option<u64>,
 }
 
 /// Documents, their versions, the audit log, tokens and replies.
@@ -206,13 +210,20 @@
             rev: self.next_rev(scope),
             gone: document.is_none(),
         };
+        let next = self.version + 1;
+        let skipped = write.skip_to.is_some_and(|to| to > next);
+        let version = match write.skip_to {
+            Some(to) => Some(to.max(next)),
+            None => (!write.edits.is_empty()).then_some(next),
+        };
         Entry {
             at_ms: write.at_ms,
             by: write.by.clone(),
             action: write.action.clone(),
             subject: write.subject.clone(),
             detail: write.detail.clone(),
-            version: (!write.edits.is_empty()).then_some(self.version + 1),
+            version,
+            skipped,
             edits: write.edits.iter().map(edited).collect(),
         }
     }
@@ -266,15 +277,14 @@
         let (mut heads, mut audit) = (t.open_table(HEADS)?, t.open_table(AUDIT)?);
         let mut of = t.open_table(AUDIT_OF)?;
         for _ in 0..GOING {
-            let ends = (versions.first()?.map(|(v, _)| v.value()), versions.last()?.map(|(v, _)| v.value()));
-            let (Some(first), Some(last)) = ends else { break };
-            if last - first < self.keep.versions {
+            if redb::ReadableTableMetadata::len(&versions)? <= self.keep.versions {
                 break;
             }
+            let mut oldest = versions.iter()?;
+            let (Some(first), Some(next)) = (oldest.next(), oldest.next()) else { break };
             // What the next version changed is in use no longer as it was before.
-            let next = versions.get(first + 1)?.map(|n| n.value());
-            let next =
-                next.ok_or_else(|| StoreError::Damaged(format!("version {} is missing", first + 1)))?;
+            let (first, next) = (first?.0.value(), next?.1.value());
+            drop(oldest);
             let what = || format!("line {next} of the audit log");
             let line =
                 audit.get(next)?.ok_or_else(|| StoreError::Damaged(format!("{} is missing", what())))?;
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -22,6 +22,7 @@
         edits,
         tokens: Vec::new(),
         reply: None,
+        skip_to: None,
     }
 }
 
