See the judge fail on processes with planted faults; kill the leader at each step of a change

Change: failpoints for a lease that is ignored, and for an instance that tells before it has closed that it has; both are seen by the judge, the same plays without them are not. In virtual time the leader dies at 80 steps of a change, and a third and 70 % of 6 and 48 are down. Cause of a failed test: one of another zone gets its vote before the one that it replaces loses it (four for a moment): the test waits now.

--- a/crates/admin/src/together.rs
+++ b/crates/admin/src/together.rs
@@ -177,6 +177,10 @@
                 Told::Members(me, members) => self.give(Order::Among(me, members)),
                 Told::GivenUp => self.give(Order::HoldOff(BTreeMap::new())),
                 Told::Close(proposal) => {
+                    if too_early() {
+                        together.say(Said::Closed(proposal.id.clone()));
+                        fail::fail_point!("closed-late"); // and goes on deciding
+                    }
                     if self.order(Order::Close).await {
                         together.say(Said::Closed(proposal.id));
                     }
@@ -466,6 +470,12 @@
     }
 }
 
+/// A fault that tests plant, to see the judge notice: that nothing is decided any more is told before it is so.
+fn too_early() -> bool {
+    fail::fail_point!("closed-too-early", |_| true);
+    false
+}
+
 /// This service is not one of many instances.
 pub fn no_cluster() -> Problem {
     Problem::not_found("this service is not one of a cluster's instances")
--- a/crates/canvascart/tests/cluster.rs
+++ b/crates/canvascart/tests/cluster.rs
@@ -7,7 +7,7 @@
 
 use lab::net::Mode;
 use lab::service::Line;
-use lab::service::changes::{Known, Ledger, Planted, Play, judge, now, play, server};
+use lab::service::changes::{Known, Ledger, Planted, Play, begin, judge, now, play, server};
 use lab::service::fleet::Fleet;
 use serde_json::{Value, json};
 use together::{Directory, SOON, command, fleet, limit, set, voters};
@@ -27,7 +27,8 @@
     let status = fleet.status(3).unwrap();
     let members = status["leader"]["members"].as_array().unwrap();
     assert_eq!(members.len(), 5);
-    assert_eq!(members.iter().filter(|m| m["votes"] == true).count(), 3);
+    // One of another zone gets its vote before the one that it replaces loses it.
+    fleet.wait("three that vote", |f| voters(f).len() == 3).unwrap();
     assert!(members.iter().all(|m| m["version"] == status["leader"]["version"]), "{status}");
 }
 
@@ -189,11 +190,19 @@
     let leader = fleet.leader().unwrap();
     let lags = (0..5).find(|i| *i != leader).unwrap();
     fleet.isolate(lags, Mode::Cut);
+    // Its own listeners change meanwhile.
+    let (text, before) = (std::fs::read_to_string(fleet.config(lags)).unwrap(), fleet.public(lags));
+    let more = "[[listener]]\nname = \"more\"\naddress = \"127.0.0.1:0\"\ntenant-by = \"header\"\n";
+    std::fs::write(fleet.config(lags), text.replacen("[[listener]]", &format!("{more}[[listener]]"), 1))
+        .unwrap();
+    let id = fleet.id(lags).unwrap().to_string();
+    assert!(Command::new("kill").args(["-s", "HUP", &id]).status().unwrap().success());
+    fleet.wait("the other listener", |f| f.public(lags) != before).unwrap();
     for n in 2001..2041 {
         assert_eq!(set(&fleet, leader, n, "").0, 200);
     }
     fleet.isolate(lags, Mode::Pass);
-    fleet.ready().unwrap();
+    fleet.ready().unwrap(); // at that listener
     assert_eq!(limit(&fleet, lags), 2040);
     let log = fleet.log(lags);
     assert!(log.contains("goes on from a snapshot of the log"), "{log}");
@@ -248,6 +257,57 @@
     assert!((0..5).all(|i| limit(&fleet, i) == 2001));
 }
 
+/// Decisions of one instance under a planted fault while the others go over to another version, as the judge sees them.
+#[cfg(feature = "failpoints")]
+fn judged(fault: &str, cut: bool) -> usize {
+    let directory = Directory::new();
+    let ledger = Ledger::default();
+    let (command, at) = (command(), server(&ledger).unwrap());
+    let terms = Play {
+        command: &command,
+        instances: 5,
+        changes: 0,
+        cluster: SOON,
+        seed: 1,
+        dir: &directory.0,
+        planted: Planted::Nothing,
+    };
+    let fleet = begin(&terms, at).unwrap();
+    let leader = fleet.leader().unwrap();
+    let wrong = (0..5).find(|i| *i != leader).unwrap();
+    if !fault.is_empty() {
+        fleet.fail(wrong, fault).unwrap();
+    }
+    let ends = std::sync::atomic::AtomicBool::new(false);
+    std::thread::scope(|threads| {
+        for i in [leader, wrong] {
+            let (to, ends) = (fleet.public(i).unwrap(), &ends);
+            threads.spawn(move || {
+                let mut line = Line::new(to, "X-Tenant-Id: a\r\n");
+                while !ends.load(std::sync::atomic::Ordering::Relaxed) {
+                    let _ = line.call("GET", "/lookup/1", "", ""); // the server notes what it was decided under
+                    std::thread::sleep(Duration::from_millis(1));
+                }
+            });
+        }
+        if cut {
+            fleet.isolate(wrong, Mode::Cut);
+        }
+        assert_eq!(set(&fleet, leader, 2001, "").0, 200);
+        std::thread::sleep(Duration::from_millis(600));
+        ends.store(true, std::sync::atomic::Ordering::Relaxed);
+    });
+    judge(&ledger.sorted()).len()
+}
+
+#[test]
+#[cfg(feature = "failpoints")]
+fn the_judge_sees_an_instance_that_ignores_its_lease_or_tells_too_early_that_it_has_closed() {
+    assert!(judged("lease-ignored=return", true) > 0);
+    assert!(judged("closed-too-early=return\nclosed-late=sleep(400)\nright-kept=return", false) > 0);
+    assert_eq!((judged("", true), judged("", false)), (0, 0));
+}
+
 #[test]
 fn where_the_cut_off_serve_a_change_is_given_up_and_told_by_whom() {
     let directory = Directory::new();
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -439,7 +439,7 @@
     /// Whether a message of the log's may be looked at. One that has forgotten what it acknowledged is told so by a leader that
     /// counts on it; the library can't be told at all.
     fn may_step(&mut self, message: &raft::eraftpb::Message) -> bool {
-        use MessageType::{MsgHeartbeat, MsgRequestPreVote, MsgRequestVote};
+        use MessageType::{MsgHeartbeat, MsgRequestPreVote, MsgRequestVote, MsgTimeoutNow};
         let last = self.raw.raft.raft_log.last_index();
         match message.msg_type {
             MsgHeartbeat if message.commit > last && message.term >= self.raw.raft.term => {
@@ -447,6 +447,7 @@
                 false
             }
             MsgRequestVote | MsgRequestPreVote => self.is_proven() && message.term > self.voted,
+            MsgTimeoutNow => self.is_proven(), // it is asked to lead, and would vote for itself
             _ => true,
         }
     }
--- a/crates/cluster/tests/sim.rs
+++ b/crates/cluster/tests/sim.rs
@@ -374,3 +374,64 @@
     ready(&mut sim);
     assert_eq!(sim.broken, []);
 }
+
+#[test]
+fn the_one_that_leads_may_die_at_any_step_of_a_change() {
+    let mut ends = [0; 2];
+    for step in 0..80 {
+        let mut sim = fleet(5, WhenCutOff::Refuse, 100);
+        let leader = sim.leader().unwrap();
+        // Before the first step nothing of it has left the one that leads.
+        sim.isolate(leader, step == 0);
+        sim.change("one").unwrap();
+        sim.run(step * 250); // a change takes 17 ms here
+        sim.kill(leader);
+        sim.isolate(leader, false);
+        let end = sim.now + 30 * S;
+        let led =
+            |s: &Sim| s.leader().is_some_and(|l| s.node(l).unwrap().machine().unwrap().change.is_none());
+        assert!(sim.until(end, led), "after {step} steps it has no end");
+        let next = sim.node(sim.leader().unwrap()).unwrap().machine().unwrap();
+        let (outcome, version) = (next.outcome("one").cloned(), next.version);
+        match outcome {
+            Some(Outcome::InEffect(1)) => ends[1] += 1,
+            None => ends[0] += 1, // it was lost with the one that led, and took hold nowhere
+            other => panic!("{other:?}"),
+        }
+        assert_eq!(change(&mut sim, "two", 30 * S).0, Outcome::InEffect(version + 1));
+        sim.start(leader);
+        ready(&mut sim);
+        sim.run(S);
+        let told = |i: usize| sim.node(i).unwrap().machine().unwrap().outcome("one").cloned();
+        assert!(
+            (0..5).all(|i| told(i) == outcome && sim.decides(i) == Some(version + 1)),
+            "after {step} steps"
+        );
+        assert_eq!(sim.broken, [], "after {step} steps");
+    }
+    assert!(ends.iter().all(|n| *n > 0), "{ends:?}: steps before and after it was agreed on");
+}
+
+#[test]
+fn many_instances_agree_with_a_third_and_with_70_percent_down() {
+    for (count, seed) in [(6, 110), (48, 111)] {
+        let mut sim = fleet(count, WhenCutOff::Refuse, seed);
+        let leader = sim.leader().unwrap();
+        let voters = sim.node(leader).unwrap().voters();
+        let votes = |sim: &Sim, i: usize| voters.contains(&sim.copy(i).id());
+        // Those who vote stay: without most of them nothing is agreed on, which another test is for.
+        let rest: Vec<usize> = (0..count).filter(|i| !votes(&sim, *i)).collect();
+        for (n, part) in [count / 3, count * 7 / 10].into_iter().enumerate() {
+            let down: Vec<usize> = rest.iter().copied().take(part).collect();
+            down.iter().for_each(|i| sim.kill(*i));
+            let (outcome, took) = change(&mut sim, &format!("c{n}"), 30 * S);
+            assert_eq!(outcome, Outcome::InEffect(n as u64 + 1));
+            assert!(took < 6 * S, "{count} instances, {part} down: {took} us");
+            down.iter().for_each(|i| sim.start(*i));
+            ready(&mut sim);
+            sim.run(S);
+            assert!((0..count).all(|i| sim.decides(i) == Some(n as u64 + 1)));
+        }
+        assert_eq!(sim.broken, []);
+    }
+}
--- a/crates/lab/src/service/changes.rs
+++ b/crates/lab/src/service/changes.rs
@@ -273,7 +273,7 @@
         let status = f.status(0).ok()?;
         Some(status["leader"]["members"].as_array()?.iter().filter(|m| m["votes"] == true).count())
     };
-    fleet.wait("those who vote", |f| votes(f).is_some_and(|n| n >= VOTERS.min(play.instances)))?;
+    fleet.wait("those who vote", |f| votes(f).is_some_and(|n| n == VOTERS.min(play.instances)))?;
     Ok(fleet)
 }
 
--- a/crates/links/src/right.rs
+++ b/crates/links/src/right.rs
@@ -26,6 +26,9 @@
 
     /// The member's right is this from now on.
     pub fn set(&self, right: Option<(Version, Until)>) {
+        if right.is_none() && kept() {
+            return;
+        }
         self.put(right);
         self.changed.notify_waiters();
     }
@@ -50,10 +53,22 @@
         // In this order: the right is read before the clock, so that it held at the moment that is told.
         let right = until > 0 && self.version.load(Ordering::SeqCst) == version;
         let now = clock::now();
-        (right && now < until).then_some(now)
+        (right && (now < until || ignored())).then_some(now)
     }
 }
 
+/// A fault that tests plant, to see the judge notice: the lease is not looked at.
+fn ignored() -> bool {
+    fail::fail_point!("lease-ignored", |_| true);
+    false
+}
+
+/// Another: a right that was taken away is kept.
+fn kept() -> bool {
+    fail::fail_point!("right-kept", |_| true);
+    false
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
