Let a call wait for a change that a former leader began, instead of turning it down

Change: a leader does not take a proposal while another change is under way; the call is asked for again until its time is over. An instance reports to a new leader within 0.1 s, and not when its next report would have been due. lab recover holds windows against the least one before the kill: against the mean what the load swings by was counted as loss.

--- a/crates/canvascart/tests/cluster.rs
+++ b/crates/canvascart/tests/cluster.rs
@@ -122,6 +122,32 @@
     assert_eq!(versions["items"].as_array().unwrap().len(), 2, "{versions}");
 }
 
+#[test]
+fn a_call_waits_for_a_change_that_a_former_leader_began() {
+    let directory = Directory::new();
+    let mut fleet = fleet(&directory, 5, &SOON.replace("2 s", "4 s").replace("8 s", "16 s"));
+    let leader = fleet.leader().unwrap();
+    let votes = voters(&fleet);
+    let mut others: Vec<usize> = (0..5).filter(|i| *i != leader).collect();
+    others.sort_by_key(|i| votes.contains(i)); // one without a vote is held back, so that another can lead
+    fleet.isolate(others[0], Mode::Hold);
+    let mut line = fleet.line(others[1]).unwrap();
+    let first = std::thread::spawn(move || {
+        line.call("PUT", "/v1/tenants/a/limits", "If-Match: *\r\n", "{ \"in-flight\": 2001 }").unwrap().0
+    });
+    let under_way = |f: &Fleet| f.status(others[2]).is_ok_and(|s| !s["leader"]["change"].is_null());
+    fleet.wait("the change", under_way).unwrap();
+    fleet.kill(leader);
+    let led = |f: &Fleet| f.status(others[2]).unwrap()["leader"]["name"].is_string();
+    fleet.wait("another leads", |f| led(f) && under_way(f)).unwrap();
+    assert_eq!(set(&fleet, others[2], 2002, "").0, 200, "it was not turned down for the other");
+    assert_eq!(first.join().unwrap(), 200);
+    assert!(others[1..].iter().all(|i| limit(&fleet, *i) == 2002));
+    fleet.isolate(others[0], Mode::Pass);
+    fleet.start(leader).unwrap();
+    fleet.ready().unwrap();
+}
+
 #[test]
 fn one_that_led_and_lost_what_it_proposed_takes_changes_when_it_leads_again() {
     let directory = Directory::new();
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -154,6 +154,8 @@
     chance: fastrand::Rng,
     last_tick: Micros,
     report_due: Micros,
+    /// Who was known to lead at the last look.
+    led_by: Option<u64>,
     /// When it is to be looked at next who has a vote.
     voters_due: Micros,
     /// Entries after which the log is shortened.
@@ -273,6 +275,7 @@
             chance: fastrand::Rng::with_seed(seed ^ id.wrapping_mul(0x9E37_79B9_7F4A_7C15)),
             last_tick: now,
             report_due: now,
+            led_by: None,
             voters_due: now,
             most: LONG,
             was: (StateRole::Follower, 0),
@@ -386,6 +389,11 @@
             let hellos = others.map(|id| Output::Send(id, Message::Hello(last)));
             self.outputs.extend(hellos.collect::<Vec<_>>());
         }
+        // Whoever leads now knows nothing of this one: it is told at once, and not when the last one would have been.
+        if self.leader() != self.led_by {
+            self.led_by = self.leader();
+            self.report_due = self.report_due.min(now + self.chance.u64(..TICK));
+        }
         if now >= self.report_due {
             self.report(now);
         }
@@ -584,6 +592,10 @@
         if machine.is_under_way(&proposal.id) {
             return Ok(());
         }
+        // It would only be overtaken: one that a former leader began may wait for a lease yet.
+        if machine.change.is_some() {
+            return Err(Refusal::Wait("another change is under way"));
+        }
         let command = if note { Command::Note(proposal) } else { Command::Propose(proposal) };
         self.put(&command)?;
         self.work(now);
--- a/crates/lab/src/service/recover.rs
+++ b/crates/lab/src/service/recover.rs
@@ -280,7 +280,9 @@
     served.iter().for_each(|(ms, _)| *by_window.entry(ms / WINDOW).or_default() += 1);
     let sum = |w: u64| (w..w + 10).filter_map(|w| by_window.get(&w)).sum::<u64>() as f64;
     let windows = killed_at / WINDOW..(last / WINDOW).saturating_sub(10);
-    let full = windows.clone().rev().find(|w| sum(*w) < FULL * rate).map_or(windows.start, |w| w + 1);
+    // What the load itself swings by is no loss: held against the least of the windows before.
+    let least = (from / WINDOW..(killed_at / WINDOW).saturating_sub(10)).map(sum).fold(rate, f64::min);
+    let full = windows.clone().rev().find(|w| sum(*w) < FULL * least).map_or(windows.start, |w| w + 1);
     let full_s = (full < windows.end).then(|| (full * WINDOW).saturating_sub(killed_at) as f64 / 1000.0);
     let until = full_s.map_or(last, |s| killed_at + (s * 1000.0) as u64).max(killed_at + 100);
     let survives = |i: &usize| !killed.contains(i);
