--- a/crates/lab/src/service/pace.rs
+++ b/crates/lab/src/service/pace.rs
@@ -183,7 +183,8 @@
     let others: Vec<usize> = (0..instances).filter(|i| *i != leader).collect();
     match fare {
         Fare::Up => {}
-        Fare::ThirdDown => others[..instances / 3].iter().for_each(|i| sim.kill(*i)),
+        // The last that joined: those who vote were the first, and without most of them nothing changes.
+        Fare::ThirdDown => others.iter().rev().take(instances / 3).for_each(|i| sim.kill(*i)),
         Fare::OneStill => sim.pause(others[0], true),
     }
     let mut times = Vec::new();
