Part what a member's directory keeps and how a cluster looks from the loop that drives it

Need, by reading the change once more: member.rs (897 lines) held three things; a greeting carried an entry that nobody read; two measurements worked out quantiles each for itself; a backup took its version and its state at two moments; figures took any query; a doc line promised that a restore from a backup can simply be asked for again, where its directory has to be emptied first. Change: links/src/kept.rs and status.rs, moved and not rewritten; one quantile; version and state of a backup under one hold of the desk.

--- a/crates/admin/src/figures.rs
+++ b/crates/admin/src/figures.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write as _;
 
 use hosted::plane::TenantStatus;
-use links::member::Status;
+use links::status::Status;
 
 /// What an instance is told to have been turned away for, as [`TenantStatus::refused`] has it.
 const CAUSES: [&str; 5] = ["sockets", "in-flight", "bytes", "time", "servers"];
--- a/crates/admin/src/http.rs
+++ b/crates/admin/src/http.rs
@@ -301,14 +301,14 @@
                 Some(who)
             }
         };
-        if let Act::Figures = operation.act {
-            return self.figures().await;
-        }
         let query = queries(head.uri.query().unwrap_or(""))?;
         let known = |key: &&String| operation.query.contains(&key.as_str());
         if let Some(unknown) = query.keys().find(|key| !known(key)) {
             return Err(Problem::malformed(format!("the query's {unknown} is not known here")));
         }
+        if let Act::Figures = operation.act {
+            return self.figures().await;
+        }
         if let Act::Events = operation.act {
             let who = who.ok_or_else(|| Problem::internal("nobody reads"))?;
             return self.stream(who, header(&HeaderName::from_static("last-event-id"))?);
--- a/crates/admin/src/together.rs
+++ b/crates/admin/src/together.rs
@@ -10,7 +10,8 @@
 use cluster::node::Refusal;
 use documents::Fault;
 use hosted::document::Service;
-use links::member::{Said, Status, Told};
+use links::member::{Said, Told};
+use links::status::Status;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot};
@@ -401,11 +402,15 @@
                     return None;
                 }
                 let status = together.status().await?;
-                let state = match self.desk().export() {
-                    Ok(state) => state,
+                let kept = {
+                    let desk = self.desk();
+                    desk.export().map(|state| (desk.version(), state))
+                };
+                let (version, state) = match kept {
+                    Ok(kept) => kept,
                     Err(e) => return Some(Problem::internal(e).into()),
                 };
-                let backup = Backup::of(&status.cluster, status.version, passed.now_ms, state);
+                let backup = Backup::of(&status.cluster, version, passed.now_ms, state);
                 Some(Given::Reply(Reply::of(backup)))
             }
             Joint::StepDown => {
--- a/crates/canvascart/src/cluster/restore.rs
+++ b/crates/canvascart/src/cluster/restore.rs
@@ -7,7 +7,7 @@
 use ::cluster::machine::{Machine, Member};
 use ::cluster::salvage::next_era;
 use hosted::document::{Cluster, Service};
-use links::member::{Kept, new_cluster};
+use links::kept::{Kept, new_cluster};
 use serde_json::Value;
 
 use crate::serve::{read, unix_ms};
@@ -43,7 +43,8 @@
 /// Begins a cluster anew; tells what is known to be missing.
 ///
 /// # Errors
-/// What keeps it from being done; then nothing is changed, or it can be asked for again.
+/// What keeps it from being done. A survivor's directory can be asked for again; one that was begun from a backup has to be emptied
+/// first.
 pub fn restore(arguments: &Restore) -> Result<(), String> {
     let file = read(&arguments.config)?;
     let at = |what: &str| format!("{}: {what}", arguments.config.display());
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -26,7 +26,7 @@
 /// Bytes of entries that may wait to be agreed on.
 const UNCOMMITTED: u64 = 64 << 20;
 /// Entries after which the log is shortened, unless [`Node::keep`] says otherwise.
-pub const LONG: u64 = 1024;
+const LONG: u64 = 1024;
 /// From one time that a member asks whether its disk is its newest to the next.
 const HELLO: Micros = 200_000;
 /// Reads that wait for confirmation at once.
@@ -42,8 +42,8 @@
     Report(Report),
     /// The leader answers.
     Grant(Grant),
-    /// One that has started, and does not know whether its disk is its newest, asks who votes; it names its last entry.
-    Hello(u64),
+    /// One that has started, and does not know whether its disk is its newest, asks those who vote.
+    Hello,
     /// What whoever is asked knows.
     Welcome(Welcome),
 }
@@ -384,10 +384,9 @@
         }
         if !self.proven && now >= self.hello_due {
             self.hello_due = now + HELLO;
-            let last = self.raw.raft.raft_log.last_index();
-            let others = self.voters().into_iter().filter(|id| *id != self.id);
-            let hellos = others.map(|id| Output::Send(id, Message::Hello(last)));
-            self.outputs.extend(hellos.collect::<Vec<_>>());
+            for other in self.voters().into_iter().filter(|id| *id != self.id) {
+                self.outputs.push(Output::Send(other, Message::Hello));
+            }
         }
         // Whoever leads now knows nothing of this one: it is told at once, and not when the last one would have been.
         if self.leader() != self.led_by {
@@ -421,7 +420,7 @@
                     self.led(told);
                 }
             }
-            Message::Hello(_) => {
+            Message::Hello => {
                 let led = self.raw.raft.prs().get(from).map_or(0, |p| p.matched);
                 let acknowledged = self.acknowledged.get(&from).copied().unwrap_or(0).max(led);
                 let welcome = Welcome { acknowledged, term: self.raw.raft.term, voters: self.voters() };
--- a/crates/lab/src/service/cost.rs
+++ b/crates/lab/src/service/cost.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use super::changes::{Ledger, Planted, Play, begin, server, tables};
-use super::{Line, Place, Service};
+use super::{Line, Place, Service, quantile};
 
 /// Connections that ask one request after the other.
 const CONNECTIONS: usize = 4;
@@ -27,9 +27,7 @@
 impl Cost {
     /// A quantile of the latency in us.
     pub fn at(&self, q: f64) -> f64 {
-        let mut sorted = self.us.clone();
-        sorted.sort_by(f64::total_cmp);
-        sorted.get((q * (sorted.len().max(1) - 1) as f64).round() as usize).copied().unwrap_or(f64::NAN)
+        quantile(&self.us, q)
     }
 
     /// The mean processor time in us, and how far rounds lie from it (standard deviation).
--- a/crates/lab/src/service/mod.rs
+++ b/crates/lab/src/service/mod.rs
@@ -22,6 +22,13 @@
 /// No call takes longer.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// A quantile of what was measured.
+fn quantile(values: &[f64], q: f64) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    sorted.get((q * (sorted.len().max(1) - 1) as f64).round() as usize).copied().unwrap_or(f64::NAN)
+}
+
 /// A service that is killed when it is no longer needed.
 pub struct Service {
     child: Child,
--- a/crates/lab/src/service/pace.rs
+++ b/crates/lab/src/service/pace.rs
@@ -14,7 +14,7 @@
 
 use super::changes::{Ledger, Play, Seen, begin, body, client, judge, server, tables};
 use super::fleet::Fleet;
-use super::{Line, Place, Service};
+use super::{Line, Place, Service, quantile};
 
 /// How long instances are left alone to see what they say.
 const IDLE: Duration = Duration::from_secs(4);
@@ -66,9 +66,7 @@
 impl Row {
     /// A quantile of the later changes.
     pub fn at(&self, q: f64) -> f64 {
-        let mut sorted = self.ms.clone();
-        sorted.sort_by(f64::total_cmp);
-        sorted.get((q * (sorted.len().max(1) - 1) as f64).round() as usize).copied().unwrap_or(f64::NAN)
+        quantile(&self.ms, q)
     }
 
     fn of(what: String, fare: &'static str, times: &[f64]) -> Self {
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -8,8 +8,10 @@
 
 pub mod clock;
 pub mod frame;
+pub mod kept;
 pub mod letter;
 mod mark;
 pub mod member;
 pub mod post;
 pub mod right;
+pub mod status;
--- a/crates/links/src/member.rs
+++ b/crates/links/src/member.rs
@@ -10,8 +10,6 @@
 use cluster::fence::Until;
 use cluster::machine::{Effect, Machine, Member, Micros, Outcome, Phase, Proposal, Rules, Version};
 use cluster::node::{Message, Node, Output, Persist, Refusal, Saved, TICK, found};
-use cluster::salvage::Salvage;
-use serde::{Deserialize, Serialize};
 use store::log::{Append, Log, Logged};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
@@ -19,10 +17,12 @@
 
 use crate::clock;
 use crate::frame::Key;
+use crate::kept::{Identity, new_cluster, put_identity, saved};
 use crate::letter::{Body, Letter, Sender};
 use crate::mark::Mark;
 use crate::post::Post;
 use crate::right::Right;
+use crate::status::{ChangeStatus, MemberStatus, Status};
 
 /// From one look at the clock to the next.
 const STEP: Duration = Duration::from_millis(20);
@@ -118,164 +118,6 @@
     StepDown(Option<String>, oneshot::Sender<Result<(), Refusal>>),
 }
 
-/// How the cluster looks from one member.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Status {
-    /// This member's name, and its number.
-    pub name: String,
-    /// As above.
-    pub id: u64,
-    /// The cluster's own id.
-    pub cluster: String,
-    /// Who leads.
-    #[serde(skip_serializing_if = "Option::is_none", default)]
-    pub leader: Option<String>,
-    /// The term of leading, and how far the log is applied.
-    pub term: u64,
-    /// As above.
-    pub applied: u64,
-    /// The version in effect.
-    pub version: u64,
-    /// What this member decides under; none if it is fenced.
-    #[serde(skip_serializing_if = "Option::is_none", default)]
-    pub decides: Option<u64>,
-    /// Why it is fenced.
-    #[serde(skip_serializing_if = "Option::is_none", default)]
-    pub fenced: Option<String>,
-    /// The members.
-    pub members: Vec<MemberStatus>,
-    /// The change under way.
-    #[serde(skip_serializing_if = "Option::is_none", default)]
-    pub change: Option<ChangeStatus>,
-    /// It does not know yet whether its disk is its newest, and votes for nobody.
-    #[serde(default)]
-    pub unproven: bool,
-    /// Its disk was found to have been put back from a copy since the start, and it has joined anew.
-    #[serde(default)]
-    pub put_back: bool,
-    /// Letters sent, their bytes, letters dropped, and links ended for rubbish.
-    pub letters: [u64; 4],
-    /// Changes whose end was heard of here since the start: in effect, and given up.
-    #[serde(default)]
-    pub changes: [u64; 2],
-}
-
-/// One member, as the one that leads sees it.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct MemberStatus {
-    /// Its name.
-    pub name: String,
-    /// Its number.
-    pub id: u64,
-    /// Where it stands.
-    pub zone: String,
-    /// Where it listens.
-    pub address: String,
-    /// Whether it has a vote.
-    pub votes: bool,
-    /// The version that it serves, as it last said.
-    #[serde(skip_serializing_if = "Option::is_none", default)]
-    pub version: Option<u64>,
-    /// When it was last heard, in ms.
-    #[serde(skip_serializing_if = "Option::is_none", default)]
-    pub heard_ms: Option<u64>,
-    /// For so long it may still decide at most, in ms; none if it surely does not, and -1 if until it says otherwise.
-    #[serde(skip_serializing_if = "Option::is_none", default)]
-    pub holds_ms: Option<i64>,
-}
-
-/// A change under way.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct ChangeStatus {
-    /// Its id.
-    pub id: String,
-    /// `checking` or `closing`.
-    pub phase: String,
-    /// The members that it waits for.
-    pub waits_for: Vec<String>,
-}
-
-/// Who a member is, as its log has it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct Identity {
-    cluster: String,
-    id: u64,
-    name: String,
-}
-
-/// What a member's directory tells while its process does not run.
-pub struct Kept {
-    log: Log,
-    saved: Saved,
-    identity: Option<Identity>,
-}
-
-impl Kept {
-    /// Opens the log of a directory whose process does not run.
-    ///
-    /// # Errors
-    /// It can't be had, or is damaged.
-    pub fn open(directory: &std::path::Path) -> Result<Self, String> {
-        let (log, logged) = Log::open(directory).map_err(|e| e.to_string())?;
-        let identity = logged.identity.as_deref().map(serde_json::from_slice).transpose();
-        let identity = identity.map_err(|e: serde_json::Error| e.to_string())?;
-        Ok(Kept { log, identity, saved: saved(&logged) })
-    }
-
-    /// The cluster's id and the member's name, if it is one's.
-    pub fn identity(&self) -> Option<(&str, &str)> {
-        self.identity.as_ref().map(|i| (i.cluster.as_str(), i.name.as_str()))
-    }
-
-    /// What the log tells.
-    ///
-    /// # Errors
-    /// It can't be read.
-    pub fn salvage(&self) -> Result<Salvage, String> {
-        cluster::salvage::salvage(&self.saved).map_err(|e| e.to_string())
-    }
-
-    /// From here on the directory is the one member's of a cluster of its own.
-    ///
-    /// # Errors
-    /// It can't be written; the directory is as it was, or is no member's.
-    pub fn begin_anew(&mut self, machine: &Machine, name: &str, state: String) -> Result<(), String> {
-        let id = machine.members.get(name).map_or(0, |m| m.id);
-        let saved = found(machine, state, id);
-        let identity = Identity { cluster: machine.cluster.clone(), id, name: name.to_owned() };
-        self.log.clear().map_err(|e| e.to_string())?;
-        put_identity(&mut self.log, &identity, &saved)
-    }
-}
-
-/// An id of its own for a cluster.
-pub fn new_cluster() -> String {
-    format!("{:016x}{:016x}", fastrand::u64(..), fastrand::u64(..))
-}
-
-fn saved(logged: &Logged) -> Saved {
-    Saved {
-        snapshot: logged.snapshot.clone(),
-        entries: logged.entries.clone(),
-        hard: logged.hard.clone(),
-        acknowledged: logged.acknowledged.clone(),
-    }
-}
-
-fn put_identity(log: &mut Log, identity: &Identity, saved: &Saved) -> Result<(), String> {
-    let identity = serde_json::to_vec(identity).map_err(|e| e.to_string())?;
-    let append = Append {
-        snapshot: saved.snapshot.as_deref().map(|s| (1, s)),
-        hard: saved.hard.as_deref(),
-        identity: Some(&identity),
-        ..Append::default()
-    };
-    log.append(append).map_err(|e| e.to_string())
-}
-
 /// What founds a cluster: the version, how much is stored, and the application's state.
 pub type Beginning = Box<dyn FnOnce() -> Result<(Version, u64, String), String> + Send>;
 
