See a client leave while another request lies behind its own, and let no unread byte cut an answer

With bytes of a further request in its buffer, the HTTP library no longer reads a connection while a request is served: a client's end was not seen (connection.rs handed it all that came), its request stayed in the queue, and the one behind it was served for nobody. And a connection was closed right behind its last answer (frontend.rs, `connection.as_mut() => return`): over bytes that nobody had read, which resets it, and the rest of the answer goes with it. Both found by reading. Excluded: the driver and the module, which drop a request at once when they are told.

The library gets one request at a time (`Guard::feed` stops at a request's end). What comes behind is kept beside it, 64 KiB at most, and its end ends the connection; of more the connection ends with the present answer.

--- a/crates/engine/src/connection.rs
+++ b/crates/engine/src/connection.rs
@@ -5,7 +5,7 @@
 use std::io::{self, IoSlice};
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -40,9 +40,47 @@
     pub account: RefCell<Option<Rc<dyn Account>>>,
     /// Its latest request was turned away: what is still done for it is work of that kind.
     pub turning_away: Cell<bool>,
+    /// Requests that have been read to their end, and those that have their answer.
+    ended: Cell<u64>,
+    answered: Cell<u64>,
+    /// What came behind a request that has no answer yet.
+    ahead: RefCell<Vec<u8>>,
+    /// Who is to look again once there is an answer.
+    reader: RefCell<Option<Waker>>,
+    /// More came behind it than is kept: the connection ends with its answer.
+    overrun: Cell<bool>,
 }
 
 impl Client {
+    /// A connection that has just come.
+    pub fn new(account: Option<Rc<dyn Account>>) -> Self {
+        Client {
+            busy: Cell::new(false),
+            used: Cell::new(false),
+            since: Cell::new(Instant::now()),
+            begun: Cell::new(None),
+            moved: Cell::new(Instant::now()),
+            close: Notify::new(),
+            account: RefCell::new(account),
+            turning_away: Cell::new(false),
+            ended: Cell::new(0),
+            answered: Cell::new(0),
+            ahead: RefCell::default(),
+            reader: RefCell::default(),
+            overrun: Cell::new(false),
+        }
+    }
+
+    /// Whether nothing is known to have come that has not been read.
+    pub fn is_caught_up(&self) -> bool {
+        self.ahead.borrow().is_empty()
+    }
+
+    /// Whether more came behind a request than is kept.
+    pub fn is_overrun(&self) -> bool {
+        self.overrun.get()
+    }
+
     /// When the connection has to be looked at again, if nothing happens until then.
     pub fn due(&self) -> Instant {
         match self.begun.get() {
@@ -67,7 +105,11 @@
     /// Its request has its answer.
     pub fn rest(&self) {
         self.busy.set(false);
+        self.answered.set(self.answered.get() + 1);
         self.since.set(Instant::now());
+        if let Some(reader) = self.reader.take().filter(|_| !self.is_caught_up()) {
+            reader.wake();
+        }
     }
 
     /// Puts the connection on the account of the tenant that its latest request names.
@@ -108,7 +150,13 @@
     }
 }
 
-/// A client's socket, which is read only while its account lets it.
+/// Bytes behind a request that are kept while it has no answer.
+const AHEAD: usize = 64 << 10;
+/// Reads of bytes that are not served, in one turn.
+pub const READS: usize = 4;
+
+/// A client's socket, which is read only while its account lets it. The HTTP library gets one request at a time: with bytes of
+/// a further one in its hands it would no longer look whether the client is still there.
 pub struct Gated {
     pub stream: Rc<RefCell<TcpStream>>,
     pub client: Rc<Client>,
@@ -123,13 +171,36 @@
         if self.client.account.borrow().as_ref().is_some_and(waits) {
             return Poll::Pending;
         }
+        if self.client.ended.get() > self.client.answered.get() {
+            return self.look_ahead(cx);
+        }
         let before = buf.filled().len();
-        let read = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf);
+        let kept = std::mem::take(&mut *self.client.ahead.borrow_mut());
+        let read = if kept.is_empty() && self.client.overrun.get() {
+            return Poll::Ready(Ok(())); // what comes now has a gap before it
+        } else if kept.is_empty() {
+            Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf)
+        } else {
+            let now = kept.len().min(buf.remaining());
+            buf.put_slice(&kept[..now]);
+            self.client.ahead.borrow_mut().extend_from_slice(&kept[now..]);
+            Poll::Ready(Ok(()))
+        };
         if buf.filled().len() > before {
-            // What it gets from here on would be read in two ways: the connection ends.
-            if let Err(what) = self.guard.feed(&buf.filled()[before..]) {
-                buf.set_filled(before);
-                return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, what)));
+            match self.guard.feed(&buf.filled()[before..]) {
+                // What it gets from here on would be read in two ways: the connection ends.
+                Err(what) => {
+                    buf.set_filled(before);
+                    return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, what)));
+                }
+                Ok((taken, ended)) => {
+                    self.client
+                        .ahead
+                        .borrow_mut()
+                        .splice(..0, buf.filled()[before + taken..].iter().copied());
+                    buf.set_filled(before + taken);
+                    self.client.ended.set(self.client.ended.get() + u64::from(ended));
+                }
             }
             let now = Instant::now();
             self.client.moved.set(now);
@@ -141,6 +212,32 @@
     }
 }
 
+impl Gated {
+    /// Reads what comes behind a request that has no answer yet. Its client's end is all that is told of it.
+    fn look_ahead(&self, cx: &mut Context) -> Poll<io::Result<()>> {
+        let mut bytes = [0; 4 << 10];
+        for _ in 0..READS {
+            let mut buf = ReadBuf::new(&mut bytes);
+            match Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut buf) {
+                Poll::Ready(Ok(())) if !buf.filled().is_empty() => {
+                    self.client.moved.set(Instant::now());
+                    let mut ahead = self.client.ahead.borrow_mut();
+                    let room = AHEAD.saturating_sub(ahead.len()).min(buf.filled().len());
+                    ahead.extend_from_slice(&buf.filled()[..room]);
+                    self.client.overrun.set(self.client.overrun.get() || room < buf.filled().len());
+                }
+                Poll::Pending => {
+                    self.client.reader.replace(Some(cx.waker().clone()));
+                    return Poll::Pending;
+                }
+                end => return end,
+            }
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+}
+
 impl AsyncWrite for Gated {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, bytes);
--- a/crates/engine/src/frontend.rs
+++ b/crates/engine/src/frontend.rs
@@ -3,9 +3,12 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +20,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
@@ -24,7 +28,7 @@
 use wharfhitch::RequestId;
 
 use crate::account::{self, Account};
-use crate::connection::{Client, Gated, IDLE};
+use crate::connection::{Client, Gated, IDLE, READS};
 use crate::figures::Flight;
 use crate::gate::{Gate, stamp};
 use crate::guard::Guard;
@@ -226,16 +230,7 @@
                     self.close_idle(1, FIRST);
                 }
                 let id = self.next.replace(self.next.get() + 1);
-                let client = Rc::new(Client {
-                    busy: Cell::new(false),
-                    used: Cell::new(false),
-                    since: Cell::new(Instant::now()),
-                    begun: Cell::new(None),
-                    moved: Cell::new(Instant::now()),
-                    close: Notify::new(),
-                    account: RefCell::new(account),
-                    turning_away: Cell::new(false),
-                });
+                let client = Rc::new(Client::new(account));
                 self.clients.borrow_mut().insert(id, client.clone());
                 spawn_local(async move {
                     if client.account.borrow().is_some() {
@@ -291,7 +286,7 @@
                     Ok(pool) if over => turn_away(pool, request).map(Inbound::from),
                     Ok(pool) => front.respond(pool, request, &client, by, flight.as_ref()).await,
                 };
-                let closes = over || !front.life.ask(|life, _| life.keeps());
+                let closes = over || client.is_overrun() || !front.life.ask(|life, _| life.keeps());
                 if closes {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -320,47 +315,54 @@
             TokioIo::new(Gated { stream: stream.clone(), client: client.clone(), guard: Guard::default() }),
             service,
         );
-        tokio::pin!(connection);
-        let mut cut: Option<Instant> = None;
-        let mut not_before = Instant::now();
-        loop {
-            let wait = cut.unwrap_or_else(|| client.due()).max(not_before);
-            let close = tokio::select! {
-                biased; // what has come in counts before a wish to close
-                // Malformed HTTP has been answered by hyper; a client that left needs nothing.
-                _ = connection.as_mut() => return,
-                () = client.close.notified() => true,
-                () = sleep_until(wait) => {
-                    let (now, moved) = (Instant::now(), client.moved.get());
-                    if let Some(at) = cut {
-                        // An answer that nobody reads would hold its socket for ever.
-                        if !client.busy.get() && moved + CUT <= now {
-                            return;
+        // What it holds is let go of before the last bytes are read out: a client that left has left at once.
+        let answered = {
+            tokio::pin!(connection);
+            let mut cut: Option<Instant> = None;
+            let mut not_before = Instant::now();
+            loop {
+                let wait = cut.unwrap_or_else(|| client.due()).max(not_before);
+                let close = tokio::select! {
+                    biased; // what has come in counts before a wish to close
+                    // Malformed HTTP has been answered by hyper; a client that left needs nothing.
+                    _ = connection.as_mut() => break true,
+                    () = client.close.notified() => true,
+                    () = sleep_until(wait) => {
+                        let (now, moved) = (Instant::now(), client.moved.get());
+                        if let Some(at) = cut {
+                            // An answer that nobody reads would hold its socket for ever.
+                            if !client.busy.get() && moved + CUT <= now {
+                                break false;
+                            }
+                            cut = Some((moved + CUT).max(at + LOOK));
                         }
-                        cut = Some((moved + CUT).max(at + LOOK));
-                    }
-                    if client.busy.get() && moved + STUCK + self.router.longest() <= now {
-                        return;
-                    }
-                    let late = cut.is_none() && client.due() <= now;
-                    if late && client.begun.get().is_some() {
-                        return; // its head is late
+                        if client.busy.get() && moved + STUCK + self.router.longest() <= now {
+                            break false;
+                        }
+                        let late = cut.is_none() && client.due() <= now;
+                        if late && client.begun.get().is_some() {
+                            break false; // its head is late
+                        }
+                        late
                     }
-                    late
+                };
+                if !close || cut.is_some() || client.begun.get().is_some() {
+                    continue;
+                }
+                // A request that has come in but has not been read yet would be lost. It is read next, unless its
+                // tenant's account holds it back: then the connection is looked at again after a while, and not kept for
+                // ever.
+                let now = Instant::now();
+                if client.is_caught_up() && is_quiet(&stream.borrow()) || client.due() + IDLE <= now {
+                    connection.as_mut().graceful_shutdown();
+                    cut = Some(now + CUT);
+                } else {
+                    not_before = now + LOOK;
                 }
-            };
-            if !close || cut.is_some() || client.begun.get().is_some() {
-                continue;
-            }
-            // A request that has come in but has not been read yet would be lost. It is read next, unless its tenant's
-            // account holds it back: then the connection is looked at again after a while, and not kept for ever.
-            let now = Instant::now();
-            if is_quiet(&stream.borrow()) || client.due() + IDLE <= now {
-                connection.as_mut().graceful_shutdown();
-                cut = Some(now + CUT);
-            } else {
-                not_before = now + LOOK;
             }
+        };
+        if answered && self.clients.borrow().len() < self.most * 7 / 8 {
+            linger(&stream).await;
         }
     }
 
@@ -501,6 +503,25 @@
     }
 }
 
+/// Reads out what a client still sends on a connection whose sending side is shut, until its end or for [`CUT`] at most: a
+/// close over unread bytes resets the connection, and an answer that is still on its way goes with it.
+async fn linger(stream: &RefCell<TcpStream>) {
+    let out = poll_fn(|cx| {
+        let mut bytes = [0; 4 << 10];
+        for _ in 0..READS {
+            let mut buf = ReadBuf::new(&mut bytes);
+            match Pin::new(&mut *stream.borrow_mut()).poll_read(cx, &mut buf) {
+                Poll::Ready(Ok(())) if !buf.filled().is_empty() => {}
+                Poll::Ready(_) => return Poll::Ready(()),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    });
+    let _ = timeout(CUT, out).await; // then it is reset, as its client sends without an end
+}
+
 /// Reads a body, or as much of it as is kept; the rest passes through. It has to be whole by then, and by as much later
 /// as so much of it takes.
 async fn receive(
