Begin no repeat after its window, blame no server for a shortage of one's own, end endless answers

(1) A repeat of a request whose repeats are dropped only for a while was decided inside that window, and written whenever its connection had come up (upstream.rs, `attempt`): seen at a server 0.1 s after the window of 2.5 s. (2) An attempt that got no socket of this process's own ended as "no connection", which closes the server (upstream.rs, `open`; one such failure is enough for the module). (3) An answer without an end was passed on for ever (`pass_on`). (4) An attempt whose client left while its connection came up held its slot until then.

`Action::Send` says by when an attempt begins, and the gate before its first byte keeps to it. What fails before a connection is tried is moot, and so is EMFILE and its like. An answer ends at 32 MiB, the most that a body may have. An attempt that nobody wants any more is told of at once; its connection, paid for by then, is kept for others.

(4) has no test of its own; that nothing is written is tested.

--- a/crates/engine/src/driver.rs
+++ b/crates/engine/src/driver.rs
@@ -1,6 +1,5 @@
 //! The sole owner of the decision module: feeds it what the sockets see and does what it says, in order.
 
-use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
@@ -28,7 +27,7 @@
 use crate::message::{Outgoing, Reply};
 use crate::note;
 use crate::peers::Peers;
-use crate::upstream::{Endpoint, News, Upstreams};
+use crate::upstream::{Attempt, Endpoint, News, Upstreams, Wanted};
 use crate::vars::{Counts, End, Held};
 
 /// What the client is told has to be on its way this long before the client gives up, whatever happens.
@@ -45,7 +44,7 @@
     class: Option<ClassId>,
     answer: Option<oneshot::Sender<Answer>>,
     /// Whether an attempt may still begin for it.
-    wanted: Rc<Cell<bool>>,
+    wanted: Rc<Wanted>,
     message: Rc<Outgoing>,
     deadline: Instant,
     attempts: u32,
@@ -210,7 +209,7 @@
         let live = Live {
             class: None,
             answer: Some(answer),
-            wanted: Rc::new(Cell::new(false)),
+            wanted: Rc::default(),
             message: self.nothing.clone(),
             deadline: Instant::now(),
             attempts: 0,
@@ -243,7 +242,7 @@
             Live {
                 class: Some(class),
                 answer: Some(answer),
-                wanted: Rc::new(Cell::new(true)),
+                wanted: Rc::default(),
                 message: Rc::new(message),
                 deadline,
                 attempts: 0,
@@ -288,7 +287,7 @@
     fn began(&mut self, request: RequestId, attempt: u32, reply: Reply) {
         let Some(live) = self.live.get_mut(&request) else { return };
         let Some(answer) = live.answer.take() else { return }; // who reads the answer's body sees that nobody wants it
-        live.wanted.set(false);
+        live.wanted.end();
         live.passing = true;
         let _ = answer.send(Answer::Served(reply)); // likewise, if the client has just left
         self.handle(Event::Started { request, attempt, worked: true });
@@ -332,7 +331,7 @@
     /// Takes the right to answer a request, with this code; from here on nothing more begins for it.
     fn close(&mut self, id: RequestId, code: u16) -> Option<oneshot::Sender<Answer>> {
         let live = self.live.get_mut(&id)?;
-        live.wanted.set(false);
+        live.wanted.end();
         let answer = live.answer.take();
         let open = std::mem::take(&mut live.passing) || answer.is_some();
         if let (Some(class), true) = (live.class, open) {
@@ -431,7 +430,9 @@
 
     fn perform(&mut self, action: Action) {
         match action {
-            Action::Send { request, backend, timeout } => self.send(request, backend, timeout),
+            Action::Send { request, backend, timeout, begin_by } => {
+                self.send(request, backend, timeout, begin_by);
+            }
             Action::Refuse { request, retry_after } => {
                 if let Some(answer) = self.close(request, REFUSED) {
                     let _ = answer.send(Answer::Refused(retry_after));
@@ -459,7 +460,9 @@
         }
     }
 
-    fn send(&mut self, request: RequestId, backend: BackendId, timeout: Option<Millis>) {
+    fn send(
+        &mut self, request: RequestId, backend: BackendId, timeout: Option<Millis>, begin_by: Option<Millis>,
+    ) {
         let Some(live) = self.live.get_mut(&request) else {
             return note!("a send for a request that is not held");
         };
@@ -475,21 +478,24 @@
         if let (Some(capture), Some(pending)) = (&self.parts.capture, &mut live.pending) {
             capture.sent(pending, backend);
         }
-        let Some(endpoint) = self.endpoints.get(&backend).filter(|e| live.wanted.get() && e.is_open()) else {
+        let Some(endpoint) = self.endpoints.get(&backend).filter(|e| live.wanted.holds() && e.is_open())
+        else {
             return report.tell(Outcome::Moot, None);
         };
         let until = timeout.map_or(live.deadline, |t| {
             live.deadline.min(report.sent + Duration::from_secs_f64(t.clamp(0.0, 1e9) / 1000.0))
         });
-        let (upstreams, endpoint) = (self.parts.upstreams.clone(), endpoint.clone());
+        let upstreams = self.parts.upstreams.clone();
         let (wanted, message) = (live.wanted.clone(), live.message.clone());
+        let before = begin_by.map(|at| self.parts.clock.instant(at));
+        let attempt = Attempt { endpoint: endpoint.clone(), wanted, message, until, before };
         let Some(account) = &self.parts.account else {
             tokio::task::spawn_local(async move {
-                upstreams.attempt(endpoint, wanted, message, until, |news| report.pass(news)).await;
+                upstreams.attempt(attempt, |news| report.pass(news)).await;
             });
             return;
         };
-        let Some(visit) = Visit::begin(account, endpoint.address) else {
+        let Some(visit) = Visit::begin(account, attempt.endpoint.address) else {
             return report.tell(Outcome::Full, None); // the module tries elsewhere, or later
         };
         tokio::task::spawn_local(account::on(account.clone(), async move {
@@ -500,7 +506,7 @@
                 }
                 report.pass(news);
             };
-            upstreams.attempt(endpoint, wanted, message, until, told).await;
+            upstreams.attempt(attempt, told).await;
         }));
     }
 }
--- a/crates/engine/src/stream.rs
+++ b/crates/engine/src/stream.rs
@@ -18,7 +18,7 @@
 /// Bytes of a body that are kept whatever else is: an answer up to this size is passed on whole, and a request up to it is
 /// always waited for.
 pub const KEPT: usize = 64 << 10;
-/// The largest body of a request.
+/// The largest body of a request, and of an answer.
 pub const MOST: u64 = 32 << 20;
 /// A body of which nothing has come or gone for this span is given up.
 const STALL: Duration = Duration::from_secs(2);
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -20,14 +20,14 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use wharfhitch::Outcome;
 
 use crate::account::{self, Account};
 use crate::message::{Content, Outgoing, Reply, strip};
-use crate::stream::{KEPT, Outbound, Passing, Piece, Room, Upload};
+use crate::stream::{self, KEPT, Outbound, Passing, Piece, Room, Upload};
 use crate::vars::Counts;
 
 /// A pooled connection is retired after this part of the span after which a backend closes it.
@@ -64,6 +64,13 @@
     pub fn is_open(&self) -> bool {
         !self.closed.get()
     }
+
+    /// Puts a clean connection by for the next request.
+    fn keep(&self, connection: Connection) {
+        if self.is_open() {
+            self.idle.borrow_mut().push(Idle { connection, since: Instant::now() });
+        }
+    }
 }
 
 struct Idle {
@@ -123,7 +130,40 @@
 /// connection came up.
 struct Gate {
     endpoint: Rc<Endpoint>,
-    wanted: Rc<Cell<bool>>,
+    wanted: Rc<Wanted>,
+    /// A first byte goes out before this, if ever.
+    before: Option<Instant>,
+}
+
+impl Gate {
+    fn is_open(&self) -> bool {
+        self.endpoint.is_open() && self.wanted.holds() && self.before.is_none_or(|b| Instant::now() < b)
+    }
+}
+
+/// Whether an attempt may still begin for a request: until it has its answer or its client has gone.
+#[derive(Default)]
+pub struct Wanted {
+    over: Cell<bool>,
+    ended: Notify,
+}
+
+impl Wanted {
+    pub fn holds(&self) -> bool {
+        !self.over.get()
+    }
+
+    /// Nothing more begins for it.
+    pub fn end(&self) {
+        self.over.set(true);
+        self.ended.notify_waiters();
+    }
+
+    async fn ended(&self) {
+        while self.holds() {
+            self.ended.notified().await;
+        }
+    }
 }
 
 const BLANK: &[u8] = b"\r\n\r\n";
@@ -141,8 +181,7 @@
 
     /// Whether a write may go on.
     fn admit(&self) -> bool {
-        let fits = |g: &Gate| g.endpoint.is_open() && g.wanted.get();
-        let go = self.begun.get() || self.gate.borrow().as_ref().is_some_and(fits);
+        let go = self.begun.get() || self.gate.borrow().as_ref().is_some_and(Gate::is_open);
         self.denied.set(!go);
         go
     }
@@ -278,7 +317,8 @@
         }
     }
 
-    async fn connection(&self, endpoint: &Rc<Endpoint>) -> io::Result<Connection> {
+    /// A connection to use. What fails before `dialled` is set says nothing of the server.
+    async fn connection(&self, endpoint: &Rc<Endpoint>, dialled: &Cell<bool>) -> io::Result<Connection> {
         loop {
             // The one used last is the least likely to have been closed.
             let Some(idle) = endpoint.idle.borrow_mut().pop() else { break };
@@ -286,15 +326,16 @@
                 return Ok(idle.connection);
             }
         }
-        timeout(self.dial_timeout.get(), self.open(endpoint.address)).await?
+        timeout(self.dial_timeout.get(), self.open(endpoint.address, dialled)).await?
     }
 
-    async fn open(&self, address: SocketAddr) -> io::Result<Connection> {
+    async fn open(&self, address: SocketAddr, dialled: &Cell<bool>) -> io::Result<Connection> {
         if self.sockets.available_permits() == 0 {
             self.close_idle();
         }
         let permit = self.sockets.clone().acquire_owned().await.map_err(io::Error::other)?;
-        let stream = TcpStream::connect(address).await?;
+        dialled.set(true);
+        let stream = TcpStream::connect(address).await.inspect_err(|e| dialled.set(!is_short(e)))?;
         stream.set_nodelay(true)?;
         let stream = Rc::new(RefCell::new(stream));
         let meter = Rc::new(Meter { counts: self.counts.clone(), ..Meter::default() });
@@ -316,17 +357,35 @@
 
     /// Makes one attempt and tells how it goes, its end last and exactly once; `report` gets that before the connection
     /// is pooled.
-    pub async fn attempt(
-        &self, endpoint: Rc<Endpoint>, wanted: Rc<Cell<bool>>, message: Rc<Outgoing>, until: Instant,
-        mut report: impl FnMut(News),
-    ) {
+    pub async fn attempt(&self, attempt: Attempt, mut report: impl FnMut(News)) {
+        let Attempt { endpoint, wanted, message, until, before } = attempt;
         // Whatever goes wrong before the request's last byte is written proves that it never ran.
-        let mut connection = match timeout_at(until, self.connection(&endpoint)).await {
-            Ok(Ok(connection)) => connection,
-            Ok(Err(_)) | Err(_) => return report(News::Ended(Outcome::ConnectFailed, None)),
+        let dialled = Cell::new(false);
+        let mut connection = {
+            let mut dial = pin!(timeout_at(until, self.connection(&endpoint, &dialled)));
+            tokio::select! {
+                biased;
+                dial = &mut dial => match dial {
+                    Ok(Ok(connection)) => connection,
+                    Ok(Err(_)) | Err(_) if dialled.get() => {
+                        return report(News::Ended(Outcome::ConnectFailed, None));
+                    }
+                    Ok(Err(_)) | Err(_) => return report(News::Ended(Outcome::Moot, None)),
+                },
+                // Its place is free at once. What the server has paid for by now is kept for others.
+                () = wanted.ended() => {
+                    report(News::Ended(Outcome::Moot, None));
+                    if let Ok(Ok(connection)) = dial.await {
+                        endpoint.keep(connection);
+                    }
+                    return;
+                }
+            }
         };
-        if !endpoint.is_open() || !wanted.get() {
-            return report(News::Ended(Outcome::Moot, None));
+        let gate = Gate { endpoint: endpoint.clone(), wanted, before };
+        if !gate.is_open() {
+            report(News::Ended(Outcome::Moot, None));
+            return endpoint.keep(connection);
         }
         let Some(request) = message.request(until) else {
             return report(News::Ended(Outcome::Moot, None));
@@ -334,7 +393,7 @@
         let (meter, upload) = (connection.meter.clone(), message.body.upload().cloned());
         let left =
             if upload.is_some() { 0 } else { request.body().size_hint().exact().unwrap_or(0) as usize };
-        meter.start(Gate { endpoint: endpoint.clone(), wanted }, left, upload.clone());
+        meter.start(gate, left, upload.clone());
         let until = Cell::new(until);
         let answer = {
             let mut exchange = pin!(exchange(&mut connection.sender, request));
@@ -386,12 +445,30 @@
         };
         meter.gate.replace(None);
         let ready = keep && matches!(timeout(READY, connection.sender.ready()).await, Ok(Ok(())));
-        if ready && endpoint.is_open() {
-            endpoint.idle.borrow_mut().push(Idle { connection, since: Instant::now() });
+        if ready {
+            endpoint.keep(connection);
         }
     }
 }
 
+/// Whether a connection could not even be tried, as this process or its machine has run short of something.
+fn is_short(error: &io::Error) -> bool {
+    use rustix::io::Errno;
+    let short = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL];
+    short.iter().any(|e| error.raw_os_error() == Some(e.raw_os_error()))
+}
+
+/// What one attempt is to do.
+pub struct Attempt {
+    pub endpoint: Rc<Endpoint>,
+    pub wanted: Rc<Wanted>,
+    pub message: Rc<Outgoing>,
+    /// It is given up then.
+    pub until: Instant,
+    /// It begins before this, if at all.
+    pub before: Option<Instant>,
+}
+
 /// What an attempt tells.
 pub enum News {
     /// The last byte of a request that was still coming in has gone out.
@@ -485,6 +562,9 @@
             },
         };
         passed += data.len() as u64;
+        if passed > stream::MOST {
+            return Outcome::Reset; // it has no end
+        }
         if to.send(Piece::Data(data)).await.is_err() && !whole(passed) {
             return Outcome::Cancelled; // its client has left
         }
@@ -494,42 +574,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn started(body: usize) -> (Meter, Rc<Endpoint>, Rc<Cell<bool>>) {
-        let endpoint = Endpoint::new("127.0.0.1:1".parse().expect("an address"), 0.0);
-        let wanted = Rc::new(Cell::new(true));
-        let meter = Meter::default();
-        meter.start(Gate { endpoint: endpoint.clone(), wanted: wanted.clone() }, body, None);
-        (meter, endpoint, wanted)
-    }
-
-    #[test]
-    fn a_request_is_complete_with_its_last_byte_however_it_is_cut() {
-        let text = b"POST /x HTTP/1.1\r\nA: b\r\n\r\n\r\n\r\nbody";
-        for cut in 1..text.len() {
-            let (meter, ..) = started(8);
-            meter.wrote(&text[..cut]);
-            assert!(meter.begun.get() && !meter.complete(), "cut at {cut}");
-            meter.wrote(&text[cut..]);
-            assert!(meter.complete(), "cut at {cut}");
-        }
-    }
-
-    #[test]
-    fn the_first_byte_waits_for_an_open_backend_and_a_wanted_request() {
-        let (meter, endpoint, _) = started(0);
-        endpoint.set_open(false);
-        assert!(!meter.admit() && meter.denied.get());
-        let (meter, _, wanted) = started(0);
-        wanted.set(false);
-        assert!(!meter.admit());
-        let (meter, endpoint, _) = started(0);
-        assert!(meter.admit());
-        meter.wrote(b"G");
-        endpoint.set_open(false); // what has begun is finished
-        assert!(meter.admit());
-        assert!(!Meter::default().admit(), "nothing is written between requests");
-    }
-}
+#[path = "../tests/unit/upstream.rs"]
+mod tests;
--- a/crates/engine/tests/sockets/mod.rs
+++ b/crates/engine/tests/sockets/mod.rs
@@ -480,6 +480,11 @@
         fields.map(|f| f.parse::<f64>().expect("a number")).sum::<f64>() / 100.0
     }
 
+    /// The descriptors that it has open.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
+    }
+
     /// The most memory that it has had, in MB.
     pub fn memory_peak_mb(&self) -> f64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
@@ -553,6 +558,15 @@
         self.answer()
     }
 
+    /// Whether something has come that has not been read.
+    pub fn has_answer(&self) -> bool {
+        let stream = self.0.get_ref();
+        stream.set_nonblocking(true).expect("a connection");
+        let some = stream.peek(&mut [0; 1]).is_ok();
+        stream.set_nonblocking(false).expect("a connection");
+        some || !self.0.buffer().is_empty()
+    }
+
     /// Ends the sending, as a client that leaves does.
     pub fn leave(&self) {
         self.0.get_ref().shutdown(Shutdown::Write).expect("a connection");
--- a/crates/lab/src/sim/decider.rs
+++ b/crates/lab/src/sim/decider.rs
@@ -62,7 +62,7 @@
             return false;
         };
         *again += 1;
-        out.push(Action::Send { request, backend: *backend, timeout: None });
+        out.push(Action::Send { request, backend: *backend, timeout: None, begin_by: None });
         true
     }
 }
@@ -94,7 +94,7 @@
             }
             (Sabotage::FloodsNewest, Event::Request { id, .. }) => {
                 if let Some((_, backend)) = self.newest {
-                    return out.push(Action::Send { request: *id, backend, timeout: None });
+                    return out.push(Action::Send { request: *id, backend, timeout: None, begin_by: None });
                 }
             }
             _ => {}
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -420,7 +420,7 @@
     fn perform(&mut self, proxy: ProxyId, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Send { request, backend, timeout } => {
+                Action::Send { request, backend, timeout, .. } => {
                     self.send(proxy, request, server_of(backend), timeout);
                 }
                 Action::Refuse { request, retry_after } => {
--- a/crates/sandgap/tests/steered/mod.rs
+++ b/crates/sandgap/tests/steered/mod.rs
@@ -32,7 +32,8 @@
     /// Resets the connection.
     pub fn reset(self) {
         reset(&self.stream);
-        let _ = self.stream.shutdown(Shutdown::Both);
+        // Whoever reads it lets go of its copy, and the last close is the reset.
+        let _ = self.stream.shutdown(Shutdown::Read);
     }
 
     /// Begins the answer of a watch.
--- a/crates/wharfhitch/src/choice.rs
+++ b/crates/wharfhitch/src/choice.rs
@@ -642,6 +642,7 @@
     fn send(&mut self, now: Millis, id: RequestId, k: usize, out: &mut Vec<Action>) {
         // Did it find the server idle? Only others' word tells.
         let lone = self.cfg.may_tell && self.news < NEWS * self.mean && self.servers[k].held() == 0;
+        let begin_by = self.bound(&self.requests[&id]).map(|(.., until)| until);
         self.begin(now, id, k, lone);
         let s = &mut self.servers[k];
         s.progress = if s.own == 0 { now } else { s.progress };
@@ -649,7 +650,7 @@
         s.tokens -= 1.0;
         let backend = s.info.id;
         let timeout = self.give_up(now, id, k);
-        out.push(Action::Send { request: id, backend, timeout });
+        out.push(Action::Send { request: id, backend, timeout, begin_by });
         self.place(k, now);
     }
 
--- a/crates/wharfhitch/src/interface.rs
+++ b/crates/wharfhitch/src/interface.rs
@@ -339,6 +339,9 @@
         backend: BackendId,
         /// When to give the attempt up; `None` is the client's patience.
         timeout: Option<Millis>,
+        /// The attempt begins before this, or never: a repeat that is dropped only for a while may not go out later, however long
+        /// its connection takes to come up.
+        begin_by: Option<Millis>,
     },
     /// Final answer: refused; a retry does no harm.
     Refuse {
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -261,7 +261,7 @@
     fn write(&mut self, action: Action, i: u64, reply: &mut String) {
         // Writing to a String cannot fail.
         let _ = match action {
-            Action::Send { request, backend, timeout } => {
+            Action::Send { request, backend, timeout, .. } => {
                 let Some(known) = self.requests.get_mut(&request.0) else { return };
                 known.out += 1;
                 let backend = self.backends.get(&backend.0).map_or("-", String::as_str);
