--- a/crates/engine/src/discovery.rs
+++ b/crates/engine/src/discovery.rs
@@ -1,6 +1,7 @@
 //! The list of backends: a watch that resumes where it broke off, and single whole lists.
 
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use wharfhitch::Scope;
 
@@ -28,16 +29,16 @@
 ///
 /// What discovery has counts as told 6 s after it had it and could be reached, whatever call failed. Where lists are
 /// pushed, a watch that falls silent is given up after 2.5 s; then come a first wait of 75 ms at most and a call, which is
-/// answered at once. Should that call fail too, each further one adds [`PATIENCE`] of 1 s at most and a wait of
-/// [`crate::backoff::MOST`] 0.375 s at most: 2.5 + 0.075 + 1 + 0.15 + 1 + 0.3 = 5.025 s with two calls that fail. One that opens
-/// and then says nothing is given up after another 2.5 s: 2.5 + 0.075 + 2.5 + 0.15 = 5.225 s.
+/// answered at once. A call that hangs adds [`AGAIN`], one that fails a wait: 2.5 + 0.075 + 0.35 + 0.15 + 0.3 + 0.375 =
+/// 3.75 s after one call that hangs and three that fail. One that opens and then says nothing is given up after another
+/// 2.5 s: 2.5 + 0.075 + 2.5 + 0.15 = 5.225 s. The longest wait is [`crate::backoff::MOST`].
 const SILENCE: Duration = Duration::from_millis(2500);
 const CONNECT: Duration = Duration::from_secs(1);
 /// Where lists are pushed, an agent of this machine's own answers at once or not at all. While it has not answered, it is
-/// called again each [`AGAIN`] beside the calls that hang: so its return is met within that span, and a slow answer still
-/// counts.
-const PATIENCE: Duration = Duration::from_secs(1);
+/// called again each so often beside the calls that hang, so many at most: its return is met within that span. The first of
+/// them is kept, so that a slow answer still counts.
 const AGAIN: Duration = Duration::from_millis(350);
+const CALLS: usize = 4;
 /// Where lists have to be asked for, the service takes the calls of all proxies in turn. To give up a call and ask
 /// anew is to go back to the end of that line, so a call waits until the service itself gives it up.
 const TURN: Duration = Duration::from_secs(4);
@@ -157,12 +158,15 @@
 
     /// Opens a watch: an agent is called again while calls hang, a service that all ask is called once.
     async fn call(&self, query: &str) -> Result<Stream, String> {
-        let mut calls = JoinSet::new();
-        let (again, end) = if self.pushed { (AGAIN, PATIENCE) } else { (TURN, TURN) };
-        let (mut next, end) = (Instant::now(), Instant::now() + end);
+        let (mut calls, mut handles) = (JoinSet::new(), VecDeque::new());
+        let again = if self.pushed { AGAIN } else { TURN };
+        let (mut next, end) = (Instant::now(), Instant::now() + TURN);
         loop {
             if Instant::now() >= next {
-                calls.spawn_local(get(self.place.address(), query.to_owned()));
+                if handles.len() == CALLS {
+                    handles.remove(1).inspect(AbortHandle::abort);
+                }
+                handles.push_back(calls.spawn_local(get(self.place.address(), query.to_owned())));
                 next = Instant::now() + again;
             }
             let answer = tokio::select! {
--- a/crates/engine/src/process.rs
+++ b/crates/engine/src/process.rs
@@ -34,6 +34,8 @@
 /// Descriptors for all but clients and backends: standard streams, runtime, signals, listener, UDP, watch; and
 /// the features' own: the drills' side port with its connections, the figures' socket, the files being written.
 const RESERVE: usize = 32;
+/// Descriptors for clients and backends, however few there are.
+const LEAST: usize = 16;
 /// If discovery has said nothing by then, the remembered list is served from, and not before: what its agent has counts as
 /// told from a process's first moment. The wait is made of short ones, so that a process that gets little time still sees an
 /// answer that has come before it goes by an older list.
@@ -139,7 +141,10 @@
         None => None,
     };
     let own = RESERVE + if door.is_some() { ops::CALLERS + 1 } else { 0 };
-    let budget = config.sockets - own;
+    // Where the system allows fewer descriptors than the file says, its word holds.
+    let allowed = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    let allowed = allowed.and_then(|n| usize::try_from(n).ok()).unwrap_or(usize::MAX);
+    let budget = config.sockets.min(allowed).saturating_sub(own).max(LEAST);
     let sockets = Arc::new(Semaphore::new(budget / 4));
     let room = Room::new(config.memory);
     let upstreams =
--- a/crates/engine/tests/sockets/mod.rs
+++ b/crates/engine/tests/sockets/mod.rs
@@ -391,7 +391,16 @@
 
 impl Proxy {
     pub fn start(discovery: &Discovery, setup: &Setup) -> Self {
-        let file = config_file(&config(discovery.address, setup));
+        Proxy::run(&config(discovery.address, setup), setup)
+    }
+
+    /// Starts one with this configuration.
+    pub fn with(text: &str) -> Self {
+        Proxy::run(text, &Setup::default())
+    }
+
+    fn run(text: &str, setup: &Setup) -> Self {
+        let file = config_file(text);
         let properties = setup.properties.as_deref().map(config_file);
         // Whichever program of the package under test runs a proxy.
         let (program, verb) =
