Keep what all proxies send a cold server within its budget, also after a lull and with heavy requests

Each proxy's part of a cold server's budget was kept until it was used, one whole send at least (choice.rs, `review`: `.min((rate * 300.0).max(1.0))`): after a lull 300 proxies had saved up one each. And each send took one, whatever its work (`send`: `tokens -= 1.0`). Excluded by the same test: the number of proxies that is told late, restarted proxies by themselves, even traffic over few proxies.

A send that nobody wants within half of the span in which the server would fall is given up. What a request takes is its work, in units of mean work on a calm server of that kind, which is also what the budget is reckoned in. One that takes c units and can't wait for them goes with a chance of 1/c.

--- a/crates/wharfhitch/src/choice.rs
+++ b/crates/wharfhitch/src/choice.rs
@@ -68,6 +68,8 @@
 const RETRY_SHARE: f64 = 0.15; // further attempts per arrival: what a proxy may add in a storm
 const COLD_SHARE: f64 = 0.5; // part of what pushes a cold server over that the proxies together send it
 const MOST_SLOTS: u32 = 1024; // of a server: a bound on work, whatever a list says
+const COLD_RIPE: f64 = 0.5; // part of its span for which a send is kept: saved ones could all come at once
+const COLD_COST: (f64, f64) = (0.25, 8.0); // what a request takes of it at least and at most, in mean ones
 const COLD_PART: f64 = 0.25; // part of a cold server's budget that one request may take
 const NEWS: f64 = 0.3; // part of a request's time within which others' word must come to show idleness
 const TELL_SHARE: f64 = 0.6; // full messages a proxy may spend for each request it gets
@@ -393,7 +395,16 @@
         let (s, l) = (&self.servers[k], &self.cfg.limits);
         let closed = s.by_class[r.class].closed > now && self.blocked[r.class] <= ALL_ILL;
         let heavy = s.fresh && self.usual(r) > COLD_PART * l.fall_multiple * s.warmth * l.fall;
-        !r.tried(k) && !closed && !heavy
+        // A send is for mean work, and to save up for more takes one of many proxies too long: what is c times
+        // as heavy may go with a chance of 1/c.
+        let costly = || s.budgeted() && self.cost(k, r) > s.tokens.max(s.grant);
+        !r.tried(k) && !closed && !heavy && !costly()
+    }
+
+    /// What a request takes of a cold server's budget, in requests of mean work.
+    fn cost(&self, k: usize, r: &Request) -> f64 {
+        let kind = &self.kinds[self.servers[k].kind];
+        (self.usual(r) * kind.slow.0.max(0.2) / self.unit(kind)).clamp(COLD_COST.0, COLD_COST.1)
     }
 
     // ---- speeds and slots ----
@@ -644,10 +655,14 @@
         let lone = self.cfg.may_tell && self.news < NEWS * self.mean && self.servers[k].held() == 0;
         let begin_by = self.bound(&self.requests[&id]).map(|(.., until)| until);
         self.begin(now, id, k, lone);
+        let cost = self.servers[k].budgeted().then(|| self.cost(k, &self.requests[&id]));
         let s = &mut self.servers[k];
         s.progress = if s.own == 0 { now } else { s.progress };
         s.own += 1;
-        s.tokens -= 1.0;
+        if let Some(cost) = cost {
+            s.tokens -= if s.tokens < cost { cost.min(1.0) } else { cost };
+            s.grant = 1.0 / (self.rng.f64() + 1e-9);
+        }
         let backend = s.info.id;
         let timeout = self.give_up(now, id, k);
         out.push(Action::Send { request: id, backend, timeout, begin_by });
@@ -889,6 +904,12 @@
         }
     }
 
+    /// What a request of mean work takes on a calm server of a kind, as waits in a crowd are not work: the
+    /// unit of a cold server's budget.
+    fn unit(&self, kind: &Kind) -> Millis {
+        kind.core.min(self.mean * kind.slow.0.max(0.2))
+    }
+
     /// Looks over all servers: slots, budgets of cold ones, closings that end, how many look ill.
     fn review(&mut self, now: Millis) {
         self.mean = self.mean_latency();
@@ -926,15 +947,21 @@
                 self.size(k); // slots change slowly: an eighth of the servers each time
             }
             let warmth = self.warmth(k, now);
+            let unit = self.unit(&self.kinds[self.servers[k].kind]);
             let s = &mut self.servers[k];
             if s.fresh && warmth < 1.0 {
                 // An equal part of what its like can do, cut to what it surely can: so it stands in any case.
-                let kind = &self.kinds[s.kind]; // by its calm latency: waits in a crowd are not work
+                let kind = &self.kinds[s.kind];
                 let room = s.room / kind.throttle.max(1.0); // by its size: more is for warm ones
-                let capacity = room / FULLNESS / kind.core.min(self.mean * kind.slow.0.max(0.2));
+                let capacity = room / FULLNESS / unit;
                 let rate = COLD_SHARE * self.cfg.limits.fall_multiple * warmth * capacity
                     / f64::from(self.cfg.proxies);
-                s.tokens = (s.tokens + rate * (now - s.tokens_at)).min((rate * 300.0).max(1.0));
+                s.tokens += rate * (now - s.tokens_at);
+                let excess = s.tokens - 1.0 - rate * COLD_RIPE * self.cfg.limits.fall;
+                if excess > 0.0 {
+                    s.tokens -= excess.ceil(); // sends that nobody wanted in time
+                    s.grant = 1.0 / (self.rng.f64() + 1e-9);
+                }
                 s.tokens_at = now;
             }
             self.rate(k, warmth, now);
@@ -989,6 +1016,7 @@
                 // A new process: cold, and nothing known against it. The random start of its budget keeps
                 // the proxies from all sending their first request at once.
                 (s.restarted, s.fresh, s.tokens, s.tokens_at) = (false, true, self.rng.f64(), now);
+                s.grant = 1.0 / (self.rng.f64() + 1e-9);
                 s.forgive(now, BACKOFF);
             }
             self.size(k);
--- a/crates/wharfhitch/src/records.rs
+++ b/crates/wharfhitch/src/records.rs
@@ -37,6 +37,7 @@
     pub fresh: bool,           // seen within its cold span: budgeted
     pub tokens: f64,           // sends that a cold server's budget still allows
     pub tokens_at: Millis,
+    pub grant: f64,                // the most that a request may take of it for one send
     pub kind: usize,               // its kind of machine; 0 if none is told
     pub room: f64,                 // slots for all proxies together
     pub mine: f64,                 // those of them that are this proxy's own
@@ -68,6 +69,7 @@
             fresh: false,
             tokens: 0.0,
             tokens_at: now,
+            grant: f64::INFINITY,
             kind: 0,
             room: 1.0,
             mine: 0.0,
--- /dev/null
+++ b/crates/wharfhitch/tests/cold.rs
@@ -0,0 +1,209 @@
+//! What many proxies together send to servers that have just started, with traffic that comes unevenly, requests of unlike work, and
+//! proxies that know nothing yet: within a server's budget of N requests of mean work, and 2 √N + 2 more for chance.
+mod common;
+use common::*;
+use wharfhitch::*;
+
+/// Work of the two classes on one core, the part of the second, and the cores of a server.
+const WORK: [Millis; 2] = [16.0, 96.0];
+const HEAVY: f64 = 0.3;
+const CORES: f64 = 2.0;
+
+fn mean_work() -> Millis {
+    WORK[0] * (1.0 - HEAVY) + WORK[1] * HEAVY
+}
+
+/// How requests come to each proxy.
+#[derive(Clone, Copy, Debug)]
+enum Traffic {
+    Even,
+    /// Little, and then much at all of them at once, after so many ms.
+    Burst(u64),
+    /// A tenth of the proxies has nearly all of it.
+    Skewed,
+    /// Only requests of the heavy class, from the start of the servers on.
+    Heavy,
+}
+
+/// What a proxy knows when the servers start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Knows {
+    All,
+    /// It has just started itself, with a list that is new to it.
+    Nothing,
+    /// It starts this long after the servers did.
+    Later(u64),
+    /// It hears only now how many others there are.
+    Alone,
+}
+
+struct Play {
+    proxies: u32,
+    warm: u64,
+    cold: u64,
+    limits: Limits,
+    traffic: Traffic,
+    knows: fn(u32) -> Knows,
+    seed: u64,
+}
+
+const SPAN: u64 = 11_000;
+const STEP: u64 = 50;
+
+/// Requests of mean work that each cold server got in each step, over all proxies.
+fn play(p: &Play) -> Vec<Vec<f64>> {
+    let steps = (SPAN / STEP) as usize;
+    let mut sums = vec![vec![0.0; steps + 1]; p.cold as usize];
+    for me in 0..p.proxies {
+        let mut chance = fastrand::Rng::with_seed(p.seed * 1_000_003 + u64::from(me));
+        let knows = (p.knows)(me);
+        let told = if knows == Knows::Alone { 1 } else { p.proxies };
+        let settings = Settings { me: if told == 1 { 0 } else { me }, limits: p.limits, ..settings(told) };
+        let warm: Vec<Backend> = (0..p.warm).map(server).collect();
+        let begin = match knows {
+            Knows::Later(after) => after,
+            _ => 0,
+        };
+        let all = |now: Millis| {
+            let since = Some(now - begin as f64);
+            let cold = (0..p.cold).map(|k| Backend { since, ..server(1000 + k) });
+            warm.iter().cloned().chain(cold).collect::<Vec<_>>()
+        };
+        let mut hand = if matches!(knows, Knows::All | Knows::Alone) {
+            let mut hand = Hand::seeded(settings, warm.clone(), chance.u64(..));
+            learn(&mut hand, &mut chance);
+            if told != p.proxies {
+                hand.give(Event::Proxies { me, proxies: p.proxies });
+            }
+            let now = hand.now;
+            hand.give(full(all(now)));
+            hand
+        } else {
+            Hand::seeded(settings, all(1000.0), chance.u64(..))
+        };
+        let start = hand.now - begin as f64;
+        let many = match p.traffic {
+            Traffic::Skewed if me % 10 == 0 => 200.0,
+            Traffic::Skewed => 0.5,
+            _ => 60.0, // more than its one slot on the one warm server can bear
+        };
+        let mut out: Vec<(Millis, u64, Millis)> = vec![];
+        for at in begin..SPAN {
+            let mut actions = hand.pass(1.0);
+            let rate = match p.traffic {
+                Traffic::Burst(from) if at < from => 0.5,
+                Traffic::Burst(_) => 120.0,
+                _ => many,
+            };
+            if chance.f64() < rate / 1000.0 {
+                let heavy = matches!(p.traffic, Traffic::Heavy) || chance.f64() < HEAVY;
+                let id = 2 * (at + 100_000) + u64::from(heavy);
+                actions.extend(hand.give(request(id, usize::from(heavy), 3000.0)));
+            }
+            let now = hand.now;
+            let (over, still) = out.into_iter().partition::<Vec<_>, _>(|o| o.0 <= now);
+            out = still;
+            for (_, id, latency) in over {
+                actions.extend(hand.give(ended(id, 0, latency, Outcome::Served)));
+            }
+            for (id, to) in sends(&actions) {
+                let work = WORK[(id % 2) as usize];
+                let latency = work * (0.5 + chance.f64());
+                out.push((now + latency, id, latency));
+                if to >= 1000 {
+                    let step = ((now - start) as u64 / STEP).min(steps as u64);
+                    sums[(to - 1000) as usize][step as usize] += work / mean_work();
+                }
+            }
+        }
+    }
+    sums
+}
+
+/// What its servers take is known to a proxy that has served for a while.
+fn learn(hand: &mut Hand, chance: &mut fastrand::Rng) {
+    for id in 0..120 {
+        let heavy = chance.f64() < HEAVY;
+        let latency = WORK[usize::from(heavy)] * (0.5 + chance.f64());
+        if sends(&hand.give(request(id, usize::from(heavy), 2000.0))).is_empty() {
+            hand.pass(2100.0);
+            continue;
+        }
+        hand.pass(latency);
+        hand.give(ended(id, 0, latency, Outcome::Served));
+    }
+}
+
+/// The largest part that a server got of its budget with what is put down to chance; when, and of what budget.
+fn worst(p: &Play, sums: &[Vec<f64>]) -> (f64, u64, f64) {
+    let l = &p.limits;
+    let window = (l.fall as u64 / STEP) as usize;
+    let mut worst = (0.0, 0, 0.0);
+    for server in sums {
+        // It is judged while it is cold.
+        let cold = (l.cold as u64 / STEP) as usize;
+        for (from, sent) in server[..cold.min(server.len())].windows(window).enumerate() {
+            let age = (from as u64 * STEP) as f64 / l.cold;
+            let warmth = (l.start_capacity + (1.0 - l.start_capacity) * age).min(1.0);
+            let n = l.fall_multiple * warmth * CORES / mean_work() * l.fall;
+            let part = sent.iter().sum::<f64>() / (n + 2.0 * n.sqrt() + 2.0);
+            if part > worst.0 {
+                worst = (part, from as u64 * STEP, n);
+            }
+        }
+    }
+    worst
+}
+
+fn limits(start_capacity: f64, cold: Millis, fall_multiple: f64, fall: Millis) -> Limits {
+    Limits { start_capacity, cold, fall_multiple, fall, max_attempts: 4 }
+}
+
+/// Plays all traffics under all limits with so many proxies.
+fn holds(proxies: &[u32], knows: fn(u32) -> Knows) {
+    let all = [
+        limits(0.12, 23_000.0, 3.0, 1000.0),
+        limits(0.3, 9000.0, 3.0, 3000.0),
+        limits(0.2, 10_000.0, 1.5, 400.0),
+    ];
+    let (mut broken, mut largest) = (Vec::new(), 0.0_f64);
+    for &proxies in proxies {
+        for (n, limits) in all.into_iter().enumerate() {
+            for traffic in [Traffic::Even, Traffic::Burst(9000), Traffic::Skewed, Traffic::Heavy] {
+                for seed in 0..(60 / u64::from(proxies)).clamp(1, 4) {
+                    let (warm, cold) = (1, 3);
+                    let p = Play { proxies, warm, cold, limits, traffic, knows, seed };
+                    let (part, at, budget) = worst(&p, &play(&p));
+                    largest = part.max(largest);
+                    if part > 1.0 {
+                        broken.push(format!(
+                            "{proxies} proxies, limits {n}, {traffic:?}, seed {seed}: {part:.2} times {budget:.1} from {at} ms"
+                        ));
+                    }
+                }
+            }
+        }
+    }
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+    assert!(largest > 0.4, "{largest}: what is played asks little of them");
+}
+
+#[test]
+fn proxies_that_have_served_for_a_while_stay_within_the_budget() {
+    holds(&[1, 5, 20, 30, 300], |_| Knows::All);
+}
+
+#[test]
+fn proxies_of_which_most_have_just_started_stay_within_it() {
+    holds(&[5, 20, 30, 300], |me| if me % 10 < 3 { Knows::All } else { Knows::Nothing });
+}
+
+#[test]
+fn proxies_that_start_one_after_the_other_stay_within_it() {
+    holds(&[5, 20, 30], |me| Knows::Later(u64::from(me % 7) * 500));
+}
+
+#[test]
+fn proxies_that_hear_late_of_each_other_stay_within_it() {
+    holds(&[5, 20, 30], |me| if me % 2 == 0 { Knows::Alone } else { Knows::All });
+}
