--- a/crates/wharfhitch/src/choice.rs
+++ b/crates/wharfhitch/src/choice.rs
@@ -395,8 +395,8 @@
         let (s, l) = (&self.servers[k], &self.cfg.limits);
         let closed = s.by_class[r.class].closed > now && self.blocked[r.class] <= ALL_ILL;
         let heavy = s.fresh && self.usual(r) > COLD_PART * l.fall_multiple * s.warmth * l.fall;
-        // A send is for mean work, and to save up for more takes one of many proxies too long: what is c times
-        // as heavy may go with a chance of 1/c.
+        // A send is for mean work, and to save up for more takes one of many proxies too long: what is c
+        // times as heavy may go with a chance of 1/c.
         let costly = || s.budgeted() && self.cost(k, r) > s.tokens.max(s.grant);
         !r.tried(k) && !closed && !heavy && !costly()
     }
