Time each of thirty processes from its own start, and see a client leave before its time is over

The test of thirty starts took the first of them for slow on a loaded machine, as it was timed from the start of all; and the test of further attempts passed with a planted fault that ignores clients that leave, as the deadline ended its request.

Each process is timed for itself, and those that remember a list must be ready while discovery is still away. The client must be counted as one that left.

--- a/crates/sandgap/tests/crossings_clients.rs
+++ b/crates/sandgap/tests/crossings_clients.rs
@@ -118,12 +118,14 @@
     let discovery = Discovery::new();
     discovery.say(&list(1, true, &[0, 1].map(|i| host(&format!("s-{i}"), servers[i].address, "up", 0))));
     let proxy = Proxy::up(&discovery, &Setup { door: true, ..Setup::default() });
-    for behind in [String::new(), page("r-behind")] {
+    for (gone, behind) in [String::new(), page("r-behind")].into_iter().enumerate() {
         let stream = sends(&proxy, &format!("{}{behind}", page("r-1")));
         wait_for("it to be sent", || proxy.var("node_sends") >= 1.0);
         let before = proxy.var("node_sends");
         drop(stream);
+        let left = || proxy.var("node_abandoned{group=\"page\"}");
         wait_for("it to be gone", || proxy.var("node_current") == 0.0);
+        assert_eq!(left(), gone as f64 + 1.0, "it has left, and its time was not over");
         let first = servers.iter().find_map(Peer::come).expect("the first attempt");
         first.reset();
         // A request that is served shows that the end of that attempt has been dealt with.
--- a/crates/sandgap/tests/crossings_floods.rs
+++ b/crates/sandgap/tests/crossings_floods.rs
@@ -98,27 +98,36 @@
     const MANY: usize = 30;
     let backend = Backend::new(Deed::Write(ok("")));
     let all = all_up(&[&backend]);
-    // Discovery answers slowly; it comes back after 3 s to processes that remember a list, and to such that remember none.
-    for (turn, back, known) in [(1500, 0, false), (0, 3000, true), (0, 3000, false)] {
+    // Discovery answers slowly; it does not come back to processes that remember a list, and after 3 s to such that remember none.
+    for (turn, back, known) in [(1500, 0, false), (0, 0, true), (0, 3000, false)] {
         let discovery = Discovery::new();
         discovery.turn.store(turn, std::sync::atomic::Ordering::SeqCst);
         let setup = Setup { known: if known { all.clone() } else { "null".into() }, ..Setup::default() };
-        let begun = Instant::now();
-        let proxies: Vec<Proxy> = (0..MANY).map(|_| Proxy::start(&discovery, &setup)).collect();
-        let ready: Vec<_> = proxies
-            .into_iter()
-            .map(|proxy| {
+        // All at once, each timed from its own start.
+        let starts: Vec<_> = (0..MANY)
+            .map(|_| {
+                let (address, known) = (discovery.address, setup.known.clone());
                 thread::spawn(move || {
+                    let begun = Instant::now();
+                    let setup = Setup { known, ..Setup::default() };
+                    let proxy = Proxy::with(&config(address, &setup));
                     wait_for("/up", || proxy.is_up());
-                    begun.elapsed()
+                    (begun.elapsed(), proxy)
                 })
             })
             .collect();
-        thread::sleep(Duration::from_millis(back));
-        discovery.say(&all); // before that the watch is open and silent
-        let mut took: Vec<Duration> = ready.into_iter().map(|r| r.join().expect("it is ready")).collect();
+        let ready = |starts: Vec<thread::JoinHandle<(Duration, Proxy)>>| -> Vec<Duration> {
+            starts.into_iter().map(|s| s.join().expect("it is ready").0).collect()
+        };
+        // Those that remember a list are ready before discovery is back.
+        let mut took = if known {
+            ready(starts)
+        } else {
+            thread::sleep(Duration::from_millis(back));
+            discovery.say(&all); // before that the watch is open and silent
+            ready(starts)
+        };
         took.sort();
         assert!(took[MANY * 9 / 10] < Duration::from_secs(10), "{took:?}");
-        assert!(!known || took[0] < Duration::from_secs(3), "those that remember do not wait: {took:?}");
     }
 }
