Let no idle connection's end pass for a drain's in the tests of the watch

The tests see a drain by the end of the connection to the server, which idles out by itself after 21 s: with a planted fault that drops slow calls the test of a late answer still passed.

Idle connections outlast every wait in these tests.

It fails with that fault now.

--- a/crates/sandgap/tests/crossings_floods.rs
+++ b/crates/sandgap/tests/crossings_floods.rs
@@ -19,8 +19,8 @@
 fn idle_clients_that_fill_the_descriptors_leave_room_for_the_watch_and_for_attempts() {
     // Once the file names the limit, and once the system's is lower than the file says.
     for setup in [
-        Setup { sockets: 96, descriptors: Some(96), ..Setup::default() },
-        Setup { sockets: 1024, descriptors: Some(96), ..Setup::default() },
+        Setup { sockets: 96, descriptors: Some(96), idle_close: 600_000, ..Setup::default() },
+        Setup { sockets: 1024, descriptors: Some(96), idle_close: 600_000, ..Setup::default() },
     ] {
         let (old, new) = (Backend::new(Deed::Write(ok("old"))), Backend::new(Deed::Write(ok("new"))));
         let agent = Peer::new();
--- a/crates/sandgap/tests/crossings_watch.rs
+++ b/crates/sandgap/tests/crossings_watch.rs
@@ -11,6 +11,11 @@
 /// A change counts as told so long after discovery had it and could be reached.
 const TOLD: Duration = Duration::from_secs(6);
 
+/// Idle connections to servers outlast every wait, so that their end is a drain's work.
+fn lasting() -> Setup {
+    Setup { idle_close: 600_000, ..Setup::default() }
+}
+
 fn status(answer: Option<Message>) -> u16 {
     answer.expect("an answer").status()
 }
@@ -25,7 +30,7 @@
 
 /// A proxy whose agent has told of this server alone, and that watch.
 fn watched(agent: &Peer, backend: &Backend) -> (Proxy, Call) {
-    let proxy = Proxy::start(&agent.as_discovery(), &Setup::default());
+    let proxy = Proxy::start(&agent.as_discovery(), &lasting());
     let mut watch = agent.next();
     assert!(!watch.resumes());
     watch.begin();
@@ -48,7 +53,7 @@
 fn a_list_is_read_however_it_is_laid_out_and_cut() {
     let backend = Backend::new(Deed::Write(ok("")));
     let agent = Peer::new();
-    let proxy = Proxy::start(&agent.as_discovery(), &Setup::default());
+    let proxy = Proxy::start(&agent.as_discovery(), &lasting());
     let mut watch = agent.next();
     watch.begin();
     // Byte by byte, with a blank line before and half of the next object behind it.
@@ -140,7 +145,7 @@
     watch.tell(&format!("{}\n", list(41, false, &[host("s-0", backend.address, "up", 0)])));
     // The signal comes in the middle of an object.
     watch.tell("{\"seq\":42,\"whole\":false,\"hosts\":[");
-    proxy.reconfigure(&config(agents[1].address, &Setup::default()));
+    proxy.reconfigure(&config(agents[1].address, &lasting()));
     let mut second = agents[1].next();
     assert!(!second.resumes(), "{}", second.message.first);
     second.begin();
