Promise no more of a rested connection than it can tell

Cause: the constant's line said that a server answers twice within 20 ms, which nobody promises. Change: the line alone.

--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -32,7 +32,7 @@
 
 /// A pooled connection is retired after this part of the span after which a backend closes it.
 const IDLE_PART: f64 = 0.7;
-/// A server that answers twice does so within this span.
+/// A second answer is taken to come within this span; a later one is seen only if no request has gone out before it.
 const SETTLE: Duration = Duration::from_millis(20);
 /// Longest wait until a connection is ready for its next request.
 const READY: Duration = Duration::from_secs(1);
