--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 //! It decides nothing about requests and knows nothing of the platform's bench: no figure here is fitted to a
 //! recorded day.
 
+pub mod capacity;
 pub mod chance;
 pub mod demo;
 pub mod experiment;
