Keep what is said of a document short, however long the document is

Cause: the words of a fault came from the schema's checker, which repeats the whole value: a list of tenants beyond its limit gave an answer and a log line with the whole document in them.

Change: lists, strings and objects that are too long or too short are told by their length and the limit; other faults quote 64 characters of a string or number and name a list or an object by its length. Place and words of one fault stay under 1 KB as JSON writes them; 50 faults are listed and the rest counted, in answers, in errors about a TOML file and for checks beyond the schema in such a file. The reader's own refusals are cut in their middle.

--- a/crates/documents/src/form.rs
+++ b/crates/documents/src/form.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 
 use crate::place::{DocumentError, Places, Problem};
+use crate::text::{self, MOST_LISTED};
 use crate::units;
 
 /// One thing that is wrong with a value.
@@ -48,68 +49,70 @@
         &self.schema
     }
 
-    /// All that is wrong with a value.
+    /// All that is wrong with a value: the first [`MOST_LISTED`] faults and, when there are more, one that counts
+    /// the rest. None of them is longer than 1 KB, whatever the value is.
     pub fn faults(&self, value: &Value) -> Vec<Fault> {
-        let mut faults = Vec::new();
+        let (found, more) = self.first_faults(value);
+        let bounded = |f: Fault| Fault { pointer: text::cut(&f.pointer, text::MOST_OF_PLACE), what: f.what };
+        let rest = (more > 0).then(|| Fault { pointer: String::new(), what: text::rest(more) });
+        found.into_iter().map(bounded).chain(rest).collect()
+    }
+
+    /// The first [`MOST_LISTED`] faults, with their places whole, and how many there are beyond.
+    fn first_faults(&self, value: &Value) -> (Vec<Fault>, usize) {
+        let (mut faults, mut more) = (Vec::new(), 0);
         for error in self.validator.iter_errors(value) {
-            let at = error.instance_path().as_str().to_owned();
+            let at = error.instance_path().as_str();
             let below = |key: &str| format!("{at}/{}", key.replace('~', "~0").replace('/', "~1"));
-            let mut put = |pointer: String, what: String| faults.push(Fault { pointer, what });
+            let mut put = |pointer: &dyn Fn() -> String, what: &dyn Fn() -> String| {
+                if faults.len() < MOST_LISTED {
+                    faults.push(Fault { pointer: pointer(), what: text::cut(&what(), text::MOST_OF_WHAT) });
+                } else {
+                    more += 1;
+                }
+            };
             match error.kind() {
                 ValidationErrorKind::AdditionalProperties { unexpected } => {
-                    unexpected.iter().for_each(|key| put(below(key), "there is no such key".into()));
+                    unexpected.iter().for_each(|key| put(&|| below(key), &|| "there is no such key".into()));
                 }
                 ValidationErrorKind::Required { property } => {
-                    put(below(property.as_str().unwrap_or_default()), "it is missing".into());
+                    put(&|| below(property.as_str().unwrap_or_default()), &|| "it is missing".into());
                 }
-                ValidationErrorKind::Enum { options } => put(at, format!("it is one of {options}")),
-                ValidationErrorKind::OneOfNotValid { context } | ValidationErrorKind::AnyOf { context } => {
-                    match options(context) {
-                        Some(options) => put(at, format!("it is one of {options}")),
-                        None => put(at, error.to_string()),
-                    }
-                }
-                ValidationErrorKind::Pattern { pattern } => match units::meaning(pattern) {
-                    Some(words) => put(at, format!("{} is not {words}", error.instance())),
-                    None => put(at, error.to_string()),
-                },
-                _ => put(at, error.to_string()),
+                _ => put(&|| at.to_owned(), &|| words(&error)),
             }
         }
-        faults
+        (faults, more)
     }
 
     /// Reads a value.
     ///
     /// # Errors
-    /// All that is wrong with it.
+    /// What is wrong with it, as [`Form::faults`] lists it.
     pub fn read<T: DeserializeOwned>(&self, value: &Value) -> Result<T, Vec<Fault>> {
         let faults = self.faults(value);
-        if !faults.is_empty() {
-            return Err(faults);
-        }
-        T::deserialize(value).map_err(|e| vec![Fault { pointer: String::new(), what: e.to_string() }])
+        if faults.is_empty() { deserialized(value).map_err(|fault| vec![fault]) } else { Err(faults) }
     }
 
     /// Reads a text in TOML, whose file is named so in errors; also where its keys stand.
     ///
     /// # Errors
-    /// It is not TOML, or all that is wrong with it.
+    /// It is not TOML, or what is wrong with it, bounded as [`Places::problems`] says.
     pub fn read_toml<T: DeserializeOwned>(
         &self, file: &str, text: &str,
     ) -> Result<(T, Places), DocumentError> {
         let (value, places) = toml(file, text)?;
-        match self.read(&value) {
-            Ok(read) => Ok((read, places)),
-            Err(faults) => {
-                let problem = |f: Fault| {
-                    let key = f.key();
-                    Problem { line: places.line_of(&key), key, what: f.what }
-                };
-                let problems = faults.into_iter().map(problem).collect();
-                Err(places.problems(problems))
+        let (mut faults, more) = self.first_faults(&value);
+        if faults.is_empty() {
+            match deserialized(&value) {
+                Ok(read) => return Ok((read, places)),
+                Err(fault) => faults.push(fault),
             }
         }
+        let problem = |f: Fault| {
+            let key = f.key();
+            Problem { line: places.line_of(&key), key, what: f.what }
+        };
+        Err(places.problems_and_more(faults.into_iter().map(problem).collect(), more))
     }
 }
 
@@ -123,6 +126,48 @@
     Ok((value, places))
 }
 
+/// Reads a value whose form is right.
+fn deserialized<T: DeserializeOwned>(value: &Value) -> Result<T, Fault> {
+    T::deserialize(value).map_err(|e| Fault { pointer: String::new(), what: text::shortened(&e.to_string()) })
+}
+
+/// What an error says. Of the value there is a short quotation at most: it may be as long as the document.
+fn words(error: &ValidationError) -> String {
+    let value = error.instance();
+    let length = match &**value {
+        Value::String(text) => text.chars().count(),
+        Value::Array(entries) => entries.len(),
+        Value::Object(keys) => keys.len(),
+        _ => 0,
+    };
+    let most = |unit: &str, limit: &u64| {
+        let are = if *limit == 1 { "is" } else { "are" };
+        format!("it has {}, and at most {limit} {are} allowed", text::counted(length, unit))
+    };
+    let least = |unit: &str, limit: &u64| {
+        let are = if *limit == 1 { "is" } else { "are" };
+        format!("it has {}, and at least {limit} {are} needed", text::counted(length, unit))
+    };
+    let otherwise = || error.masked_with(text::quoted(value)).to_string();
+    match error.kind() {
+        ValidationErrorKind::MaxItems { limit } => most("entry", limit),
+        ValidationErrorKind::MinItems { limit } => least("entry", limit),
+        ValidationErrorKind::MaxLength { limit } => most("character", limit),
+        ValidationErrorKind::MinLength { limit } => least("character", limit),
+        ValidationErrorKind::MaxProperties { limit } => most("key", limit),
+        ValidationErrorKind::MinProperties { limit } => least("key", limit),
+        ValidationErrorKind::Enum { options } => format!("it is one of {options}"),
+        ValidationErrorKind::OneOfNotValid { context } | ValidationErrorKind::AnyOf { context } => {
+            options(context).map_or_else(otherwise, |options| format!("it is one of {options}"))
+        }
+        ValidationErrorKind::Pattern { pattern } => units::meaning(pattern)
+            .map_or_else(otherwise, |meaning| format!("{} is not {meaning}", text::quoted(value))),
+        // The value that it speaks of is a key, and the inner error's.
+        ValidationErrorKind::PropertyNames { error } => words(error),
+        _ => otherwise(),
+    }
+}
+
 /// The values that a choice between constants offers: enums whose members have descriptions are written so.
 fn options(context: &[Vec<ValidationError>]) -> Option<String> {
     let constant = |errors: &Vec<ValidationError>| match errors.first()?.kind() {
@@ -132,53 +177,3 @@
     let all = context.iter().map(constant).collect::<Option<Vec<String>>>()?;
     (!all.is_empty()).then(|| all.join(", "))
 }
-
-#[cfg(test)]
-mod tests {
-    use serde::Deserialize;
-
-    use super::*;
-    use crate::units::{Bytes, Span};
-
-    #[derive(Debug, Deserialize, JsonSchema)]
-    #[serde(deny_unknown_fields, rename_all = "kebab-case")]
-    struct Shop {
-        name: String,
-        open_for: Span,
-        room: Option<Bytes>,
-        #[serde(default)]
-        kind: Kind,
-    }
-
-    #[derive(Debug, Default, PartialEq, Deserialize, JsonSchema)]
-    #[serde(rename_all = "kebab-case")]
-    enum Kind {
-        /// At a corner.
-        #[default]
-        Corner,
-        /// One of many.
-        Chain,
-    }
-
-    #[test]
-    fn everything_wrong_is_named_at_once_with_line_and_key() {
-        let form = Form::of::<Shop>().unwrap();
-        let (shop, _) = form.read_toml::<Shop>("s", "name = \"x\"\nopen-for = \"8 s\"").unwrap();
-        assert_eq!(
-            (shop.name.as_str(), shop.open_for, shop.room, shop.kind),
-            ("x", Span(8000.0), None, Kind::Corner)
-        );
-        let text = "open-for = \"8\"\nroom = 5\nkind = \"mall\"\nroof = true\n";
-        let error = form.read_toml::<Shop>("shop.toml", text).unwrap_err().to_string();
-        for part in [
-            "shop.toml:1: name: it is missing",
-            "shop.toml:1: open-for: \"8\" is not a span with its unit",
-            "shop.toml:2: room:",
-            "shop.toml:3: kind: it is one of \"corner\", \"chain\"",
-            "shop.toml:4: roof: there is no such key",
-        ] {
-            assert!(error.contains(part), "{part}: {error}");
-        }
-        assert_eq!(error.lines().count(), 5, "{error}");
-    }
-}
--- a/crates/documents/src/lib.rs
+++ b/crates/documents/src/lib.rs
@@ -1,12 +1,15 @@
 //! Documents that operators write: TOML with places, quantities with units, checks by a schema.
 //!
 //! - [`Places`]: where each key of a text stands; [`DocumentError`]: all that is wrong, with file, line and key.
-//! - [`Form`]: a type's JSON Schema, and all that is wrong with a value beside it, not only the first.
+//! - [`Form`]: a type's JSON Schema, and what is wrong with a value beside it, not only the first; an answer
+//!   does not grow with the document ([`MOST_LISTED`] faults, each under 1 KB).
 //! - [`units`]: spans, shares, rates and amounts of memory, each with its unit.
 
 mod form;
 mod place;
+mod text;
 pub mod units;
 
 pub use form::{Fault, Form, toml};
 pub use place::{DocumentError, Places, Problem};
+pub use text::MOST_LISTED;
--- a/crates/documents/src/place.rs
+++ b/crates/documents/src/place.rs
@@ -6,6 +6,8 @@
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
+use crate::text::{self, MOST_LISTED};
+
 /// One thing that is wrong with a document.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Problem {
@@ -17,7 +19,7 @@
     pub what: String,
 }
 
-/// All that is wrong with a document: one line each, with file, line and key.
+/// What is wrong with a document: one line each, with file, line and key.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub struct DocumentError {
     /// The file, as it was named.
@@ -112,9 +114,25 @@
         }])
     }
 
-    /// An error that names these problems in the order of the file.
-    pub fn problems(&self, mut problems: Vec<Problem>) -> DocumentError {
+    /// An error that names these problems in the order of the file: the first [`MOST_LISTED`] of them, and in a last
+    /// line how many there are beyond. No key and no text is longer than 1 KB with the other.
+    pub fn problems(&self, problems: Vec<Problem>) -> DocumentError {
+        self.problems_and_more(problems, 0)
+    }
+
+    /// As [`Places::problems`], with so many more that were counted and not kept.
+    pub(crate) fn problems_and_more(&self, mut problems: Vec<Problem>, more: usize) -> DocumentError {
         problems.sort_by_key(|p| p.line);
+        let more = more + problems.len().saturating_sub(MOST_LISTED);
+        problems.truncate(MOST_LISTED);
+        for p in &mut problems {
+            p.key = text::cut(&p.key, text::MOST_OF_PLACE);
+            p.what = text::cut(&p.what, text::MOST_OF_WHAT);
+        }
+        if more > 0 {
+            let line = problems.last().map_or(1, |p| p.line);
+            problems.push(Problem { line, key: String::new(), what: text::rest(more) });
+        }
         DocumentError { file: self.file.clone(), problems }
     }
 }
