Hold tenants at rest as packed, shared and checksummed parts; diff and check by what changes

Cause: a version's documents were held whole several times, and each change copied, checked and compared all of them. Change: hosted::catalog (persistent map of packed parts, held once where they are the same), routes, plans and checks over it.

--- a/crates/hosted/src/check.rs
+++ b/crates/hosted/src/check.rs
@@ -5,7 +5,9 @@
 
 use documents::{DocumentError, Fault, Form, Problem};
 
+use crate::catalog::Catalog;
 use crate::document::{Cluster, Service, Tenant, TenantBy};
+use crate::routes::normal;
 
 /// Reads a service's configuration.
 ///
@@ -43,7 +45,7 @@
         faults.put("/process/turning-share", "with loop-share it is more than the whole loop");
     }
     faults.within("/process/newcomers", p.newcomers.0, 0.0, 0.5);
-    faults.once("listener", service.listeners.iter().map(|l| l.name.as_str()), "name");
+    faults.once("/listener", service.listeners.iter().map(|l| l.name.as_str()), "name");
     // Port 0 is any that is free: two of them are two ports.
     let any = |a: &str| a.ends_with(":0");
     for (i, l) in service.listeners.iter().enumerate().filter(|(_, l)| !any(&l.address)) {
@@ -66,7 +68,7 @@
     if let Some(cluster) = &service.cluster {
         in_cluster(&mut faults, cluster, service.state.is_some());
     }
-    faults.once("tenant", service.tenants.iter().map(|t| t.name.as_str()), "name");
+    faults.once("/tenant", service.tenants.iter().map(|t| t.name.as_str()), "name");
     for (i, l) in service.listeners.iter().enumerate() {
         let at = format!("/listener/{i}");
         faults.address(&format!("{at}/address"), &l.address);
@@ -87,7 +89,7 @@
         let at = format!("/tenant/{i}");
         tenant(&mut faults, &at, t);
         for (h, host) in t.hosts.iter().enumerate() {
-            if hosts.insert(crate::routes::normal(host), i).is_some_and(|other| other != i) {
+            if hosts.insert(normal(host), i).is_some_and(|other| other != i) {
                 faults.put(&format!("{at}/hosts/{h}"), "it is another tenant's, too");
             }
         }
@@ -105,6 +107,48 @@
     faults.0
 }
 
+/// What is wrong with a change of a service that is right: for each fault which of the edits it is in, with a pointer into that
+/// tenant's document, or none where it is in what does not change and no longer fits, with a pointer into the whole. It looks at what
+/// changes and at what that touches, and at nothing else.
+pub fn edits(now: &Catalog, edits: &[(String, Option<Tenant>)]) -> Vec<(Option<usize>, Fault)> {
+    let mut all = Vec::new();
+    let place: BTreeMap<&str, usize> =
+        edits.iter().enumerate().map(|(i, (name, _))| (name.as_str(), i)).collect();
+    let stays = |name: &str| !place.contains_key(name);
+    let mut hosts: BTreeMap<String, usize> = BTreeMap::new();
+    let mut limits: BTreeMap<&str, (u64, usize)> = BTreeMap::new();
+    for (i, (name, tenant)) in edits.iter().enumerate() {
+        let mut faults = Faults::default();
+        let Some(t) = tenant else {
+            let names = |l: &crate::document::Listener| l.tenant.as_deref() == Some(name);
+            for (l, _) in now.frame().listeners.iter().enumerate().filter(|(_, l)| names(l)) {
+                faults.put(&format!("/listener/{l}/tenant"), "there is no such tenant");
+            }
+            all.extend(faults.0.into_iter().map(|f| (None, f)));
+            continue;
+        };
+        self::tenant(&mut faults, "", t);
+        for (h, host) in t.hosts.iter().enumerate() {
+            let others = now.host(host).is_some_and(|of| stays(of))
+                || hosts.insert(normal(host), i).is_some_and(|other| other != i);
+            if others {
+                faults.put(&format!("/hosts/{h}"), "it is another tenant's, too");
+            }
+        }
+        for (s, server) in t.servers.iter().enumerate() {
+            let Some(connections) = server.connections else { continue };
+            let other = now.users(&server.address).find(|(of, _)| stays(of)).map(|(_, limit)| limit);
+            let (first, whose) = *limits.entry(&server.address).or_insert((connections, i));
+            if other.is_some_and(|limit| limit != connections) || first != connections && whose != i {
+                faults
+                    .put(&format!("/server/{s}/connections"), "another tenant says otherwise of this server");
+            }
+        }
+        all.extend(faults.0.into_iter().map(|f| (Some(i), f)));
+    }
+    all
+}
+
 /// What is wrong with what is said of the cluster.
 fn in_cluster(faults: &mut Faults, c: &Cluster, has_state: bool) {
     if !has_state {
@@ -137,8 +181,8 @@
 /// What is wrong with one tenant, whose document stands at this pointer.
 fn tenant(faults: &mut Faults, at: &str, t: &Tenant) {
     let classes = t.classes.iter().map(|c| c.name.as_str());
-    faults.once(&format!("{}/class", &at[1..]), classes, "name");
-    faults.once(&format!("{}/server", &at[1..]), t.servers.iter().map(|s| s.name.as_str()), "name");
+    faults.once(&format!("{at}/class"), classes, "name");
+    faults.once(&format!("{at}/server"), t.servers.iter().map(|s| s.name.as_str()), "name");
     for (i, host) in t.hosts.iter().enumerate() {
         let good = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '-' | ':' | '[' | ']');
         if host.is_empty() || !host.chars().all(good) {
@@ -208,7 +252,7 @@
         let mut seen = BTreeSet::new();
         for (i, value) in keys.enumerate() {
             if !seen.insert(value) {
-                self.put(&format!("/{list}/{i}/{key}"), format!("\"{value}\" stands twice"));
+                self.put(&format!("{list}/{i}/{key}"), format!("\"{value}\" stands twice"));
             }
         }
     }
--- a/crates/hosted/src/lib.rs
+++ b/crates/hosted/src/lib.rs
@@ -8,6 +8,7 @@
 //! `tenancy`; what is over a tenant's share, its module refuses.
 
 mod book;
+pub mod catalog;
 pub mod check;
 pub mod document;
 pub mod plan;
--- a/crates/hosted/src/plan.rs
+++ b/crates/hosted/src/plan.rs
@@ -2,10 +2,9 @@
 //! and close. Without I/O; carrying a plan out never fails halfway but for the listeners, which are opened first.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 
-use crate::document::{Listener, Server, Service, State, Tenant};
-use crate::routes::Routes;
+use crate::catalog::{Catalog, Difference};
+use crate::document::{Listener, Server, State, Tenant};
 
 /// What happens to a tenant that stays.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -44,31 +43,39 @@
 
 impl Plan {
     /// What leads from one version to another.
-    pub fn between(old: &Service, new: &Service) -> Self {
-        let (before, after) = (by_name(old), by_name(new));
+    pub fn between(old: &Catalog, new: &Catalog) -> Self {
         let mut plan = Plan::default();
-        for (&name, tenant) in &after {
-            match before.get(name) {
-                None => plan.added.push(name.to_owned()),
-                Some(other) => {
+        for difference in Catalog::differences(old, new) {
+            match difference {
+                Difference::Added(name) => plan.added.push(name.to_string()),
+                Difference::Removed(name) => plan.removed.push(name.to_string()),
+                Difference::Changed(name) => {
+                    let (was, is) = (old.get(name).and_then(Result::ok), new.get(name).and_then(Result::ok));
+                    let (Some((_, was)), Some((_, is))) = (was, is) else {
+                        // What is damaged is made anew of what there is now.
+                        let all = Change { pool: true, servers: true, limits: true };
+                        plan.changed.insert(name.to_string(), all);
+                        plan.routes = true;
+                        continue;
+                    };
+                    plan.routes |= was.hosts != is.hosts;
                     let change = Change {
-                        pool: other.classes != tenant.classes || other.rules != tenant.rules,
-                        servers: other.servers != tenant.servers || other.fleet != tenant.fleet,
-                        limits: other.limits != tenant.limits,
+                        pool: was.classes != is.classes || was.rules != is.rules,
+                        servers: was.servers != is.servers || was.fleet != is.fleet,
+                        limits: was.limits != is.limits,
                     };
                     if !change.is_none() {
-                        plan.changed.insert(name.to_owned(), change);
+                        plan.changed.insert(name.to_string(), change);
                     }
                 }
             }
         }
-        plan.removed = before.keys().filter(|n| !after.contains_key(*n)).map(|n| (*n).to_owned()).collect();
+        let (before, after) = (&old.frame().listeners, &new.frame().listeners);
         let at = |l: &Listener| (l.name.clone(), l.address.clone());
         let stays = |all: &[Listener], l: &Listener| all.iter().any(|o| at(o) == at(l));
-        plan.opened = new.listeners.iter().filter(|l| !stays(&old.listeners, l)).cloned().collect();
-        let closed = old.listeners.iter().filter(|l| !stays(&new.listeners, l));
-        plan.closed = closed.map(|l| l.name.clone()).collect();
-        plan.routes = Routes::of(old) != Routes::of(new);
+        plan.opened = after.iter().filter(|l| !stays(before, l)).cloned().collect();
+        plan.closed = before.iter().filter(|l| !stays(after, l)).map(|l| l.name.clone()).collect();
+        plan.routes |= !plan.added.is_empty() || !plan.removed.is_empty() || before != after;
         plan
     }
 
@@ -78,55 +85,48 @@
     }
 }
 
-fn by_name(service: &Service) -> BTreeMap<&str, &Tenant> {
-    service.tenants.iter().map(|t| (t.name.as_str(), t)).collect()
-}
-
 /// A change with all that can be worked out ahead of it, so that carrying it out takes the event loop little time however
 /// many tenants there are.
 #[derive(Clone, Debug)]
 pub struct Prepared {
     /// The service as it is to be.
-    pub next: Arc<Service>,
+    pub next: Catalog,
     /// What that comes to.
     pub plan: Plan,
-    pub(crate) routes: Routes,
-    /// The documents of tenants that come or change.
-    pub(crate) tenants: Vec<Tenant>,
-    /// Shared servers whose limit or users, or these users' weights, are others; one that is shared no longer has no users.
-    pub(crate) shared: BTreeMap<String, (u64, Vec<String>)>,
+    /// Servers with limits whose users, or these users' weights, may be others.
+    pub(crate) limited: BTreeSet<String>,
 }
 
 impl Prepared {
     /// What leads from one version to another.
-    pub fn between(old: &Service, next: Arc<Service>) -> Self {
+    pub fn between(old: &Catalog, next: Catalog) -> Self {
         let plan = Plan::between(old, &next);
-        let concerned = |name: &String| plan.added.contains(name) || plan.changed.contains_key(name);
-        let tenants = next.tenants.iter().filter(|t| concerned(&t.name)).cloned().collect();
-        let before = shared(old);
-        let mut servers = shared(&next);
-        for address in before.keys() {
-            servers.entry(address.clone()).or_default();
+        let mut limited = BTreeSet::new();
+        for name in plan.added.iter().chain(&plan.removed).chain(plan.changed.keys()) {
+            for (_, tenant) in [old, &next].into_iter().filter_map(|c| c.get(name)?.ok()) {
+                let of = tenant.servers.into_iter().filter(|s| s.connections.is_some());
+                limited.extend(of.map(|s| s.address));
+            }
         }
-        let same = |users: &Vec<String>| !users.iter().any(concerned);
-        servers.retain(|address, now| before.get(address) != Some(now) || !same(&now.1));
-        Prepared { routes: Routes::of(&next), next, plan, tenants, shared: servers }
+        Prepared { next, plan, limited }
     }
 }
 
 /// The servers that a version ends, by tenant: those that take new work under the one before, and drain or are gone with it. Where
 /// a tenant would have none left meanwhile they are not named: it needs what comes with the new version first.
-pub fn ended(old: &Service, new: &Service) -> BTreeMap<String, BTreeSet<String>> {
-    let after = by_name(new);
-    let up = |t: &Tenant| -> BTreeSet<String> {
-        t.servers.iter().filter(|s| s.state == State::Up).map(|s| s.name.clone()).collect()
+pub fn ended(old: &Catalog, new: &Catalog) -> BTreeMap<String, BTreeSet<String>> {
+    let up = |t: Tenant| -> BTreeSet<String> {
+        t.servers.into_iter().filter(|s| s.state == State::Up).map(|s| s.name).collect()
     };
+    let of =
+        |c: &Catalog, name: &str| c.get(name).and_then(Result::ok).map(|(_, t)| up(t)).unwrap_or_default();
     let mut all = BTreeMap::new();
-    for tenant in &old.tenants {
-        let (before, stay) = (up(tenant), after.get(tenant.name.as_str()).map(|t| up(t)).unwrap_or_default());
+    for difference in Catalog::differences(old, new) {
+        let (Difference::Changed(name) | Difference::Removed(name)) = difference else { continue };
+        let (before, stay) = (of(old, name), of(new, name));
         let ends: BTreeSet<String> = before.difference(&stay).cloned().collect();
         if !ends.is_empty() && ends.len() < before.len() {
-            all.insert(tenant.name.clone(), ends);
+            all.insert(name.to_string(), ends);
         }
     }
     all
@@ -157,19 +157,3 @@
         self.0.get(name).map_or(0.0, |(_, born)| *born)
     }
 }
-
-/// Servers that several tenants use and that have a limit: their address, how many attempts they take, and who uses them.
-pub fn shared(service: &Service) -> BTreeMap<String, (u64, Vec<String>)> {
-    let mut all: BTreeMap<String, (u64, Vec<String>)> = BTreeMap::new();
-    for t in &service.tenants {
-        for s in &t.servers {
-            let Some(connections) = s.connections else { continue };
-            let users = &mut all.entry(s.address.clone()).or_insert((connections, Vec::new())).1;
-            if users.last() != Some(&t.name) {
-                users.push(t.name.clone());
-            }
-        }
-    }
-    all.retain(|_, (_, users)| users.len() > 1);
-    all
-}
--- a/crates/hosted/src/plane.rs
+++ b/crates/hosted/src/plane.rs
@@ -8,7 +8,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
-use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use engine::account::Account;
@@ -29,6 +28,7 @@
 use wharfhitch::{Class, Discovery, Effect, Prices, Rating, Settings, ZoneId};
 
 use crate::book::{Book, Holder};
+use crate::catalog::{Catalog, Name, Parts};
 use crate::document::{self, Service, State, Tenant};
 use crate::plan::{Births, Change, Plan, Prepared};
 use crate::routes::Routes;
@@ -78,9 +78,8 @@
 pub struct Plane {
     process: Rc<Process>,
     book: Rc<Book>,
-    document: RefCell<Arc<Service>>,
     routes: RefCell<Routes>,
-    tenants: RefCell<BTreeMap<String, Live>>,
+    tenants: RefCell<BTreeMap<Name, Live>>,
     /// Accounts of listeners, for connections that have not named a tenant yet.
     strangers: RefCell<BTreeMap<String, Rc<Holder>>>,
     listeners: RefCell<BTreeMap<String, Open>>,
@@ -158,8 +157,10 @@
         Rc::new_cyclic(|myself| Plane {
             process: Rc::new(Process::new(process.server_sockets as usize).behind(gate)),
             book,
-            document: RefCell::new(Arc::new(Service { process: process.clone(), ..Service::default() })),
-            routes: RefCell::default(),
+            routes: RefCell::new(Routes::of(&Catalog::new(&Service {
+                process: process.clone(),
+                ..Service::default()
+            }))),
             tenants: RefCell::default(),
             strangers: RefCell::default(),
             listeners: RefCell::default(),
@@ -174,12 +175,20 @@
         })
     }
 
+    /// Goes over to what a whole document says; returns what that came to.
+    ///
+    /// # Errors
+    /// A listener can't be opened: then nothing has changed.
+    pub fn apply(&self, next: &Service) -> Result<Plan, String> {
+        self.go_over(Catalog::of(next, &mut Parts::default()))
+    }
+
     /// Goes over to the next version; returns what that came to.
     ///
     /// # Errors
     /// A listener can't be opened: then nothing has changed.
-    pub fn apply(&self, next: Service) -> Result<Plan, String> {
-        let prepared = Prepared::between(&self.document(), Arc::new(next));
+    pub fn go_over(&self, next: Catalog) -> Result<Plan, String> {
+        let prepared = Prepared::between(&self.catalog(), next);
         let plan = prepared.plan.clone();
         self.carry_out(prepared)?;
         Ok(plan)
@@ -190,10 +199,10 @@
     /// # Errors
     /// A listener can't be opened: then nothing has changed.
     pub fn carry_out(&self, prepared: Prepared) -> Result<(), String> {
-        let Prepared { next, plan, routes, tenants: documents, shared } = prepared;
+        let Prepared { next, plan, limited } = prepared;
         let opened = self.open(&plan)?;
         for name in &plan.removed {
-            if let Some(live) = self.tenants.borrow_mut().remove(name) {
+            if let Some(live) = self.tenants.borrow_mut().remove(name.as_str()) {
                 // Its servers get nothing new; what is under way there ends, and with it the pool.
                 live.running.end();
                 live.running.feed.whole(Vec::new());
@@ -201,21 +210,30 @@
             }
         }
         let first = self.version.get() == 0;
-        for tenant in documents {
+        for name in plan.added.iter().chain(plan.changed.keys()) {
+            let Some(name) = next.name(name) else { continue };
+            let tenant = match next.get(name) {
+                Some(Ok((_, tenant))) => tenant,
+                Some(Err(e)) => {
+                    tracing::error!(error = %e, "a tenant can't be served");
+                    continue;
+                }
+                None => continue,
+            };
             let mut tenants = self.tenants.borrow_mut();
-            match (plan.changed.get(&tenant.name), tenants.get_mut(&tenant.name)) {
+            match (plan.changed.get(&tenant.name), tenants.get_mut(name)) {
                 (Some(change), Some(live)) => {
                     live.document = tenant;
                     self.change(live, *change, first);
                 }
                 _ => {
                     let live = self.start(tenant, first);
-                    tenants.insert(live.document.name.clone(), live);
+                    tenants.insert(name.clone(), live);
                 }
             }
         }
-        self.share_servers(shared);
-        *self.routes.borrow_mut() = routes;
+        self.share_servers(&next, &limited);
+        *self.routes.borrow_mut() = Routes::of(&next);
         for name in &plan.closed {
             // It may have been opened anew at another address, under the same name.
             let mut listeners = self.listeners.borrow_mut();
@@ -227,7 +245,6 @@
         for (name, listener, address) in opened {
             self.serve(&name, listener, address);
         }
-        *self.document.borrow_mut() = next;
         self.version.set(self.version.get() + 1);
         Ok(())
     }
@@ -320,7 +337,7 @@
             while let Some(update) = updates.recv().await {
                 let Some(plane) = plane.upgrade() else { return };
                 let mut tenants = plane.tenants.borrow_mut();
-                let Some(live) = tenants.get_mut(&name) else { return };
+                let Some(live) = tenants.get_mut(name.as_str()) else { return };
                 live.hear(update);
             }
         });
@@ -337,7 +354,7 @@
             if let Err(e) = end {
                 tracing::error!(tenant = name, error = %e, "its module has failed; it gets a new one");
                 if let Some(plane) = plane.upgrade()
-                    && let Some(live) = plane.tenants.borrow_mut().get_mut(&name)
+                    && let Some(live) = plane.tenants.borrow_mut().get_mut(name.as_str())
                 {
                     plane.renew(live);
                     live.tell();
@@ -356,17 +373,21 @@
         live.former.retain(Feed::is_alive);
     }
 
-    fn share_servers(&self, servers: BTreeMap<String, (u64, Vec<String>)>) {
+    fn share_servers(&self, catalog: &Catalog, addresses: &BTreeSet<String>) {
         let tenants = self.tenants.borrow();
-        for (address, (connections, users)) in servers {
-            let Ok(address) = address.parse() else { continue };
-            let member = |name: &String| {
+        for address in addresses {
+            let Ok(at) = address.parse() else { continue };
+            let member = |(name, _): (&Name, u64)| {
                 let live = tenants.get(name)?;
                 Some((live.account.clone(), live.document.limits.weight))
             };
-            // Without users it is forgotten: one user needs no share.
-            let members: Vec<_> = users.iter().filter_map(member).collect();
-            self.book.share_server(service::server_number(address), connections, &members);
+            let connections = catalog.users(address).next().map_or(0, |(_, connections)| connections);
+            let mut members: Vec<_> = catalog.users(address).filter_map(member).collect();
+            // One user needs no share: the server is forgotten.
+            if members.len() < 2 {
+                members.clear();
+            }
+            self.book.share_server(service::server_number(at), connections, &members);
         }
     }
 
@@ -374,7 +395,7 @@
     /// that ends them may take a while to take hold, and need not be waited for.
     pub fn hold_off(&self, servers: &BTreeMap<String, BTreeSet<String>>) {
         for (name, live) in self.tenants.borrow_mut().iter_mut() {
-            let now = servers.get(name).cloned().unwrap_or_default();
+            let now = servers.get(&**name).cloned().unwrap_or_default();
             if now != live.held_off {
                 live.held_off = now;
                 live.tell();
@@ -419,10 +440,10 @@
     /// The version that is open here, how many tenants there are, and those whose list of servers is not known to be current.
     pub fn known(&self) -> (Option<u64>, usize, Vec<String>) {
         let tenants = self.tenants.borrow();
-        let unknown = |(name, live): (&String, &Live)| {
+        let unknown = |(name, live): (&Name, &Live)| {
             let followed = live.followed.as_ref()?;
             let current = followed.status.as_ref().is_some_and(|s| s.phase == fleet::Phase::Watching);
-            (!current).then(|| name.clone())
+            (!current).then(|| name.to_string())
         };
         (self.opens.get(), tenants.len(), tenants.iter().filter_map(unknown).collect())
     }
@@ -437,9 +458,9 @@
         self.listeners.borrow().iter().map(|(name, open)| (name.clone(), open.address)).collect()
     }
 
-    /// The present version's document.
-    pub fn document(&self) -> Arc<Service> {
-        self.document.borrow().clone()
+    /// The present version.
+    pub fn catalog(&self) -> Catalog {
+        self.routes.borrow().catalog().clone()
     }
 
     /// How one tenant fares.
@@ -531,7 +552,7 @@
     }
 }
 
-fn status((name, live): (&String, &Live)) -> TenantStatus {
+fn status((name, live): (&Name, &Live)) -> TenantStatus {
     let used = live.account.used();
     let listed = &live.document.servers;
     let servers = match &live.followed {
@@ -548,7 +569,7 @@
         held: s.servers[2],
     });
     TenantStatus {
-        name: name.clone(),
+        name: name.to_string(),
         ready: live.running.pool.is_ready(),
         servers,
         fleet: followed,
--- a/crates/hosted/src/routes.rs
+++ b/crates/hosted/src/routes.rs
@@ -2,14 +2,14 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::document::{Service, TenantBy};
+use crate::catalog::{Catalog, Name};
+use crate::document::TenantBy;
 
 /// The tenants' ways in, as one version of the service has them.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct Routes {
     listeners: FxHashMap<String, Way>,
-    hosts: FxHashMap<String, String>,
-    names: rustc_hash::FxHashSet<String>,
+    catalog: Catalog,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -24,19 +24,20 @@
 pub struct NoTenant;
 
 impl Routes {
-    /// The table of a service.
-    pub fn of(service: &Service) -> Self {
+    /// The table of a version.
+    pub fn of(catalog: &Catalog) -> Self {
         let way = |l: &crate::document::Listener| match l.tenant_by {
             TenantBy::Listener => Way::Tenant(l.tenant.clone().unwrap_or_default()),
             TenantBy::Host => Way::Host,
             TenantBy::Header => Way::Header,
         };
-        let hosts = service.tenants.iter().flat_map(|t| t.hosts.iter().map(|h| (normal(h), t.name.clone())));
-        Routes {
-            listeners: service.listeners.iter().map(|l| (l.name.clone(), way(l))).collect(),
-            hosts: hosts.collect(),
-            names: service.tenants.iter().map(|t| t.name.clone()).collect(),
-        }
+        let listeners = catalog.frame().listeners.iter().map(|l| (l.name.clone(), way(l))).collect();
+        Routes { listeners, catalog: catalog.clone() }
+    }
+
+    /// The version's tenants.
+    pub fn catalog(&self) -> &Catalog {
+        &self.catalog
     }
 
     /// The tenant whose all requests of a listener are.
@@ -51,13 +52,13 @@
     ///
     /// # Errors
     /// It names none that is there.
-    pub fn find(&self, listener: &str, host: Option<&str>, header: Option<&str>) -> Result<&str, NoTenant> {
-        let name = match self.listeners.get(listener).ok_or(NoTenant)? {
-            Way::Tenant(name) => name.as_str(),
-            Way::Host => self.hosts.get(&normal(host.ok_or(NoTenant)?)).ok_or(NoTenant)?,
-            Way::Header => header.ok_or(NoTenant)?,
+    pub fn find(&self, listener: &str, host: Option<&str>, header: Option<&str>) -> Result<&Name, NoTenant> {
+        let found = match self.listeners.get(listener).ok_or(NoTenant)? {
+            Way::Tenant(name) => self.catalog.name(name),
+            Way::Host => self.catalog.host(host.ok_or(NoTenant)?),
+            Way::Header => self.catalog.name(header.ok_or(NoTenant)?),
         };
-        self.names.get(name).map(String::as_str).ok_or(NoTenant)
+        found.ok_or(NoTenant)
     }
 }
 
@@ -73,22 +74,3 @@
     };
     name.trim_end_matches('.').to_ascii_lowercase()
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn hosts_are_compared_without_port_case_and_last_dot() {
-        for (host, same) in [
-            ("North.Example:8080", "north.example"),
-            ("north.example.", "north.example"),
-            (" north.example ", "north.example"),
-            ("[::1]:80", "[::1]"),
-            ("[::1]", "[::1]"),
-            ("127.0.0.1:9", "127.0.0.1"),
-        ] {
-            assert_eq!(normal(host), same);
-        }
-    }
-}
--- a/crates/hosted/tests/documents.rs
+++ b/crates/hosted/tests/documents.rs
@@ -1,8 +1,9 @@
 //! Documents, routes and plans, without a socket.
 
+use hosted::catalog::{Catalog, Parts};
 use hosted::check;
 use hosted::document::{Server, Service, State};
-use hosted::plan::{Births, Change, Plan, shared};
+use hosted::plan::{Births, Change, Plan};
 use hosted::routes::{NoTenant, Routes};
 
 const GOOD: &str = r#"
@@ -68,6 +69,10 @@
         .unwrap()
 }
 
+fn at_rest(service: &Service) -> Catalog {
+    Catalog::of(service, &mut Parts::default())
+}
+
 #[test]
 fn a_good_document_is_read_with_its_defaults() {
     let service = good();
@@ -75,7 +80,9 @@
     assert_eq!(service.tenants[0].limits.weight, 2.0);
     assert_eq!(service.tenants[0].servers[1].state, State::Draining);
     assert_eq!(service.tenants[1].rules.max_attempts, 3);
-    assert_eq!(shared(&service)["127.0.0.1:9001"], (8, vec!["north".to_owned(), "south".to_owned()]));
+    let catalog = at_rest(&service);
+    let users: Vec<(&str, u64)> = catalog.users("127.0.0.1:9001").map(|(n, limit)| (&**n, limit)).collect();
+    assert_eq!(users, [("north", 8), ("south", 8)]);
 }
 
 #[test]
@@ -127,13 +134,14 @@
 
 #[test]
 fn a_request_finds_its_tenant_by_host_by_header_or_by_listener() {
-    let routes = Routes::of(&good());
+    let routes = Routes::of(&at_rest(&good()));
+    let find = |listener, host, header| routes.find(listener, host, header).map(|name| &**name);
     for host in ["north.example", "NORTH.example.:8080"] {
-        assert_eq!(routes.find("public", Some(host), Some("south")), Ok("north"));
+        assert_eq!(find("public", Some(host), Some("south")), Ok("north"));
     }
-    assert_eq!(routes.find("public", Some("south.example"), None), Ok("south"));
-    assert_eq!(routes.find("inner", Some("north.example"), Some("south")), Ok("south"));
-    assert_eq!(routes.find("north-only", None, Some("south")), Ok("north"));
+    assert_eq!(find("public", Some("south.example"), None), Ok("south"));
+    assert_eq!(find("inner", Some("north.example"), Some("south")), Ok("south"));
+    assert_eq!(find("north-only", None, Some("south")), Ok("north"));
     for (listener, host, header) in [
         ("public", None, None),
         ("public", Some("elsewhere.example"), Some("north")),
@@ -141,7 +149,7 @@
         ("inner", None, Some("nobody")),
         ("nowhere", Some("north.example"), Some("north")),
     ] {
-        assert_eq!(routes.find(listener, host, header), Err(NoTenant), "{listener} {host:?} {header:?}");
+        assert_eq!(find(listener, host, header), Err(NoTenant), "{listener} {host:?} {header:?}");
     }
     assert_eq!((routes.owner("north-only"), routes.owner("public")), (Some("north"), None));
 }
@@ -149,11 +157,12 @@
 #[test]
 fn a_plan_names_what_changes_and_nothing_else() {
     let old = good();
-    assert!(Plan::between(&old, &old).is_empty());
+    let between = |old: &Service, new: &Service| Plan::between(&at_rest(old), &at_rest(new));
+    assert!(between(&old, &old).is_empty());
     let mut new = old.clone();
     new.tenants[0].servers.pop();
     new.tenants[1].limits.weight = 5.0;
-    let plan = Plan::between(&old, &new);
+    let plan = between(&old, &new);
     let servers = Change { servers: true, ..Change::default() };
     let limits = Change { limits: true, ..Change::default() };
     assert_eq!(
@@ -166,7 +175,7 @@
     new.tenants[0].classes[0].name = "search".into();
     new.tenants.remove(1);
     new.listeners[1].address = "127.0.0.1:8081".into();
-    let plan = Plan::between(&old, &new);
+    let plan = between(&old, &new);
     assert!(plan.changed["north"].pool && !plan.changed["north"].servers);
     assert_eq!((plan.removed, plan.closed), (vec!["south".to_owned()], vec!["inner".to_owned()]));
     assert_eq!(plan.opened[0].address, "127.0.0.1:8081");
@@ -216,9 +225,10 @@
         }
         match check::read("x.toml", &text) {
             Ok(service) => {
-                let plan = Plan::between(&Service::default(), &service);
+                let service_at_rest = at_rest(&service);
+                let plan = Plan::between(&Catalog::new(&Service::default()), &service_at_rest);
                 proptest::prop_assert_eq!(plan.added.len(), service.tenants.len());
-                let _ = Routes::of(&service);
+                let _ = Routes::of(&service_at_rest);
             }
             Err(e) => {
                 proptest::prop_assert!(!e.problems.is_empty());
--- /dev/null
+++ b/crates/hosted/tests/routes.rs
@@ -0,0 +1,17 @@
+//! How hosts are compared.
+
+use hosted::routes::normal;
+
+#[test]
+fn hosts_are_compared_without_port_case_and_last_dot() {
+    for (host, same) in [
+        ("North.Example:8080", "north.example"),
+        ("north.example.", "north.example"),
+        (" north.example ", "north.example"),
+        ("[::1]:80", "[::1]"),
+        ("[::1]", "[::1]"),
+        ("127.0.0.1:9", "127.0.0.1"),
+    ] {
+        assert_eq!(normal(host), same);
+    }
+}
