Let a decision module's knowledge of ejections and cold budgets outlast it

A pool that is made anew for a tenant would send to a server that the one before had closed, and give a cold one a second budget. Balancer::standing tells both, Event::Standing hands them to the next module after its list; of a server whose process is another one nothing is taken over. The policy file has one more arm and decides nothing otherwise.

--- a/crates/wharfhitch/src/choice.rs
+++ b/crates/wharfhitch/src/choice.rs
@@ -191,6 +191,9 @@
             Event::Spent(id) => self.spend(id),
             Event::Settings(cfg) => self.settle_on(now, *cfg),
             Event::Proxies { me, proxies } => self.divide(now, me, proxies),
+            Event::Standing(known) => {
+                self.resume(&known).into_iter().for_each(|k| self.rate(k, self.warmth(k, now), now));
+            }
             Event::Unadmitted { id, wait } => return self.turn_away(id, wait, out),
             Event::Started { request, attempt, worked } => {
                 self.started(now, request, attempt as usize, worked, out);
--- a/crates/wharfhitch/src/interface.rs
+++ b/crates/wharfhitch/src/interface.rs
@@ -294,6 +294,9 @@
     /// proxy is (its number, how many there are, its zone, how news comes) stays as it started. A request
     /// under way keeps the effect and the attempts that it came under.
     Settings(Box<Settings>),
+    /// What a module knew of these servers when it was put to rest, for another one in its place. It comes after the list and before
+    /// all requests.
+    Standing(Box<Standing>),
     /// Proxies have come or gone, where that is told: this one's number, and how many there are now. What all of them may send
     /// together is divided anew.
     Proxies {
@@ -366,3 +369,52 @@
     /// Ask for the whole list once.
     FetchList,
 }
+
+/// What outlasts a module that is put to rest: what it holds against servers, and what cold ones may still be sent. Speeds are
+/// learnt anew.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Standing {
+    /// How many proxies shared the servers then.
+    pub proxies: u32,
+    /// Servers of which there is something to say.
+    pub servers: Vec<ServerStanding>,
+}
+
+/// What there is to say of one server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerStanding {
+    /// Which.
+    pub id: BackendId,
+    /// When its process started, as the list told. Of another process nothing of this is true.
+    pub since: Option<Millis>,
+    /// What is held against it as a whole.
+    pub whole: Option<Ejection>,
+    /// And for some classes alone.
+    pub classes: Vec<(ClassId, Ejection)>,
+    /// What it may still be sent while it is cold.
+    pub cold: Option<ColdBudget>,
+}
+
+/// A server's closing, and how it comes back.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ejection {
+    /// Running mean of its failures.
+    pub fails: f64,
+    /// It gets nothing before this, on the module's clock in ms.
+    pub until: Millis,
+    /// The next closing's length.
+    pub backoff: Millis,
+    /// It is back, and still to prove itself.
+    pub trial: bool,
+}
+
+/// The budget of a cold server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdBudget {
+    /// Sends that it allows.
+    pub tokens: f64,
+    /// When that was so.
+    pub at: Millis,
+    /// The most that a request may take of it for one send.
+    pub grant: f64,
+}
--- a/crates/wharfhitch/src/lib.rs
+++ b/crates/wharfhitch/src/lib.rs
@@ -4,7 +4,7 @@
 //! that the proxy sees, and carry out the [`Action`]s that it returns. It holds no clock either: the time comes
 //! with each event, and chance from one seed.
 //!
-//! `choice.rs` holds every decision. Below it stand what it knows (`records.rs`, `state.rs`) and plumbing that
+//! `choice.rs` holds every decision. Below it stand what it knows (`records.rs`, `state.rs`, `standing.rs`) and plumbing that
 //! decides nothing (`bands.rs`, `message.rs`, `hash.rs`), over `interface.rs`: events, actions and settings.
 
 mod bands;
@@ -13,6 +13,7 @@
 mod interface;
 mod message;
 mod records;
+mod standing;
 mod state;
 
 pub use choice::threshold;
--- a/crates/wharfhitch/tests/limits.rs
+++ b/crates/wharfhitch/tests/limits.rs
@@ -17,13 +17,14 @@
 }
 
 /// Every file of the module, from the lowest up.
-const FILES: [(&str, &str); 7] = [
+const FILES: [(&str, &str); 8] = [
     ("interface", include_str!("../src/interface.rs")),
     ("hash", include_str!("../src/hash.rs")),
     ("records", include_str!("../src/records.rs")),
     ("bands", include_str!("../src/bands.rs")),
     ("message", include_str!("../src/message.rs")),
     ("state", include_str!("../src/state.rs")),
+    ("standing", include_str!("../src/standing.rs")),
     ("choice", MODULE),
 ];
 
