--- a/crates/engine/src/driver.rs
+++ b/crates/engine/src/driver.rs
@@ -1,5 +1,6 @@
 //! The sole owner of the decision module: feeds it what the sockets see and does what it says, in order.
 
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
@@ -13,7 +14,7 @@
 use tokio::time::{Instant, sleep_until};
 use wharfhitch::{
     Action, Backend, BackendId, Balancer, CellId, ClassId, Event, KindId, Millis, Outcome, RequestId, Scope,
-    State, ZoneId,
+    Standing, State, ZoneId,
 };
 
 use crate::account::{self, Account};
@@ -83,9 +84,32 @@
     pub counts: Rc<Counts>,
 }
 
+/// What is seen of a driver from outside, between its turns: whether anything is under way, and what its module knows then.
+pub struct Known {
+    /// It holds no request, nor has it attempts out.
+    still: Cell<bool>,
+    balancer: RefCell<Balancer>,
+}
+
+impl Known {
+    pub fn new(balancer: Balancer) -> Rc<Self> {
+        Rc::new(Known { still: Cell::new(true), balancer: RefCell::new(balancer) })
+    }
+
+    /// Whether it holds no request and has no attempt out.
+    pub fn is_still(&self) -> bool {
+        self.still.get()
+    }
+
+    /// What the module holds against servers, and what cold ones may still be sent.
+    pub fn standing(&self, now: Millis) -> Standing {
+        self.balancer.borrow().standing(now)
+    }
+}
+
 /// Runs the module on what comes in.
 pub struct Driver {
-    balancer: Balancer,
+    known: Rc<Known>,
     names: Names,
     parts: Parts,
     endpoints: FxHashMap<BackendId, Rc<Endpoint>>,
@@ -102,7 +126,7 @@
 impl Driver {
     pub fn new(balancer: Balancer, names: Names, parts: Parts) -> Self {
         Driver {
-            balancer,
+            known: Known::new(balancer),
             names,
             parts,
             endpoints: FxHashMap::default(),
@@ -115,6 +139,11 @@
         }
     }
 
+    /// What is seen of it from outside.
+    pub fn known(&self) -> Rc<Known> {
+        self.known.clone()
+    }
+
     /// Takes inputs and timers for as long as the process runs, or until the pool is retired and all is answered.
     pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
         let mut sweep = Instant::now() + SWEEP;
@@ -128,6 +157,7 @@
                 let Some(input) = inputs.recv().await else { return };
                 self.wake();
                 self.take(input);
+                self.known.still.set(self.live.is_empty());
                 (busy, fired) = (Instant::now(), true);
             }
             let next = self.due.peek().map_or(sweep, |Reverse((at, _))| (*at).min(sweep));
@@ -150,6 +180,7 @@
                     Due::LastResort(id) => self.last_resort(id),
                 }
             }
+            self.known.still.set(self.live.is_empty());
             if self.retired && self.live.is_empty() {
                 return self.endpoints.values().for_each(|e| e.set_open(false));
             }
@@ -198,6 +229,7 @@
             Input::Datagram { from, bytes } => self.handle(Event::Message { from, bytes }),
             Input::Proxies { me, proxies } => self.handle(Event::Proxies { me, proxies }),
             Input::Settings(settings) => self.handle(Event::Settings(settings)),
+            Input::Standing(standing) => self.handle(Event::Standing(standing)),
             Input::Ask(tell) => {
                 let _ = tell.send(self.held()); // who asked may have left
             }
@@ -352,7 +384,7 @@
 
     /// What is held now.
     fn held(&self) -> Held {
-        let (listed, avoided) = self.balancer.fleet(self.parts.clock.now());
+        let (listed, avoided) = self.known.balancer.borrow().fleet(self.parts.clock.now());
         let current =
             self.live.values().filter(|l| l.class.is_some() && (l.answer.is_some() || l.passing)).count();
         Held { current, listed, avoided }
@@ -421,7 +453,7 @@
     fn handle(&mut self, event: Event) {
         let now = self.parts.clock.now();
         let mut actions = std::mem::take(&mut self.actions);
-        self.balancer.handle(now, event, &mut actions);
+        self.known.balancer.borrow_mut().handle(now, event, &mut actions);
         for action in actions.drain(..) {
             self.perform(action);
         }
--- a/crates/engine/src/frontend.rs
+++ b/crates/engine/src/frontend.rs
@@ -64,13 +64,29 @@
 /// Wait after a failed accept, lest it spin.
 const PAUSE: Duration = Duration::from_millis(10);
 
+/// There is no pool for a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Missing {
+    /// The answer says why.
+    Plain(StatusCode, &'static str),
+    /// There may be one after so many ms; the request is refused.
+    Later(f64),
+    /// There is one for whoever has had a turn ([`Router::turn`]).
+    Turn,
+}
+
 /// Finds the pool of a request.
 pub trait Router: 'static {
-    /// The pool that a request's head names.
+    /// The pool that a request's head names; `turn` says that it has had its turn.
     ///
     /// # Errors
-    /// There is none: the status and text of the answer.
-    fn pool(&self, uri: &Uri, headers: &HeaderMap) -> Result<Rc<Pool>, (StatusCode, &'static str)>;
+    /// There is none now.
+    fn pool(&self, uri: &Uri, headers: &HeaderMap, turn: bool) -> Result<Rc<Pool>, Missing>;
+
+    /// Waits for one turn of those in which pools are made.
+    fn turn(&self) -> impl Future<Output = ()> {
+        std::future::ready(())
+    }
 
     /// The account of connections that have not named a tenant yet, in a process of many.
     fn strangers(&self) -> Option<Rc<dyn Account>>;
@@ -90,6 +106,16 @@
     fn make_room(&self);
 }
 
+impl Missing {
+    fn answer(self) -> Response<Inbound> {
+        match self {
+            Missing::Plain(status, text) => plain(status, text).map(Inbound::from),
+            Missing::Later(wait) => finished(Ok(Answer::Refused(Some(wait)))),
+            Missing::Turn => finished(Ok(Answer::Refused(None))), // it has had one: nobody says so
+        }
+    }
+}
+
 /// One pool for all requests, as the platform's proxy has it.
 pub struct One {
     pub pool: Rc<Pool>,
@@ -97,7 +123,7 @@
 }
 
 impl Router for One {
-    fn pool(&self, _: &Uri, _: &HeaderMap) -> Result<Rc<Pool>, (StatusCode, &'static str)> {
+    fn pool(&self, _: &Uri, _: &HeaderMap, _: bool) -> Result<Rc<Pool>, Missing> {
         Ok(self.pool.clone())
     }
 
@@ -272,19 +298,14 @@
             async move {
                 client.busy.set(true);
                 let by = client.whole_by(client.begun.take().unwrap_or_else(Instant::now));
-                let closed = match front.router.gate().filter(|_| request.uri().path() != "/up") {
-                    Some(gate) => gate.pass().await.err(),
-                    None => None,
-                };
-                // After the gate and in the same turn, so that the routes are those of the version that it let pass under.
-                let pool = front.router.pool(request.uri(), request.headers());
+                let (pool, closed) = front.find(&request).await;
                 let figures = pool.as_ref().ok().and_then(|p| p.features.figures.as_ref().map(|f| (f, p)));
                 let flight = figures.and_then(|(f, pool)| f.begin(&request, &pool.terms.borrow().names));
                 let mut response = match &pool {
                     _ if request.uri().path() == "/up" && !over => front.up().map(Inbound::from),
                     Ok(pool) if closed.is_some() => front.refused(pool, closed.unwrap_or_default()).await,
                     Err(_) if closed.is_some() => finished(Ok(Answer::Refused(closed))),
-                    Err((status, text)) => plain(*status, text).map(Inbound::from),
+                    Err(missing) => missing.answer(),
                     Ok(pool) if over => turn_away(pool, request).map(Inbound::from),
                     Ok(pool) => front.respond(pool, request, &client, by, flight.as_ref()).await,
                 };
@@ -368,6 +389,24 @@
         }
     }
 
+    /// Finds a request's pool, once it has passed the gate; tells the span in ms to wait where that is closed.
+    async fn find<B>(&self, request: &Request<B>) -> (Result<Rc<Pool>, Missing>, Option<f64>) {
+        let mut turn = false;
+        loop {
+            let closed = match self.router.gate().filter(|_| request.uri().path() != "/up") {
+                Some(gate) => gate.pass().await.err(),
+                None => None,
+            };
+            // After the gate and in the same turn, so that the routes are those of the version that it let pass under.
+            let pool = self.router.pool(request.uri(), request.headers(), turn);
+            if turn || pool.as_ref().err() != Some(&Missing::Turn) {
+                return (pool, closed);
+            }
+            self.router.turn().await;
+            turn = true;
+        }
+    }
+
     fn up(&self) -> Response<Full<Bytes>> {
         let up = self.router.is_up() && self.life.is_up();
         plain(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
@@ -474,7 +513,7 @@
             return Err(self.refused(before, wait).await);
         }
         let error = |(status, text)| plain(status, text).map(Inbound::from);
-        let pool = self.router.pool(uri, headers).map_err(error)?;
+        let pool = self.router.pool(uri, headers, true).map_err(Missing::answer)?;
         let asked = pool.read(method, uri, headers).map_err(error)?;
         let same = match (&pool.account, &before.account) {
             (Some(now), Some(then)) => Rc::ptr_eq(now, then),
--- a/crates/engine/src/inbox.rs
+++ b/crates/engine/src/inbox.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
-use wharfhitch::{ClassId, Key, Millis, Outcome, RequestId, Scope, Settings, TenantId};
+use wharfhitch::{ClassId, Key, Millis, Outcome, RequestId, Scope, Settings, Standing, TenantId};
 
 use crate::gate::Decided;
 use crate::hosts::Host;
@@ -42,6 +42,8 @@
     Settings(Box<Settings>),
     /// This proxy's number among others that share its servers, and how many there are.
     Proxies { me: u32, proxies: u32 },
+    /// What another module knew of the servers that this one was told.
+    Standing(Box<Standing>),
     /// What is held now is asked for.
     Ask(oneshot::Sender<Held>),
     /// Nothing new comes any more: what is held is ended, and then the driver.
--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -12,11 +12,11 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::{JoinError, spawn_local};
-use wharfhitch::{Balancer, Millis, Scope, Settings};
+use wharfhitch::{Balancer, Millis, Scope, Settings, Standing};
 
 use crate::account::{self, Account};
 use crate::clock::Clock;
-use crate::driver::{Driver, Parts};
+use crate::driver::{Driver, Known, Parts};
 use crate::frontend::{self, Frontend};
 use crate::gate::{Gate, Ticket};
 use crate::inbox::{Inbox, Input};
@@ -27,7 +27,7 @@
 use crate::vars::Counts;
 
 pub use crate::driver::server_number;
-pub use crate::frontend::Router;
+pub use crate::frontend::{Missing, Router};
 pub use crate::hosts::Host;
 
 /// Bytes of memory that bodies passing through are reckoned from.
@@ -65,9 +65,21 @@
     pub feed: Feed,
     upstreams: Rc<Upstreams>,
     gate: Option<Rc<Ticket>>,
+    known: Rc<Known>,
+    clock: Clock,
 }
 
 impl Running {
+    /// Whether nothing is under way and nobody else holds the pool: it can be let go of, and no request notices.
+    pub fn is_still(&self) -> bool {
+        Rc::strong_count(&self.pool) == 1 && self.known.is_still()
+    }
+
+    /// What its module holds against servers, and what cold ones may still be sent.
+    pub fn standing(&self) -> Standing {
+        self.known.standing(self.clock.now())
+    }
+
     /// It is a former version's from here on: it decides nothing new.
     pub fn end(&self) {
         if let Some(gate) = &self.gate {
@@ -99,6 +111,11 @@
         self.inbox.put(Input::List { scope: Scope::Delta, seq: None, hosts });
     }
 
+    /// What another module knew of the servers of the list that was told before.
+    pub fn resume(&self, standing: Standing) {
+        self.inbox.put(Input::Standing(Box::new(standing)));
+    }
+
     /// So many processes share the servers, and this one has this number among them.
     pub fn among(&self, me: u32, proxies: u32) {
         self.inbox.put(Input::Proxies { me, proxies });
@@ -134,6 +151,11 @@
         self.clock.now()
     }
 
+    /// Unix time in ms, as its pools reckon it: by the clock, from what the system said at the start.
+    pub fn unix_now(&self) -> Millis {
+        self.clock.unix_start() + self.clock.now()
+    }
+
     /// Starts a pool; it must be told a list before it is ready. `ended` is called when its driver has: without an error
     /// once it was retired and all was answered.
     pub fn start(
@@ -164,7 +186,9 @@
             counts: counts.clone(),
         };
         let balancer = Balancer::new(terms.settings.clone(), terms.seed);
-        let driver = Driver::new(balancer, terms.names.clone(), parts).run(inputs);
+        let driver = Driver::new(balancer, terms.names.clone(), parts);
+        let known = driver.known();
+        let driver = driver.run(inputs);
         let runs = Rc::new(());
         let alive = Rc::downgrade(&runs);
         let driver = match account.clone() {
@@ -188,7 +212,8 @@
             account,
             strict: false,
         };
-        Running { pool: Rc::new(pool), feed: Feed { inbox, alive }, upstreams, gate }
+        let feed = Feed { inbox, alive };
+        Running { pool: Rc::new(pool), feed, upstreams, gate, known, clock: self.clock }
     }
 
     /// Serves a listener with at most so many connections until `stop`, and then until all that was taken is answered.
--- a/crates/engine/tests/unit/frontend.rs
+++ b/crates/engine/tests/unit/frontend.rs
@@ -36,8 +36,8 @@
 struct Nowhere(Rc<Shut>);
 
 impl Router for Nowhere {
-    fn pool(&self, _: &Uri, _: &HeaderMap) -> Result<Rc<Pool>, (StatusCode, &'static str)> {
-        Err((StatusCode::NOT_FOUND, "nothing"))
+    fn pool(&self, _: &Uri, _: &HeaderMap, _: bool) -> Result<Rc<Pool>, Missing> {
+        Err(Missing::Plain(StatusCode::NOT_FOUND, "nothing"))
     }
     fn strangers(&self) -> Option<Rc<dyn Account>> {
         Some(self.0.clone())
--- a/crates/hosted/src/book.rs
+++ b/crates/hosted/src/book.rs
@@ -1,8 +1,8 @@
 //! The accounts of all tenants: the engine's seam over the shares, and the turns in which connections are read.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
-use std::rc::Rc;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::{Rc, Weak};
 use std::task::Waker;
 use std::time::Duration;
 
@@ -12,6 +12,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::catalog::Name;
+
 /// Between two looks at tenants whose connections wait to be read, when no account allows any.
 const LOOK: Duration = Duration::from_millis(1);
 /// The event loop's time in ms that a tenant's connections may take in one round, before those of others have their turn.
@@ -34,6 +36,16 @@
     /// Counts the rounds; one ends when all that wait have had their turn, and none runs while nobody waits.
     round: Cell<u64>,
     places: RefCell<Vec<bool>>,
+    /// Tenants' accounts, for as long as anybody holds them: of a tenant at rest its clients' connections may.
+    open: RefCell<BTreeMap<Name, Weak<Holder>>>,
+    /// What tenants without an account have done; those that have done nothing are not here.
+    past: RefCell<BTreeMap<Name, Past>>,
+}
+
+/// What a tenant has done, without what it holds.
+struct Past {
+    time: Millis,
+    refused: Option<Box<[u64; 5]>>,
 }
 
 impl Book {
@@ -48,6 +60,8 @@
             some_wait: Notify::new(),
             round: Cell::new(0),
             places: RefCell::default(),
+            open: RefCell::default(),
+            past: RefCell::default(),
         })
     }
 
@@ -66,7 +80,47 @@
         places[free] = true;
         let tenant = Tenant(free);
         self.shares.borrow_mut().set(self.now(), tenant, caps);
-        Rc::new(Holder { book: self.clone(), tenant, turn: Cell::new((0, ROUND)) })
+        Rc::new(Holder { book: self.clone(), tenant, turn: Cell::new((0, ROUND)), name: RefCell::default() })
+    }
+
+    /// The account of a tenant that wakes: the one that it had if anybody holds that still, or one that goes on from there.
+    pub fn resume(self: &Rc<Self>, name: &Name, caps: &Caps) -> Rc<Holder> {
+        if let Some(holder) = self.held(name) {
+            holder.set(caps);
+            return holder;
+        }
+        let holder = self.open(caps);
+        if let Some(past) = self.past.borrow_mut().remove(name) {
+            let refused = past.refused.map_or([0; 5], |r| *r);
+            self.shares.borrow_mut().resume(holder.tenant, past.time, refused);
+        }
+        holder.name.replace(Some(name.clone()));
+        self.open.borrow_mut().insert(name.clone(), Rc::downgrade(&holder));
+        holder
+    }
+
+    /// A tenant's account, if anybody holds it.
+    pub fn held(&self, name: &str) -> Option<Rc<Holder>> {
+        self.open.borrow().get(name).and_then(Weak::upgrade)
+    }
+
+    /// What a tenant holds and has done, whether it has an account now or not.
+    pub fn used_by(&self, name: &str) -> Use {
+        if let Some(holder) = self.held(name) {
+            return holder.used();
+        }
+        let past = self.past.borrow();
+        let Some(past) = past.get(name) else { return Use::default() };
+        let refused = past.refused.as_ref().map_or([0; 5], |r| **r);
+        Use { time: past.time, refused, ..Use::default() }
+    }
+
+    /// A tenant is gone: nothing is kept of it, and one of its name that comes later is another one.
+    pub fn forget(&self, name: &str) {
+        self.past.borrow_mut().remove(name);
+        if let Some(holder) = self.open.borrow_mut().remove(name).and_then(|h| h.upgrade()) {
+            holder.name.replace(None);
+        }
     }
 
     /// Servers with limits that several tenants use.
@@ -166,6 +220,8 @@
     tenant: Tenant,
     /// The round that it is in, and the time that it may still take in it.
     turn: Cell<(u64, Millis)>,
+    /// Whose it is, if it is a tenant's that is still there.
+    name: RefCell<Option<Name>>,
 }
 
 impl Holder {
@@ -201,6 +257,14 @@
 
 impl Drop for Holder {
     fn drop(&mut self) {
+        if let Some(name) = self.name.take() {
+            let Use { time, refused, .. } = self.used();
+            self.book.open.borrow_mut().remove(&name);
+            let refused = refused.iter().any(|n| *n > 0).then(|| Box::new(refused));
+            if time > 0.0 || refused.is_some() {
+                self.book.past.borrow_mut().insert(name, Past { time, refused });
+            }
+        }
         self.close();
         // Whoever held something held this account, too: nothing is left on it.
         let queues = self.book.waiting.borrow_mut().get_mut(self.tenant.0).map(std::mem::take);
--- a/crates/hosted/src/document.rs
+++ b/crates/hosted/src/document.rs
@@ -54,6 +54,11 @@
     pub turning_share: Share,
     /// The part of each stock that tenants beyond their shares leave to idle ones.
     pub newcomers: Share,
+    /// Tenants that are held in full at once; all others are at rest. Those whose list is followed always are, and count.
+    #[schemars(range(min = 1, max = 100_000))]
+    pub resident_tenants: u64,
+    /// A tenant that nothing was asked of for this span is put to rest.
+    pub rest_after: Span,
     /// What the modules' draws come from; drawn anew at each start if it is not named.
     pub seed: Option<u64>,
 }
@@ -68,6 +73,8 @@
             loop_share: Share(0.85),
             turning_share: Share(0.1),
             newcomers: Share(0.0625),
+            resident_tenants: 1024,
+            rest_after: Span(30_000.0),
             seed: None,
         }
     }
--- a/crates/hosted/src/plan.rs
+++ b/crates/hosted/src/plan.rs
@@ -3,6 +3,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use settings::number_of;
+
 use crate::catalog::{Catalog, Difference};
 use crate::document::{Listener, Server, State, Tenant};
 
@@ -95,20 +97,37 @@
     pub plan: Plan,
     /// Servers with limits whose users, or these users' weights, may be others.
     pub(crate) limited: BTreeSet<String>,
+    /// Tenants that come or change, and whose list is followed.
+    pub(crate) followed: BTreeSet<String>,
+    /// Servers that come, or come under another address, of tenants that change: their numbers, and whether they are warm.
+    pub(crate) brought: BTreeMap<String, Vec<(u64, bool)>>,
 }
 
 impl Prepared {
     /// What leads from one version to another.
     pub fn between(old: &Catalog, next: Catalog) -> Self {
         let plan = Plan::between(old, &next);
-        let mut limited = BTreeSet::new();
+        let (mut limited, mut followed, mut brought) = (BTreeSet::new(), BTreeSet::new(), BTreeMap::new());
         for name in plan.added.iter().chain(&plan.removed).chain(plan.changed.keys()) {
-            for (_, tenant) in [old, &next].into_iter().filter_map(|c| c.get(name)?.ok()) {
-                let of = tenant.servers.into_iter().filter(|s| s.connections.is_some());
-                limited.extend(of.map(|s| s.address));
+            let of = |c: &Catalog| c.get(name).and_then(Result::ok).map(|(_, tenant)| tenant);
+            let (was, is) = (of(old), of(&next));
+            for tenant in was.iter().chain(&is) {
+                let of = tenant.servers.iter().filter(|s| s.connections.is_some());
+                limited.extend(of.map(|s| s.address.clone()));
+            }
+            let Some(is) = is else { continue };
+            if is.fleet.is_some() {
+                followed.insert(name.clone());
+            }
+            if plan.changed.get(name).is_some_and(|c| c.servers) {
+                let before: BTreeMap<&str, &str> =
+                    was.iter().flat_map(|t| &t.servers).map(|s| (&*s.name, &*s.address)).collect();
+                let comes = |s: &&Server| before.get(&*s.name) != Some(&&*s.address);
+                let comes = is.servers.iter().filter(comes).map(|s| (number_of(&s.name), s.warm));
+                brought.insert(name.clone(), comes.collect());
             }
         }
-        Prepared { next, plan, limited }
+        Prepared { next, plan, limited, followed, brought }
     }
 }
 
@@ -152,6 +171,12 @@
         }
     }
 
+    /// As they were told before, by the servers' names.
+    pub(crate) fn known(servers: &[Server], born: impl Fn(&Server) -> f64) -> Self {
+        let one = |s: &Server| (s.name.clone(), (s.address.clone(), born(s)));
+        Births(servers.iter().map(one).collect())
+    }
+
     /// When a server started.
     pub fn of(&self, name: &str) -> f64 {
         self.0.get(name).map_or(0.0, |(_, born)| *born)
--- a/crates/hosted/src/plane.rs
+++ b/crates/hosted/src/plane.rs
@@ -8,12 +8,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use engine::account::Account;
 use engine::gate::Gate;
 use engine::pool::Pool;
-use engine::service::{self, Feed, Host, Process, Router, Running, Terms};
+use engine::service::{self, Feed, Host, Missing, Process, Router, Running, Terms};
 use fleet::{Told, Update};
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{StatusCode, Uri};
@@ -29,11 +29,17 @@
 
 use crate::book::{Book, Holder};
 use crate::catalog::{Catalog, Name, Parts};
+use crate::digest::{self, Digests};
 use crate::document::{self, Service, State, Tenant};
 use crate::plan::{Births, Change, Plan, Prepared};
 use crate::routes::Routes;
 
-/// What one tenant has in the process.
+mod residents;
+
+pub use residents::Residency;
+use residents::Turns;
+
+/// What one resident tenant has in the process.
 struct Live {
     document: Tenant,
     account: Rc<Holder>,
@@ -79,7 +85,23 @@
     process: Rc<Process>,
     book: Rc<Book>,
     routes: RefCell<Routes>,
+    /// The residents.
     tenants: RefCell<BTreeMap<Name, Live>>,
+    /// Who is resident, and who waits to be.
+    residents: RefCell<residency::ResidentSet<Name>>,
+    turns: Rc<Turns>,
+    /// What is kept of tenants at rest beside their documents.
+    digests: RefCell<Digests>,
+    /// Of servers with limits the residents that use them.
+    sharers: RefCell<BTreeMap<String, BTreeSet<Name>>>,
+    /// Servers that get nothing new already, by tenant, as a change under way ends them.
+    held_off: RefCell<BTreeMap<String, BTreeSet<String>>>,
+    /// Tenants that could not be woken, as what is held of them is damaged: each is told once.
+    damaged: RefCell<BTreeSet<Name>>,
+    /// The longest wait that any resident's clients are ready for, at least.
+    longest: Cell<Duration>,
+    /// Told when a resident comes: there is something to look after.
+    some_reside: Rc<tokio::sync::Notify>,
     /// Accounts of listeners, for connections that have not named a tenant yet.
     strangers: RefCell<BTreeMap<String, Rc<Holder>>>,
     listeners: RefCell<BTreeMap<String, Open>>,
@@ -102,7 +124,9 @@
 pub struct TenantStatus {
     /// Its name.
     pub name: String,
-    /// Its module has a list.
+    /// It is held in full; otherwise it is at rest, and its first request wakes it.
+    pub resident: bool,
+    /// Its module has a list, or will have one as soon as it wakes.
     pub ready: bool,
     /// Servers that take new work, and all.
     pub servers: [usize; 2],
@@ -154,7 +178,7 @@
             newcomers: process.newcomers.0,
         });
         spawn_local(book.clone().give_turns());
-        Rc::new_cyclic(|myself| Plane {
+        let plane = Rc::new_cyclic(|myself| Plane {
             process: Rc::new(Process::new(process.server_sockets as usize).behind(gate)),
             book,
             routes: RefCell::new(Routes::of(&Catalog::new(&Service {
@@ -162,6 +186,14 @@
                 ..Service::default()
             }))),
             tenants: RefCell::default(),
+            residents: RefCell::new(residency::ResidentSet::new(residents::terms(process))),
+            turns: Turns::new(),
+            digests: RefCell::new(Digests::new(digest::MOST)),
+            sharers: RefCell::default(),
+            held_off: RefCell::default(),
+            damaged: RefCell::default(),
+            longest: Cell::default(),
+            some_reside: Rc::default(),
             strangers: RefCell::default(),
             listeners: RefCell::default(),
             version: Cell::new(0),
@@ -172,7 +204,10 @@
             takes: Cell::new(false),
             among: Cell::new((0, 1)),
             myself: myself.clone(),
-        })
+        });
+        spawn_local(plane.turns.clone().give());
+        spawn_local(Plane::look_after(plane.myself.clone(), residents::look(process)));
+        plane
     }
 
     /// Goes over to what a whole document says; returns what that came to.
@@ -199,40 +234,29 @@
     /// # Errors
     /// A listener can't be opened: then nothing has changed.
     pub fn carry_out(&self, prepared: Prepared) -> Result<(), String> {
-        let Prepared { next, plan, limited } = prepared;
+        let Prepared { next, plan, limited, followed, brought } = prepared;
         let opened = self.open(&plan)?;
         for name in &plan.removed {
-            if let Some(live) = self.tenants.borrow_mut().remove(name.as_str()) {
-                // Its servers get nothing new; what is under way there ends, and with it the pool.
-                live.running.end();
-                live.running.feed.whole(Vec::new());
-                live.former.iter().for_each(|f| f.whole(Vec::new()));
-            }
+            self.remove(name);
         }
         let first = self.version.get() == 0;
         for name in plan.added.iter().chain(plan.changed.keys()) {
             let Some(name) = next.name(name) else { continue };
-            let tenant = match next.get(name) {
-                Some(Ok((_, tenant))) => tenant,
-                Some(Err(e)) => {
-                    tracing::error!(error = %e, "a tenant can't be served");
-                    continue;
-                }
-                None => continue,
-            };
-            let mut tenants = self.tenants.borrow_mut();
-            match (plan.changed.get(&tenant.name), tenants.get_mut(name)) {
-                (Some(change), Some(live)) => {
-                    live.document = tenant;
-                    self.change(live, *change, first);
-                }
-                _ => {
-                    let live = self.start(tenant, first);
-                    tenants.insert(name.clone(), live);
-                }
+            self.damaged.borrow_mut().remove(name);
+            let (change, follows) = (plan.changed.get(&**name).copied(), followed.contains(&**name));
+            if !follows && !self.tenants.borrow().contains_key(name) {
+                let brought = brought.get(&**name).map_or(&[][..], Vec::as_slice);
+                self.change_at_rest(&next, name, change, brought, first);
+                continue;
+            }
+            match next.get(name) {
+                Some(Ok((_, tenant))) => self.change_resident(name, tenant, change, first),
+                Some(Err(e)) => tracing::error!(error = %e, "a change can't be carried out for it"),
+                None => {}
             }
         }
-        self.share_servers(&next, &limited);
+        limited.iter().for_each(|address| self.share_server(address));
+        self.warn_of_pinned();
         *self.routes.borrow_mut() = Routes::of(&next);
         for name in &plan.closed {
             // It may have been opened anew at another address, under the same name.
@@ -260,7 +284,7 @@
             self.attend(live);
         }
         if change.servers || change.pool {
-            live.births.note(&live.document.servers, first, unix_ms());
+            live.births.note(&live.document.servers, first, self.process.unix_now());
             live.tell();
         }
     }
@@ -300,28 +324,6 @@
         self.listeners.borrow_mut().insert(name.to_owned(), Open { address, stop, task });
     }
 
-    fn start(&self, tenant: Tenant, first: bool) -> Live {
-        let account = self.book.open(&caps(&tenant.limits));
-        let seed = self.seed ^ settings::number_of(&tenant.name);
-        let running = self.pool(&tenant, &account, seed, 0);
-        let mut births = Births::default();
-        births.note(&tenant.servers, first, unix_ms());
-        let mut live = Live {
-            document: tenant,
-            account,
-            running,
-            former: Vec::new(),
-            births,
-            followed: None,
-            held_off: BTreeSet::new(),
-            seed,
-            pools: 1,
-        };
-        self.attend(&mut live);
-        live.tell();
-        live
-    }
-
     /// Follows a tenant's list as its document says now. What is known of the list stands until another one comes.
     fn attend(&self, live: &mut Live) {
         let Some(settings) = live.document.fleet.clone() else {
@@ -373,29 +375,14 @@
         live.former.retain(Feed::is_alive);
     }
 
-    fn share_servers(&self, catalog: &Catalog, addresses: &BTreeSet<String>) {
-        let tenants = self.tenants.borrow();
-        for address in addresses {
-            let Ok(at) = address.parse() else { continue };
-            let member = |(name, _): (&Name, u64)| {
-                let live = tenants.get(name)?;
-                Some((live.account.clone(), live.document.limits.weight))
-            };
-            let connections = catalog.users(address).next().map_or(0, |(_, connections)| connections);
-            let mut members: Vec<_> = catalog.users(address).filter_map(member).collect();
-            // One user needs no share: the server is forgotten.
-            if members.len() < 2 {
-                members.clear();
-            }
-            self.book.share_server(service::server_number(at), connections, &members);
-        }
-    }
-
     /// These servers, by tenant, get nothing new from here on, though the present version has them; all others as it says. A change
     /// that ends them may take a while to take hold, and need not be waited for.
     pub fn hold_off(&self, servers: &BTreeMap<String, BTreeSet<String>>) {
-        for (name, live) in self.tenants.borrow_mut().iter_mut() {
-            let now = servers.get(&**name).cloned().unwrap_or_default();
+        let before = self.held_off.replace(servers.clone());
+        let mut tenants = self.tenants.borrow_mut();
+        for name in before.keys().chain(servers.keys()) {
+            let Some(live) = tenants.get_mut(name.as_str()) else { continue };
+            let now = servers.get(name).cloned().unwrap_or_default();
             if now != live.held_off {
                 live.held_off = now;
                 live.tell();
@@ -445,7 +432,7 @@
             let current = followed.status.as_ref().is_some_and(|s| s.phase == fleet::Phase::Watching);
             (!current).then(|| name.to_string())
         };
-        (self.opens.get(), tenants.len(), tenants.iter().filter_map(unknown).collect())
+        (self.opens.get(), self.routes.borrow().catalog().len(), tenants.iter().filter_map(unknown).collect())
     }
 
     /// Requests that waited at the gate, and those that it refused.
@@ -463,16 +450,6 @@
         self.routes.borrow().catalog().clone()
     }
 
-    /// How one tenant fares.
-    pub fn status_of(&self, name: &str) -> Option<TenantStatus> {
-        self.tenants.borrow().get_key_value(name).map(status)
-    }
-
-    /// How the tenants fare, by name.
-    pub fn status(&self) -> Vec<TenantStatus> {
-        self.tenants.borrow().iter().map(status).collect()
-    }
-
     /// Closes all listeners and answers what has been taken.
     pub async fn drain(&self) {
         let open = std::mem::take(&mut *self.listeners.borrow_mut());
@@ -552,40 +529,6 @@
     }
 }
 
-fn status((name, live): (&Name, &Live)) -> TenantStatus {
-    let used = live.account.used();
-    let listed = &live.document.servers;
-    let servers = match &live.followed {
-        None => [listed.iter().filter(|s| s.state == State::Up).count(), listed.len()],
-        Some(followed) => {
-            let hosts = followed.hosts.iter().flat_map(BTreeMap::values);
-            [hosts.clone().filter(|h| h.health == "up").count(), hosts.count()]
-        }
-    };
-    let followed = live.followed.as_ref().and_then(|f| f.status.as_ref()).map(|s| FleetStatus {
-        state: s.phase.to_string(),
-        revision: s.revision,
-        quarantined: s.servers[1],
-        held: s.servers[2],
-    });
-    TenantStatus {
-        name: name.to_string(),
-        ready: live.running.pool.is_ready(),
-        servers,
-        fleet: followed,
-        former_pools: live.former.iter().filter(|f| f.is_alive()).count(),
-        sockets: used.sockets,
-        in_flight: used.in_flight,
-        bytes: used.bytes,
-        loop_ms: used.time,
-        refused: used.refused,
-    }
-}
-
-fn unix_ms() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0
-}
-
 /// A tenant's limits as the shares take them.
 fn caps(limits: &document::Limits) -> Caps {
     Caps {
@@ -649,17 +592,23 @@
     strangers: Rc<Holder>,
 }
 
-const NO_TENANT: (StatusCode, &str) = (StatusCode::NOT_FOUND, "no such tenant");
+const NO_TENANT: Missing = Missing::Plain(StatusCode::NOT_FOUND, "no such tenant");
 
 impl Router for Way {
-    fn pool(&self, uri: &Uri, headers: &HeaderMap) -> Result<Rc<Pool>, (StatusCode, &'static str)> {
+    fn pool(&self, uri: &Uri, headers: &HeaderMap, turn: bool) -> Result<Rc<Pool>, Missing> {
         let routes = self.plane.routes.borrow();
         // A target in absolute form names the host itself (RFC 9112, 3.2.2).
         let host = uri.host().or_else(|| once(headers, &hyper::header::HOST));
         let tenant = once(headers, &HeaderName::from_static("x-tenant-id"));
-        let name = routes.find(&self.listener, host, tenant).map_err(|_| NO_TENANT)?;
-        let tenants = self.plane.tenants.borrow();
-        tenants.get(name).map(|live| live.running.pool.clone()).ok_or(NO_TENANT)
+        let name = routes.find(&self.listener, host, tenant).map_err(|_| NO_TENANT)?.clone();
+        drop(routes);
+        // Nobody is woken to say that the process is up, nor while nothing may be decided.
+        let may_wake = uri.path() != "/up" && self.gate().is_none_or(Gate::is_open);
+        self.plane.pool_of(&name, may_wake, turn)
+    }
+
+    fn turn(&self) -> impl Future<Output = ()> {
+        self.plane.turns.clone().take()
     }
 
     fn strangers(&self) -> Option<Rc<dyn Account>> {
@@ -681,8 +630,7 @@
     }
 
     fn longest(&self) -> Duration {
-        let tenants = self.plane.tenants.borrow();
-        tenants.values().map(|live| live.running.pool.patience()).max().unwrap_or_default()
+        self.plane.longest.get()
     }
 
     fn make_room(&self) {
--- /dev/null
+++ b/crates/hosted/src/plane/residents.rs
@@ -0,0 +1,497 @@
+//! How tenants wake and are put to rest, and how those fare that are there.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use engine::pool::Pool;
+use engine::service::{self, Feed, Missing};
+use hyper::StatusCode;
+use residency::{Admission, Terms, Wait};
+use schemars::JsonSchema;
+use serde::Serialize;
+use settings::number_of;
+use tokio::sync::{Notify, Semaphore};
+use tokio::time::sleep;
+use wharfhitch::Millis;
+
+use super::{FleetStatus, Live, NO_TENANT, Plane, TenantStatus, caps};
+use crate::catalog::{Catalog, Name};
+use crate::digest::{self, Digest};
+use crate::document::{Process, State, Tenant};
+use crate::plan::{Births, Change};
+
+/// A resident keeps its place for so long at least. Short, as at the size ahead one is asked for once in minutes, and long beside what
+/// it takes to wake.
+const LEAST_STAY: Millis = 250.0;
+/// How long a turn in the line is kept beyond the time that its tenant was told.
+const HOLD: Millis = 2_000.0;
+/// Tenants that wait in the line at most.
+const MOST_WAITING: usize = 4096;
+/// Tenants woken in one round of the event loop, before whatever else is ready has its turn.
+const WAKES: usize = 4;
+/// Tenants put to rest in one look, likewise.
+const RESTS: usize = 64;
+/// A server that is back from a closing and has not proved itself yet is remembered for so long; after that it is as good as new.
+const ON_TRIAL: Millis = 600_000.0;
+/// A tenant that comes while it is at rest has its servers for cold for so long at most.
+const ALL_COLD: Millis = 3_600_000.0;
+
+const DAMAGED: Missing = Missing::Plain(StatusCode::SERVICE_UNAVAILABLE, "unavailable");
+
+/// The bounds of the resident set.
+pub(super) fn terms(process: &Process) -> Terms {
+    Terms {
+        most: process.resident_tenants as usize,
+        rest_after: process.rest_after.0,
+        least_stay: LEAST_STAY,
+        hold: HOLD,
+        most_waiting: MOST_WAITING,
+    }
+}
+
+/// Between two looks at who may rest.
+pub(super) fn look(process: &Process) -> Duration {
+    Duration::from_secs_f64((process.rest_after.0 / 4000.0).clamp(0.1, 5.0))
+}
+
+/// The turns in which tenants are woken, in the order of asking: a few in each round of the event loop.
+pub(super) struct Turns {
+    left: Semaphore,
+    taken: Notify,
+    /// Rounds in which some were woken.
+    rounds: Cell<u64>,
+}
+
+impl Turns {
+    pub(super) fn new() -> Rc<Self> {
+        Rc::new(Turns { left: Semaphore::new(WAKES), taken: Notify::new(), rounds: Cell::new(0) })
+    }
+
+    /// Gives turns for as long as the process runs.
+    pub(super) async fn give(self: Rc<Self>) {
+        loop {
+            self.taken.notified().await;
+            // Whoever is ready goes before the next round, and what has come in meanwhile is looked for.
+            tokio::task::yield_now().await;
+            self.rounds.set(self.rounds.get() + 1);
+            self.left.add_permits(WAKES - self.left.available_permits().min(WAKES));
+        }
+    }
+
+    /// Waits for a turn and takes it.
+    pub(super) async fn take(self: Rc<Self>) {
+        if let Ok(turn) = self.left.acquire().await {
+            turn.forget();
+        }
+        self.taken.notify_one();
+    }
+
+    fn try_take(&self) -> bool {
+        let taken = self.left.try_acquire().map(|turn| turn.forget()).is_ok();
+        if taken {
+            self.taken.notify_one();
+        }
+        taken
+    }
+}
+
+/// How many tenants are there, how many of them are resident, and what has come of it since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub struct Residency {
+    /// All.
+    pub tenants: usize,
+    /// Those that are resident.
+    pub resident: usize,
+    /// Those of them that stay, as their lists are followed.
+    pub pinned: usize,
+    /// Those that wait for a place.
+    pub waiting: usize,
+    /// Times that one was woken.
+    pub wakes: u64,
+    /// Times that one was put to rest.
+    pub rests: u64,
+    /// Those of them for which another wanted the place.
+    pub evictions: u64,
+    /// Requests refused for want of a place.
+    pub refused: u64,
+    /// Tenants that can't be woken, as what is held of them is damaged.
+    pub damaged: usize,
+    /// Servers of tenants at rest of which something is remembered.
+    pub remembered: usize,
+    /// Tenants of which something was forgotten early, as there was too much to remember.
+    pub forgotten: u64,
+    /// Rounds of the event loop in which some were woken.
+    pub rounds: u64,
+}
+
+impl Live {
+    /// Whether it can be put to rest, and no request notices.
+    fn may_rest(&self) -> bool {
+        self.followed.is_none()
+            && self.running.is_still()
+            && !self.former.iter().any(Feed::is_alive)
+            // One of which there is more to say than is kept stays; a small one never is.
+            && (self.document.servers.len() < digest::MOST_OF_ONE
+                || self.running.standing().servers.len() <= digest::MOST_OF_ONE)
+    }
+}
+
+impl Plane {
+    /// The pool of a tenant that is there; one at rest is woken if it may be, and has had its turn.
+    pub(super) fn pool_of(&self, name: &Name, may_wake: bool, turn: bool) -> Result<Rc<Pool>, Missing> {
+        let resident = self.tenants.borrow().get(name).map(|live| live.running.pool.clone());
+        if !may_wake {
+            return resident.ok_or(Missing::Later(LEAST_STAY)); // nor is it kept awake by that
+        }
+        if resident.is_none() && self.damaged.borrow().contains(name) {
+            return Err(DAMAGED);
+        }
+        if resident.is_none() && !turn && !self.turns.try_take() {
+            return Err(Missing::Turn);
+        }
+        let now = self.process.now();
+        let admission = {
+            let tenants = self.tenants.borrow();
+            let may_rest = |other: &Name| tenants.get(other).is_some_and(Live::may_rest);
+            self.residents.borrow_mut().ask(now, name, may_rest)
+        };
+        match admission {
+            Err(Wait { span, .. }) => Err(Missing::Later(span)),
+            Ok(Admission::Resident) => resident.ok_or(NO_TENANT),
+            Ok(Admission::Woken) => self.wake(name),
+            Ok(Admission::InPlaceOf(other)) => {
+                self.put_to_rest(&other);
+                self.wake(name)
+            }
+        }
+    }
+
+    /// Makes a tenant's pool out of what is held of it, in this turn: no version comes between.
+    fn wake(&self, name: &Name) -> Result<Rc<Pool>, Missing> {
+        let tenant = self.routes.borrow().catalog().get(name);
+        let tenant = match tenant {
+            Some(Ok((_, tenant))) => tenant,
+            Some(Err(e)) => {
+                tracing::error!(error = %e, "a tenant can't be served until it is changed");
+                self.residents.borrow_mut().forget(name);
+                self.damaged.borrow_mut().insert(name.clone());
+                return Err(DAMAGED);
+            }
+            None => {
+                self.residents.borrow_mut().forget(name);
+                return Err(NO_TENANT);
+            }
+        };
+        let digest = self.digests.borrow_mut().take(name).unwrap_or_default();
+        let pool = self.start(name, tenant, digest);
+        self.some_reside.notify_one();
+        Ok(pool)
+    }
+
+    /// Starts what a resident has.
+    fn start(&self, name: &Name, tenant: Tenant, digest: Digest) -> Rc<Pool> {
+        let account = self.book.resume(name, &caps(&tenant.limits));
+        // Another draw each time, or the first request after each rest would go the same way.
+        let wakes = self.residents.borrow().counts().wakes;
+        let seed = self.seed ^ number_of(name) ^ wakes.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let running = self.pool(&tenant, &account, seed, 0);
+        let born = |s: &crate::document::Server| if s.warm { 0.0 } else { digest.born(number_of(&s.name)) };
+        let mut live = Live {
+            births: Births::known(&tenant.servers, born),
+            document: tenant,
+            account,
+            running,
+            former: Vec::new(),
+            followed: None,
+            held_off: self.held_off.borrow().get(&**name).cloned().unwrap_or_default(),
+            seed,
+            pools: 1,
+        };
+        self.attend(&mut live);
+        live.tell();
+        if !digest.standing.servers.is_empty() {
+            live.running.feed.resume(digest.standing);
+        }
+        let pool = live.running.pool.clone();
+        self.longest.set(self.longest.get().max(pool.patience()));
+        let limited = self.join_servers(name, &live.document);
+        self.tenants.borrow_mut().insert(name.clone(), live);
+        limited.iter().for_each(|address| self.share_server(address));
+        pool
+    }
+
+    /// A resident is at rest from here on. What outlasts that is kept.
+    fn put_to_rest(&self, name: &Name) {
+        let Some(live) = self.tenants.borrow_mut().remove(name) else { return };
+        self.digests.borrow_mut().put(name, self.digest(&live));
+        for address in self.leave_servers(name, &live.document) {
+            self.share_server(&address);
+        }
+    }
+
+    fn digest(&self, live: &Live) -> Digest {
+        let (now, unix) = (self.process.now(), self.process.unix_now());
+        let cold = live.document.rules.cold.0;
+        let born = |s: &crate::document::Server| (number_of(&s.name), live.births.of(&s.name));
+        let young = |(_, born): &(u64, f64)| *born > 0.0 && unix - born < cold;
+        let born: Vec<_> = live.document.servers.iter().map(born).filter(young).collect();
+        let standing = live.running.standing();
+        let ejected =
+            standing.servers.iter().flat_map(|s| s.whole.iter().chain(s.classes.iter().map(|c| &c.1)));
+        let closings = ejected.map(|e| e.until.max(now) + ON_TRIAL);
+        let ends = born.iter().map(|(_, born)| now + born + cold - unix).chain(closings);
+        Digest { end: ends.fold(now, f64::max), all_born: 0.0, born, standing }
+    }
+
+    /// A tenant is no more.
+    pub(super) fn remove(&self, name: &str) {
+        let name: Name = name.into();
+        self.residents.borrow_mut().forget(&name);
+        self.digests.borrow_mut().take(&name);
+        self.damaged.borrow_mut().remove(&name);
+        self.book.forget(&name);
+        let Some(live) = self.tenants.borrow_mut().remove(&name) else { return };
+        // Its servers get nothing new; what is under way there ends, and with it the pool.
+        live.running.end();
+        live.running.feed.whole(Vec::new());
+        live.former.iter().for_each(|f| f.whole(Vec::new()));
+        self.leave_servers(&name, &live.document);
+    }
+
+    /// A tenant at rest comes or changes: all that there is to do is to note which of its servers have just started.
+    pub(super) fn change_at_rest(
+        &self, next: &Catalog, name: &Name, change: Option<Change>, brought: &[(u64, bool)], first: bool,
+    ) {
+        if first {
+            return;
+        }
+        // Its clients' connections may hold its account still.
+        if change.is_some_and(|c| c.limits)
+            && let Some(account) = self.book.held(name)
+            && let Some(Ok((_, tenant))) = next.get(name)
+        {
+            account.set(&caps(&tenant.limits));
+        }
+        let (now, unix) = (self.process.now(), self.process.unix_now());
+        let mut digests = self.digests.borrow_mut();
+        let Some(change) = change else {
+            return digests.put(name, Digest { all_born: unix, end: now + ALL_COLD, ..Digest::default() });
+        };
+        let mut digest = digests.take(name).unwrap_or_default();
+        if change.pool {
+            digest.standing = wharfhitch::Standing::default(); // a new module learns anew
+        }
+        for (server, warm) in brought {
+            digest.renew(*server, if *warm { 0.0 } else { unix });
+        }
+        if brought.iter().any(|(_, warm)| !warm) {
+            digest.end = digest.end.max(now + ALL_COLD);
+        }
+        digests.put(name, digest);
+    }
+
+    /// A resident changes, or a tenant whose list is followed comes.
+    pub(super) fn change_resident(&self, name: &Name, tenant: Tenant, change: Option<Change>, first: bool) {
+        let now = self.process.now();
+        let follows = tenant.fleet.is_some();
+        if follows {
+            self.residents.borrow_mut().pin(name);
+        }
+        let mut tenants = self.tenants.borrow_mut();
+        let Some(live) = tenants.get_mut(name) else {
+            drop(tenants);
+            let digest = self.digests.borrow_mut().take(name).unwrap_or_default();
+            self.start(name, tenant, digest);
+            return self.some_reside.notify_one();
+        };
+        if live.document.fleet.is_some() && !follows {
+            self.residents.borrow_mut().unpin(now, name);
+        }
+        self.leave_servers(name, &live.document);
+        self.join_servers(name, &tenant);
+        live.document = tenant;
+        if let Some(change) = change {
+            self.change(live, change, first);
+        }
+    }
+
+    fn join_servers(&self, name: &Name, tenant: &Tenant) -> Vec<String> {
+        let limited = tenant.servers.iter().filter(|s| s.connections.is_some());
+        let limited: Vec<String> = limited.map(|s| s.address.clone()).collect();
+        let mut sharers = self.sharers.borrow_mut();
+        for address in &limited {
+            sharers.entry(address.clone()).or_default().insert(name.clone());
+        }
+        limited
+    }
+
+    fn leave_servers(&self, name: &Name, tenant: &Tenant) -> Vec<String> {
+        let limited = tenant.servers.iter().filter(|s| s.connections.is_some());
+        let limited: Vec<String> = limited.map(|s| s.address.clone()).collect();
+        let mut sharers = self.sharers.borrow_mut();
+        for address in &limited {
+            if let Some(users) = sharers.get_mut(address) {
+                users.remove(name);
+                if users.is_empty() {
+                    sharers.remove(address);
+                }
+            }
+        }
+        limited
+    }
+
+    /// Divides a server with a limit among the residents that use it.
+    pub(super) fn share_server(&self, address: &str) {
+        let Ok(at) = address.parse() else { return };
+        let (tenants, sharers) = (self.tenants.borrow(), self.sharers.borrow());
+        let users = sharers.get(address).into_iter().flatten().filter_map(|name| tenants.get(name));
+        let mut members: Vec<_> =
+            users.clone().map(|live| (live.account.clone(), live.document.limits.weight)).collect();
+        let limit = |live: &Live| live.document.servers.iter().find(|s| s.address == address)?.connections;
+        let connections = users.clone().find_map(limit).unwrap_or(0);
+        // One user needs no share: the server is forgotten.
+        if members.len() < 2 {
+            members.clear();
+        }
+        self.book.share_server(service::server_number(at), connections, &members);
+    }
+
+    /// Says so where those that stay whatever happens take the others' places.
+    pub(super) fn warn_of_pinned(&self) {
+        let residents = self.residents.borrow();
+        let (pinned, places) = (residents.pinned(), residents.places());
+        if pinned > 0 && pinned + places > residents.most() {
+            tracing::warn!(
+                pinned,
+                resident_tenants = residents.most(),
+                "tenants whose lists are followed take more than their part of resident-tenants"
+            );
+        }
+    }
+
+    /// Puts to rest whom nobody asks for, for as long as the plane is there. While nobody is resident it takes no time.
+    pub(super) async fn look_after(plane: Weak<Plane>, every: Duration) {
+        loop {
+            let Some(here) = plane.upgrade() else { return };
+            let (some, comes) = (!here.tenants.borrow().is_empty(), here.some_reside.clone());
+            drop(here);
+            if some {
+                sleep(every).await;
+            } else {
+                comes.notified().await;
+            }
+            let Some(plane) = plane.upgrade() else { return };
+            while plane.rest_some() == RESTS {
+                tokio::task::yield_now().await;
+            }
+        }
+    }
+
+    /// Puts some of those to rest that were idle for long enough; tells how many.
+    fn rest_some(&self) -> usize {
+        let now = self.process.now();
+        let rests = {
+            let tenants = self.tenants.borrow();
+            let may_rest = |name: &Name| tenants.get(name).is_some_and(Live::may_rest);
+            self.residents.borrow_mut().rest(now, RESTS, may_rest)
+        };
+        rests.iter().for_each(|name| self.put_to_rest(name));
+        self.digests.borrow_mut().expire(now);
+        let tenants = self.tenants.borrow();
+        self.longest.set(tenants.values().map(|live| live.running.pool.patience()).max().unwrap_or_default());
+        rests.len()
+    }
+
+    /// How one tenant fares.
+    pub fn status_of(&self, name: &str) -> Option<TenantStatus> {
+        let name = self.routes.borrow().catalog().name(name)?.clone();
+        Some(self.status_by(&name))
+    }
+
+    /// How the tenants fare, so many of them at most: residents first, each group by name.
+    pub fn status(&self, most: usize) -> Vec<TenantStatus> {
+        let mut all: Vec<TenantStatus> = self.tenants.borrow().iter().take(most).map(status).collect();
+        let left = most - all.len();
+        let routes = self.routes.borrow();
+        let at_rest = |name: &&Name| !self.tenants.borrow().contains_key(*name);
+        let rest = routes.catalog().names().filter(at_rest).take(left);
+        all.extend(rest.map(|name| self.status_by(name)));
+        all
+    }
+
+    fn status_by(&self, name: &Name) -> TenantStatus {
+        if let Some(live) = self.tenants.borrow().get_key_value(name) {
+            return status(live);
+        }
+        let tenant = self.routes.borrow().catalog().get(name).and_then(Result::ok).map(|(_, tenant)| tenant);
+        let used = self.book.used_by(name);
+        let listed = tenant.as_ref().map_or(&[][..], |t| &t.servers);
+        TenantStatus {
+            name: name.to_string(),
+            resident: false,
+            ready: tenant.is_some(),
+            servers: [listed.iter().filter(|s| s.state == State::Up).count(), listed.len()],
+            fleet: None,
+            former_pools: 0,
+            sockets: used.sockets,
+            in_flight: used.in_flight,
+            bytes: used.bytes,
+            loop_ms: used.time,
+            refused: used.refused,
+        }
+    }
+
+    /// How many are resident, and what has come of it.
+    pub fn residency(&self) -> Residency {
+        let (residents, digests) = (self.residents.borrow(), self.digests.borrow());
+        let counts = residents.counts();
+        Residency {
+            tenants: self.routes.borrow().catalog().len(),
+            resident: residents.len(),
+            pinned: residents.pinned(),
+            waiting: residents.waiting(),
+            wakes: counts.wakes,
+            rests: counts.rests,
+            evictions: counts.evictions,
+            refused: counts.refused,
+            damaged: self.damaged.borrow().len(),
+            remembered: digests.entries(),
+            forgotten: digests.dropped(),
+            rounds: self.turns.rounds.get(),
+        }
+    }
+}
+
+fn status((name, live): (&Name, &Live)) -> TenantStatus {
+    let used = live.account.used();
+    let listed = &live.document.servers;
+    let servers = match &live.followed {
+        None => [listed.iter().filter(|s| s.state == State::Up).count(), listed.len()],
+        Some(followed) => {
+            let hosts = followed.hosts.iter().flat_map(BTreeMap::values);
+            [hosts.clone().filter(|h| h.health == "up").count(), hosts.count()]
+        }
+    };
+    let followed = live.followed.as_ref().and_then(|f| f.status.as_ref()).map(|s| FleetStatus {
+        state: s.phase.to_string(),
+        revision: s.revision,
+        quarantined: s.servers[1],
+        held: s.servers[2],
+    });
+    TenantStatus {
+        name: name.to_string(),
+        resident: true,
+        ready: live.running.pool.is_ready(),
+        servers,
+        fleet: followed,
+        former_pools: live.former.iter().filter(|f| f.is_alive()).count(),
+        sockets: used.sockets,
+        in_flight: used.in_flight,
+        bytes: used.bytes,
+        loop_ms: used.time,
+        refused: used.refused,
+    }
+}
--- a/crates/tenancy/src/shares.rs
+++ b/crates/tenancy/src/shares.rs
@@ -175,6 +175,13 @@
         }
     }
 
+    /// A tenant that was here before comes back: what it has done goes on from there.
+    pub fn resume(&mut self, tenant: Tenant, time: Millis, refused: [u64; 5]) {
+        if let Some(account) = self.accounts.get_mut(tenant.0) {
+            (account.time, account.refused) = (time, refused);
+        }
+    }
+
     /// Forgets a tenant. What it holds is still to be given back; its place is free once [`Shares::is_idle`].
     pub fn remove(&mut self, tenant: Tenant) {
         for stock in [&mut self.sockets, &mut self.in_flight, &mut self.bytes] {
