--- a/crates/hosted/src/check.rs
+++ b/crates/hosted/src/check.rs
@@ -45,6 +45,9 @@
         faults.put("/process/turning-share", "with loop-share it is more than the whole loop");
     }
     faults.within("/process/newcomers", p.newcomers.0, 0.0, 0.5);
+    if !(1_000.0..=86_400_000.0).contains(&p.rest_after.0) {
+        faults.put("/process/rest-after", "it is not from 1 s to 24 h");
+    }
     faults.once("/listener", service.listeners.iter().map(|l| l.name.as_str()), "name");
     // Port 0 is any that is free: two of them are two ports.
     let any = |a: &str| a.ends_with(":0");
--- a/crates/hosted/src/plane.rs
+++ b/crates/hosted/src/plane.rs
@@ -301,17 +301,18 @@
         plan.opened.iter().map(open).collect()
     }
 
+    /// The way of a listener's requests to their pools.
+    pub fn way(self: &Rc<Self>, listener: &str) -> Way {
+        let caps = caps(&document::Limits::default());
+        let mut strangers = self.strangers.borrow_mut();
+        let strangers = strangers.entry(listener.to_owned()).or_insert_with(|| self.book.open(&caps)).clone();
+        Way { plane: self.clone(), listener: listener.to_owned(), strangers }
+    }
+
     fn serve(&self, name: &str, listener: TcpListener, address: SocketAddr) {
         let Some(plane) = self.myself.upgrade() else { return };
-        let caps = caps(&document::Limits::default());
-        let strangers = self
-            .strangers
-            .borrow_mut()
-            .entry(name.to_owned())
-            .or_insert_with(|| self.book.open(&caps))
-            .clone();
         let (stop, stopped) = watch::channel(false);
-        let way = Way { plane: plane.clone(), listener: name.to_owned(), strangers };
+        let way = plane.way(name);
         let (process, most) = (self.process.clone(), self.most);
         let task = spawn_local(async move {
             let mut stopped = stopped;
@@ -465,8 +466,8 @@
 }
 
 impl Live {
-    /// Tells all its pools its list.
-    fn tell(&self) {
+    /// Its list; none where that is followed and not known yet.
+    fn hosts(&self) -> Option<Vec<Host>> {
         let host = |s: &document::Server| Host {
             host: s.name.clone(),
             dial: s.address.parse().ok(),
@@ -478,11 +479,15 @@
             share: Some(s.size),
             born_ms: self.births.of(&s.name),
         };
-        let hosts: Vec<Host> = match &self.followed {
-            None => self.document.servers.iter().map(host).collect(),
-            Some(Followed { hosts: Some(hosts), .. }) => hosts.values().cloned().collect(),
-            Some(_) => return, // it is not known yet
-        };
+        match &self.followed {
+            None => Some(self.document.servers.iter().map(host).collect()),
+            Some(followed) => Some(followed.hosts.as_ref()?.values().cloned().collect()),
+        }
+    }
+
+    /// Tells all its pools its list.
+    fn tell(&self) {
+        let Some(hosts) = self.hosts() else { return };
         self.former.iter().filter(|f| f.is_alive()).for_each(|f| f.whole(hosts.clone()));
         self.running.feed.whole(hosts);
     }
@@ -586,7 +591,7 @@
 }
 
 /// One listener's way to the pools.
-struct Way {
+pub struct Way {
     plane: Rc<Plane>,
     listener: String,
     strangers: Rc<Holder>,
--- a/crates/hosted/src/plane/residents.rs
+++ b/crates/hosted/src/plane/residents.rs
@@ -444,6 +444,20 @@
         }
     }
 
+    /// A resident's servers as its module was told last: name, when it started on Unix time in ms, whether it takes new work. For tests.
+    #[doc(hidden)]
+    pub fn servers_of(&self, name: &str) -> Vec<(String, f64, bool)> {
+        let tenants = self.tenants.borrow();
+        let hosts = tenants.get(name).and_then(Live::hosts).unwrap_or_default();
+        hosts.into_iter().map(|h| (h.host, h.born_ms, h.health == "up")).collect()
+    }
+
+    /// What a resident's module holds against its servers. For tests.
+    #[doc(hidden)]
+    pub fn standing_of(&self, name: &str) -> wharfhitch::Standing {
+        self.tenants.borrow().get(name).map(|live| live.running.standing()).unwrap_or_default()
+    }
+
     /// How many are resident, and what has come of it.
     pub fn residency(&self) -> Residency {
         let (residents, digests) = (self.residents.borrow(), self.digests.borrow());
--- /dev/null
+++ b/crates/hosted/tests/heap.rs
@@ -0,0 +1,173 @@
+//! What tenants cost in memory: at rest, and resident. Counted as bytes that are held, so that the figures are the same each time.
+
+use std::alloc::System;
+
+use documents::units::{Share, Span};
+use hosted::catalog::{Catalog, Parts};
+use hosted::document::{Class, Effect, Limits, Rules, Server, Service, State, Tenant};
+use hosted::plane::Plane;
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+
+#[path = "plane/mod.rs"]
+mod stage;
+
+#[global_allocator]
+static HEAP: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+/// Bytes that are held now.
+fn held() -> f64 {
+    let stats = HEAP.stats();
+    // What is reallocated counts in both already.
+    stats.bytes_allocated as f64 - stats.bytes_deallocated as f64
+}
+
+fn class(name: String, aim: f64) -> Class {
+    Class {
+        name,
+        effect: Effect::Safe,
+        aim: Span(aim),
+        deadline: Span(20_000.0),
+        worth: 1.0,
+        late_worth: Share(0.0),
+    }
+}
+
+fn server(name: String, address: String) -> Server {
+    Server {
+        name,
+        address,
+        size: 16.0,
+        zone: None,
+        kind: None,
+        state: State::Up,
+        connections: None,
+        warm: false,
+    }
+}
+
+/// As at the size ahead, scaled down: 33,000 tenants of 680 services with some 17 servers each, and of 5,300 sets of classes.
+fn of_the_target(n: usize, of: usize) -> Tenant {
+    let services = (680 * of).div_ceil(33_000);
+    let sets = (5_300 * of).div_ceil(33_000);
+    let (service, set) = (n % services, n % sets);
+    let servers = (0..17).map(|i| {
+        server(
+            format!("service{service}-{i}"),
+            format!("10.{}.{}.{}:8080", service / 250, service % 250, i + 1),
+        )
+    });
+    Tenant {
+        name: format!("tenant-{n:06}"),
+        hosts: vec![format!("tenant-{n:06}.service{service}.example")],
+        limits: Limits::default(),
+        rules: Rules::default(),
+        classes: (0..2).map(|i| class(format!("route{set}-{i}"), 300.0 + set as f64)).collect(),
+        fleet: None,
+        servers: servers.collect(),
+    }
+}
+
+/// As the lab makes them: two classes, and four servers of their own each.
+fn of_the_lab(n: usize, _: usize) -> Tenant {
+    let address = |i| format!("10.{}.{}.{}:8080", n / 60_000, n / 250 % 250, (n % 250) * 4 % 250 + i);
+    Tenant {
+        name: format!("t{n:05}"),
+        hosts: vec![format!("t{n:05}.example")],
+        limits: Limits::default(),
+        rules: Rules::default(),
+        classes: vec![class("lookup".into(), 300.0), class("checkout".into(), 300.0)],
+        fleet: None,
+        servers: (0..4).map(|i| server(format!("s{i}"), address(i))).collect(),
+    }
+}
+
+/// What a plane with so many tenants at rest holds beyond one with none.
+fn at_rest(count: usize, make: fn(usize, usize) -> Tenant) -> f64 {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let service = Service::default();
+        let plane = Plane::new(&service.process, stage::follow());
+        let empty = held();
+        {
+            // As the store hands them over: one by one.
+            let (mut parts, mut catalog) = (Parts::default(), Catalog::new(&service));
+            for n in 0..count {
+                catalog.put(&mut parts, &make(n, count), 1);
+            }
+            plane.go_over(catalog).expect("it can be carried out");
+        }
+        tokio::task::yield_now().await;
+        assert_eq!((plane.residency().tenants, plane.residency().resident), (count, 0));
+        held() - empty
+    })
+}
+
+/// The least-squares line through points: slope and base.
+fn line(points: &[(f64, f64)]) -> (f64, f64) {
+    let n = points.len() as f64;
+    let (x, y) = points.iter().fold((0.0, 0.0), |(a, b), (x, y)| (a + x / n, b + y / n));
+    let over: f64 = points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum();
+    let slope = over / points.iter().map(|p| (p.0 - x).powi(2)).sum::<f64>();
+    (slope, y - slope * x)
+}
+
+/// One test, as what others hold meanwhile would count.
+#[test]
+fn tenants_cost_what_the_page_says() {
+    for (shape, make, most) in
+        [("target", of_the_target as fn(usize, usize) -> Tenant, 1e9), ("lab", of_the_lab, 1e9)]
+    {
+        let sizes = [1_000, 2_000, 4_000, 8_000];
+        let points: Vec<(f64, f64)> = sizes.map(|n| (n as f64, at_rest(n, make))).to_vec();
+        let (slope, base) = line(&points);
+        let residual = points.iter().map(|(x, y)| (y - slope * x - base).abs() / y).fold(0.0, f64::max);
+        println!(
+            "{shape}: {slope:.1} bytes a tenant at rest, base {base:.0}, residual at most {:.2} % of {points:?}",
+            100.0 * residual
+        );
+        assert!(slope < most, "{shape}: {slope} bytes a tenant");
+    }
+    for (shape, make, most) in
+        [("target", of_the_target as fn(usize, usize) -> Tenant, 1e9), ("lab", of_the_lab, 1e9)]
+    {
+        let (slope, wake_us) = resident(make);
+        println!("{shape}: {slope:.0} bytes a resident, woken in {wake_us:.0} us (mean of 1000)");
+        assert!(slope < most, "{shape}: {slope} bytes a resident");
+    }
+}
+
+/// What each of a thousand residents holds, and how long its waking took of the loop's time, in us.
+fn resident(make: fn(usize, usize) -> Tenant) -> (f64, f64) {
+    use engine::service::Router;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let service = Service {
+            listeners: vec![hosted::document::Listener {
+                name: "all".into(),
+                address: "127.0.0.1:0".into(),
+                tenant_by: hosted::document::TenantBy::Header,
+                tenant: None,
+            }],
+            tenants: (0..1_000).map(|n| make(n, 1_000)).collect(),
+            ..Service::default()
+        };
+        let plane = Plane::new(&service.process, stage::follow());
+        plane.apply(&service).expect("it can be carried out");
+        let (way, uri) = (plane.way("all"), "/lookup".parse().expect("a target"));
+        let mut spent = 0.0;
+        let before = held();
+        for tenant in &service.tenants {
+            let mut headers = hyper::header::HeaderMap::new();
+            headers.insert("x-tenant-id", tenant.name.parse().expect("a name"));
+            let began = std::time::Instant::now();
+            way.pool(&uri, &headers, true).expect("there is a place");
+            // Its module takes its list before the request that woke it.
+            while !plane.status_of(&tenant.name).expect("it is there").ready {
+                tokio::task::yield_now().await;
+            }
+            spent += began.elapsed().as_secs_f64() * 1e6;
+        }
+        assert_eq!(plane.residency().resident, 1_000);
+        ((held() - before) / 1_000.0, spent / 1_000.0)
+    })
+}
--- /dev/null
+++ b/crates/hosted/tests/plane/mod.rs
@@ -0,0 +1,133 @@
+//! A plane on loopback, with small servers, and a client of it.
+#![allow(dead_code)] // each test file uses its own part
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use documents::units::{Share, Span};
+use hosted::document::{
+    Class, Effect, Limits, Listener, Process, Rules, Server, Service, State, Tenant, TenantBy,
+};
+use hosted::plane::{Follow, Plane};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+
+/// Runs on one thread, as the service does.
+pub async fn local(test: impl Future<Output = ()>) {
+    LocalSet::new().run_until(test).await;
+}
+
+/// Lists that are followed and never come.
+pub fn follow() -> Follow {
+    Box::new(|_, _, _| {
+        let (sender, receiver) = tokio::sync::mpsc::unbounded_channel();
+        spawn_local(async move { sender.closed().await });
+        receiver
+    })
+}
+
+pub fn server(name: &str, address: &str) -> Server {
+    Server {
+        name: name.into(),
+        address: address.into(),
+        size: 16.0,
+        zone: None,
+        kind: None,
+        state: State::Up,
+        connections: None,
+        warm: false,
+    }
+}
+
+/// A tenant of one class with these servers, or two of which none is there.
+pub fn tenant(n: usize, servers: &[Server]) -> Tenant {
+    let class = Class {
+        name: "lookup".into(),
+        effect: Effect::Safe,
+        aim: Span(2000.0),
+        deadline: Span(20_000.0),
+        worth: 1.0,
+        late_worth: Share(0.0),
+    };
+    let none = [server("s0", "127.0.0.1:9"), server("s1", "127.0.0.1:9")];
+    Tenant {
+        name: format!("t{n:05}"),
+        hosts: vec![format!("t{n:05}.example")],
+        limits: Limits::default(),
+        rules: Rules::default(),
+        classes: vec![class],
+        fleet: None,
+        servers: if servers.is_empty() { none.to_vec() } else { servers.to_vec() },
+    }
+}
+
+/// A plane that serves these tenants by one listener.
+pub fn plane(process: Process, tenants: Vec<Tenant>) -> Rc<Plane> {
+    let listener = Listener {
+        name: "all".into(),
+        address: "127.0.0.1:0".into(),
+        tenant_by: TenantBy::Header,
+        tenant: None,
+    };
+    let process = Process { seed: Some(7), ..process };
+    let service = Service { process, listeners: vec![listener], tenants, ..Service::default() };
+    let plane = Plane::new(&service.process, follow());
+    plane.apply(&service).expect("it can be served");
+    plane
+}
+
+/// A server that answers all with 200.
+pub struct Backend {
+    pub address: String,
+}
+
+impl Backend {
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(answer(stream));
+            }
+        });
+        Backend { address }
+    }
+
+    /// An address that refuses connections, and that nobody else gets while the test runs.
+    pub async fn dead() -> String {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let address = socket.local_addr().expect("an address").to_string();
+        spawn_local(async move {
+            std::future::pending::<()>().await;
+            drop(socket);
+        });
+        address
+    }
+}
+
+async fn answer(mut stream: TcpStream) {
+    let mut head = Vec::new();
+    let mut bytes = [0; 4096];
+    while let Ok(n @ 1..) = stream.read(&mut bytes).await {
+        head.extend(&bytes[..n]);
+        if head.ends_with(b"\r\n\r\n") {
+            head.clear();
+            if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// The status of a lookup's answer.
+pub async fn ask(address: SocketAddr, tenant: &str) -> u16 {
+    let mut stream = TcpStream::connect(address).await.expect("it listens");
+    let head =
+        format!("GET /lookup HTTP/1.1\r\nHost: x\r\nX-Tenant-Id: {tenant}\r\nConnection: close\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("it is sent");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.expect("its answer");
+    text.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status")
+}
