Hold what tenants cost in memory by a test that counts bytes, and what modules hand on by tests of the module

Bytes held by allocations, from 1,000 to 8,000 tenants: the slope has to stay within a fifth of what was measured. The status of all is bounded.

--- a/crates/admin/src/http.rs
+++ b/crates/admin/src/http.rs
@@ -54,6 +54,9 @@
 /// From one snapshot of the last known good state to the next.
 const SNAPSHOT: Duration = Duration::from_secs(1);
 
+/// Tenants that one status tells of; one tenant's own is told in any case.
+const MOST_TOLD: usize = 1024;
+
 /// What the plane is to do.
 pub enum Order {
     /// Carry a change out, and tell when it is in effect.
@@ -106,7 +109,7 @@
                 let _ = done.send(served);
             }
             Order::Gate(tell) => _ = tell.send(plane.gate_counts()),
-            Order::Status(None, tell) => _ = tell.send(plane.status()),
+            Order::Status(None, tell) => _ = tell.send(plane.status(MOST_TOLD)),
             Order::Status(Some(name), tell) => _ = tell.send(plane.status_of(&name).into_iter().collect()),
         }
     }
--- a/crates/hosted/src/plane/residents.rs
+++ b/crates/hosted/src/plane/residents.rs
@@ -38,6 +38,9 @@
 /// A tenant that comes while it is at rest has its servers for cold for so long at most.
 const ALL_COLD: Millis = 3_600_000.0;
 
+/// Tenants at rest that are read for one status.
+const MOST_READ: usize = 256;
+
 const DAMAGED: Missing = Missing::Plain(StatusCode::SERVICE_UNAVAILABLE, "unavailable");
 
 /// The bounds of the resident set.
@@ -411,10 +414,11 @@
         Some(self.status_by(&name))
     }
 
-    /// How the tenants fare, so many of them at most: residents first, each group by name.
+    /// How the tenants fare, so many of them at most: residents first, each group by name, and few of those at rest, as each of these
+    /// has to be read.
     pub fn status(&self, most: usize) -> Vec<TenantStatus> {
         let mut all: Vec<TenantStatus> = self.tenants.borrow().iter().take(most).map(status).collect();
-        let left = most - all.len();
+        let left = (most - all.len()).min(MOST_READ);
         let routes = self.routes.borrow();
         let at_rest = |name: &&Name| !self.tenants.borrow().contains_key(*name);
         let rest = routes.catalog().names().filter(at_rest).take(left);
--- a/crates/hosted/tests/heap.rs
+++ b/crates/hosted/tests/heap.rs
@@ -4,7 +4,7 @@
 
 use documents::units::{Share, Span};
 use hosted::catalog::{Catalog, Parts};
-use hosted::document::{Class, Effect, Limits, Rules, Server, Service, State, Tenant};
+use hosted::document::{Class, Effect, Limits, Process, Rules, Server, Service, State, Tenant};
 use hosted::plane::Plane;
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 
@@ -69,7 +69,7 @@
 
 /// As the lab makes them: two classes, and four servers of their own each.
 fn of_the_lab(n: usize, _: usize) -> Tenant {
-    let address = |i| format!("10.{}.{}.{}:8080", n / 60_000, n / 250 % 250, (n % 250) * 4 % 250 + i);
+    let address = |i| format!("10.{}.{}.{}:8080", n >> 14, (n >> 6) & 255, (n & 63) * 4 + i);
     Tenant {
         name: format!("t{n:05}"),
         hosts: vec![format!("t{n:05}.example")],
@@ -111,11 +111,11 @@
     (slope, y - slope * x)
 }
 
-/// One test, as what others hold meanwhile would count.
+/// One test, as what others hold meanwhile would count. Each bound is a fifth over what was measured: `docs/design/residency.md`.
 #[test]
 fn tenants_cost_what_the_page_says() {
     for (shape, make, most) in
-        [("target", of_the_target as fn(usize, usize) -> Tenant, 1e9), ("lab", of_the_lab, 1e9)]
+        [("target", of_the_target as fn(usize, usize) -> Tenant, 537.0), ("lab", of_the_lab, 695.0)]
     {
         let sizes = [1_000, 2_000, 4_000, 8_000];
         let points: Vec<(f64, f64)> = sizes.map(|n| (n as f64, at_rest(n, make))).to_vec();
@@ -127,47 +127,66 @@
         );
         assert!(slope < most, "{shape}: {slope} bytes a tenant");
     }
-    for (shape, make, most) in
-        [("target", of_the_target as fn(usize, usize) -> Tenant, 1e9), ("lab", of_the_lab, 1e9)]
-    {
-        let (slope, wake_us) = resident(make);
-        println!("{shape}: {slope:.0} bytes a resident, woken in {wake_us:.0} us (mean of 1000)");
-        assert!(slope < most, "{shape}: {slope} bytes a resident");
+    for (shape, make, most, most_left) in [
+        ("target", of_the_target as fn(usize, usize) -> Tenant, 45_470.0, 75.0),
+        ("lab", of_the_lab, 23_400.0, 75.0),
+    ] {
+        let (each, left, wake_us) = resident(make);
+        println!(
+            "{shape}: {each:.0} bytes a resident, {left:.1} once it rests again; woken in {wake_us:.0} us"
+        );
+        assert!(each < most, "{shape}: {each} bytes a resident");
+        assert!(left < most_left, "{shape}: {left} bytes that are left of a resident");
     }
 }
 
-/// What each of a thousand residents holds, and how long its waking took of the loop's time, in us.
-fn resident(make: fn(usize, usize) -> Tenant) -> (f64, f64) {
+/// What each of a thousand residents holds and what of that is left when it rests again, in bytes; and how long it took from asking to
+/// where its module has its list, in us, in the mean.
+fn resident(make: fn(usize, usize) -> Tenant) -> (f64, f64, f64) {
     use engine::service::Router;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     tokio::task::LocalSet::new().block_on(&runtime, async {
+        let process = Process { rest_after: Span(2_000.0), ..Process::default() };
         let service = Service {
+            process,
             listeners: vec![hosted::document::Listener {
                 name: "all".into(),
                 address: "127.0.0.1:0".into(),
                 tenant_by: hosted::document::TenantBy::Header,
                 tenant: None,
             }],
-            tenants: (0..1_000).map(|n| make(n, 1_000)).collect(),
+            tenants: (0..2_000).map(|n| make(n, 2_000)).collect(),
             ..Service::default()
         };
         let plane = Plane::new(&service.process, stage::follow());
         plane.apply(&service).expect("it can be carried out");
         let (way, uri) = (plane.way("all"), "/lookup".parse().expect("a target"));
-        let mut spent = 0.0;
-        let before = held();
-        for tenant in &service.tenants {
-            let mut headers = hyper::header::HeaderMap::new();
-            headers.insert("x-tenant-id", tenant.name.parse().expect("a name"));
-            let began = std::time::Instant::now();
-            way.pool(&uri, &headers, true).expect("there is a place");
-            // Its module takes its list before the request that woke it.
-            while !plane.status_of(&tenant.name).expect("it is there").ready {
+        let (mut spent, mut each, mut left) = (0.0, 0.0, 0.0);
+        // The second thousand come into places of the first: what is left of them is their own.
+        for wave in service.tenants.chunks(1_000) {
+            let before = held();
+            for tenant in wave {
+                let mut headers = hyper::header::HeaderMap::new();
+                headers.insert("x-tenant-id", tenant.name.parse().expect("a name"));
+                let began = std::time::Instant::now();
+                way.pool(&uri, &headers, true).expect("there is a place");
+                // Its module takes its list before the request that woke it.
+                while !plane.status_of(&tenant.name).expect("it is there").ready {
+                    tokio::task::yield_now().await;
+                }
+                spent += began.elapsed().as_secs_f64() * 1e6 / service.tenants.len() as f64;
+            }
+            assert_eq!(plane.residency().resident, 1_000);
+            each = f64::max(each, (held() - before) / 1_000.0);
+            while plane.residency().resident > 0 {
+                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            }
+            // Their drivers end with their next turns.
+            for _ in 0..10 {
                 tokio::task::yield_now().await;
             }
-            spent += began.elapsed().as_secs_f64() * 1e6;
+            left = (held() - before) / 1_000.0;
         }
-        assert_eq!(plane.residency().resident, 1_000);
-        ((held() - before) / 1_000.0, spent / 1_000.0)
+        (each, left, spent)
     })
 }
--- /dev/null
+++ b/crates/wharfhitch/tests/standing.rs
@@ -0,0 +1,87 @@
+//! What a module knew of servers goes over to the next one, and nothing of a server that is another process by then.
+mod common;
+use common::*;
+use wharfhitch::*;
+
+const SECOND: u64 = 2;
+
+fn servers(since: Option<Millis>) -> Vec<Backend> {
+    (1..5).map(|id| if id == SECOND { Backend { since, ..server(id) } } else { server(id) }).collect()
+}
+
+/// A new module at that time, told a list and what another one knew.
+fn next(now: Millis, list: Vec<Backend>, known: Option<Standing>, proxies: u32) -> Hand {
+    let mut hand = Hand::new(settings(proxies), Vec::new());
+    hand.pass(now - hand.now);
+    hand.give(full(list));
+    if let Some(known) = known {
+        hand.give(Event::Standing(Box::new(known)));
+    }
+    hand
+}
+
+/// Of so many requests one after the other, how many go to the second server.
+fn to_second(hand: &mut Hand, many: u64) -> usize {
+    let mut hits = 0;
+    for id in 5000..5000 + many {
+        let sent = sends(&hand.give(request(id, 0, 2000.0)));
+        hits += sent.iter().filter(|(_, to)| *to == SECOND).count();
+        hand.give(ended(id, 0, 20.0, Outcome::Served));
+    }
+    hits
+}
+
+/// A module that has closed the second server.
+fn closed() -> Hand {
+    let mut hand = Hand::new(settings(1), servers(None));
+    hand.train(0, 40, |_| 20.0);
+    for id in 1000..1200 {
+        let sent = sends(&hand.give(request(id, 0, 2000.0)));
+        if sent.iter().any(|(_, to)| *to == SECOND) {
+            hand.give(ended(id, 0, 5.0, Outcome::ConnectFailed));
+            return hand;
+        }
+        hand.give(ended(id, 0, 20.0, Outcome::Served));
+    }
+    panic!("the second server was never asked");
+}
+
+#[test]
+fn a_server_that_one_module_closed_is_closed_to_the_next() {
+    let before = closed();
+    let (now, known) = (before.now, before.balancer.standing(before.now));
+    let second = known.servers.iter().find(|s| s.id == BackendId(SECOND)).expect("something is known of it");
+    assert!(second.whole.is_some_and(|e| e.until > now && e.trial), "{second:?}");
+    assert_eq!(to_second(&mut next(now, servers(None), Some(known.clone()), 1), 40), 0);
+    assert!(to_second(&mut next(now, servers(None), None, 1), 40) > 0, "without it is like the others");
+    // Handed on unused it is the same.
+    let again = next(now, servers(None), Some(known.clone()), 1);
+    assert_eq!(again.balancer.standing(now), known);
+    // Another process under the same name: nothing is held against it.
+    let restarted = next(now, servers(Some(now - 1e6)), Some(known.clone()), 1);
+    let of_it = restarted.balancer.standing(now);
+    assert!(of_it.servers.iter().all(|s| s.whole.is_none()), "{of_it:?}");
+    // One that is gone by then is no server.
+    let fewer = servers(None).into_iter().filter(|s| s.id != BackendId(SECOND)).collect();
+    assert_eq!(next(now, fewer, Some(known), 1).balancer.standing(now).servers, []);
+}
+
+#[test]
+fn what_a_cold_server_was_sent_counts_for_the_next_module_too() {
+    let cold = servers(Some(1000.0));
+    let mut first = next(1000.0, cold.clone(), None, 1);
+    first.pass(200.0);
+    to_second(&mut first, 400);
+    let (now, known) = (first.now, first.balancer.standing(first.now));
+    let budget = known.servers.iter().find_map(|s| s.cold).expect("it is cold");
+    assert!(budget.tokens < 1.0, "it has been used up: {budget:?}");
+    assert_eq!(to_second(&mut next(now, cold.clone(), Some(known.clone()), 1), 100), 0, "no second budget");
+    // Among twice as many proxies it has half of what was left.
+    let among_two = next(now, cold.clone(), Some(known.clone()), 2).balancer.standing(now);
+    let part = among_two.servers.iter().find_map(|s| s.cold).expect("it is cold");
+    assert!((part.tokens - budget.tokens / 2.0).abs() < 1e-9, "{part:?}, {budget:?}");
+    // It is warm in time all the same, and then there is nothing to say of it.
+    let mut later = next(now, cold, Some(known), 1);
+    later.pass(20_000.0);
+    assert_eq!(later.balancer.standing(later.now).servers, []);
+}
