Hold a server's limit for one tenant that is awake among users at rest

A server with a limit that only one resident uses was shared with nobody, so that the limit held for none while the others rest. It is shared among residents for as long as the version has several users; the rule that one member is none goes from the shares to the plane.

--- a/crates/hosted/src/plane.rs
+++ b/crates/hosted/src/plane.rs
@@ -255,7 +255,7 @@
                 None => {}
             }
         }
-        limited.iter().for_each(|address| self.share_server(address));
+        limited.iter().for_each(|address| self.share_server(&next, address));
         self.warn_of_pinned();
         *self.routes.borrow_mut() = Routes::of(&next);
         for name in &plan.closed {
--- a/crates/hosted/src/plane/residents.rs
+++ b/crates/hosted/src/plane/residents.rs
@@ -222,7 +222,8 @@
         self.longest.set(self.longest.get().max(pool.patience()));
         let limited = self.join_servers(name, &live.document);
         self.tenants.borrow_mut().insert(name.clone(), live);
-        limited.iter().for_each(|address| self.share_server(address));
+        let catalog = self.catalog();
+        limited.iter().for_each(|address| self.share_server(&catalog, address));
         pool
     }
 
@@ -230,8 +231,9 @@
     fn put_to_rest(&self, name: &Name) {
         let Some(live) = self.tenants.borrow_mut().remove(name) else { return };
         self.digests.borrow_mut().put(name, self.digest(&live));
+        let catalog = self.catalog();
         for address in self.leave_servers(name, &live.document) {
-            self.share_server(&address);
+            self.share_server(&catalog, &address);
         }
     }
 
@@ -346,19 +348,20 @@
         limited
     }
 
-    /// Divides a server with a limit among the residents that use it.
-    pub(super) fn share_server(&self, address: &str) {
+    /// Divides a server with a limit among the residents that use it. Where others use it, too, that are at rest, the limit holds for
+    /// one alone.
+    pub(super) fn share_server(&self, catalog: &Catalog, address: &str) {
         let Ok(at) = address.parse() else { return };
         let (tenants, sharers) = (self.tenants.borrow(), self.sharers.borrow());
-        let users = sharers.get(address).into_iter().flatten().filter_map(|name| tenants.get(name));
-        let mut members: Vec<_> =
-            users.clone().map(|live| (live.account.clone(), live.document.limits.weight)).collect();
-        let limit = |live: &Live| live.document.servers.iter().find(|s| s.address == address)?.connections;
-        let connections = users.clone().find_map(limit).unwrap_or(0);
-        // One user needs no share: the server is forgotten.
-        if members.len() < 2 {
-            members.clear();
-        }
+        let mut all = catalog.users(address);
+        let (connections, several) =
+            (all.next().map_or(0, |(_, connections)| connections), all.next().is_some());
+        let users = sharers.get(address).filter(|_| several).into_iter().flatten();
+        let member = |name| {
+            let live: &Live = tenants.get(name)?;
+            Some((live.account.clone(), live.document.limits.weight))
+        };
+        let members: Vec<_> = users.filter_map(member).collect();
         self.book.share_server(service::server_number(at), connections, &members);
     }
 
--- a/crates/tenancy/src/shares.rs
+++ b/crates/tenancy/src/shares.rs
@@ -202,10 +202,10 @@
     }
 
     /// A server with so many connections is used by these tenants, with their weights. A server with one user needs no
-    /// share: name none, or one, and it is forgotten.
+    /// share: name none, and it is forgotten. Where others use it that are not here now, one is held to the whole of it.
     pub fn share_server(&mut self, server: u64, connections: u64, members: &[(Tenant, f64)]) {
         let old = self.servers.remove(&server);
-        if members.len() < 2 {
+        if members.is_empty() {
             return;
         }
         let mut stock = Stock::new(connections, self.limits.newcomers);
