--- a/crates/hosted/src/plane.rs
+++ b/crates/hosted/src/plane.rs
@@ -256,7 +256,9 @@
             }
         }
         limited.iter().for_each(|address| self.share_server(&next, address));
-        self.warn_of_pinned();
+        if !followed.is_empty() {
+            self.warn_of_pinned();
+        }
         *self.routes.borrow_mut() = Routes::of(&next);
         for name in &plan.closed {
             // It may have been opened anew at another address, under the same name.
@@ -370,6 +372,7 @@
     fn renew(&self, live: &mut Live) {
         let running = self.pool(&live.document, &live.account, live.seed, live.pools);
         live.pools += 1;
+        self.longest.set(self.longest.get().max(running.pool.patience()));
         let old = std::mem::replace(&mut live.running, running);
         old.end();
         live.former.push(old.feed);
