--- a/crates/admin/src/desk.rs
+++ b/crates/admin/src/desk.rs
@@ -1,24 +1,27 @@
 //! The desk: it holds the present documents, decides each call, and stores what changes before anything else hears of it.
+//!
+//! The documents are held once, packed, as a [`Catalog`]. A change costs what it touches: it makes another catalog that shares all else,
+//! and checks what the change may break. Only a start, another whole state, and calls that concern all tenants walk over all.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
 
 use documents::{Fault, Form};
+use hosted::catalog::{Catalog, Name, Parts};
 use hosted::check;
 use hosted::document::{Service, Tenant};
 use hosted::plan::{self, Prepared};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use sha2::{Digest as _, Sha256};
-use store::{Author, Keep, State, Store, StoreError, Write, snapshot};
+use store::{Author, Each, Keep, State, Store, StoreError, Write, snapshot};
 
 use crate::access::{self, Role, Token, Who};
 use crate::answers::{By, Changed, Written};
 use crate::call::{Call, Outcome, Reply};
 use crate::difference::{self, Difference};
 use crate::events::Happened;
-use crate::problem::Problem;
+use crate::problem::{Problem, short};
 
 /// The file in the state's directory that holds the first operator's token.
 pub const OPERATOR: &str = "operator.token";
@@ -30,11 +33,16 @@
     /// Why nothing can be changed, if so.
     read_only: Option<String>,
     directory: PathBuf,
-    state: State,
+    /// The present version.
+    version: u64,
+    /// The last line of the audit log.
+    entry: u64,
     /// Whether the snapshot lags behind.
     stale: bool,
     tokens: BTreeMap<String, Token>,
-    service: Arc<Service>,
+    /// The present documents, each with its revision, in what the file says of process and listeners.
+    catalog: Catalog,
+    parts: Parts,
     form: Form,
     /// Whether what is to be stored is agreed on with others first.
     agrees: bool,
@@ -69,7 +77,8 @@
     /// It is of a program that this one does not know.
     pub fn read(text: &str) -> Result<Self, String> {
         let program = env!("CARGO_PKG_VERSION");
-        let unknown = |what: String| format!("this program ({program}) can't read the change: {what}");
+        let unknown =
+            |what: String| format!("this program ({program}) can't read the change: {}", short(&what));
         let value: Value = serde_json::from_str(text).map_err(|e| unknown(e.to_string()))?;
         if value["format"] != form() {
             return Err(unknown(format!("its form is {}, and it knows {}", value["format"], form())));
@@ -128,6 +137,23 @@
     format!("tenant/{tenant}")
 }
 
+/// A tenant's document as it is stored and told.
+pub fn written_out(tenant: &Tenant) -> Result<Value, Problem> {
+    serde_json::to_value(tenant).map_err(|e| Problem::internal(e.to_string()))
+}
+
+/// Faults that a message tells of at most.
+const FAULTS: usize = 20;
+
+/// Faults in one text, those beyond the first counted.
+fn all_of(faults: &[String], between: &str) -> String {
+    let mut text = faults.iter().take(FAULTS).map(|f| short(f)).collect::<Vec<_>>().join(between);
+    if faults.len() > FAULTS {
+        text.push_str(&format!("{between}and {} more", faults.len() - FAULTS));
+    }
+    text
+}
+
 /// The tenant of a scope.
 pub fn tenant_of(scope: &str) -> Option<String> {
     scope.strip_prefix("tenant/").map(str::to_owned)
@@ -139,6 +165,85 @@
     format!("\"{rev}-{:02x}{:02x}{:02x}{:02x}\"", sum[0], sum[1], sum[2], sum[3])
 }
 
+/// Documents that are read one by one, packed as they come.
+struct Loaded {
+    catalog: Catalog,
+    parts: Parts,
+    /// What is wrong with them.
+    faults: Vec<String>,
+}
+
+impl Loaded {
+    /// What a reader tells, and what it returns.
+    fn of<T>(
+        parts: Parts, read: impl FnOnce(Each<'_>) -> Result<T, StoreError>,
+    ) -> Result<(T, Self), StoreError> {
+        let form = Form::of::<Tenant>().map_err(StoreError::Database)?;
+        let mut loaded = Loaded { catalog: Catalog::new(&Service::default()), parts, faults: Vec::new() };
+        let done = read(&mut |scope, rev, document| loaded.take(&form, scope, rev, &document))?;
+        Ok((done, loaded))
+    }
+
+    fn take(&mut self, form: &Form, scope: &str, rev: u64, document: &Value) {
+        let tenant = match form.read::<Tenant>(document) {
+            Ok(tenant) => tenant,
+            Err(faults) => {
+                let all = faults.iter().map(|f| format!("{scope}: {}: {}", f.key(), f.what));
+                return self.faults.extend(all);
+            }
+        };
+        let i = self.catalog.len();
+        let edit = [(tenant.name.clone(), Some(tenant))];
+        for (_, fault) in check::edits(&self.catalog, &edit) {
+            self.faults.push(no_fit(&format!("tenant.{i}.{}", fault.key()), &fault.what));
+        }
+        if let [(_, Some(tenant))] = &edit {
+            self.catalog.put(&mut self.parts, tenant, rev);
+        }
+    }
+}
+
+/// What a new snapshot holds. The desk goes on meanwhile.
+pub struct Snapshot {
+    directory: PathBuf,
+    state: State,
+    catalog: Catalog,
+}
+
+impl Snapshot {
+    /// Writes it; returns how many bytes it has.
+    ///
+    /// # Errors
+    /// What the system says; of a tenant that is damaged in memory, its name. The one that was there is there still.
+    pub fn write(&self) -> Result<u64, (StoreError, Option<String>)> {
+        let mut damaged = None;
+        let documents = self.catalog.iter().map(|read| {
+            let (rev, tenant) = read.map_err(|e| {
+                let what = StoreError::Damaged(e.to_string());
+                damaged = Some(e.tenant);
+                what
+            })?;
+            let document = serde_json::to_value(&tenant).map_err(|e| StoreError::Database(e.to_string()))?;
+            Ok((scope(&tenant.name), rev, document))
+        });
+        let written = snapshot::write(&self.directory, &self.state, documents);
+        written.map_err(|e| (e, damaged))
+    }
+}
+
+/// The tokens of a state.
+fn tokens(stored: BTreeMap<String, Value>) -> Result<BTreeMap<String, Token>, String> {
+    let token = |(id, t): (String, Value)| {
+        let token = serde_json::from_value(t).map_err(|e| format!("token {id}: {e}"))?;
+        Ok((id, token))
+    };
+    stored.into_iter().map(token).collect()
+}
+
+fn no_fit(key: &str, what: &str) -> String {
+    format!("the file and the state do not fit: {key}: {what}")
+}
+
 impl Desk {
     /// Opens the state of a service whose process and listeners stand in a file. Tenants of the file go into a state that is
     /// still empty; afterwards the state alone says who is served. With `read_only`, a store that can't be used is left
@@ -150,18 +255,23 @@
         let durable = file.state.as_ref().ok_or("state: it is missing")?;
         let directory = PathBuf::from(&durable.directory);
         let keep = Keep { versions: durable.keep_versions, ..Keep::default() };
-        let (store, state, why) = match Store::open(&directory, keep) {
-            Ok((store, state)) => (Some(store), state, None),
+        let opened = Store::open(&directory, keep).and_then(|(store, state)| {
+            let ((), loaded) = Loaded::of(Parts::default(), |each| store.documents(each))?;
+            Ok((loaded, store, state))
+        });
+        let (loaded, store, state, why) = match opened {
+            Ok((loaded, store, state)) => (loaded, Some(store), state, None),
             Err(e) if read_only => {
                 tracing::warn!(error = %e, "the store can't be used; the last known good state is served");
-                let state = snapshot::read(&directory).map_err(|s| format!("{e}; and no snapshot: {s}"))?;
-                (None, state, Some(e.to_string()))
+                let kept = Loaded::of(Parts::default(), |each| snapshot::read(&directory, each));
+                let (state, loaded) = kept.map_err(|s| format!("{e}; and no snapshot: {s}"))?;
+                (loaded, None, state, Some(e.to_string()))
             }
             Err(e) => return Err(format!("{}: {e}", directory.display())),
         };
         let read_only =
             read_only.then(|| why.unwrap_or_else(|| "it was started with --read-only-state".into()));
-        Desk::with(file, store, state, read_only, directory, now_ms)
+        Desk::over(file, store, (state, loaded), read_only, directory, now_ms)
     }
 
     /// A desk over a store that is open.
@@ -171,51 +281,69 @@
     pub fn with(
         file: &Service, store: Option<Store>, state: State, read_only: Option<String>, directory: PathBuf,
         now_ms: u64,
+    ) -> Result<Self, String> {
+        let stored = |each: Each<'_>| store.as_ref().map_or(Ok(()), |s| s.documents(each));
+        let ((), loaded) = Loaded::of(Parts::default(), stored).map_err(|e| e.to_string())?;
+        Desk::over(file, store, (state, loaded), read_only, directory, now_ms)
+    }
+
+    fn over(
+        file: &Service, store: Option<Store>, (state, loaded): (State, Loaded), read_only: Option<String>,
+        directory: PathBuf, now_ms: u64,
     ) -> Result<Self, String> {
         let mut desk = Desk {
             agrees: file.cluster.is_some(),
             store,
             read_only,
             directory,
-            state,
+            version: state.version,
+            entry: state.entry,
             stale: true,
-            tokens: BTreeMap::new(),
-            service: Arc::default(),
+            tokens: tokens(state.tokens)?,
+            catalog: Catalog::new(&Service::default()),
+            parts: Parts::default(),
             form: Form::of::<Tenant>()?,
         };
         // Where others have a say, they may have versions already.
-        if desk.state.entry == 0 && desk.read_only.is_none() && !desk.agrees {
+        if desk.entry == 0 && desk.read_only.is_none() && !desk.agrees {
             desk.begin(file, now_ms)?;
+        } else {
+            desk.go_over(file, loaded)?;
         }
-        desk.look_at(file)?;
         Ok(desk)
     }
 
-    /// Takes what is stored for the present service. Before anything is, nothing is served.
-    fn look_at(&mut self, file: &Service) -> Result<(), String> {
-        let token = |(id, t): (&String, &Value)| -> Result<(String, Token), String> {
-            let token = serde_json::from_value(t.clone()).map_err(|e| format!("token {id}: {e}"))?;
-            Ok((id.clone(), token))
-        };
-        self.tokens = self.state.tokens.iter().map(token).collect::<Result<_, _>>()?;
-        self.service = if self.agrees && self.state.entry == 0 {
-            Arc::new(Service { listeners: Vec::new(), tenants: Vec::new(), ..file.clone() })
-        } else {
-            Arc::new(self.fit(file)?)
-        };
+    /// Takes what was read for the present documents.
+    fn go_over(&mut self, file: &Service, loaded: Loaded) -> Result<(), String> {
+        if !loaded.faults.is_empty() {
+            return Err(all_of(&loaded.faults, "\n"));
+        }
+        (self.catalog, self.parts) = (loaded.catalog, loaded.parts);
+        self.catalog = self.framed(file)?;
         Ok(())
     }
 
+    /// The present documents in what a file says of process and listeners. Before anything is stored, nothing is served.
+    fn framed(&self, file: &Service) -> Result<Catalog, String> {
+        if self.agrees && self.entry == 0 {
+            return Ok(Catalog::new(&Service { listeners: Vec::new(), ..file.clone() }));
+        }
+        let faults = check::around(file, |name| self.catalog.name(name).is_some());
+        let all = faults.iter().map(|f| no_fit(&f.key(), &f.what)).collect::<Vec<_>>();
+        if all.is_empty() { Ok(self.catalog.in_frame(file)) } else { Err(all_of(&all, "\n")) }
+    }
+
     /// The first version of a cluster that is founded here, unless there are some; what there is then, as text.
     ///
     /// # Errors
     /// It can't be stored, or does not fit.
     pub fn found(&mut self, file: &Service, now_ms: u64) -> Result<(u64, u64, String), String> {
-        if self.state.entry == 0 {
+        if self.entry == 0 {
             self.begin(file, now_ms)?;
+        } else {
+            self.catalog = self.framed(file)?;
         }
-        self.look_at(file)?;
-        Ok((self.state.version, self.state.entry, self.export()?))
+        Ok((self.version, self.entry, self.export()?))
     }
 
     /// All that is stored, as text.
@@ -235,9 +363,18 @@
     /// It can't be read or stored, or does not fit the file; then what was here is served no more.
     pub fn replace(&mut self, file: &Service, text: &str) -> Result<(), String> {
         let store = self.store.as_mut().ok_or("the state is read-only")?;
-        self.state = store::replace(store, text.as_bytes()).map_err(|e| e.to_string())?;
-        self.stale = true;
-        self.look_at(file)
+        let state = store::replace(store, text.as_bytes()).map_err(|e| e.to_string())?;
+        (self.version, self.entry, self.stale) = (state.version, state.entry, true);
+        self.tokens = tokens(state.tokens)?;
+        self.load(file)
+    }
+
+    /// Reads all documents from the store.
+    fn load(&mut self, file: &Service) -> Result<(), String> {
+        let store = self.store.as_ref().ok_or("the state is read-only")?;
+        let parts = std::mem::take(&mut self.parts);
+        let ((), loaded) = Loaded::of(parts, |each| store.documents(each)).map_err(|e| e.to_string())?;
+        self.go_over(file, loaded)
     }
 
     /// Takes what a survivor's log has beyond what is stored here, and goes on at a later version: a cluster begins anew. What there
@@ -252,7 +389,7 @@
             self.take(&Agreed::read(payload)?).map_err(|p| p.detail)?;
         }
         let write = Write {
-            base: self.state.entry,
+            base: self.entry,
             at_ms: now_ms,
             by: Author { id: "restore".into(), name: "canvascart cluster restore".into() },
             action: "cluster.restore".into(),
@@ -264,53 +401,72 @@
             skip_to: Some(version),
         };
         self.commit(&write).map_err(|e| e.to_string())?;
-        self.look_at(file)?;
-        Ok((self.state.version, self.state.entry, self.export()?))
+        self.catalog = self.framed(file)?;
+        Ok((self.version, self.entry, self.export()?))
     }
 
     /// How much is stored.
     pub fn entry(&self) -> u64 {
-        self.state.entry
+        self.entry
     }
 
-    /// The service as it would be after a change, and the change's documents as they are read.
-    fn after(&self, write: &Write) -> Result<Service, String> {
-        let mut next = (*self.service).clone();
+    /// The documents of a change that was agreed on, as they are read.
+    fn edits(&self, write: &Write) -> Result<Vec<(String, Option<Tenant>)>, String> {
+        let mut edits = Vec::new();
         for (scope, document) in &write.edits {
             let Some(name) = tenant_of(scope) else { continue };
             let faults = |f: Vec<Fault>| {
-                let all = f.iter().map(|f| format!("{name}: {}: {}", f.key(), f.what));
-                all.collect::<Vec<_>>().join("; ")
+                let all: Vec<_> = f.iter().map(|f| format!("{name}: {}: {}", f.key(), f.what)).collect();
+                all_of(&all, "; ")
             };
             let read = document.as_ref().map(|d| self.form.read::<Tenant>(d).map_err(faults)).transpose()?;
-            match (next.tenants.binary_search_by(|t| t.name.as_str().cmp(&name)), read) {
-                (Ok(at), Some(tenant)) => next.tenants[at] = tenant,
-                (Ok(at), None) => drop(next.tenants.remove(at)),
-                (Err(at), Some(tenant)) => next.tenants.insert(at, tenant),
-                (Err(_), None) => {}
+            edits.push((name, read));
+        }
+        Ok(edits)
+    }
+
+    /// The documents as they would be after a change, and the revisions that it gives.
+    fn after(&mut self, edits: &[(String, Option<Tenant>)]) -> Result<(Catalog, Vec<u64>), StoreError> {
+        let mut next = self.catalog.clone();
+        let mut revs = Vec::with_capacity(edits.len());
+        for (name, tenant) in edits {
+            let rev = self.store.as_ref().map_or(Ok(0), |s| s.next_rev(&scope(name)))?;
+            match tenant {
+                Some(tenant) => next.put(&mut self.parts, tenant, rev),
+                None => next.remove(name),
             }
+            revs.push(rev);
         }
-        Ok(next)
+        Ok((next, revs))
     }
 
     /// Whether this instance can take a change; the servers that it ends, by tenant.
     ///
     /// # Errors
     /// Why not.
-    pub fn can_take(&self, agreed: &Agreed) -> Result<BTreeMap<String, BTreeSet<String>>, String> {
+    pub fn can_take(&mut self, agreed: &Agreed) -> Result<BTreeMap<String, BTreeSet<String>>, String> {
         if let Some(why) = &self.read_only {
             return Err(format!("nothing can be stored here: {why}"));
         }
-        if agreed.write.base != self.state.entry {
-            return Err(format!(
-                "it was made on entry {}, and here is {}",
-                agreed.write.base, self.state.entry
-            ));
+        if agreed.write.base != self.entry {
+            return Err(format!("it was made on entry {}, and here is {}", agreed.write.base, self.entry));
+        }
+        let edits = self.edits(&agreed.write)?;
+        let all: Vec<String> = check::edits(&self.catalog, &edits)
+            .into_iter()
+            .map(|(edit, f)| match edit.and_then(|i| edits.get(i)) {
+                Some((name, _)) => format!("{name}: {}: {}", f.key(), f.what),
+                None => format!("{}: {}", f.key(), f.what),
+            })
+            .collect();
+        if !all.is_empty() {
+            return Err(all_of(&all, "; "));
+        }
+        for (name, _) in &edits {
+            self.tenant(name).map_err(|p| p.detail)?;
         }
-        let next = self.after(&agreed.write)?;
-        let faults = check::faults(&next);
-        let all: Vec<String> = faults.iter().map(|f| format!("{}: {}", f.key(), f.what)).collect();
-        if all.is_empty() { Ok(plan::ended(&self.service, &next)) } else { Err(all.join("; ")) }
+        let (next, _) = self.after(&edits).map_err(|e| e.to_string())?;
+        Ok(plan::ended(&self.catalog, &next))
     }
 
     /// Stores what is agreed on. What is stored already is not stored twice.
@@ -319,14 +475,15 @@
     /// It can't be stored, or does not fit.
     pub fn take(&mut self, agreed: &Agreed) -> Result<Stored, Problem> {
         let write = &agreed.write;
-        if write.base < self.state.entry {
+        if write.base < self.entry {
             return Ok(Stored { prepared: None, happened: None });
         }
         let prepared = match write.edits.is_empty() {
             true => None,
             false => {
-                let next = self.after(write).map_err(Problem::internal)?;
-                Some(Prepared::between(&self.service, Arc::new(next)))
+                let edits = self.edits(write).map_err(Problem::internal)?;
+                let (next, _) = self.after(&edits)?;
+                Some(Prepared::between(&self.catalog, next))
             }
         };
         self.put(agreed, prepared)
@@ -346,9 +503,9 @@
             }
         }
         let Some(prepared) = prepared else { return Ok(Stored { prepared: None, happened: None }) };
-        self.service = prepared.next.clone();
+        self.catalog = prepared.next.clone();
         let happened = Happened {
-            version: self.state.version,
+            version: self.version,
             at_ms: write.at_ms,
             by: By { id: write.by.id.clone(), name: write.by.name.clone() },
             action: write.action.clone(),
@@ -378,25 +535,10 @@
             skip_to: None,
         };
         self.commit(&write).map_err(|e| e.to_string())?;
-        Ok(())
-    }
-
-    /// The whole service: process and listeners of a file, tenants of the state.
-    fn fit(&self, file: &Service) -> Result<Service, String> {
-        let mut tenants = Vec::new();
-        for (scope, head) in &self.state.documents {
-            let faults = |f: Vec<Fault>| {
-                let all = f.iter().map(|f| format!("{scope}: {}: {}", f.key(), f.what));
-                all.collect::<Vec<_>>().join("\n")
-            };
-            tenants.push(self.form.read(&head.document).map_err(faults)?);
-        }
-        let service = Service { tenants, ..file.clone() };
-        let faults = check::faults(&service);
-        let all =
-            faults.iter().map(|f| format!("the file and the state do not fit: {}: {}", f.key(), f.what));
-        let all: Vec<String> = all.collect();
-        if all.is_empty() { Ok(service) } else { Err(all.join("\n")) }
+        let added = |t: (String, Option<Value>)| Some((t.0, t.1?));
+        self.tokens = tokens(write.tokens.into_iter().filter_map(added).collect())?;
+        drop(write.edits);
+        self.load(file)
     }
 
     /// What leads to another file's listeners; [`Desk::reloaded`] once that is in effect.
@@ -404,29 +546,34 @@
     /// # Errors
     /// The file does not fit the state.
     pub fn reload(&self, file: &Service) -> Result<Prepared, String> {
-        let start = &self.service;
+        let start = self.catalog.frame();
         let next = Service {
             process: start.process.clone(),
             state: start.state.clone(),
             admin: start.admin.clone(),
             ..file.clone()
         };
-        Ok(Prepared::between(start, Arc::new(self.fit(&next)?)))
+        Ok(Prepared::between(&self.catalog, self.framed(&next)?))
     }
 
     /// Another file's listeners are in effect.
-    pub fn reloaded(&mut self, service: Arc<Service>) {
-        self.service = service;
+    pub fn reloaded(&mut self, catalog: Catalog) {
+        self.catalog = catalog;
+    }
+
+    /// The present documents, in what the file says of process and listeners.
+    pub fn catalog(&self) -> &Catalog {
+        &self.catalog
     }
 
-    /// The present service.
-    pub fn service(&self) -> Arc<Service> {
-        self.service.clone()
+    /// How many tenants were packed so far, from which tests tell what a change costs.
+    pub fn packed(&self) -> u64 {
+        self.parts.packed()
     }
 
     /// The present version.
     pub fn version(&self) -> u64 {
-        self.state.version
+        self.version
     }
 
     /// Why nothing can be changed, if so.
@@ -440,9 +587,23 @@
     }
 
     /// What a new snapshot holds, if the last one lags behind.
-    pub fn snapshot(&mut self) -> Option<(PathBuf, State)> {
+    pub fn snapshot(&mut self) -> Option<Snapshot> {
         let lags = std::mem::take(&mut self.stale) && self.store.is_some();
-        lags.then(|| (self.directory.clone(), self.state.clone()))
+        let token = |(id, t): (&String, &Token)| (id.clone(), serde_json::to_value(t).unwrap_or_default());
+        lags.then(|| Snapshot {
+            directory: self.directory.clone(),
+            state: State {
+                version: self.version,
+                entry: self.entry,
+                tokens: self.tokens.iter().map(token).collect(),
+            },
+            catalog: self.catalog.clone(),
+        })
+    }
+
+    /// The snapshot could not be written: it lags behind still.
+    pub fn lags(&mut self) {
+        self.stale = true;
     }
 
     /// Who presents this value of the header Authorization.
@@ -486,18 +647,63 @@
         self.store.as_ref().ok_or_else(|| Problem::read_only(why))
     }
 
+    /// A tenant's revision and document as they are now; none if it is not there. What is damaged in memory is read anew from the
+    /// store.
+    ///
+    /// # Errors
+    /// It is damaged, and can't be read anew.
+    pub fn tenant(&mut self, name: &str) -> Result<Option<(u64, Tenant)>, Problem> {
+        if let Some(Err(damaged)) = self.catalog.get(name) {
+            tracing::error!(error = %damaged, "it is read anew from what is stored");
+            self.mend(name)?;
+        }
+        let found = self.catalog.get(name).transpose();
+        found.map_err(|damaged| Problem::internal(damaged.to_string()))
+    }
+
+    /// Reads a tenant anew from what is stored, as what is held of it in memory is damaged.
+    ///
+    /// # Errors
+    /// It can't be read.
+    pub fn mend(&mut self, name: &str) -> Result<(), Problem> {
+        let scope = scope(name);
+        let stored = match &self.store {
+            Some(store) => store.document(&scope)?,
+            None => {
+                let mut found = None;
+                snapshot::read(&self.directory, &mut |s, rev, document| {
+                    if s == scope {
+                        found = Some((rev, document));
+                    }
+                })?;
+                found
+            }
+        };
+        let lost = |why: &str| Problem::internal(format!("tenant \"{name}\" can't be read anew: {why}"));
+        let (rev, document) = stored.ok_or_else(|| lost("it is not stored"))?;
+        let tenant = self.form.read(&document).map_err(|_| lost("what is stored has another form"))?;
+        self.catalog.put(&mut self.parts, &tenant, rev);
+        Ok(())
+    }
+
     /// The present document of a tenant that a caller may see, with its revision.
     ///
     /// # Errors
     /// There is none, or none that the caller may see; which of both is not told.
-    pub fn document(&self, who: &Who, tenant: &str) -> Result<(u64, &Value), Problem> {
-        let head = self.state.documents.get(&scope(tenant)).filter(|_| who.sees(tenant));
-        head.map(|h| (h.rev, &h.document)).ok_or_else(|| no_tenant(tenant))
+    pub fn document(&mut self, who: &Who, tenant: &str) -> Result<(u64, Value), Problem> {
+        let found = if who.sees(tenant) { self.tenant(tenant)? } else { None };
+        let (rev, tenant) = found.ok_or_else(|| no_tenant(tenant))?;
+        Ok((rev, written_out(&tenant)?))
     }
 
-    /// The present documents by tenant, with their revisions.
-    pub fn documents(&self) -> impl Iterator<Item = (String, u64, &Value)> {
-        self.state.documents.iter().filter_map(|(s, h)| Some((tenant_of(s)?, h.rev, &h.document)))
+    /// Whether there is a tenant of this name.
+    pub fn has(&self, tenant: &str) -> bool {
+        self.catalog.name(tenant).is_some()
+    }
+
+    /// The tenants' names, in order.
+    pub fn names(&self) -> impl Iterator<Item = &Name> {
+        self.catalog.names()
     }
 
     /// The tokens by id.
@@ -507,7 +713,7 @@
 
     /// The tag of the whole service.
     pub fn service_tag(&self) -> String {
-        format!("\"v{}\"", self.state.version)
+        format!("\"v{}\"", self.version)
     }
 
     /// Whether a call's precondition holds for what has this tag now.
@@ -562,11 +768,12 @@
         if let (false, Some(why)) = (dry_run, &self.read_only) {
             return Err(Problem::read_only(why.clone()));
         }
-        let mut next = (*self.service).clone();
         let mut edits: Vec<(String, Option<Value>)> = Vec::new();
+        let mut tenants: Vec<(String, Option<Tenant>)> = Vec::new();
+        let mut before: Vec<Option<Value>> = Vec::new();
         let mut differences = Vec::new();
         for (name, document, frame) in &draft.edits {
-            let now = self.state.documents.get(&scope(name)).map(|h| &h.document);
+            let now = self.tenant(name)?.map(|(_, tenant)| written_out(&tenant)).transpose()?;
             let read = match document {
                 Some(d) => {
                     let faults = |f| Problem::faults(frame.outside(f));
@@ -575,29 +782,29 @@
                 None => None,
             };
             // As it is read it has all defaults, so that the same document is the same text.
-            let document = read.as_ref().map(|t| serde_json::to_value(t).unwrap_or_default());
-            if now == document.as_ref() {
+            let document = read.as_ref().map(written_out).transpose()?;
+            if now == document {
                 continue;
             }
-            differences.extend(difference::between(&format!("/{name}"), now, document.as_ref()));
-            let at = next.tenants.binary_search_by(|t| t.name.as_str().cmp(name));
-            match (at, read) {
-                (Ok(at), Some(tenant)) => next.tenants[at] = tenant,
-                (Ok(at), None) => drop(next.tenants.remove(at)),
-                (Err(at), Some(tenant)) => next.tenants.insert(at, tenant),
-                (Err(_), None) => continue,
+            if differences.len() < difference::MOST {
+                let now = now.as_ref();
+                differences.extend(difference::between(&format!("/{name}"), now, document.as_ref()));
             }
             edits.push((name.clone(), document));
+            tenants.push((name.clone(), read));
+            before.push(now);
         }
-        self.allowed(&call.who, &edits)?;
-        fits(&next, &draft, &edits)?;
+        allowed(&call.who, &edits, &before)?;
+        drop(before);
+        self.fits(&draft, &tenants)?;
         differences.truncate(difference::MOST);
         if edits.is_empty() {
             let (etag, body) = self.written(call, Vec::new(), differences, dry_run, &edits);
             return Ok(Reply { status: 200, etag, location: None, body }.into());
         }
-        let prepared = Prepared::between(&self.service, Arc::new(next));
-        let changed: Vec<Changed> = edits.iter().map(|(name, _)| self.changed(name, &prepared)).collect();
+        let (next, revs) = self.after(&tenants)?;
+        let prepared = Prepared::between(&self.catalog, next);
+        let changed = changed(&edits, &revs, &prepared);
         let (etag, body) = self.written(call, changed.clone(), differences, dry_run, &edits);
         let status = if draft.location.is_some() && !dry_run { 201 } else { 200 };
         let reply = Reply { status, etag, location: draft.location.filter(|_| !dry_run), body };
@@ -605,7 +812,7 @@
             return Ok(Reply { etag: None, ..reply }.into());
         }
         let write = Write {
-            base: self.state.entry,
+            base: self.entry,
             at_ms: call.now_ms,
             by: Author { id: call.who.id.clone(), name: call.who.name.clone() },
             action: draft.action.into(),
@@ -643,7 +850,7 @@
         // A secret is told once and kept nowhere: who repeats the call is not told it again.
         let secret = reply.body.as_object_mut().and_then(|body| body.remove("token"));
         let write = Write {
-            base: self.state.entry,
+            base: self.entry,
             at_ms: call.now_ms,
             by: Author { id: call.who.id.clone(), name: call.who.name.clone() },
             action: action.into(),
@@ -669,7 +876,8 @@
 
     /// The tokens of tenants that go. They must not open a later tenant of the same name.
     fn ending(&self, edits: &[(String, Option<Value>)]) -> Vec<String> {
-        let goes = |name: &String| edits.iter().any(|(n, d)| n == name && d.is_none());
+        let gone: BTreeSet<&String> = edits.iter().filter(|(_, d)| d.is_none()).map(|(n, _)| n).collect();
+        let goes = |name: &String| gone.contains(name);
         let ending = self.tokens.iter().filter(|(_, t)| t.tenant.as_ref().is_some_and(goes));
         ending.map(|(id, _)| id.clone()).collect()
     }
@@ -678,62 +886,40 @@
         let store =
             self.store.as_mut().ok_or_else(|| StoreError::Database("the state is read-only".into()))?;
         let entry = store.commit(write)?;
-        self.state.follow(write, &entry);
+        (self.entry, self.version) = (write.base + 1, entry.version.unwrap_or(self.version));
         self.stale = true;
         Ok(())
     }
 
-    /// What only operators may set: what a tenant may have of what all share, and the hosts that lead to it.
-    fn allowed(&self, who: &Who, edits: &[(String, Option<Value>)]) -> Result<(), Problem> {
-        if who.operates() {
+    /// Whether the service as a whole is right after a change of these tenants.
+    fn fits(&self, draft: &Draft, edits: &[(String, Option<Tenant>)]) -> Result<(), Problem> {
+        let faults = check::edits(&self.catalog, edits);
+        if faults.is_empty() {
             return Ok(());
         }
-        for (name, document) in edits {
-            let now = self.state.documents.get(&scope(name)).map(|h| &h.document);
-            let (Some(now), Some(next)) = (now, document) else {
-                return Err(Problem::forbidden("only operators add and remove tenants"));
-            };
-            for key in ["hosts", "limits"] {
-                if now[key] != next[key] {
-                    return Err(Problem::forbidden(format!("only operators change {key}")));
-                }
-            }
-            let caps = |document: &Value| -> BTreeMap<String, Value> {
-                let servers = document["server"].as_array().into_iter().flatten();
-                let capped = servers.filter(|s| !s["connections"].is_null());
-                capped.map(|s| (s["address"].to_string(), s["connections"].clone())).collect()
-            };
-            let before = caps(now);
-            if caps(next).iter().any(|(address, cap)| before.get(address) != Some(cap)) {
-                return Err(Problem::forbidden("only operators set connections of servers"));
+        // Faults of a tenant that changes are faults of the body; others are of what does not fit it any more.
+        let frames: BTreeMap<&str, &Frame> = draft.edits.iter().map(|(n, _, f)| (n.as_str(), f)).collect();
+        let mut own = Vec::new();
+        let mut others = Vec::new();
+        for (edit, fault) in faults {
+            match edit.and_then(|i| frames.get(edits.get(i)?.0.as_str())) {
+                Some(frame) => own.extend(frame.outside(vec![fault])),
+                None => others.push(format!("{}: {}", fault.key(), fault.what)),
             }
         }
-        Ok(())
-    }
-
-    fn changed(&self, name: &str, prepared: &Prepared) -> Changed {
-        let change = prepared.plan.changed.get(name).copied().unwrap_or_default();
-        Changed {
-            name: name.to_owned(),
-            rev: self.store.as_ref().map_or(0, |s| s.next_rev(&scope(name))),
-            added: prepared.plan.added.iter().any(|n| n == name),
-            removed: prepared.plan.removed.iter().any(|n| n == name),
-            pool: change.pool,
-            servers: change.servers,
-            limits: change.limits,
-        }
+        if own.is_empty() { Err(Problem::conflict(all_of(&others, "; "))) } else { Err(Problem::faults(own)) }
     }
 
     /// The tag and the body of an answer to a change.
     fn written(
-        &self, call: &Call, tenants: Vec<Changed>, differences: Vec<Difference>, dry_run: bool,
+        &mut self, call: &Call, tenants: Vec<Changed>, differences: Vec<Difference>, dry_run: bool,
         edits: &[(String, Option<Value>)],
     ) -> (Option<String>, Value) {
         let changed = !tenants.is_empty();
-        let version = self.state.version + u64::from(changed && !dry_run);
+        let version = self.version + u64::from(changed && !dry_run);
         let etag = match (call.path.get("tenant"), edits) {
             (Some(_), [(_, Some(document))]) => tenants.first().map(|t| etag(t.rev, document)),
-            (Some(name), []) => self.document(&call.who, name).ok().map(|(rev, d)| etag(rev, d)),
+            (Some(name), []) => self.document(&call.who, name).ok().map(|(rev, d)| etag(rev, &d)),
             (None, _) if call.who.oversees() => Some(format!("\"v{version}\"")),
             _ => None,
         };
@@ -776,28 +962,50 @@
     file.sync_all()
 }
 
-/// Whether the service as a whole is right.
-fn fits(next: &Service, draft: &Draft, edits: &[(String, Option<Value>)]) -> Result<(), Problem> {
-    let faults = check::faults(next);
-    if faults.is_empty() {
+/// What only operators may set: what a tenant may have of what all share, and the hosts that lead to it.
+fn allowed(who: &Who, edits: &[(String, Option<Value>)], before: &[Option<Value>]) -> Result<(), Problem> {
+    if who.operates() {
         return Ok(());
     }
-    // Faults of a tenant that changes are faults of the body; others are of what does not fit it any more.
-    let place = |name: &String| next.tenants.iter().position(|t| t.name == *name);
-    let mut own = Vec::new();
-    for (name, _, frame) in &draft.edits {
-        let Some(i) = place(name).filter(|_| edits.iter().any(|(n, _)| n == name)) else { continue };
-        let prefix = format!("/tenant/{i}/");
-        let of = faults.iter().filter(|f| f.pointer.starts_with(&prefix));
-        let of =
-            of.map(|f| Fault { pointer: f.pointer[prefix.len() - 1..].to_owned(), what: f.what.clone() });
-        own.extend(frame.outside(of.collect()));
-    }
-    if own.is_empty() {
-        let all: Vec<String> = faults.iter().map(|f| format!("{}: {}", f.key(), f.what)).collect();
-        return Err(Problem::conflict(all.join("; ")));
-    }
-    Err(Problem::faults(own))
+    for ((_, document), now) in edits.iter().zip(before) {
+        let (Some(now), Some(next)) = (now, document) else {
+            return Err(Problem::forbidden("only operators add and remove tenants"));
+        };
+        for key in ["hosts", "limits"] {
+            if now[key] != next[key] {
+                return Err(Problem::forbidden(format!("only operators change {key}")));
+            }
+        }
+        let caps = |document: &Value| -> BTreeMap<String, Value> {
+            let servers = document["server"].as_array().into_iter().flatten();
+            let capped = servers.filter(|s| !s["connections"].is_null());
+            capped.map(|s| (s["address"].to_string(), s["connections"].clone())).collect()
+        };
+        let before = caps(now);
+        if caps(next).iter().any(|(address, cap)| before.get(address) != Some(cap)) {
+            return Err(Problem::forbidden("only operators set connections of servers"));
+        }
+    }
+    Ok(())
+}
+
+/// What changes for each tenant of a change.
+fn changed(edits: &[(String, Option<Value>)], revs: &[u64], prepared: &Prepared) -> Vec<Changed> {
+    let of = |names: &'_ [String]| -> BTreeSet<String> { names.iter().cloned().collect() };
+    let (added, removed) = (of(&prepared.plan.added), of(&prepared.plan.removed));
+    let one = |((name, _), rev): (&(String, Option<Value>), &u64)| {
+        let change = prepared.plan.changed.get(name).copied().unwrap_or_default();
+        Changed {
+            name: name.clone(),
+            rev: *rev,
+            added: added.contains(name),
+            removed: removed.contains(name),
+            pool: change.pool,
+            servers: change.servers,
+            limits: change.limits,
+        }
+    };
+    edits.iter().zip(revs).map(one).collect()
 }
 
 /// Letters of an idempotency key at most.
--- a/crates/admin/src/http.rs
+++ b/crates/admin/src/http.rs
@@ -15,6 +15,7 @@
 };
 use axum::http::{HeaderMap, HeaderName, Method, Response, StatusCode};
 use axum::routing::{MethodFilter, MethodRouter, on};
+use hosted::catalog::Catalog;
 use hosted::document::Service;
 use hosted::plan::Prepared;
 use hosted::plane::{Plane, TenantStatus};
@@ -51,8 +52,16 @@
 const MISSED: usize = 100;
 /// Tenants that one event or answer tells of.
 const TOLD: usize = 1000;
-/// From one snapshot of the last known good state to the next.
+/// From one snapshot of the last known good state to the next, at least.
 const SNAPSHOT: Duration = Duration::from_secs(1);
+/// Bytes of snapshots that are written in a second, on the whole: a large state is written whole more rarely, so that the changes of
+/// one do not cost what there is.
+const SNAPSHOT_RATE: u64 = 256 << 10;
+
+/// How long no snapshot is written after one of so many bytes.
+pub fn snapshot_rest(bytes: u64) -> Duration {
+    SNAPSHOT.max(Duration::from_millis(bytes.saturating_mul(1000) / SNAPSHOT_RATE))
+}
 
 /// What the plane is to do.
 pub enum Order {
@@ -71,7 +80,7 @@
     /// The start is over: requests are taken.
     Take,
     /// Serve this, whatever was served.
-    Serve(Arc<Service>, oneshot::Sender<Result<(), String>>),
+    Serve(Catalog, oneshot::Sender<Result<(), String>>),
     /// Tell how many requests waited at the gate, and how many it refused.
     Gate(oneshot::Sender<[u64; 2]>),
     /// Tell how a tenant fares, or all.
@@ -97,12 +106,9 @@
             Order::Known(tell) => _ = tell.send(plane.known()),
             Order::Among(me, instances) => plane.among(me, instances),
             Order::Take => plane.take_requests(),
-            Order::Serve(service, done) => {
-                let served = if *plane.document() == *service {
-                    Ok(())
-                } else {
-                    plane.apply((*service).clone()).map(drop)
-                };
+            Order::Serve(catalog, done) => {
+                let served =
+                    if plane.catalog() == catalog { Ok(()) } else { plane.go_over(catalog).map(drop) };
                 let _ = done.send(served);
             }
             Order::Gate(tell) => _ = tell.send(plane.gate_counts()),
@@ -187,22 +193,31 @@
     async fn keep_snapshots(self: Arc<Self>) {
         loop {
             let this = self.clone();
-            if let Err(e) = tokio::task::spawn_blocking(move || this.keep_snapshot()).await {
+            let written = tokio::task::spawn_blocking(move || this.keep_snapshot()).await;
+            let bytes = written.unwrap_or_else(|e| {
                 tracing::warn!(error = %e, "the last known good state can't be written");
-            }
-            tokio::time::sleep(SNAPSHOT).await;
+                0
+            });
+            tokio::time::sleep(snapshot_rest(bytes)).await;
             self.stored.notified().await;
         }
     }
 
-    /// Writes the last known good state aside, if the one that was written lags behind.
-    pub fn keep_snapshot(&self) {
+    /// Writes the last known good state aside, if the one that was written lags behind; returns how many bytes that took.
+    pub fn keep_snapshot(&self) -> u64 {
         let lagging = self.desk().snapshot();
-        if let Some((directory, state)) = lagging
-            && let Err(e) = store::snapshot::write(&directory, &state)
-        {
+        let Some(lagging) = lagging else { return 0 };
+        lagging.write().unwrap_or_else(|(e, damaged)| {
             tracing::warn!(error = %e, "the last known good state can't be written");
-        }
+            let mut desk = self.desk();
+            if let Some(Ok(_)) = damaged.map(|name| desk.tenant(&name)) {
+                // Read anew, so that the next one can be written.
+                desk.lags();
+                drop(desk);
+                self.stored();
+            }
+            0
+        })
     }
 
     pub(crate) fn together(&self) -> Option<&Together> {
--- a/crates/admin/src/problem.rs
+++ b/crates/admin/src/problem.rs
@@ -1,10 +1,26 @@
 //! Problem documents (RFC 9457).
 
+use std::borrow::Cow;
+
 use documents::Fault;
 use serde::Serialize;
 use serde_json::{Value, json};
 use store::StoreError;
 
+/// Bytes of a text in an answer or in the log: what somebody sent is not told back whole.
+const LONG: usize = 1024;
+/// Bytes of all fields that an answer names.
+const ALL: usize = 64 << 10;
+
+/// A text as an answer or the log has it: one that is too long is cut, and says how long it was.
+pub fn short(text: &str) -> Cow<'_, str> {
+    if text.len() <= LONG {
+        return text.into();
+    }
+    let head = &text[..text.floor_char_boundary(LONG - 64)];
+    format!("{head}... (cut: it has {} bytes)", text.len()).into()
+}
+
 /// Why a call was turned down.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Problem {
@@ -91,16 +107,21 @@
 
     /// The document, as application/problem+json.
     pub fn body(&self, instance: &str) -> Value {
-        let field = |f: &'_ Fault| json!(Field { pointer: &f.pointer, detail: &f.what });
+        let field = |f: &'_ Fault| json!(Field { pointer: &short(&f.pointer), detail: &short(&f.what) });
         let mut body = json!({
             "type": format!("/problems/{}", self.kind),
             "title": self.title,
             "status": self.status,
-            "detail": self.detail,
-            "instance": instance,
+            "detail": short(&self.detail),
+            "instance": short(instance),
         });
         if !self.faults.is_empty() {
-            body["errors"] = self.faults.iter().map(field).collect();
+            let mut bytes = 0;
+            let few = self.faults.iter().take_while(|f| {
+                bytes += f.pointer.len().min(LONG) + f.what.len().min(LONG) + 32;
+                bytes <= ALL
+            });
+            body["errors"] = few.map(field).collect();
         }
         body
     }
--- a/crates/admin/src/tenants.rs
+++ b/crates/admin/src/tenants.rs
@@ -1,11 +1,14 @@
 //! Operations on tenants and the parts of their documents.
 
+use std::collections::BTreeSet;
+
+use hosted::catalog::Name;
 use serde_json::{Value, json};
 
 use crate::access::Needs;
 use crate::answers::{Apply, Listed};
-use crate::call::{Ask, Call, Outcome, Reply};
-use crate::desk::{Desk, Draft, Frame, etag, no_tenant};
+use crate::call::{Ask, Call, Outcome, Page, Reply};
+use crate::desk::{Desk, Draft, Frame, etag, no_tenant, written_out};
 use crate::place::{Place, named};
 use crate::problem::Problem;
 
@@ -18,18 +21,22 @@
     }
 }
 
-/// How many a list in a document has.
-fn count(document: &Value, key: &str) -> usize {
-    document[key].as_array().map_or(0, Vec::len)
-}
-
 /// All tenants that the caller sees.
 pub fn list(desk: &mut Desk, call: &Call) -> Result<Outcome, Problem> {
-    let seen = desk.documents().filter(|(name, ..)| call.who.sees(name)).map(|(name, rev, document)| {
-        let (classes, servers) = (count(document, "class"), count(document, "server"));
-        (name.clone(), Listed { name, rev, classes, servers })
-    });
-    let page = call.page(seen, call.limit()?)?;
+    let limit = call.limit()?;
+    let after = call.query.get("after").map_or("", String::as_str);
+    let seen = desk.catalog().names_after(after).filter(|name| call.who.sees(name));
+    let mut names: Vec<Name> = seen.take(limit + 1).cloned().collect();
+    let more = names.len() > limit;
+    names.truncate(limit);
+    let next = names.last().filter(|_| more).map(|name| name.to_string());
+    let mut items = Vec::new();
+    for name in names {
+        let Some((rev, tenant)) = desk.tenant(&name)? else { continue };
+        let (classes, servers) = (tenant.classes.len(), tenant.servers.len());
+        items.push(Listed { name: tenant.name, rev, classes, servers });
+    }
+    let page = Page { items, next };
     let etag = call.who.oversees().then(|| desk.service_tag());
     Ok(Reply { etag, ..Reply::of(page) }.into())
 }
@@ -37,8 +44,8 @@
 /// A document, or a part of it.
 pub fn get(desk: &mut Desk, call: &Call, part: &'static str) -> Result<Outcome, Problem> {
     let (rev, document) = desk.document(&call.who, call.name("tenant"))?;
-    let found = place(call, part).get(document).ok_or_else(|| no_part(call, part))?;
-    Ok(Reply { etag: Some(etag(rev, document)), ..Reply::of(found) }.into())
+    let found = place(call, part).get(&document).ok_or_else(|| no_part(call, part))?;
+    Ok(Reply { etag: Some(etag(rev, &document)), ..Reply::of(found) }.into())
 }
 
 fn no_part(call: &Call, part: &str) -> Problem {
@@ -55,13 +62,13 @@
     let members = document[list].as_array().into_iter().flatten();
     let members = members.map(|m| (m["name"].as_str().unwrap_or_default().to_owned(), m.clone()));
     let page = call.page(members, limit)?;
-    Ok(Reply { etag: Some(etag(rev, document)), ..Reply::of(page) }.into())
+    Ok(Reply { etag: Some(etag(rev, &document)), ..Reply::of(page) }.into())
 }
 
 /// A new tenant.
 pub fn add(desk: &mut Desk, call: &Call) -> Result<Outcome, Problem> {
     let name = call.body["name"].as_str().unwrap_or_default().to_owned();
-    if desk.documents().any(|(n, ..)| n == name) {
+    if desk.has(&name) {
         return Err(Problem::conflict(format!("there is a tenant \"{name}\" already")));
     }
     desk.change(
@@ -85,7 +92,7 @@
     place.name(&mut body).map_err(differs)?;
     let (base, tag, there) = match &now {
         Ok((rev, document)) => {
-            (Some((*document).clone()), Some(etag(*rev, document)), place.get(document).is_some())
+            (Some(document.clone()), Some(etag(*rev, document)), place.get(document).is_some())
         }
         Err(_) if part.is_empty() => (None, None, false),
         Err(problem) => return Err(problem.clone()),
@@ -120,10 +127,10 @@
 pub fn remove(desk: &mut Desk, call: &Call, part: &'static str) -> Result<Outcome, Problem> {
     let (name, place) = (call.name("tenant").to_owned(), place(call, part));
     let (rev, document) = desk.document(&call.who, &name)?;
-    Desk::matches(call, Some(&etag(rev, document)), part.is_empty())?;
+    Desk::matches(call, Some(&etag(rev, &document)), part.is_empty())?;
     let next = match place {
         Place::Whole => None,
-        place => Some(place.take(document.clone()).ok_or_else(|| no_part(call, part))?),
+        place => Some(place.take(document).ok_or_else(|| no_part(call, part))?),
     };
     let (action, detail) = match part {
         "" => ("tenant.remove", None),
@@ -138,10 +145,10 @@
 pub fn drain(desk: &mut Desk, call: &Call, state: &'static str) -> Result<Outcome, Problem> {
     let (name, place) = (call.name("tenant").to_owned(), place(call, "server"));
     let (rev, document) = desk.document(&call.who, &name)?;
-    Desk::matches(call, Some(&etag(rev, document)), false)?;
-    let mut server = place.get(document).ok_or_else(|| no_part(call, "server"))?.clone();
+    Desk::matches(call, Some(&etag(rev, &document)), false)?;
+    let mut server = place.get(&document).ok_or_else(|| no_part(call, "server"))?.clone();
     server["state"] = json!(state);
-    let (next, at) = place.put(document.clone(), server);
+    let (next, at) = place.put(document, server);
     let action = if state == "up" { "server.resume" } else { "server.drain" };
     let detail = Some(format!("server {}", call.name("server")));
     let edits = vec![(name.clone(), Some(next), Frame::part(at))];
@@ -154,29 +161,30 @@
     // Who sees one tenant alone has its tag, and knows no other.
     let tag = match &call.who.tenant {
         None => Some(desk.service_tag()),
-        Some(own) => desk.document(&call.who, own).ok().map(|(rev, d)| etag(rev, d)),
+        Some(own) => desk.document(&call.who, own).ok().map(|(rev, d)| etag(rev, &d)),
     };
     Desk::matches(call, tag.as_deref(), false)?;
     let mut edits = Vec::new();
+    let mut named = BTreeSet::new();
     for (i, tenant) in apply.tenants.iter().enumerate() {
         if !call.who.sees(&tenant.name) {
             return Err(no_tenant(&tenant.name));
         }
-        if apply.tenants[..i].iter().any(|t| t.name == tenant.name) {
+        if !named.insert(tenant.name.as_str()) {
             let what = format!("\"{}\" stands twice", tenant.name);
             return Err(Problem::faults(vec![documents::Fault {
                 pointer: format!("/tenant/{i}/name"),
                 what,
             }]));
         }
-        let document = serde_json::to_value(tenant).map_err(|e| Problem::internal(e.to_string()))?;
+        let document = written_out(tenant)?;
         let frame = Frame { above: format!("/tenant/{i}"), ..Frame::default() };
         edits.push((tenant.name.clone(), Some(document), frame));
     }
     if apply.prune {
         call.who.may(Needs::Operate)?;
-        let gone = desk.documents().filter(|(name, ..)| apply.tenants.iter().all(|t| t.name != *name));
-        edits.extend(gone.map(|(name, ..)| (name, None, Frame::default())));
+        let gone = desk.names().filter(|name| !named.contains(&***name));
+        edits.extend(gone.map(|name| (name.to_string(), None, Frame::default())));
     }
     let subject = match edits.as_slice() {
         [(one, ..)] => Some(one.clone()),
--- a/crates/admin/src/together.rs
+++ b/crates/admin/src/together.rs
@@ -23,7 +23,7 @@
 use crate::desk::Agreed;
 use crate::http::{Api, Order};
 use crate::operations::{Act, Joint, OPERATIONS, Operation};
-use crate::problem::Problem;
+use crate::problem::{Problem, short};
 use crate::start::Starting;
 
 /// How long a read may take where nobody leads.
@@ -269,7 +269,7 @@
                 Ok(())
             }
             Err(why) => {
-                tracing::warn!(change = proposal.id, why, "can't take a change");
+                tracing::warn!(change = proposal.id, why = %short(&why), "can't take a change");
                 Err(why)
             }
         };
@@ -297,18 +297,18 @@
 
     /// Takes over the cluster's state, where there is more of it than here.
     async fn restore(&self, together: &Together, entry: u64, state: &str) -> Result<(), String> {
-        let service = {
+        let catalog = {
             let mut desk = self.desk();
             if desk.entry() < entry {
                 desk.replace(&together.file.lock().unwrap_or_else(PoisonError::into_inner), state)?;
             }
-            desk.service()
+            desk.catalog().clone()
         };
         self.stored();
         // What a change held off that was under way before; one that is now does so again.
         self.give(Order::HoldOff(BTreeMap::new()));
         let (done, told) = oneshot::channel();
-        self.give(Order::Serve(service, done));
+        self.give(Order::Serve(catalog, done));
         told.await.map_err(|_| "the service is ending".to_owned())?
     }
 
--- a/crates/admin/src/versions.rs
+++ b/crates/admin/src/versions.rs
@@ -1,5 +1,7 @@
 //! Operations on versions: lists, single ones, differences, going back, and the audit log.
 
+use std::collections::BTreeSet;
+
 use serde_json::Value;
 use store::{Entry, Row};
 
@@ -81,7 +83,7 @@
 
 fn revision(desk: &Desk, tenant: &str, rev: u64) -> Result<Row, Problem> {
     let found = desk.store()?.revision(&scope(tenant), rev)?;
-    let newer = rev >= desk.store()?.next_rev(&scope(tenant));
+    let newer = rev >= desk.store()?.next_rev(&scope(tenant))?;
     found.ok_or_else(|| match newer {
         true => Problem::not_found(format!("there is no revision {rev} of \"{tenant}\"")),
         false => Problem::gone(format!("revision {rev} of \"{tenant}\" is not kept any more")),
@@ -129,7 +131,7 @@
 /// What differs between two revisions of a tenant.
 pub fn diff_of_tenant(desk: &mut Desk, call: &Call) -> Result<Outcome, Problem> {
     let name = seen(call)?;
-    let now = desk.store()?.next_rev(&scope(name)) - 1;
+    let now = desk.store()?.next_rev(&scope(name))? - 1;
     let (from, to) = two(call, now)?;
     let (a, b) = (revision(desk, name, from)?.document, revision(desk, name, to)?.document);
     Ok(Reply::of(Compared { from, to, differences: difference::between("", a.as_ref(), b.as_ref()) }).into())
@@ -139,7 +141,7 @@
 pub fn back_of_tenant(desk: &mut Desk, call: &Call) -> Result<Outcome, Problem> {
     let name = seen(call)?.to_owned();
     let Back { to } = call.read()?;
-    let now = desk.document(&call.who, &name).ok().map(|(rev, d)| etag(rev, d));
+    let now = desk.document(&call.who, &name).ok().map(|(rev, d)| etag(rev, &d));
     if now.is_none() {
         call.who.may(Needs::Operate).map_err(|_| no_tenant(&name))?;
     }
@@ -155,8 +157,9 @@
     let Back { to } = call.read()?;
     Desk::matches(call, Some(&desk.service_tag()), true)?;
     let was = at(desk, to)?;
-    let gone = desk.documents().filter(|(name, ..)| was.iter().all(|(n, _)| n != name));
-    let mut edits: Vec<_> = gone.map(|(name, ..)| (name, None, Frame::default())).collect();
+    let there: BTreeSet<&str> = was.iter().map(|(name, _)| name.as_str()).collect();
+    let gone = desk.names().filter(|name| !there.contains(&***name));
+    let mut edits: Vec<_> = gone.map(|name| (name.to_string(), None, Frame::default())).collect();
     edits.extend(was.into_iter().map(|(name, d)| (name, Some(d), Frame::default())));
     let detail = Some(format!("to version {to}"));
     desk.change(call, Draft { action: "rollback", subject: None, detail, location: None, edits })
--- a/crates/admin/tests/desk.rs
+++ b/crates/admin/tests/desk.rs
@@ -284,7 +284,7 @@
         match it.with_tag("*").call(method, target, body.clone()) {
             Ok(reply) => {
                 proptest::prop_assert!(reply.status < 300);
-                proptest::prop_assert!(hosted::check::faults(&it.desk.service()).is_empty());
+                proptest::prop_assert!(hosted::check::faults(&it.desk.catalog().service().unwrap()).is_empty());
             }
             Err(problem) => {
                 proptest::prop_assert!((400..500).contains(&problem.status), "{:?}", problem);
--- a/crates/canvascart/src/serve.rs
+++ b/crates/canvascart/src/serve.rs
@@ -147,7 +147,7 @@
     let mut administration = match &service.state {
         Some(_) => Some(administer(&plane, &service, arguments.read_only_state, right)?),
         None => {
-            plane.apply(service)?;
+            plane.apply(&service)?;
             None
         }
     };
@@ -258,8 +258,8 @@
             "tenants are the state's; those of the file are not looked at"
         );
     }
-    plane.apply((*desk.service()).clone())?;
-    let (version, tenants) = (desk.version(), desk.service().tenants.len());
+    plane.go_over(desk.catalog().clone())?;
+    let (version, tenants) = (desk.version(), desk.catalog().len());
     tracing::info!(version, tenants, "the state is in effect");
     let (said, hears) = unbounded_channel();
     let member = right.as_ref().map(|_| said.clone());
@@ -325,7 +325,8 @@
             return;
         }
     };
-    let now = plane.document();
+    let now = plane.catalog();
+    let now = now.frame();
     if (&next.process, &next.admin, &next.state, &next.cluster)
         != (&now.process, &now.admin, &now.state, &now.cluster)
     {
@@ -334,7 +335,7 @@
         );
     }
     let done = match administration {
-        None => plane.apply(next),
+        None => plane.apply(&next),
         Some(Administration { api, orders, .. }) => {
             // While the desk is held nothing is stored; what is stored is carried out first.
             let mut desk = api.desk();
@@ -342,9 +343,9 @@
                 order.obey(plane);
             }
             desk.reload(&next).and_then(|prepared| {
-                let (plan, service) = (prepared.plan.clone(), prepared.next.clone());
+                let (plan, catalog) = (prepared.plan.clone(), prepared.next.clone());
                 plane.carry_out(prepared)?;
-                desk.reloaded(service);
+                desk.reloaded(catalog);
                 drop(desk);
                 api.reloaded(next);
                 Ok(plan)
--- a/crates/canvascart/src/state.rs
+++ b/crates/canvascart/src/state.rs
@@ -70,11 +70,13 @@
 fn check(directory: &Path) -> Result<(), StoreError> {
     let (mut store, state) = Store::open_existing(directory, Keep::default())?;
     store.check()?;
+    let mut documents = 0;
+    store.documents(&mut |_, _, _| documents += 1)?;
     println!(
         "{}: good: version {}, {} documents, {} tokens",
         directory.display(),
         state.version,
-        state.documents.len(),
+        documents,
         state.tokens.len()
     );
     Ok(())
--- a/crates/hosted/src/catalog.rs
+++ b/crates/hosted/src/catalog.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeSet;
 use std::hash::BuildHasher as _;
+use std::ops::Bound;
 use std::sync::{Arc, Weak};
 
 use imbl::OrdMap;
@@ -63,9 +64,15 @@
 pub struct Parts {
     known: FxHashMap<u64, Weak<[u8]>>,
     clear_at: usize,
+    packed: u64,
 }
 
 impl Parts {
+    /// How many tenants were packed so far, from which tests tell what a change costs.
+    pub fn packed(&self) -> u64 {
+        self.packed
+    }
+
     fn pack<T: Serialize>(&mut self, value: &T) -> Block {
         // Into memory, and with no map whose keys are no strings: nothing fails.
         let mut bytes = rmp_serde::to_vec_named(value).unwrap_or_default();
@@ -167,6 +174,21 @@
         self.tenants.keys()
     }
 
+    /// The names behind this one, in order.
+    pub fn names_after(&self, name: &str) -> impl Iterator<Item = &Name> {
+        let after: Name = name.into();
+        self.tenants.range((Bound::Excluded(after), Bound::Unbounded)).map(|(name, _)| name)
+    }
+
+    /// The whole document. It takes as long as there are tenants, and as much memory.
+    ///
+    /// # Errors
+    /// What is held of a tenant is damaged.
+    pub fn service(&self) -> Result<Service, Damaged> {
+        let tenants = self.iter().map(|t| Ok(t?.1)).collect::<Result<_, _>>()?;
+        Ok(Service { tenants, ..(*self.frame).clone() })
+    }
+
     /// A tenant's name as it is held, if it is there.
     pub fn name(&self, name: &str) -> Option<&Name> {
         self.tenants.get_key_value(name).map(|(name, _)| name)
@@ -192,6 +214,7 @@
 
     /// A tenant comes, or is another one from here on.
     pub fn put(&mut self, parts: &mut Parts, tenant: &Tenant, rev: u64) {
+        parts.packed += 1;
         self.take_ways(&tenant.name);
         let name = self.name(&tenant.name).cloned().unwrap_or_else(|| tenant.name.as_str().into());
         for host in &tenant.hosts {
--- a/crates/hosted/src/check.rs
+++ b/crates/hosted/src/check.rs
@@ -37,6 +37,35 @@
 
 /// What is wrong with a service whose form is right.
 pub fn faults(service: &Service) -> Vec<Fault> {
+    let names: BTreeSet<&str> = service.tenants.iter().map(|t| t.name.as_str()).collect();
+    let mut faults = Faults(around(service, |name| names.contains(name)));
+    faults.once("/tenant", service.tenants.iter().map(|t| t.name.as_str()), "name");
+    let mut hosts = BTreeMap::new();
+    let mut shared: BTreeMap<&str, (u64, usize)> = BTreeMap::new();
+    for (i, t) in service.tenants.iter().enumerate() {
+        let at = format!("/tenant/{i}");
+        tenant(&mut faults, &at, t);
+        for (h, host) in t.hosts.iter().enumerate() {
+            if hosts.insert(normal(host), i).is_some_and(|other| other != i) {
+                faults.put(&format!("{at}/hosts/{h}"), "it is another tenant's, too");
+            }
+        }
+        for (s, server) in t.servers.iter().enumerate() {
+            let Some(connections) = server.connections else { continue };
+            let (first, whose) = *shared.entry(&server.address).or_insert((connections, i));
+            if first != connections && whose != i {
+                faults.put(
+                    &format!("{at}/server/{s}/connections"),
+                    "another tenant says otherwise of this server",
+                );
+            }
+        }
+    }
+    faults.0
+}
+
+/// What is wrong with a service whose form is right, but for its tenants, of which these are there.
+pub fn around(service: &Service, is_there: impl Fn(&str) -> bool) -> Vec<Fault> {
     let mut faults = Faults::default();
     let p = &service.process;
     faults.within("/process/loop-share", p.loop_share.0, 0.01, 1.0);
@@ -68,13 +97,12 @@
     if let Some(cluster) = &service.cluster {
         in_cluster(&mut faults, cluster, service.state.is_some());
     }
-    faults.once("/tenant", service.tenants.iter().map(|t| t.name.as_str()), "name");
     for (i, l) in service.listeners.iter().enumerate() {
         let at = format!("/listener/{i}");
         faults.address(&format!("{at}/address"), &l.address);
         match (l.tenant_by, &l.tenant) {
             (TenantBy::Listener, None) => faults.put(&format!("{at}/tenant"), "it is missing"),
-            (TenantBy::Listener, Some(name)) if service.tenants.iter().all(|t| t.name != *name) => {
+            (TenantBy::Listener, Some(name)) if !is_there(name) => {
                 faults.put(&format!("{at}/tenant"), "there is no such tenant");
             }
             (TenantBy::Host | TenantBy::Header, Some(_)) => {
@@ -83,27 +111,6 @@
             _ => {}
         }
     }
-    let mut hosts = BTreeMap::new();
-    let mut shared: BTreeMap<&str, (u64, usize)> = BTreeMap::new();
-    for (i, t) in service.tenants.iter().enumerate() {
-        let at = format!("/tenant/{i}");
-        tenant(&mut faults, &at, t);
-        for (h, host) in t.hosts.iter().enumerate() {
-            if hosts.insert(normal(host), i).is_some_and(|other| other != i) {
-                faults.put(&format!("{at}/hosts/{h}"), "it is another tenant's, too");
-            }
-        }
-        for (s, server) in t.servers.iter().enumerate() {
-            let Some(connections) = server.connections else { continue };
-            let (first, whose) = *shared.entry(&server.address).or_insert((connections, i));
-            if first != connections && whose != i {
-                faults.put(
-                    &format!("{at}/server/{s}/connections"),
-                    "another tenant says otherwise of this server",
-                );
-            }
-        }
-    }
     faults.0
 }
 
--- a/crates/hosted/src/document.rs
+++ b/crates/hosted/src/document.rs
@@ -29,7 +29,7 @@
     pub cluster: Option<Cluster>,
     /// Who is served. With `state` these are taken into the first, empty state alone.
     #[serde(rename = "tenant", default)]
-    #[schemars(length(max = 10_000))]
+    #[schemars(length(max = 100_000))]
     pub tenants: Vec<Tenant>,
 }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -21,8 +21,8 @@
 pub use dump::{export, import, replace};
 pub use error::StoreError;
 pub use format::FORMAT;
-pub use record::{Author, Edited, Entry, Head, Row, State};
-pub use store::{Keep, Opener, Store, Write};
+pub use record::{Author, Edited, Entry, Row, State};
+pub use store::{Each, Keep, Opener, Store, Write};
 
 /// The store's file in its directory.
 pub const FILE: &str = "state.redb";
--- a/crates/store/src/read.rs
+++ b/crates/store/src/read.rs
@@ -7,38 +7,40 @@
 
 use crate::error::StoreError;
 use crate::format::{AUDIT, AUDIT_OF, HEADS, REPLIES, ROWS, TOKENS, VERSIONS, unpack};
-use crate::record::{Entry, Head, Row, State};
-use crate::store::{Store, guard};
+use crate::record::{Entry, Row, State};
+use crate::store::{Each, Store, guard};
 
-type Heads = BTreeMap<String, u64>;
-
-/// The present state, and the newest revision of each scope.
-pub fn state(database: &Database) -> Result<(State, Heads), StoreError> {
+/// The present state, but for the documents.
+pub fn state(database: &Database) -> Result<State, StoreError> {
     let read = database.begin_read()?;
-    let (rows, heads) = (read.open_table(ROWS)?, read.open_table(HEADS)?);
     let last = |n: Option<u64>| n.unwrap_or(0);
     let mut state = State {
         version: last(read.open_table(VERSIONS)?.last()?.map(|(v, _)| v.value())),
         entry: last(read.open_table(AUDIT)?.last()?.map(|(n, _)| n.value())),
         ..State::default()
     };
-    let mut newest = Heads::new();
+    for token in read.open_table(TOKENS)?.iter()? {
+        let (id, token) = token?;
+        let token = unpack(token.value(), &|| format!("token {}", id.value()))?;
+        state.tokens.insert(id.value().to_owned(), token);
+    }
+    Ok(state)
+}
+
+/// The present documents, one after another, in the order of their scopes.
+fn documents(database: &Database, each: Each<'_>) -> Result<(), StoreError> {
+    let read = database.begin_read()?;
+    let (rows, heads) = (read.open_table(ROWS)?, read.open_table(HEADS)?);
     for head in heads.iter()? {
         let (scope, rev) = head?;
         let (scope, rev) = (scope.value(), rev.value());
         let row = rows.get((scope, rev))?;
         let row = row.ok_or_else(|| StoreError::Damaged(format!("revision {rev} of {scope} is missing")))?;
-        newest.insert(scope.to_owned(), rev);
         if let Some(document) = unpack::<Row>(row.value(), &|| name(scope, rev))?.document {
-            state.documents.insert(scope.to_owned(), Head { rev, document });
+            each(scope, rev, document);
         }
     }
-    for token in read.open_table(TOKENS)?.iter()? {
-        let (id, token) = token?;
-        let token = unpack(token.value(), &|| format!("token {}", id.value()))?;
-        state.tokens.insert(id.value().to_owned(), token);
-    }
-    Ok((state, newest))
+    Ok(())
 }
 
 fn name(scope: &str, rev: u64) -> String {
@@ -50,6 +52,36 @@
 }
 
 impl Store {
+    /// Tells the present documents one after another, in the order of their scopes: never are two of them in memory. Where it fails,
+    /// those before were told.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn documents(&self, each: Each<'_>) -> Result<(), StoreError> {
+        guard(|| documents(self.database()?, each))
+    }
+
+    /// The present document of a scope, with its revision; none where there is none.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn document(&self, scope: &str) -> Result<Option<(u64, Value)>, StoreError> {
+        let rev = self.next_rev(scope)? - 1;
+        let row = if rev == 0 { None } else { self.revision(scope, rev)? };
+        Ok(row.and_then(|row| Some((rev, row.document?))))
+    }
+
+    /// The revision that a scope's next change gets.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn next_rev(&self, scope: &str) -> Result<u64, StoreError> {
+        guard(|| {
+            let read = self.database()?.begin_read()?;
+            Ok(read.open_table(HEADS)?.get(scope)?.map_or(0, |rev| rev.value()) + 1)
+        })
+    }
+
     /// One revision of a document.
     ///
     /// # Errors
@@ -87,7 +119,9 @@
         }
         let rows = read.open_table(ROWS)?;
         let mut all = BTreeMap::new();
-        for scope in self.heads.keys().map(String::as_str) {
+        for head in read.open_table(HEADS)?.iter()? {
+            let scope = head?.0;
+            let scope = scope.value();
             for row in rows.range((scope, 0)..=(scope, u64::MAX))?.rev() {
                 let (key, row) = row?;
                 let row: Row = unpack(row.value(), &|| name(scope, key.value().1))?;
@@ -177,6 +211,7 @@
             return Err(StoreError::Damaged("the database had to be repaired; look again".into()));
         }
         state(self.database()?)?;
+        documents(self.database()?, &mut |_, _, _| {})?;
         let read = self.database()?.begin_read()?;
         let (rows, audit) = (read.open_table(ROWS)?, read.open_table(AUDIT)?);
         let (of, mut pointed) = (read.open_table(AUDIT_OF)?, 0);
--- a/crates/store/src/record.rs
+++ b/crates/store/src/record.rs
@@ -71,24 +71,13 @@
     pub document: Option<Value>,
 }
 
-/// A document as it is now.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Head {
-    /// Its revision.
-    pub rev: u64,
-    /// The document.
-    pub document: Value,
-}
-
-/// All that is there now.
+/// All that is there now, but for the documents: those are read one by one.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct State {
     /// The version; 0 before the first.
     pub version: u64,
     /// The last entry of the audit log; 0 before the first.
     pub entry: u64,
-    /// The documents by scope.
-    pub documents: BTreeMap<String, Head>,
     /// The tokens by id.
     pub tokens: BTreeMap<String, Value>,
 }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -1,6 +1,5 @@
 //! The store: opened, written in whole transactions, and opened anew after a failure.
 
-use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::ErrorKind;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -15,11 +14,14 @@
 use crate::format::{
     AUDIT, AUDIT_OF, HEADS, REPLIES, REPLY_ORDER, ROWS, TOKENS, VERSIONS, pack, prepare, unpack,
 };
-use crate::record::{Author, Edited, Entry, Head, Row, State};
+use crate::record::{Author, Edited, Entry, Row, State};
 
 /// Opens the database: a file, or what a test puts in its place.
 pub type Opener = Box<dyn Fn() -> Result<Database, StoreError> + Send>;
 
+/// Hears of documents, one by one: scope, revision, document.
+pub type Each<'a> = &'a mut dyn FnMut(&str, u64, Value);
+
 /// How much of the past is kept. What is beyond it goes with later writes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Keep {
@@ -39,7 +41,7 @@
     }
 }
 
-/// Bytes of pages that the database keeps in memory: present documents are kept beside it, the past is read rarely.
+/// Bytes of pages that the database keeps in memory: who holds the present documents does so beside it, the past is read rarely.
 const CACHE: usize = 4 << 20;
 
 /// One write makes so many old things go at most, so that no write takes long.
@@ -80,8 +82,6 @@
     keep: Keep,
     pub(crate) version: u64,
     pub(crate) entry: u64,
-    /// The newest revision of each scope, also of one that is gone.
-    pub(crate) heads: BTreeMap<String, u64>,
 }
 
 impl Store {
@@ -115,7 +115,7 @@
     /// # Errors
     /// As [`Store::open`].
     pub fn with(opener: Opener, keep: Keep) -> Result<(Self, State), StoreError> {
-        let mut store = Store { opener, database: None, keep, version: 0, entry: 0, heads: BTreeMap::new() };
+        let mut store = Store { opener, database: None, keep, version: 0, entry: 0 };
         let state = store.reopen()?;
         Ok((store, state))
     }
@@ -124,13 +124,13 @@
     /// damage.
     fn reopen(&mut self) -> Result<State, StoreError> {
         self.close(); // lets go of its lock first
-        let (database, (state, heads)) = guard(|| {
+        let (database, state) = guard(|| {
             let database = (self.opener)()?;
             prepare(&database)?;
             let state = crate::read::state(&database)?;
             Ok((database, state))
         })?;
-        (self.version, self.entry, self.heads) = (state.version, state.entry, heads);
+        (self.version, self.entry) = (state.version, state.entry);
         self.database = Some(database);
         Ok(state)
     }
@@ -170,11 +170,6 @@
         self.entry
     }
 
-    /// The revision that a scope's next change gets.
-    pub fn next_rev(&self, scope: &str) -> u64 {
-        self.heads.get(scope).map_or(1, |rev| rev + 1)
-    }
-
     /// Carries a write out; once this returns it survives a crash.
     ///
     /// # Errors
@@ -186,15 +181,11 @@
         if write.base != self.entry {
             return Err(StoreError::MovedOn { found: self.entry, expected: write.base });
         }
-        let entry = self.entry_of(write);
+        let entry = self.entry_of(write)?;
         let failed = match guard(|| self.put(write, &entry)) {
-            Ok(gone) => {
+            Ok(()) => {
                 self.entry += 1;
                 self.version = entry.version.unwrap_or(self.version);
-                for edit in &entry.edits {
-                    self.heads.insert(edit.scope.clone(), edit.rev);
-                }
-                gone.iter().for_each(|scope| _ = self.heads.remove(scope));
                 return Ok(entry);
             }
             Err(e) => e,
@@ -204,11 +195,9 @@
     }
 
     /// The line of the audit log that a write makes.
-    fn entry_of(&self, write: &Write) -> Entry {
-        let edited = |(scope, document): &(String, Option<Value>)| Edited {
-            scope: scope.clone(),
-            rev: self.next_rev(scope),
-            gone: document.is_none(),
+    fn entry_of(&self, write: &Write) -> Result<Entry, StoreError> {
+        let edited = |(scope, document): &(String, Option<Value>)| {
+            Ok(Edited { scope: scope.clone(), rev: self.next_rev(scope)?, gone: document.is_none() })
         };
         let next = self.version + 1;
         let skipped = write.skip_to.is_some_and(|to| to > next);
@@ -216,7 +205,7 @@
             Some(to) => Some(to.max(next)),
             None => (!write.edits.is_empty()).then_some(next),
         };
-        Entry {
+        Ok(Entry {
             at_ms: write.at_ms,
             by: write.by.clone(),
             action: write.action.clone(),
@@ -224,15 +213,14 @@
             detail: write.detail.clone(),
             version,
             skipped,
-            edits: write.edits.iter().map(edited).collect(),
-        }
+            edits: write.edits.iter().map(edited).collect::<Result<_, StoreError>>()?,
+        })
     }
 
-    /// Returns the scopes that are forgotten.
-    fn put(&self, write: &Write, entry: &Entry) -> Result<Vec<String>, StoreError> {
+    fn put(&self, write: &Write, entry: &Entry) -> Result<(), StoreError> {
         let number = self.entry + 1;
         let transaction = self.database()?.begin_write()?;
-        let gone = {
+        {
             let (mut rows, mut heads) = (transaction.open_table(ROWS)?, transaction.open_table(HEADS)?);
             for (edit, (scope, document)) in entry.edits.iter().zip(&write.edits) {
                 let row = Row {
@@ -264,15 +252,13 @@
                 transaction.open_table(VERSIONS)?.insert(version, number)?;
             }
             drop((rows, heads));
-            self.forget(&transaction, number, write.at_ms)?
-        };
-        transaction.commit()?;
-        Ok(gone)
+            self.forget(&transaction, number, write.at_ms)?;
+        }
+        Ok(transaction.commit()?)
     }
 
     /// Lets go of what is older than is kept.
-    fn forget(&self, t: &WriteTransaction, number: u64, now_ms: u64) -> Result<Vec<String>, StoreError> {
-        let mut gone = Vec::new();
+    fn forget(&self, t: &WriteTransaction, number: u64, now_ms: u64) -> Result<(), StoreError> {
         let (mut versions, mut rows) = (t.open_table(VERSIONS)?, t.open_table(ROWS)?);
         let (mut heads, mut audit) = (t.open_table(HEADS)?, t.open_table(AUDIT)?);
         let mut of = t.open_table(AUDIT_OF)?;
@@ -295,7 +281,6 @@
                     rows.remove((edit.scope.as_str(), edit.rev))?;
                     if heads.get(edit.scope.as_str())?.is_some_and(|rev| rev.value() == edit.rev) {
                         heads.remove(edit.scope.as_str())?;
-                        gone.push(edit.scope.clone());
                     }
                 }
             }
@@ -326,7 +311,7 @@
             replies.remove(key.as_str())?;
             order.remove(n)?;
         }
-        Ok(gone)
+        Ok(())
     }
 }
 
@@ -355,19 +340,10 @@
 }
 
 impl State {
-    /// What is there once an entry's write has been carried out.
+    /// What is there once an entry's write has been carried out, but for the documents.
     pub fn follow(&mut self, write: &Write, entry: &Entry) {
         self.entry = write.base + 1;
         self.version = entry.version.unwrap_or(self.version);
-        for (edit, (scope, document)) in entry.edits.iter().zip(&write.edits) {
-            match document {
-                Some(document) => {
-                    let head = Head { rev: edit.rev, document: document.clone() };
-                    self.documents.insert(scope.clone(), head);
-                }
-                None => drop(self.documents.remove(scope)),
-            }
-        }
         for (id, token) in &write.tokens {
             match token {
                 Some(token) => drop(self.tokens.insert(id.clone(), token.clone())),
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -36,12 +36,21 @@
     }
 }
 
+/// The present documents.
+fn documents(store: &Store) -> BTreeMap<String, (u64, Value)> {
+    let mut all = BTreeMap::new();
+    let each = &mut |scope: &str, rev, document| _ = all.insert(scope.to_owned(), (rev, document));
+    store.documents(each).unwrap();
+    all
+}
+
 /// What number stands in a store: the same everywhere.
 fn number(store: &Store, state: &store::State) -> u64 {
-    let n = |v: Option<&Value>| v.map_or(0, |v| v["n"].as_u64().unwrap());
-    let (a, b) = (state.documents.get("a"), state.documents.get("b"));
-    let found = n(a.map(|h| &h.document));
-    assert_eq!(found, n(b.map(|h| &h.document)), "one version's document beside another's");
+    let n = |v: Option<&(u64, Value)>| v.map_or(0, |(_, v)| v["n"].as_u64().unwrap());
+    let there = documents(store);
+    let (a, b) = (there.get("a"), there.get("b"));
+    let found = n(a);
+    assert_eq!(found, n(b), "one version's document beside another's");
     assert_eq!(state.tokens.get("key").map_or(0, |t| t.as_u64().unwrap()), found);
     assert_eq!(state.version, found);
     if found > 0 {
@@ -152,9 +161,9 @@
         export(&copy, &mut again).unwrap();
         assert_eq!(bytes, again);
         assert!(matches!(import(&mut copy, bytes.as_slice()), Err(StoreError::Import { line: 0, .. })));
-        let there: BTreeMap<_, _> =
-            state.documents.iter().map(|(s, h)| (s.clone(), h.document.clone())).collect();
-        assert_eq!(copy.at(state.version).unwrap().unwrap(), there);
+        let there: BTreeMap<_, _> = documents(&copy).into_iter().map(|(s, (_, d))| (s, d)).collect();
+        assert_eq!((copy.at(state.version).unwrap().unwrap(), &there), (there.clone(), was.last().unwrap()));
+        assert_eq!(documents(&store), documents(&copy));
     }
 }
 
@@ -241,7 +250,7 @@
     };
     let good = |disk: &Disk| {
         let (mut store, state) = Store::with(disk.opener(), Keep::default()).unwrap();
-        assert_eq!((state.version, state.documents.len()), (30, 3));
+        assert_eq!((state.version, documents(&store).len()), (30, 3));
         let of = |name| store.audit(Some(name), u64::MAX, 100).unwrap().len();
         assert_eq!([of("x"), of("y"), of("z"), of("tenant/x")], [15, 15, 30, 0]);
         assert_eq!(
@@ -273,9 +282,14 @@
         let entry = store.commit(&write).unwrap();
         state.follow(&write, &entry);
     }
+    let all = documents(&store);
     drop(store);
-    snapshot::write(path, &state).unwrap();
-    assert_eq!(snapshot::read(path).unwrap(), state);
+    let told = all.iter().map(|(scope, (rev, d))| Ok((scope.clone(), *rev, d.clone())));
+    let bytes = snapshot::write(path, &state, told).unwrap();
+    assert_eq!(bytes, std::fs::metadata(path.join(snapshot::FILE)).unwrap().len());
+    let mut kept = BTreeMap::new();
+    let read = snapshot::read(path, &mut |s, rev, d| _ = kept.insert(s.to_owned(), (rev, d)));
+    assert_eq!((read.unwrap(), &kept), (state.clone(), &all));
     let file = path.join(store::FILE);
     let whole = std::fs::read(&file).unwrap();
     let mut rng = Rng::with_seed(7);
@@ -287,10 +301,10 @@
         bytes[at..end].iter_mut().for_each(|b| *b = rng.u8(..));
         std::fs::write(&file, &bytes).unwrap();
         let opened = Store::open_existing(path, Keep::default())
-            .and_then(|(mut store, found)| store.check().map(|()| found));
+            .and_then(|(mut store, found)| store.check().map(|()| (documents(&store), found)));
         match opened {
-            Ok(found) => {
-                assert_eq!(found, state, "damage at {at} went by unseen");
+            Ok((there, found)) => {
+                assert_eq!((&found, &there), (&state, &all), "damage at {at} went by unseen");
                 unharmed += 1;
             }
             Err(e) => {
@@ -302,5 +316,20 @@
     assert!(told > 0 && unharmed > 0, "{told} told, {unharmed} unharmed");
     let text = std::fs::read(path.join(snapshot::FILE)).unwrap();
     std::fs::write(path.join(snapshot::FILE), &text[..text.len() - 1]).unwrap();
-    assert!(matches!(snapshot::read(path), Err(StoreError::Damaged(_))));
+    let told = &mut |_: &str, _, _| panic!("told of a snapshot that is damaged");
+    assert!(matches!(snapshot::read(path, told), Err(StoreError::Damaged(_))));
+}
+
+#[test]
+fn a_snapshot_that_cannot_be_made_leaves_the_one_that_was_there() {
+    let directory = Directory::new("half");
+    let path = &directory.0;
+    let state = store::State { version: 1, entry: 1, ..store::State::default() };
+    let good = || Ok(("a".to_owned(), 1, json!(1)));
+    snapshot::write(path, &state, [good()].into_iter()).unwrap();
+    let before = std::fs::read(path.join(snapshot::FILE)).unwrap();
+    let spoiled = [good(), Err(StoreError::Damaged("b".into()))].into_iter();
+    let failed = snapshot::write(path, &store::State { version: 2, ..state }, spoiled);
+    assert!(matches!(failed, Err(StoreError::Damaged(what)) if what == "b"));
+    assert_eq!(std::fs::read(path.join(snapshot::FILE)).unwrap(), before);
 }
