--- a/crates/hosted/src/plane.rs
+++ b/crates/hosted/src/plane.rs
@@ -8,13 +8,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
-use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use engine::account::Account;
 use engine::gate::Gate;
 use engine::pool::Pool;
-use engine::service::{self, Feed, Host, Process, Router, Running, Terms};
+use engine::service::{self, Feed, Host, Missing, Process, Router, Running, Terms};
 use fleet::{Told, Update};
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{StatusCode, Uri};
@@ -29,11 +28,18 @@
 use wharfhitch::{Class, Discovery, Effect, Prices, Rating, Settings, ZoneId};
 
 use crate::book::{Book, Holder};
+use crate::catalog::{Catalog, Name, Parts};
+use crate::digest::{self, Digests};
 use crate::document::{self, Service, State, Tenant};
 use crate::plan::{Births, Change, Plan, Prepared};
 use crate::routes::Routes;
 
-/// What one tenant has in the process.
+mod residents;
+
+pub use residents::Residency;
+use residents::Turns;
+
+/// What one resident tenant has in the process.
 struct Live {
     document: Tenant,
     account: Rc<Holder>,
@@ -78,9 +84,24 @@
 pub struct Plane {
     process: Rc<Process>,
     book: Rc<Book>,
-    document: RefCell<Arc<Service>>,
     routes: RefCell<Routes>,
-    tenants: RefCell<BTreeMap<String, Live>>,
+    /// The residents.
+    tenants: RefCell<BTreeMap<Name, Live>>,
+    /// Who is resident, and who waits to be.
+    residents: RefCell<residency::ResidentSet<Name>>,
+    turns: Rc<Turns>,
+    /// What is kept of tenants at rest beside their documents.
+    digests: RefCell<Digests>,
+    /// Of servers with limits the residents that use them.
+    sharers: RefCell<BTreeMap<String, BTreeSet<Name>>>,
+    /// Servers that get nothing new already, by tenant, as a change under way ends them.
+    held_off: RefCell<BTreeMap<String, BTreeSet<String>>>,
+    /// Tenants that could not be woken, as what is held of them is damaged: each is told once.
+    damaged: RefCell<BTreeSet<Name>>,
+    /// The longest wait that any resident's clients are ready for, at least.
+    longest: Cell<Duration>,
+    /// Told when a resident comes: there is something to look after.
+    some_reside: Rc<tokio::sync::Notify>,
     /// Accounts of listeners, for connections that have not named a tenant yet.
     strangers: RefCell<BTreeMap<String, Rc<Holder>>>,
     listeners: RefCell<BTreeMap<String, Open>>,
@@ -103,7 +124,9 @@
 pub struct TenantStatus {
     /// Its name.
     pub name: String,
-    /// Its module has a list.
+    /// It is held in full; otherwise it is at rest, and its first request wakes it.
+    pub resident: bool,
+    /// Its module has a list, or will have one as soon as it wakes.
     pub ready: bool,
     /// Servers that take new work, and all.
     pub servers: [usize; 2],
@@ -155,12 +178,22 @@
             newcomers: process.newcomers.0,
         });
         spawn_local(book.clone().give_turns());
-        Rc::new_cyclic(|myself| Plane {
+        let plane = Rc::new_cyclic(|myself| Plane {
             process: Rc::new(Process::new(process.server_sockets as usize).behind(gate)),
             book,
-            document: RefCell::new(Arc::new(Service { process: process.clone(), ..Service::default() })),
-            routes: RefCell::default(),
+            routes: RefCell::new(Routes::of(&Catalog::new(&Service {
+                process: process.clone(),
+                ..Service::default()
+            }))),
             tenants: RefCell::default(),
+            residents: RefCell::new(residency::ResidentSet::new(residents::terms(process))),
+            turns: Turns::new(),
+            digests: RefCell::new(Digests::new(digest::MOST)),
+            sharers: RefCell::default(),
+            held_off: RefCell::default(),
+            damaged: RefCell::default(),
+            longest: Cell::default(),
+            some_reside: Rc::default(),
             strangers: RefCell::default(),
             listeners: RefCell::default(),
             version: Cell::new(0),
@@ -171,15 +204,26 @@
             takes: Cell::new(false),
             among: Cell::new((0, 1)),
             myself: myself.clone(),
-        })
+        });
+        spawn_local(plane.turns.clone().give());
+        spawn_local(Plane::look_after(plane.myself.clone(), residents::look(process)));
+        plane
+    }
+
+    /// Goes over to what a whole document says; returns what that came to.
+    ///
+    /// # Errors
+    /// A listener can't be opened: then nothing has changed.
+    pub fn apply(&self, next: &Service) -> Result<Plan, String> {
+        self.go_over(Catalog::of(next, &mut Parts::default()))
     }
 
     /// Goes over to the next version; returns what that came to.
     ///
     /// # Errors
     /// A listener can't be opened: then nothing has changed.
-    pub fn apply(&self, next: Service) -> Result<Plan, String> {
-        let prepared = Prepared::between(&self.document(), Arc::new(next));
+    pub fn go_over(&self, next: Catalog) -> Result<Plan, String> {
+        let prepared = Prepared::between(&self.catalog(), next);
         let plan = prepared.plan.clone();
         self.carry_out(prepared)?;
         Ok(plan)
@@ -190,32 +234,32 @@
     /// # Errors
     /// A listener can't be opened: then nothing has changed.
     pub fn carry_out(&self, prepared: Prepared) -> Result<(), String> {
-        let Prepared { next, plan, routes, tenants: documents, shared } = prepared;
+        let Prepared { next, plan, limited, followed, brought } = prepared;
         let opened = self.open(&plan)?;
         for name in &plan.removed {
-            if let Some(live) = self.tenants.borrow_mut().remove(name) {
-                // Its servers get nothing new; what is under way there ends, and with it the pool.
-                live.running.end();
-                live.running.feed.whole(Vec::new());
-                live.former.iter().for_each(|f| f.whole(Vec::new()));
-            }
+            self.remove(name);
         }
         let first = self.version.get() == 0;
-        for tenant in documents {
-            let mut tenants = self.tenants.borrow_mut();
-            match (plan.changed.get(&tenant.name), tenants.get_mut(&tenant.name)) {
-                (Some(change), Some(live)) => {
-                    live.document = tenant;
-                    self.change(live, *change, first);
-                }
-                _ => {
-                    let live = self.start(tenant, first);
-                    tenants.insert(live.document.name.clone(), live);
-                }
+        for name in plan.added.iter().chain(plan.changed.keys()) {
+            let Some(name) = next.name(name) else { continue };
+            self.damaged.borrow_mut().remove(name);
+            let (change, follows) = (plan.changed.get(&**name).copied(), followed.contains(&**name));
+            if !follows && !self.tenants.borrow().contains_key(name) {
+                let brought = brought.get(&**name).map_or(&[][..], Vec::as_slice);
+                self.change_at_rest(&next, name, change, brought, first);
+                continue;
             }
+            match next.get(name) {
+                Some(Ok((_, tenant))) => self.change_resident(name, tenant, change, first),
+                Some(Err(e)) => tracing::error!(error = %e, "a change can't be carried out for it"),
+                None => {}
+            }
+        }
+        limited.iter().for_each(|address| self.share_server(&next, address));
+        if !followed.is_empty() {
+            self.warn_of_pinned();
         }
-        self.share_servers(shared);
-        *self.routes.borrow_mut() = routes;
+        *self.routes.borrow_mut() = Routes::of(&next);
         for name in &plan.closed {
             // It may have been opened anew at another address, under the same name.
             let mut listeners = self.listeners.borrow_mut();
@@ -227,7 +271,6 @@
         for (name, listener, address) in opened {
             self.serve(&name, listener, address);
         }
-        *self.document.borrow_mut() = next;
         self.version.set(self.version.get() + 1);
         Ok(())
     }
@@ -243,7 +286,7 @@
             self.attend(live);
         }
         if change.servers || change.pool {
-            live.births.note(&live.document.servers, first, unix_ms());
+            live.births.note(&live.document.servers, first, self.process.unix_now());
             live.tell();
         }
     }
@@ -260,17 +303,18 @@
         plan.opened.iter().map(open).collect()
     }
 
+    /// The way of a listener's requests to their pools.
+    pub fn way(self: &Rc<Self>, listener: &str) -> Way {
+        let caps = caps(&document::Limits::default());
+        let mut strangers = self.strangers.borrow_mut();
+        let strangers = strangers.entry(listener.to_owned()).or_insert_with(|| self.book.open(&caps)).clone();
+        Way { plane: self.clone(), listener: listener.to_owned(), strangers }
+    }
+
     fn serve(&self, name: &str, listener: TcpListener, address: SocketAddr) {
         let Some(plane) = self.myself.upgrade() else { return };
-        let caps = caps(&document::Limits::default());
-        let strangers = self
-            .strangers
-            .borrow_mut()
-            .entry(name.to_owned())
-            .or_insert_with(|| self.book.open(&caps))
-            .clone();
         let (stop, stopped) = watch::channel(false);
-        let way = Way { plane: plane.clone(), listener: name.to_owned(), strangers };
+        let way = plane.way(name);
         let (process, most) = (self.process.clone(), self.most);
         let task = spawn_local(async move {
             let mut stopped = stopped;
@@ -283,28 +327,6 @@
         self.listeners.borrow_mut().insert(name.to_owned(), Open { address, stop, task });
     }
 
-    fn start(&self, tenant: Tenant, first: bool) -> Live {
-        let account = self.book.open(&caps(&tenant.limits));
-        let seed = self.seed ^ settings::number_of(&tenant.name);
-        let running = self.pool(&tenant, &account, seed, 0);
-        let mut births = Births::default();
-        births.note(&tenant.servers, first, unix_ms());
-        let mut live = Live {
-            document: tenant,
-            account,
-            running,
-            former: Vec::new(),
-            births,
-            followed: None,
-            held_off: BTreeSet::new(),
-            seed,
-            pools: 1,
-        };
-        self.attend(&mut live);
-        live.tell();
-        live
-    }
-
     /// Follows a tenant's list as its document says now. What is known of the list stands until another one comes.
     fn attend(&self, live: &mut Live) {
         let Some(settings) = live.document.fleet.clone() else {
@@ -320,7 +342,7 @@
             while let Some(update) = updates.recv().await {
                 let Some(plane) = plane.upgrade() else { return };
                 let mut tenants = plane.tenants.borrow_mut();
-                let Some(live) = tenants.get_mut(&name) else { return };
+                let Some(live) = tenants.get_mut(name.as_str()) else { return };
                 live.hear(update);
             }
         });
@@ -337,7 +359,7 @@
             if let Err(e) = end {
                 tracing::error!(tenant = name, error = %e, "its module has failed; it gets a new one");
                 if let Some(plane) = plane.upgrade()
-                    && let Some(live) = plane.tenants.borrow_mut().get_mut(&name)
+                    && let Some(live) = plane.tenants.borrow_mut().get_mut(name.as_str())
                 {
                     plane.renew(live);
                     live.tell();
@@ -350,30 +372,20 @@
     fn renew(&self, live: &mut Live) {
         let running = self.pool(&live.document, &live.account, live.seed, live.pools);
         live.pools += 1;
+        self.longest.set(self.longest.get().max(running.pool.patience()));
         let old = std::mem::replace(&mut live.running, running);
         old.end();
         live.former.push(old.feed);
         live.former.retain(Feed::is_alive);
     }
 
-    fn share_servers(&self, servers: BTreeMap<String, (u64, Vec<String>)>) {
-        let tenants = self.tenants.borrow();
-        for (address, (connections, users)) in servers {
-            let Ok(address) = address.parse() else { continue };
-            let member = |name: &String| {
-                let live = tenants.get(name)?;
-                Some((live.account.clone(), live.document.limits.weight))
-            };
-            // Without users it is forgotten: one user needs no share.
-            let members: Vec<_> = users.iter().filter_map(member).collect();
-            self.book.share_server(service::server_number(address), connections, &members);
-        }
-    }
-
     /// These servers, by tenant, get nothing new from here on, though the present version has them; all others as it says. A change
     /// that ends them may take a while to take hold, and need not be waited for.
     pub fn hold_off(&self, servers: &BTreeMap<String, BTreeSet<String>>) {
-        for (name, live) in self.tenants.borrow_mut().iter_mut() {
+        let before = self.held_off.replace(servers.clone());
+        let mut tenants = self.tenants.borrow_mut();
+        for name in before.keys().chain(servers.keys()) {
+            let Some(live) = tenants.get_mut(name.as_str()) else { continue };
             let now = servers.get(name).cloned().unwrap_or_default();
             if now != live.held_off {
                 live.held_off = now;
@@ -419,12 +431,12 @@
     /// The version that is open here, how many tenants there are, and those whose list of servers is not known to be current.
     pub fn known(&self) -> (Option<u64>, usize, Vec<String>) {
         let tenants = self.tenants.borrow();
-        let unknown = |(name, live): (&String, &Live)| {
+        let unknown = |(name, live): (&Name, &Live)| {
             let followed = live.followed.as_ref()?;
             let current = followed.status.as_ref().is_some_and(|s| s.phase == fleet::Phase::Watching);
-            (!current).then(|| name.clone())
+            (!current).then(|| name.to_string())
         };
-        (self.opens.get(), tenants.len(), tenants.iter().filter_map(unknown).collect())
+        (self.opens.get(), self.routes.borrow().catalog().len(), tenants.iter().filter_map(unknown).collect())
     }
 
     /// Requests that waited at the gate, and those that it refused.
@@ -437,19 +449,9 @@
         self.listeners.borrow().iter().map(|(name, open)| (name.clone(), open.address)).collect()
     }
 
-    /// The present version's document.
-    pub fn document(&self) -> Arc<Service> {
-        self.document.borrow().clone()
-    }
-
-    /// How one tenant fares.
-    pub fn status_of(&self, name: &str) -> Option<TenantStatus> {
-        self.tenants.borrow().get_key_value(name).map(status)
-    }
-
-    /// How the tenants fare, by name.
-    pub fn status(&self) -> Vec<TenantStatus> {
-        self.tenants.borrow().iter().map(status).collect()
+    /// The present version.
+    pub fn catalog(&self) -> Catalog {
+        self.routes.borrow().catalog().clone()
     }
 
     /// Closes all listeners and answers what has been taken.
@@ -467,8 +469,8 @@
 }
 
 impl Live {
-    /// Tells all its pools its list.
-    fn tell(&self) {
+    /// Its list; none where that is followed and not known yet.
+    fn hosts(&self) -> Option<Vec<Host>> {
         let host = |s: &document::Server| Host {
             host: s.name.clone(),
             dial: s.address.parse().ok(),
@@ -480,11 +482,15 @@
             share: Some(s.size),
             born_ms: self.births.of(&s.name),
         };
-        let hosts: Vec<Host> = match &self.followed {
-            None => self.document.servers.iter().map(host).collect(),
-            Some(Followed { hosts: Some(hosts), .. }) => hosts.values().cloned().collect(),
-            Some(_) => return, // it is not known yet
-        };
+        match &self.followed {
+            None => Some(self.document.servers.iter().map(host).collect()),
+            Some(followed) => Some(followed.hosts.as_ref()?.values().cloned().collect()),
+        }
+    }
+
+    /// Tells all its pools its list.
+    fn tell(&self) {
+        let Some(hosts) = self.hosts() else { return };
         self.former.iter().filter(|f| f.is_alive()).for_each(|f| f.whole(hosts.clone()));
         self.running.feed.whole(hosts);
     }
@@ -531,40 +537,6 @@
     }
 }
 
-fn status((name, live): (&String, &Live)) -> TenantStatus {
-    let used = live.account.used();
-    let listed = &live.document.servers;
-    let servers = match &live.followed {
-        None => [listed.iter().filter(|s| s.state == State::Up).count(), listed.len()],
-        Some(followed) => {
-            let hosts = followed.hosts.iter().flat_map(BTreeMap::values);
-            [hosts.clone().filter(|h| h.health == "up").count(), hosts.count()]
-        }
-    };
-    let followed = live.followed.as_ref().and_then(|f| f.status.as_ref()).map(|s| FleetStatus {
-        state: s.phase.to_string(),
-        revision: s.revision,
-        quarantined: s.servers[1],
-        held: s.servers[2],
-    });
-    TenantStatus {
-        name: name.clone(),
-        ready: live.running.pool.is_ready(),
-        servers,
-        fleet: followed,
-        former_pools: live.former.iter().filter(|f| f.is_alive()).count(),
-        sockets: used.sockets,
-        in_flight: used.in_flight,
-        bytes: used.bytes,
-        loop_ms: used.time,
-        refused: used.refused,
-    }
-}
-
-fn unix_ms() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0
-}
-
 /// A tenant's limits as the shares take them.
 fn caps(limits: &document::Limits) -> Caps {
     Caps {
@@ -622,23 +594,29 @@
 }
 
 /// One listener's way to the pools.
-struct Way {
+pub struct Way {
     plane: Rc<Plane>,
     listener: String,
     strangers: Rc<Holder>,
 }
 
-const NO_TENANT: (StatusCode, &str) = (StatusCode::NOT_FOUND, "no such tenant");
+const NO_TENANT: Missing = Missing::Plain(StatusCode::NOT_FOUND, "no such tenant");
 
 impl Router for Way {
-    fn pool(&self, uri: &Uri, headers: &HeaderMap) -> Result<Rc<Pool>, (StatusCode, &'static str)> {
+    fn pool(&self, uri: &Uri, headers: &HeaderMap, turn: bool) -> Result<Rc<Pool>, Missing> {
         let routes = self.plane.routes.borrow();
         // A target in absolute form names the host itself (RFC 9112, 3.2.2).
         let host = uri.host().or_else(|| once(headers, &hyper::header::HOST));
         let tenant = once(headers, &HeaderName::from_static("x-tenant-id"));
-        let name = routes.find(&self.listener, host, tenant).map_err(|_| NO_TENANT)?;
-        let tenants = self.plane.tenants.borrow();
-        tenants.get(name).map(|live| live.running.pool.clone()).ok_or(NO_TENANT)
+        let name = routes.find(&self.listener, host, tenant).map_err(|_| NO_TENANT)?.clone();
+        drop(routes);
+        // Nobody is woken to say that the process is up, nor while nothing may be decided.
+        let may_wake = uri.path() != "/up" && self.gate().is_none_or(Gate::is_open);
+        self.plane.pool_of(&name, may_wake, turn)
+    }
+
+    fn turn(&self) -> impl Future<Output = ()> {
+        self.plane.turns.clone().take()
     }
 
     fn strangers(&self) -> Option<Rc<dyn Account>> {
@@ -660,8 +638,7 @@
     }
 
     fn longest(&self) -> Duration {
-        let tenants = self.plane.tenants.borrow();
-        tenants.values().map(|live| live.running.pool.patience()).max().unwrap_or_default()
+        self.plane.longest.get()
     }
 
     fn make_room(&self) {
--- a/crates/tenancy/src/shares.rs
+++ b/crates/tenancy/src/shares.rs
@@ -175,6 +175,13 @@
         }
     }
 
+    /// A tenant that was here before comes back: what it has done goes on from there.
+    pub fn resume(&mut self, tenant: Tenant, time: Millis, refused: [u64; 5]) {
+        if let Some(account) = self.accounts.get_mut(tenant.0) {
+            (account.time, account.refused) = (time, refused);
+        }
+    }
+
     /// Forgets a tenant. What it holds is still to be given back; its place is free once [`Shares::is_idle`].
     pub fn remove(&mut self, tenant: Tenant) {
         for stock in [&mut self.sockets, &mut self.in_flight, &mut self.bytes] {
@@ -195,10 +202,10 @@
     }
 
     /// A server with so many connections is used by these tenants, with their weights. A server with one user needs no
-    /// share: name none, or one, and it is forgotten.
+    /// share: name none, and it is forgotten. Where others use it that are not here now, one is held to the whole of it.
     pub fn share_server(&mut self, server: u64, connections: u64, members: &[(Tenant, f64)]) {
         let old = self.servers.remove(&server);
-        if members.len() < 2 {
+        if members.is_empty() {
             return;
         }
         let mut stock = Stock::new(connections, self.limits.newcomers);
