--- a/crates/admin/tests/service/mod.rs
+++ b/crates/admin/tests/service/mod.rs
@@ -161,6 +161,12 @@
     }
 }
 
+impl Directory {
+    pub fn path(&self) -> &std::path::Path {
+        &self.0
+    }
+}
+
 impl Drop for Directory {
     fn drop(&mut self) {
         let _ = std::fs::remove_dir_all(&self.0);
