Join the desk over the catalog with the plane that holds residents in full

Statuses name whether a tenant is resident and are bounded; the end of a process says what came of residency.

Measured: canvascart builds with its failpoints. Its whole-process tests, and admin's, have not been run on this join.

--- a/crates/admin/src/figures.rs
+++ b/crates/admin/src/figures.rs
@@ -126,6 +126,7 @@
         };
         let tenant = TenantStatus {
             name: "a\"b\\".into(),
+            resident: true,
             ready: true,
             servers: [2, 3],
             fleet: None,
--- a/crates/admin/tests/http.rs
+++ b/crates/admin/tests/http.rs
@@ -60,6 +60,7 @@
                     Order::Status(name, tell) => {
                         let status = |name: String| hosted::plane::TenantStatus {
                             name,
+                            resident: true,
                             ready: true,
                             servers: [1, 1],
                             fleet: None,
--- a/crates/canvascart/src/serve.rs
+++ b/crates/canvascart/src/serve.rs
@@ -183,13 +183,19 @@
         api.keep_snapshot();
     }
     plane.drain().await;
-    for tenant in plane.status() {
+    let residency = plane.residency();
+    let (wakes, rests, refused) = (residency.wakes, residency.rests, residency.refused);
+    tracing::info!(tenants = residency.tenants, wakes, rests, refused, "residency at the end");
+    for tenant in plane.status(MOST_TOLD) {
         let (name, ms, refused) = (&tenant.name, tenant.loop_ms.round(), tenant.refused);
         tracing::info!(tenant = name, loop_ms = ms, ?refused, "ended");
     }
     Ok(0)
 }
 
+/// Tenants that get a line at the end.
+const MOST_TOLD: usize = 1024;
+
 /// Ends an instance of a cluster: what was taken is answered, under whatever version takes hold meanwhile; then it holds
 /// nothing that a change would wait for.
 async fn end_among(plane: &Plane, orders: &mut UnboundedReceiver<Order>, member: &UnboundedSender<Said>) {
