Cut long texts by what the oldest compiler knows

Cause: clippy refused floor_char_boundary, which is newer than the workspace's least compiler.

Change: the last boundary is looked for.

--- a/crates/admin/src/problem.rs
+++ b/crates/admin/src/problem.rs
@@ -17,7 +17,8 @@
     if text.len() <= LONG {
         return text.into();
     }
-    let head = &text[..text.floor_char_boundary(LONG - 64)];
+    let whole = |end: &usize| text.is_char_boundary(*end);
+    let head = &text[..(0..=LONG - 64).rev().find(whole).unwrap_or(0)];
     format!("{head}... (cut: it has {} bytes)", text.len()).into()
 }
 
