Show in the figures how many tenants are resident and what has come of it

Cause: what operators are told to look at when tenants find no place stood in the log's last line alone. Change: GET /v1/figures has tenants, residents, pinned, waiting, damaged, and counters of wakes, rests, evictions and refusals; the test of the figures' text is in a test file of its own, with these among its samples.

--- a/crates/admin/src/figures.rs
+++ b/crates/admin/src/figures.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 
-use hosted::plane::TenantStatus;
+use hosted::plane::{Residency, TenantStatus};
 use links::status::Status;
 
 /// What an instance is told to have been turned away for, as [`TenantStatus::refused`] has it.
@@ -34,10 +34,39 @@
     f64::from(u8::from(holds))
 }
 
+/// Tenants at rest and awake.
+fn residency(text: &mut Text, r: &Residency) {
+    text.one("tenants", "gauge", "Tenants that may be asked for.", r.tenants as f64);
+    text.one("tenants_resident", "gauge", "Tenants that are held in full.", r.resident as f64);
+    text.one(
+        "tenants_pinned",
+        "gauge",
+        "Of these, those whose lists are followed: they stay.",
+        r.pinned as f64,
+    );
+    text.one("tenants_waiting", "gauge", "Tenants that wait for a place among these.", r.waiting as f64);
+    text.one(
+        "tenants_damaged",
+        "gauge",
+        "Tenants that can't be woken, as what is held of them is damaged.",
+        r.damaged as f64,
+    );
+    text.one("tenant_wakes_total", "counter", "Times that a tenant was woken.", r.wakes as f64);
+    text.one("tenant_rests_total", "counter", "Times that a tenant was put to rest.", r.rests as f64);
+    text.one(
+        "tenant_evictions_total",
+        "counter",
+        "Of these, those for which another wanted the place.",
+        r.evictions as f64,
+    );
+    text.one("residency_refused_total", "counter", "Requests refused for want of a place.", r.refused as f64);
+}
+
 /// All figures. The cluster's are there where this is one of its instances; `gate` is how many requests waited at the gate, and
 /// how many it refused.
-pub fn text(cluster: Option<(&Status, [u64; 2])>, tenants: &[TenantStatus]) -> String {
+pub fn text(cluster: Option<(&Status, [u64; 2])>, resident: &Residency, tenants: &[TenantStatus]) -> String {
     let mut text = Text(String::new());
+    residency(&mut text, resident);
     if let Some((s, [waited, refused])) = cluster {
         let leads = s.leader.as_ref() == Some(&s.name);
         text.one(
@@ -110,45 +139,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn every_line_is_a_sample_with_escaped_labels_or_tells_of_one() {
-        let status = Status {
-            name: "a".into(),
-            leader: Some("a".into()),
-            version: 7,
-            decides: Some(7),
-            changes: [3, 1],
-            letters: [5, 600, 0, 2],
-            ..Status::default()
-        };
-        let tenant = TenantStatus {
-            name: "a\"b\\".into(),
-            resident: true,
-            ready: true,
-            servers: [2, 3],
-            fleet: None,
-            former_pools: 0,
-            sockets: 4,
-            in_flight: 5,
-            bytes: 6,
-            loop_ms: 0.0,
-            refused: [1, 2, 3, 4, 5],
-        };
-        let text = text(Some((&status, [8, 9])), &[tenant]);
-        for wanted in [
-            "canvascart_cluster_version 7",
-            "canvascart_cluster_leads 1",
-            "canvascart_cluster_changes_total{end=\"given-up\"} 1",
-            "canvascart_cluster_links_refused_total 2",
-            "canvascart_gate_refused_total 9",
-            "canvascart_tenant_in_flight{tenant=\"a\\\"b\\\\\"} 5",
-            "canvascart_tenant_refused_total{tenant=\"a\\\"b\\\\\",cause=\"time\"} 4",
-        ] {
-            assert!(text.lines().any(|l| l == wanted), "{wanted} in\n{text}");
-        }
-        assert!(super::text(None, &[]).lines().all(|l| !l.contains("cluster")));
-    }
-}
+#[path = "../tests/unit/figures.rs"]
+mod tests;
--- a/crates/admin/src/http.rs
+++ b/crates/admin/src/http.rs
@@ -18,7 +18,7 @@
 use hosted::catalog::Catalog;
 use hosted::document::Service;
 use hosted::plan::Prepared;
-use hosted::plane::{Plane, TenantStatus};
+use hosted::plane::{Plane, Residency, TenantStatus};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use serde_json::Value;
@@ -86,6 +86,8 @@
     Serve(Catalog, oneshot::Sender<Result<(), String>>),
     /// Tell how many requests waited at the gate, and how many it refused.
     Gate(oneshot::Sender<[u64; 2]>),
+    /// Tell how many tenants are resident, and what has come of it.
+    Residency(oneshot::Sender<Residency>),
     /// Tell how a tenant fares, or all.
     Status(Option<String>, oneshot::Sender<Vec<TenantStatus>>),
 }
@@ -115,6 +117,7 @@
                 let _ = done.send(served);
             }
             Order::Gate(tell) => _ = tell.send(plane.gate_counts()),
+            Order::Residency(tell) => _ = tell.send(plane.residency()),
             Order::Status(None, tell) => _ = tell.send(plane.status(MOST_TOLD)),
             Order::Status(Some(name), tell) => _ = tell.send(plane.status_of(&name).into_iter().collect()),
         }
@@ -406,15 +409,18 @@
     async fn figures(&self) -> Result<Response<Body>, Problem> {
         let mut tenants = self.status(None).await?;
         tenants.truncate(TOLD);
+        let (tell, told) = oneshot::channel();
+        self.give(Order::Residency(tell));
+        let resident = told.await.map_err(|_| Problem::internal("the service is ending"))?;
         let text = match &self.together {
-            None => figures::text(None, &tenants),
+            None => figures::text(None, &resident, &tenants),
             Some(together) => {
                 let (tell, told) = oneshot::channel();
                 self.give(Order::Gate(tell));
                 let ending = || Problem::internal("the service is ending");
                 let gate = told.await.map_err(|_| ending())?;
                 let status = together.status().await.ok_or_else(ending)?;
-                figures::text(Some((&status, gate)), &tenants)
+                figures::text(Some((&status, gate)), &resident, &tenants)
             }
         };
         let response = Response::builder()
--- a/crates/admin/tests/http.rs
+++ b/crates/admin/tests/http.rs
@@ -56,6 +56,7 @@
                     Order::HoldOff(_) | Order::Take | Order::Among(..) => {}
                     Order::Known(tell) => _ = tell.send((None, 0, Vec::new())),
                     Order::Gate(tell) => _ = tell.send([0; 2]),
+                    Order::Residency(tell) => _ = tell.send(hosted::plane::Residency::default()),
                     Order::Close(done) | Order::OpenAt(_, done) => _ = done.send(()),
                     Order::Status(name, tell) => {
                         let status = |name: String| hosted::plane::TenantStatus {
--- /dev/null
+++ b/crates/admin/tests/unit/figures.rs
@@ -0,0 +1,48 @@
+//! What the figures' text says.
+
+use super::*;
+
+#[test]
+fn every_line_is_a_sample_with_escaped_labels_or_tells_of_one() {
+    let status = Status {
+        name: "a".into(),
+        leader: Some("a".into()),
+        version: 7,
+        decides: Some(7),
+        changes: [3, 1],
+        letters: [5, 600, 0, 2],
+        ..Status::default()
+    };
+    let tenant = TenantStatus {
+        name: "a\"b\\".into(),
+        resident: true,
+        ready: true,
+        servers: [2, 3],
+        fleet: None,
+        former_pools: 0,
+        sockets: 4,
+        in_flight: 5,
+        bytes: 6,
+        loop_ms: 0.0,
+        refused: [1, 2, 3, 4, 5],
+    };
+    let resident =
+        Residency { tenants: 33_000, resident: 12, evictions: 3, refused: 4, ..Residency::default() };
+    let text = text(Some((&status, [8, 9])), &resident, &[tenant]);
+    for wanted in [
+        "canvascart_cluster_version 7",
+        "canvascart_cluster_leads 1",
+        "canvascart_cluster_changes_total{end=\"given-up\"} 1",
+        "canvascart_cluster_links_refused_total 2",
+        "canvascart_gate_refused_total 9",
+        "canvascart_tenants 33000",
+        "canvascart_tenants_resident 12",
+        "canvascart_tenant_evictions_total 3",
+        "canvascart_residency_refused_total 4",
+        "canvascart_tenant_in_flight{tenant=\"a\\\"b\\\\\"} 5",
+        "canvascart_tenant_refused_total{tenant=\"a\\\"b\\\\\",cause=\"time\"} 4",
+    ] {
+        assert!(text.lines().any(|l| l == wanted), "{wanted} in\n{text}");
+    }
+    assert!(super::text(None, &Residency::default(), &[]).lines().all(|l| !l.contains("cluster")));
+}
