Count a cluster's messages by kind, and play members that are hollow

Cause: what grows with the number of members can't be told from a sum of all messages, and real processes do not fit in the hundreds. Result: it compiles; nothing measured yet.

--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -1,5 +1,6 @@
 //! `canvascart lab`: plays scenarios and says what came of them.
 
+mod hollow;
 mod hosted;
 mod together;
 
@@ -209,6 +210,12 @@
         #[arg(long)]
         json: bool,
     },
+    /// Runs hollow members of a cluster, as it is told on its standard input.
+    #[command(hide = true)]
+    Hollow,
+    /// Sweeps over numbers of hollow members, or their states.
+    #[command(hide = true)]
+    Members(hollow::Arguments),
     /// The processes that a price is measured with.
     #[command(subcommand, hide = true)]
     Peer(Peer),
@@ -373,6 +380,8 @@
         }
         Command::Report { dirs } => Ok(tell_again(&dirs)),
         Command::Peer(peer) => run_peer(peer),
+        Command::Hollow => hollow::host(),
+        Command::Members(arguments) => hollow::run(&arguments),
         Command::Floods { kind, seconds, repeat, apart, changing, service } => {
             let kinds =
                 floods::Kind::ALL.iter().map(|(_, k)| *k).filter(|k| kind.is_none_or(|only| only == *k));
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -48,6 +48,101 @@
     Welcome(Welcome),
 }
 
+/// What a message is about, to count by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// Entries of the log, and how far it is agreed on.
+    Append,
+    /// The answer.
+    AppendAnswer,
+    /// The leader's heartbeat, without a read to confirm.
+    Heartbeat,
+    /// The answer.
+    HeartbeatAnswer,
+    /// A heartbeat by which the leader asks whether it still leads, as a read of its index wants.
+    Confirmation,
+    /// The answer.
+    ConfirmationAnswer,
+    /// A snapshot.
+    Snapshot,
+    /// Votes, and what else the log's library says.
+    Election,
+    /// A report.
+    Report,
+    /// A grant.
+    Grant,
+    /// All else: who starts, joins, or asks where the leader is, and calls.
+    Other,
+}
+
+impl Kind {
+    /// How many there are.
+    pub const COUNT: usize = 11;
+    /// All of them; each stands at its own number.
+    pub const ALL: [Kind; Kind::COUNT] = [
+        Kind::Append,
+        Kind::AppendAnswer,
+        Kind::Heartbeat,
+        Kind::HeartbeatAnswer,
+        Kind::Confirmation,
+        Kind::ConfirmationAnswer,
+        Kind::Snapshot,
+        Kind::Election,
+        Kind::Report,
+        Kind::Grant,
+        Kind::Other,
+    ];
+
+    /// What it is called.
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::Append => "append",
+            Kind::AppendAnswer => "append answer",
+            Kind::Heartbeat => "heartbeat",
+            Kind::HeartbeatAnswer => "heartbeat answer",
+            Kind::Confirmation => "confirmation",
+            Kind::ConfirmationAnswer => "confirmation answer",
+            Kind::Snapshot => "snapshot",
+            Kind::Election => "election",
+            Kind::Report => "report",
+            Kind::Grant => "grant",
+            Kind::Other => "other",
+        }
+    }
+}
+
+impl Message {
+    /// What it is about. Of the log's own only the few that are small and common are read whole.
+    pub fn kind(&self) -> Kind {
+        use MessageType::{MsgAppend, MsgAppendResponse, MsgHeartbeat, MsgHeartbeatResponse, MsgSnapshot};
+        let log = match self {
+            Message::Log(log) => log,
+            Message::Report(_) => return Kind::Report,
+            Message::Grant(_) => return Kind::Grant,
+            Message::Hello | Message::Welcome(_) => return Kind::Other,
+        };
+        // The type is the first field, and small: its tag, and its value.
+        let is = |kind: MessageType| log.starts_with(&[8, kind as u8]);
+        if is(MsgAppend) {
+            return Kind::Append;
+        } else if is(MsgAppendResponse) {
+            return Kind::AppendAnswer;
+        } else if is(MsgSnapshot) {
+            return Kind::Snapshot;
+        } else if !is(MsgHeartbeat) && !is(MsgHeartbeatResponse) {
+            return Kind::Election;
+        }
+        let confirms = read::<raft::eraftpb::Message>(log).is_ok_and(|m| !m.context.is_empty());
+        match (is(MsgHeartbeat), confirms) {
+            (true, false) => Kind::Heartbeat,
+            (true, true) => Kind::Confirmation,
+            (false, false) => Kind::HeartbeatAnswer,
+            (false, true) => Kind::ConfirmationAnswer,
+        }
+    }
+}
+
 /// What a member knows of one that has started.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Welcome {
--- a/crates/cluster/src/sim.rs
+++ b/crates/cluster/src/sim.rs
@@ -6,7 +6,7 @@
 
 use crate::fence::Until;
 use crate::machine::{Effect, Machine, Member, Micros, Outcome, Proposal, Rules, Version};
-use crate::node::{Message, Node, Output, Persist, Refusal, Saved, TICK, found};
+use crate::node::{Kind, Message, Node, Output, Persist, Refusal, Saved, TICK, found};
 
 /// From one look of the judge at all instances to the next.
 const LOOK: Micros = 10_000;
@@ -129,6 +129,8 @@
     pub played: BTreeMap<String, Played>,
     /// Messages and their bytes.
     pub sent: (u64, u64),
+    /// Messages by what they are about, in the order of [`Kind::ALL`].
+    pub kinds: [u64; Kind::COUNT],
     /// Instances that could decide, and all that ran, summed over all looks.
     pub looks: (u64, u64),
     /// A fault that is planted to see the judge notice: no instance looks at its lease.
@@ -191,6 +193,7 @@
             broken: Vec::new(),
             played: BTreeMap::new(),
             sent: (0, 0),
+            kinds: [0; Kind::COUNT],
             looks: (0, 0),
             lease_ignored: false,
             all_vote: false,
@@ -539,6 +542,7 @@
             _ => 160,
         };
         self.sent = (self.sent.0 + 1, self.sent.1 + size as u64);
+        self.kinds[message.kind() as usize] += 1;
         let Some(to) = self.instances.iter().position(|i| i.id == to) else { return };
         if self.cuts.contains(&(from, to)) || self.chance.u32(..1000) < self.world.lost {
             return;
--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -1,6 +1,9 @@
 //! What each part costs as it grows: sweeps over sizes, with the line through what was measured and what it gives at the target.
 
 pub mod fit;
+pub mod hollow;
+pub mod members;
+pub mod restarts;
 
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
--- a/crates/links/src/letter.rs
+++ b/crates/links/src/letter.rs
@@ -1,6 +1,6 @@
 //! What members write to each other.
 
-use cluster::node::Message;
+use cluster::node::{Kind, Message};
 use serde::{Deserialize, Serialize};
 
 /// A letter, with who wrote it.
@@ -66,6 +66,14 @@
 const JSON: u8 = 2;
 
 impl Letter {
+    /// What it is about.
+    pub fn kind(&self) -> Kind {
+        match &self.body {
+            Body::Node(_, message) => message.kind(),
+            _ => Kind::Other,
+        }
+    }
+
     /// The letter's bytes.
     pub fn write(&self) -> Vec<u8> {
         if let Body::Node(to, Message::Log(log)) = &self.body
--- a/crates/links/src/member.rs
+++ b/crates/links/src/member.rs
@@ -20,7 +20,7 @@
 use crate::kept::{Identity, new_cluster, put_identity, saved};
 use crate::letter::{Body, Letter, Sender};
 use crate::mark::Mark;
-use crate::post::Post;
+use crate::post::{Counts, Post};
 use crate::right::Right;
 use crate::status::{ChangeStatus, MemberStatus, Status};
 
@@ -220,6 +220,11 @@
 }
 
 impl Driven {
+    /// What its links have seen.
+    pub fn counts(&self) -> Arc<Counts> {
+        self.post.counts().clone()
+    }
+
     /// Goes on as the member that the log tells of, if it tells of one.
     fn remember(&mut self, logged: &Logged) -> Result<(), String> {
         let Some(bytes) = &logged.identity else { return Ok(()) };
--- a/crates/links/src/post.rs
+++ b/crates/links/src/post.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use cluster::node::Kind;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc};
@@ -38,14 +39,42 @@
     pub dropped: AtomicU64,
     /// Links that were ended as rubbish came by them.
     pub rubbish: AtomicU64,
+    /// What went out by kind, in the order of [`Kind::ALL`].
+    pub out: [Traffic; Kind::COUNT],
+    /// What came in, likewise.
+    pub incoming: [Traffic; Kind::COUNT],
 }
 
+/// Messages of one kind, and their bytes with their frames.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    /// How many.
+    pub messages: AtomicU64,
+    /// Their bytes.
+    pub bytes: AtomicU64,
+}
+
+impl Traffic {
+    fn add(&self, bytes: usize) {
+        self.messages.fetch_add(1, Ordering::Relaxed);
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// What there was until now.
+    pub fn so_far(&self) -> [u64; 2] {
+        [self.messages.load(Ordering::Relaxed), self.bytes.load(Ordering::Relaxed)]
+    }
+}
+
+/// A letter's kind and its bytes.
+type Written = (Kind, Vec<u8>);
+
 /// The post.
 pub struct Post {
     key: Key,
     counts: Arc<Counts>,
     /// By name: where it is, and the letters that wait for it.
-    out: BTreeMap<String, (String, mpsc::Sender<Vec<u8>>)>,
+    out: BTreeMap<String, (String, mpsc::Sender<Written>)>,
 }
 
 fn drawn() -> io::Result<[u8; 16]> {
@@ -80,7 +109,7 @@
             self.out.insert(name.to_owned(), (address.to_owned(), out));
         }
         if let Some((_, out)) = self.out.get(name)
-            && out.try_send(letter.write()).is_err()
+            && out.try_send((letter.kind(), letter.write())).is_err()
         {
             self.counts.dropped.fetch_add(1, Ordering::Relaxed);
         }
@@ -109,10 +138,10 @@
 }
 
 /// Delivers letters to one member, over one link after another.
-async fn deliver(key: Key, address: String, mut letters: mpsc::Receiver<Vec<u8>>, counts: Arc<Counts>) {
+async fn deliver(key: Key, address: String, mut letters: mpsc::Receiver<Written>, counts: Arc<Counts>) {
     let mut link: Option<(TcpStream, Sealer)> = None;
     let mut told = false;
-    while let Some(letter) = letters.recv().await {
+    while let Some((kind, letter)) = letters.recv().await {
         if link.is_none() {
             match within(dial(&key, &address)).await {
                 Ok(opened) => (link, told) = (Some(opened), false),
@@ -148,6 +177,7 @@
             Ok(()) => {
                 counts.sent.fetch_add(1, Ordering::Relaxed);
                 counts.bytes.fetch_add((HEAD + letter.len()) as u64, Ordering::Relaxed);
+                counts.out[kind as usize].add(HEAD + letter.len());
             }
             Err(_) => {
                 counts.dropped.fetch_add(1, Ordering::Relaxed);
@@ -171,7 +201,7 @@
         };
         let (key, letters, counts) = (key.clone(), letters.clone(), counts.clone());
         tokio::spawn(async move {
-            if let Err(e) = read(&key, stream, &letters).await
+            if let Err(e) = read(&key, stream, &letters, &counts).await
                 && e.kind() == io::ErrorKind::InvalidData
             {
                 counts.rubbish.fetch_add(1, Ordering::Relaxed);
@@ -182,7 +212,9 @@
     }
 }
 
-async fn read(key: &Key, stream: TcpStream, letters: &mpsc::Sender<Letter>) -> io::Result<()> {
+async fn read(
+    key: &Key, stream: TcpStream, letters: &mpsc::Sender<Letter>, counts: &Counts,
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut stream = BufReader::new(stream);
     let mut sealer = within(async {
@@ -209,6 +241,7 @@
         sealer.check(&head, &letter).map_err(rubbish)?;
         let letter = Letter::read(&letter);
         let letter = letter.ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, "it is no letter"))?;
+        counts.incoming[letter.kind() as usize].add(HEAD + length);
         if letters.send(letter).await.is_err() {
             return Ok(()); // the member has ended
         }
