--- a/crates/lab/src/capacity/members.rs
+++ b/crates/lab/src/capacity/members.rs
@@ -714,7 +714,7 @@
 ) -> io::Result<Sweep> {
     fits(how, sizes)?;
     let list: Vec<String> = sizes.iter().map(usize::to_string).collect();
-    let command = format!("canvascart lab capacity members --sizes {}", list.join(","));
+    let command = format!("canvascart lab members members --sizes {}", list.join(","));
     let mut sweep = Sweep { name: "members".into(), command, ..Sweep::default() };
     for members in sizes {
         let mut point = Point::default();
@@ -856,7 +856,7 @@
         return Err(io::Error::new(io::ErrorKind::InvalidInput, "members: 0 are no cluster"));
     }
     let list: Vec<String> = sizes.iter().map(usize::to_string).collect();
-    let command = format!("canvascart lab capacity virtual-members --sizes {}", list.join(","));
+    let command = format!("canvascart lab members virtual --sizes {}", list.join(","));
     let mut sweep = Sweep { name: "members in virtual time".into(), command, ..Sweep::default() };
     for members in sizes {
         let sizes = [("members".to_owned(), *members as f64)].into();
--- a/crates/lab/src/capacity/restarts.rs
+++ b/crates/lab/src/capacity/restarts.rs
@@ -115,7 +115,7 @@
 ) -> io::Result<Sweep> {
     fits(how, sizes)?;
     let list: Vec<String> = sizes.iter().map(usize::to_string).collect();
-    let command = format!("canvascart lab capacity restarts --sizes {}", list.join(","));
+    let command = format!("canvascart lab members restarts --sizes {}", list.join(","));
     let mut sweep = Sweep { name: "restarts".into(), command, ..Sweep::default() };
     for members in sizes {
         if !point(&mut sweep, stop, |p| play(how, *members, p, stop)) {
@@ -159,7 +159,7 @@
         fits(&Play { state_bytes: *state, ..how.clone() }, &[members])?;
     }
     let list: Vec<String> = states.iter().map(usize::to_string).collect();
-    let command = format!("canvascart lab capacity snapshots --sizes {}", list.join(","));
+    let command = format!("canvascart lab members snapshots --sizes {}", list.join(","));
     let mut sweep = Sweep { name: "snapshots".into(), command, ..Sweep::default() };
     for state in states {
         let how = Play { state_bytes: *state, ..how.clone() };
