--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -1,10 +1,11 @@
 //! `canvascart lab`: plays scenarios and says what came of them.
 
+mod capacity;
 mod hosted;
 mod together;
 
 use std::io::{IsTerminal as _, Write as _};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::num::NonZero;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -200,6 +201,9 @@
         #[arg(long)]
         no_stampede: bool,
     },
+    /// Measures what each part costs as it grows, with the lines through it and what they give at the operators' target.
+    #[command(after_help = CODES)]
+    Capacity(capacity::Arguments),
     /// Plays ways to share one process between tenants against each other, in virtual time.
     Shares {
         /// Seeds.
@@ -245,10 +249,16 @@
 
 #[derive(clap::Subcommand)]
 pub enum Peer {
-    /// Answers each request at once; tells its addresses in a line of JSON.
+    /// Answers each request; tells its addresses in a line of JSON.
     Responder {
         #[arg(long)]
         count: usize,
+        /// The address on whose ports it listens.
+        #[arg(long, default_value = "127.0.0.1")]
+        host: IpAddr,
+        /// Milliseconds until it answers a request.
+        #[arg(long, default_value_t = 0)]
+        work: u64,
     },
     /// Passes requests on to the addresses in a line of JSON, and decides nothing.
     PassThrough,
@@ -396,6 +406,7 @@
         Command::Tenants { count, changes, idle } => {
             hosted::tenants(count, Duration::from_secs(idle), changes)
         }
+        Command::Capacity(arguments) => capacity::run(&arguments),
         Command::Followers { servers, removals, no_stampede } => {
             Ok(hosted::followers(&servers, removals, !no_stampede, &hosted::own()?).unwrap_or_else(|e| {
                 tracing::error!(error = %e, "it could not be measured");
@@ -551,7 +562,9 @@
     // A line on standard output, and then nothing any more.
     let say = |addresses: &[SocketAddr]| println!("{}", serde_json::json!(addresses));
     let ended = match peer {
-        Peer::Responder { count } => price::responder(count, say),
+        Peer::Responder { count, host, work } => {
+            price::responder(host, count, Duration::from_millis(work), say)
+        }
         Peer::PassThrough => {
             let mut line = String::new();
             std::io::stdin().read_line(&mut line).map_err(|e| e.to_string())?;
--- /dev/null
+++ b/crates/lab/src/capacity/tenants.rs
@@ -0,0 +1,488 @@
+//! Tenants, routes and services of one process: memory, start, what a change costs and how long it holds the serving loop up,
+//! bytes stored, and what a request of a busy tenant and of one at rest waits for.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::needs::Needs;
+use super::process::{self, Spent};
+use super::servers::{self, Started};
+use super::stop::Stop;
+use super::{Setting, Sweep, in_turn, target};
+use crate::floods::fleet::Fleet;
+use crate::service::tenants::{Measured, document, histogram, lookups, ms, quantiles, under_load};
+use crate::service::{Line, Place, Service};
+
+/// Tenants of one call that makes them.
+const BATCH: usize = 1000;
+/// Tenants at rest that are asked for the first time.
+const WOKEN: usize = 200;
+/// When the start is over and its memory is looked at.
+const SETTLED: Duration = Duration::from_secs(5);
+/// How long the loop is asked without a change, and from a change's answer on.
+const AFTER: Duration = Duration::from_millis(20);
+/// From one ping to the next.
+const PING: Duration = Duration::from_millis(1);
+
+/// What the tenants have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shape {
+    /// Two classes, the same for all, and a list of four servers of its own each.
+    Own,
+    /// As at the target: many share a service's list of 17 or 18 servers, and one of so many sets of classes.
+    Shared,
+}
+
+/// How many tenants of what shape, and how long it is measured.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// What they have.
+    pub shape: Shape,
+    /// How many there are.
+    pub tenants: usize,
+    /// How many services, of 17 or 18 servers each.
+    pub services: usize,
+    /// How many sets of classes.
+    pub routes: usize,
+}
+
+impl Size {
+    /// So many tenants, and in their shape the part of the target's services and sets of classes that goes with them.
+    pub fn of(shape: Shape, tenants: usize) -> Self {
+        let part = |of: f64| ((tenants as f64 * of / target::TENANTS).round() as usize).max(1);
+        match shape {
+            Shape::Own => Size { shape, tenants, services: 0, routes: 1 },
+            Shape::Shared => {
+                Size { shape, tenants, services: part(target::SERVICES), routes: part(target::ROUTES) }
+            }
+        }
+    }
+
+    /// How many servers there are in all services.
+    pub fn servers(&self) -> usize {
+        (0..self.services).map(of_service).sum()
+    }
+
+    fn named(&self) -> BTreeMap<String, f64> {
+        let mut all = vec![("tenants", self.tenants), ("routes", self.routes)];
+        if self.shape == Shape::Shared {
+            all.extend([("services", self.services), ("servers", self.servers())]);
+        }
+        all.into_iter().map(|(name, n)| (name.to_owned(), n as f64)).collect()
+    }
+
+    /// What it needs of the machine.
+    pub fn needs(&self) -> Needs {
+        // By what was measured of a build that keeps all tenants awake in full, and a half more (docs/CAPACITY.md).
+        let kib = if self.shape == Shape::Own { 80.0 } else { 200.0 };
+        let servers = self.servers() as f64;
+        Needs {
+            memory_mib: 200.0 + (kib * self.tenants as f64 + 20.0 * servers) / 1024.0,
+            processes: 1.0 + servers::processes(self.servers()) as f64,
+            descriptors: 1000.0 + servers::descriptors(self.servers()),
+            disk_mib: 64.0 + 24.0 * self.tenants as f64 / 1024.0,
+        }
+    }
+}
+
+/// Servers of a service: 17 or 18, so that 680 services have 12,000.
+pub fn of_service(n: usize) -> usize {
+    17 + usize::from(n % 17 < 11)
+}
+
+/// How thoroughly it is measured.
+#[derive(Clone, Copy, Debug)]
+pub struct Care {
+    /// Changes of each kind.
+    pub changes: u64,
+    /// What counts as the first seconds after a start.
+    pub first: Duration,
+    /// How long the process is left alone after its start before idle time is measured.
+    pub rest: Duration,
+    /// How long that is measured.
+    pub idle: Duration,
+    /// How long the busy tenant is asked each time.
+    pub load: Duration,
+}
+
+impl Care {
+    /// As the figures of the page are measured.
+    pub const FULL: Care = Care {
+        changes: 40,
+        first: Duration::from_secs(10),
+        rest: Duration::from_secs(17),
+        idle: Duration::from_secs(3),
+        load: Duration::from_secs(3),
+    };
+    /// For a small sweep: what is at rest after 10 s is.
+    pub const SMALL: Care = Care {
+        changes: 8,
+        first: Duration::from_secs(5),
+        rest: Duration::from_millis(10_500),
+        idle: Duration::from_secs(1),
+        load: Duration::from_secs(1),
+    };
+    /// For counts and bytes alone, which no time has a part in.
+    pub const COUNTS: Care = Care {
+        changes: 8,
+        first: Duration::ZERO,
+        rest: Duration::ZERO,
+        idle: Duration::from_millis(100),
+        load: Duration::from_millis(200),
+    };
+}
+
+/// The servers behind the tenants.
+enum Behind {
+    Own(Fleet),
+    /// The addresses of each service.
+    Shared(Vec<Vec<SocketAddr>>, #[expect(dead_code, reason = "ends the processes")] Vec<Started>),
+}
+
+impl Behind {
+    fn start(size: &Size, setting: &Setting) -> io::Result<Self> {
+        if size.shape == Shape::Own {
+            return Fleet::start().map(Behind::Own);
+        }
+        let work = Duration::from_millis(20);
+        let (started, addresses) = servers::start(&setting.own, size.servers(), work, &setting.stop)?;
+        let mut left = addresses.into_iter();
+        let lists = (0..size.services).map(|n| left.by_ref().take(of_service(n)).collect()).collect();
+        Ok(Behind::Shared(lists, started))
+    }
+
+    fn document(&self, size: &Size, n: usize) -> Value {
+        match self {
+            Behind::Own(fleet) => document(n, &fleet.quiet),
+            Behind::Shared(lists, _) => {
+                let (service, route) = (n % size.services, n % size.routes);
+                let aim = 200 + route;
+                let server = |(i, address): (usize, &SocketAddr)| json!({ "name": format!("s{service:03}-{i:02}"), "address": address, "size": 16.0 });
+                json!({
+                    "name": format!("t{n:05}"),
+                    "hosts": [format!("t{n:05}.example")],
+                    "class": [
+                        { "name": "lookup", "effect": "safe", "aim": format!("{aim} ms"), "deadline": "8 s" },
+                        { "name": "checkout", "effect": "unsafe", "aim": format!("{aim} ms"), "deadline": "9 s" },
+                    ],
+                    "server": lists[service].iter().enumerate().map(server).collect::<Vec<_>>(),
+                })
+            }
+        }
+    }
+}
+
+/// A service, which ends when the sweep is stopped.
+struct Running {
+    // Before the service, which is waited for when it is dropped.
+    #[expect(dead_code, reason = "ends the process when the sweep is stopped")]
+    watched: Option<super::stop::Watched>,
+    service: Service,
+}
+
+impl Running {
+    fn start(command: &[String], place: &Place, stop: &Stop) -> io::Result<Self> {
+        stop.check()?;
+        let mut watched = None;
+        let service = Service::start_seen(command, &place.config, 1, true, |id| watched = stop.watch(id))?;
+        Ok(Running { watched, service })
+    }
+
+    fn public(&self) -> io::Result<SocketAddr> {
+        self.service.listener("public")
+    }
+}
+
+/// Which tenant is busy.
+const BUSY: &str = "X-Tenant-Id: t00000\r\n";
+
+fn asked(line: &mut Line, headers: &str) -> io::Result<f64> {
+    let began = Instant::now();
+    let (status, _) = line.call("GET", "/lookup/1", headers, "")?;
+    if status == 200 { Ok(ms(began)) } else { Err(io::Error::other(format!("a lookup got {status}"))) }
+}
+
+/// Measures one size with one build.
+///
+/// # Errors
+/// The service or its servers can't be had, end, or turn a call down.
+pub fn measure(
+    command: &[String], size: &Size, care: &Care, setting: &Setting, figures: &mut BTreeMap<String, f64>,
+) -> io::Result<()> {
+    let behind = Behind::start(size, setting)?;
+    let place = Place::new(&setting.dir, "[process]\nserver-sockets = 8192\n")?;
+    let mut running = Running::start(command, &place, &setting.stop)?;
+    let done = measured(command, size, care, setting, &behind, &place, &mut running, figures);
+    ended(&mut running.service, done)
+}
+
+/// What an error of a call means if the process has ended: that it did.
+pub(super) fn ended<T>(service: &mut Service, done: io::Result<T>) -> io::Result<T> {
+    // A call fails a little before the system has the process's end.
+    let end = Instant::now() + Duration::from_millis(200);
+    loop {
+        if let Some(status) = service.ended() {
+            return Err(io::Error::other(format!("the service ended: {status}")));
+        }
+        if done.is_ok() || Instant::now() >= end {
+            return done;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+#[expect(clippy::too_many_arguments, reason = "all that a measurement needs, in one place")]
+fn measured(
+    command: &[String], size: &Size, care: &Care, setting: &Setting, behind: &Behind, place: &Place,
+    running: &mut Running, figures: &mut BTreeMap<String, f64>,
+) -> io::Result<()> {
+    let stop = &setting.stop;
+    let mut put = |name: &str, value: f64| {
+        figures.insert(name.to_owned(), value);
+    };
+
+    let mut admin = running.service.line(place)?;
+    let began = Instant::now();
+    for batch in (0..size.tenants).collect::<Vec<_>>().chunks(BATCH) {
+        stop.check()?;
+        let all: Vec<Value> = batch.iter().map(|n| behind.document(size, *n)).collect();
+        admin.json("POST", "/v1/apply", "", &json!({ "tenant": all }))?;
+    }
+    put("made in, s", began.elapsed().as_secs_f64());
+    put("peak while made, MiB", process::memory(running.service.id())?.peak);
+
+    // The restart, by which memory is measured without what making them left behind.
+    running.service.kill();
+    let began = Instant::now();
+    *running = Running::start(command, place, stop)?;
+    let id = running.service.id();
+    put("start to ready, ms", ms(began));
+    let ready = Instant::now();
+    asked(&mut Line::new(running.public()?, BUSY), "")?;
+    put("start to first answer, ms", ms(began));
+    put("processor time to first answer, ms", process::spent(id)?.all());
+    put("memory at ready, MiB", process::memory(id)?.resident);
+    let at_ready = process::spent(id)?;
+    stop.sleep(SETTLED.min(care.first).saturating_sub(ready.elapsed()))?;
+    put("memory, MiB", process::memory(id)?.resident);
+    stop.sleep(care.first.saturating_sub(ready.elapsed()))?;
+    let part = |spent: Spent, over: Duration| 100.0 * spent.all() / (1000.0 * over.as_secs_f64());
+    put("first seconds, % of a core", part(process::spent(id)?.since(&at_ready), ready.elapsed()));
+    stop.sleep(care.rest.saturating_sub(ready.elapsed()))?;
+    let (before, from) = (process::spent(id)?, Instant::now());
+    stop.sleep(care.idle)?;
+    put("idle, % of a core", part(process::spent(id)?.since(&before), from.elapsed()));
+    put("memory at rest, MiB", process::memory(id)?.resident);
+
+    let mut admin = running.service.line(place)?;
+    let (cost, [answer, pause, without]) =
+        changes(&mut admin, running, place, size.tenants, care.changes, stop)?;
+    cost.iter().for_each(|(name, value)| put(name, *value));
+    put("a change of one at rest to its answer p50, ms", answer[0]);
+    put("a change of one at rest to its answer p99, ms", answer[1]);
+    put("loop's pause by a change p50, ms", pause[0]);
+    put("loop's pause by a change, longest, ms", pause[1]);
+    put("loop's pause without p50, ms", without[0]);
+    put("loop's pause without, longest, ms", without[1]);
+
+    let mut load = Measured::default();
+    under_load(&mut admin, running.public()?, care.changes, care.load, &mut load)?;
+    put("change to effect p50, ms", load.effect_ms[0]);
+    put("change to effect p99, ms", load.effect_ms[1]);
+    put("change to answer p50, ms", load.answer_ms[0]);
+    put("change to answer p99, ms", load.answer_ms[1]);
+    put("busy lookups p50, ms", load.lookup_p50_ms[0]);
+    put("busy lookups p99, ms", load.lookup_p99_ms[0]);
+    put("busy lookups beside changes p99, ms", load.lookup_p99_ms[1]);
+    put("busy lookups not served", load.lost[0] as f64);
+    stop.check()?;
+
+    let [first, busy] = first_requests(running.public()?, size.tenants, stop)?;
+    put("first request of one at rest p50, ms", first[0]);
+    put("first request of one at rest p99, ms", first[1]);
+    put("busy lookups beside these p50, ms", busy[0]);
+    put("busy lookups beside these p99, ms", busy[1]);
+
+    put("peak, MiB", process::memory(id)?.peak);
+    put("store, KiB", process::length(&place.state.join("state.redb")) as f64 / 1024.0);
+    put("snapshot, KiB", process::length(&place.state.join("last-good.snapshot")) as f64 / 1024.0);
+    put("all of the state, KiB", process::lengths(&place.state) as f64 / 1024.0);
+
+    // And what lookups see right after a start.
+    running.service.kill();
+    *running = Running::start(command, place, stop)?;
+    let (told, at) = (AtomicBool::new(false), running.public()?);
+    let (seen, lost) = thread::scope(|threads| {
+        let asking = threads.spawn(|| lookups(at, &told));
+        let slept = stop.sleep(care.load);
+        told.store(true, Ordering::Relaxed);
+        let seen = asking.join().map_err(|_| io::Error::other("a client panicked"))?;
+        slept.and(seen)
+    })?;
+    put("busy lookups after a restart p50, ms", quantiles(&seen)[0]);
+    put("busy lookups after a restart p99, ms", quantiles(&seen)[1]);
+    put("busy lookups after a restart not served", lost as f64);
+    Ok(())
+}
+
+/// What changes of a tenant at rest cost: figures by name, and in ms the median and the 99th percentile of their answers, and the
+/// median and the longest of the loop's pauses beside them and without.
+type Cost = (Vec<(&'static str, f64)>, [[f64; 2]; 3]);
+
+fn changes(
+    admin: &mut Line, running: &Running, place: &Place, tenants: usize, many: u64, stop: &Stop,
+) -> io::Result<Cost> {
+    let changed = if tenants > 1 { "t00001" } else { "t00000" };
+    let id = running.service.id();
+    let body = json!({ "effect": "safe", "aim": "300 ms", "deadline": "1 s" });
+    let mut change = |n: u64| -> io::Result<f64> {
+        stop.check()?;
+        // One more, and away with it: each is a change, and the state stays as it is.
+        let target = format!("/v1/tenants/{changed}/classes/x{}", n / 2);
+        let began = Instant::now();
+        match n % 2 {
+            0 => admin.json("PUT", &target, "", &body)?,
+            _ => admin.json("DELETE", &target, "", &Value::Null)?,
+        };
+        Ok(ms(began))
+    };
+    let many = many.max(2) / 2 * 2;
+    // Alone, so that processor time is the change's own.
+    let (spent, written, stored) =
+        (process::spent(id)?, process::written(id)?, process::lengths(&place.state));
+    let mut answers = histogram()?;
+    for n in 0..many {
+        answers.saturating_record((change(n)? * 1000.0) as u64);
+    }
+    let each = many as f64;
+    let spent = process::spent(id)?.since(&spent);
+    let now = process::written(id)?;
+    let kib = |bytes: f64| bytes / 1024.0 / each;
+    let grown = process::lengths(&place.state) as f64 - stored as f64;
+    let cost = vec![
+        ("a change, serving thread, ms", spent.serving / each),
+        ("a change, admin thread, ms", spent.admin / each),
+        ("a change, other threads, ms", spent.others / each),
+        ("a change, written, KiB", kib(now[0] - written[0])),
+        ("a change, written to disk, KiB", kib(now[1] - written[1])),
+        ("a change, state grows, KiB", kib(grown)),
+    ];
+    // Beside a client that asks the loop all the while.
+    let (told, at) = (AtomicBool::new(false), running.public()?);
+    let (windows, pings) = thread::scope(|threads| {
+        let pinging = threads.spawn(|| pings(at, &told));
+        let changed = (0..many)
+            .map(|n| -> io::Result<(Instant, f64)> {
+                thread::sleep(AFTER);
+                let began = Instant::now();
+                let answer = change(n)?;
+                thread::sleep(AFTER);
+                Ok((began, answer))
+            })
+            .collect::<io::Result<Vec<_>>>();
+        // As many windows without a change, as long as the median one with it.
+        let span = Duration::from_secs_f64(quantiles(&answers)[0] / 1000.0);
+        let quiet: Vec<Instant> = (0..many)
+            .map(|_| {
+                let began = Instant::now();
+                thread::sleep(span + AFTER);
+                began
+            })
+            .collect();
+        told.store(true, Ordering::Relaxed);
+        let pings = pinging.join().map_err(|_| io::Error::other("a client panicked"))?;
+        Ok::<_, io::Error>(((changed?, quiet), pings?))
+    })?;
+    let longest = |from: Instant, span: Duration| {
+        let to = from + span + AFTER;
+        let within = pings.iter().filter(|(sent, took)| *sent < to && *sent + *took > from);
+        within.map(|(_, took)| 1000.0 * took.as_secs_f64()).fold(0.0, f64::max)
+    };
+    let typical = Duration::from_secs_f64(quantiles(&answers)[0] / 1000.0);
+    let with: Vec<f64> =
+        windows.0.iter().map(|(b, ms)| longest(*b, Duration::from_secs_f64(ms / 1000.0))).collect();
+    let without: Vec<f64> = windows.1.iter().map(|b| longest(*b, typical)).collect();
+    let both = |all: &[f64]| [crate::service::quantile(all, 0.5), crate::service::quantile(all, 1.0)];
+    Ok((cost, [quantiles(&answers), both(&with), both(&without)]))
+}
+
+/// Asks whether the service is up, a thousand times a second where it answers in time: when each was sent, and how long it took.
+fn pings(at: SocketAddr, told: &AtomicBool) -> io::Result<Vec<(Instant, Duration)>> {
+    let mut line = Line::new(at, "");
+    let mut all = Vec::new();
+    while !told.load(Ordering::Relaxed) {
+        let sent = Instant::now();
+        let (status, _) = line.call("GET", "/up", "", "")?;
+        if status != 200 {
+            return Err(io::Error::other(format!("/up got {status}")));
+        }
+        all.push((sent, sent.elapsed()));
+        thread::sleep(PING.saturating_sub(sent.elapsed()));
+    }
+    Ok(all)
+}
+
+/// First requests of tenants at rest, each followed by one of the busy tenant: median and 99th percentile in ms of either.
+fn first_requests(at: SocketAddr, tenants: usize, stop: &Stop) -> io::Result<[[f64; 2]; 2]> {
+    let many = WOKEN.min(tenants.saturating_sub(2));
+    let mut busy = Line::new(at, BUSY);
+    let (mut first, mut beside) = (histogram()?, histogram()?);
+    for n in 0..many {
+        stop.check()?;
+        let headers = format!("X-Tenant-Id: t{:05}\r\n", 2 + n * (tenants - 2) / many);
+        // The connection is there already: it is the tenant that is asked for the first time.
+        let mut line = Line::new(at, "");
+        line.call("GET", "/up", "", "")?;
+        first.saturating_record((1000.0 * asked(&mut line, &headers)?) as u64);
+        beside.saturating_record((1000.0 * asked(&mut busy, "")?) as u64);
+    }
+    Ok([quantiles(&first), quantiles(&beside)])
+}
+
+/// Plays the sweep.
+pub fn sweep(
+    shape: Shape, sizes: &[usize], care: &Care, command: String, setting: &Setting,
+) -> io::Result<Sweep> {
+    let name = match shape {
+        Shape::Own => "tenants with four servers of their own each",
+        Shape::Shared => "tenants that share services and sets of classes",
+    };
+    let mut sweep = Sweep { name: name.into(), command, ..Sweep::default() };
+    let sizes: Vec<Size> = sizes.iter().map(|n| Size::of(shape, *n)).collect();
+    in_turn(&mut sweep, setting, &sizes, Size::named, |command, size, figures| {
+        measure(command, size, care, setting, figures)
+    });
+    for figure in LINES {
+        sweep.line(figure, "tenants", target::TENANTS);
+    }
+    match std::fs::remove_dir_all(&setting.dir) {
+        Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
+        _ => Ok(sweep),
+    }
+}
+
+/// What lines are drawn of.
+const LINES: [&str; 16] = [
+    "memory, MiB",
+    "memory at rest, MiB",
+    "peak, MiB",
+    "start to ready, ms",
+    "processor time to first answer, ms",
+    "first seconds, % of a core",
+    "idle, % of a core",
+    "a change, serving thread, ms",
+    "a change, admin thread, ms",
+    "a change, written, KiB",
+    "loop's pause by a change p50, ms",
+    "change to effect p50, ms",
+    "busy lookups p99, ms",
+    "busy lookups after a restart p99, ms",
+    "first request of one at rest p99, ms",
+    "all of the state, KiB",
+];
--- a/crates/lab/src/price/peers.rs
+++ b/crates/lab/src/price/peers.rs
@@ -4,8 +4,9 @@
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -18,6 +19,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
 
 /// What the responder answers: the size of a catalogue entry's short form.
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 64\r\n\r\n\
@@ -30,26 +32,28 @@
     LocalSet::new().block_on(&runtime, future)
 }
 
-async fn bind() -> io::Result<(TcpListener, SocketAddr)> {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+async fn bind(host: IpAddr) -> io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind((host, 0)).await?;
     let address = listener.local_addr()?;
     Ok((listener, address))
 }
 
-/// Answers each request at once on so many addresses, which are told first; runs until it is killed.
+/// Answers each request after `work` on so many ports of a host, which are told first; runs until it is killed.
 ///
 /// # Errors
-/// An address can't be had.
-pub fn responder(count: usize, told: impl FnOnce(&[SocketAddr])) -> io::Result<()> {
+/// A port can't be had.
+pub fn responder(
+    host: IpAddr, count: usize, work: Duration, told: impl FnOnce(&[SocketAddr]),
+) -> io::Result<()> {
     block_on(async {
         let mut addresses = Vec::new();
         for _ in 0..count {
-            let (listener, address) = bind().await?;
+            let (listener, address) = bind(host).await?;
             addresses.push(address);
             spawn_local(async move {
                 while let Ok((stream, _)) = listener.accept().await {
                     let _ = stream.set_nodelay(true);
-                    spawn_local(answer_all(stream));
+                    spawn_local(answer_all(stream, work));
                 }
             });
         }
@@ -59,7 +63,7 @@
 }
 
 /// Requests have no body here, so each ends with a blank line.
-async fn answer_all(mut stream: TcpStream) {
+async fn answer_all(mut stream: TcpStream, work: Duration) {
     let mut buffer = Vec::with_capacity(READ);
     loop {
         match stream.read_buf(&mut buffer).await {
@@ -68,6 +72,9 @@
         }
         while let Some(end) = buffer.windows(4).position(|w| w == b"\r\n\r\n") {
             buffer.drain(..end + 4);
+            if !work.is_zero() {
+                sleep(work).await;
+            }
             if stream.write_all(ANSWER).await.is_err() {
                 return;
             }
@@ -90,7 +97,7 @@
     let idle = RefCell::new(addresses.iter().map(|_| Vec::new()).collect());
     let pool = Rc::new(Pool { addresses, idle, next: Cell::new(0) });
     block_on(async {
-        let (listener, address) = bind().await?;
+        let (listener, address) = bind(Ipv4Addr::LOCALHOST.into()).await?;
         told(address);
         loop {
             let (stream, _) = listener.accept().await?;
--- a/crates/lab/src/service/mod.rs
+++ b/crates/lab/src/service/mod.rs
@@ -13,7 +13,7 @@
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::thread;
 use std::time::Duration;
 
@@ -23,7 +23,7 @@
 const PATIENCE: Duration = Duration::from_secs(30);
 
 /// A quantile of what was measured.
-fn quantile(values: &[f64], q: f64) -> f64 {
+pub(crate) fn quantile(values: &[f64], q: f64) -> f64 {
     let mut sorted = values.to_vec();
     sorted.sort_by(f64::total_cmp);
     sorted.get((q * (sorted.len().max(1) - 1) as f64).round() as usize).copied().unwrap_or(f64::NAN)
@@ -52,6 +52,16 @@
     /// It does not come up; what it said last.
     pub fn start(
         command: &[String], config: &Path, listeners: usize, administered: bool,
+    ) -> io::Result<Self> {
+        Service::start_seen(command, config, listeners, administered, |_| ())
+    }
+
+    /// As [`Service::start`]; its process is told as soon as there is one, while it is still coming up.
+    ///
+    /// # Errors
+    /// As [`Service::start`].
+    pub fn start_seen(
+        command: &[String], config: &Path, listeners: usize, administered: bool, seen: impl FnOnce(u32),
     ) -> io::Result<Self> {
         let (program, arguments) =
             command.split_first().ok_or_else(|| io::Error::other("no service is named"))?;
@@ -63,6 +73,7 @@
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()?;
+        seen(child.id());
         let stderr = child.stderr.take().ok_or_else(|| io::Error::other("it has no log"))?;
         let mut service = Service { child, listeners: BTreeMap::new(), admin: None };
         let mut lines = BufReader::new(stderr).lines();
@@ -108,6 +119,11 @@
         self.child.id()
     }
 
+    /// How it ended, if it did without being killed here.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Ends it at once, wherever it is (SIGKILL).
     pub fn kill(&mut self) {
         let _ = self.child.kill(); // it may have ended
--- a/crates/lab/src/service/tenants.rs
+++ b/crates/lab/src/service/tenants.rs
@@ -40,13 +40,15 @@
     pub answer_ms: [f64; 2],
     /// The lookups' latency in ms, without changes and beside them: 99th percentile each.
     pub lookup_p99_ms: [f64; 2],
+    /// Likewise: the median.
+    pub lookup_p50_ms: [f64; 2],
     /// Lookups that were not served, of how many.
     pub lost: [u64; 2],
     /// Admission of one request and its end, in ns, with so many tenants in the account of which a tenth is active.
     pub admission_ns: f64,
 }
 
-fn document(n: usize, servers: &[SocketAddr]) -> Value {
+pub(crate) fn document(n: usize, servers: &[SocketAddr]) -> Value {
     let server =
         |(i, a): (usize, &SocketAddr)| json!({ "name": format!("s{i}"), "address": a, "size": 16.0 });
     json!({
@@ -98,28 +100,28 @@
     }
     measured.resident_mb[1] = resident_mb(service.id()).unwrap_or(0.0);
     let mut admin = service.line(&place)?;
-    under_load(&mut admin, at, changes, &mut measured)?;
+    under_load(&mut admin, at, changes, Duration::from_secs(3), &mut measured)?;
     measured.admission_ns = admission(tenants);
     Ok(measured)
 }
 
-fn ms(since: Instant) -> f64 {
+pub(crate) fn ms(since: Instant) -> f64 {
     since.elapsed().as_secs_f64() * 1000.0
 }
 
-fn histogram() -> io::Result<Histogram<u64>> {
+pub(crate) fn histogram() -> io::Result<Histogram<u64>> {
     Histogram::new_with_bounds(1, 60_000_000, 3).map_err(io::Error::other)
 }
 
-fn quantiles(all: &Histogram<u64>) -> [f64; 2] {
+pub(crate) fn quantiles(all: &Histogram<u64>) -> [f64; 2] {
     [0.5, 0.99].map(|q| all.value_at_quantile(q) as f64 / 1000.0)
 }
 
 /// What lookups saw: their latencies in us, and how many were not served.
-type Seen = io::Result<(Histogram<u64>, u64)>;
+pub(crate) type Seen = io::Result<(Histogram<u64>, u64)>;
 
 /// Sends lookups at their times from several connections until told to stop.
-fn lookups(at: SocketAddr, stop: &AtomicBool) -> Seen {
+pub(crate) fn lookups(at: SocketAddr, stop: &AtomicBool) -> Seen {
     const LINES: u32 = 8;
     let one = |n: u32| -> Seen {
         let (mut seen, mut lost) = (histogram()?, 0);
@@ -149,11 +151,13 @@
 }
 
 /// Lookups alone for a while, and beside changes.
-fn under_load(admin: &mut Line, at: SocketAddr, changes: u64, measured: &mut Measured) -> io::Result<()> {
+pub(crate) fn under_load(
+    admin: &mut Line, at: SocketAddr, changes: u64, alone: Duration, measured: &mut Measured,
+) -> io::Result<()> {
     let stop = AtomicBool::new(false);
     let alone = thread::scope(|threads| {
         let lookups = threads.spawn(|| lookups(at, &stop));
-        thread::sleep(Duration::from_secs(3));
+        thread::sleep(alone);
         stop.store(true, Ordering::Relaxed);
         lookups.join().map_err(|_| io::Error::other("a client panicked"))?
     })?;
@@ -174,6 +178,7 @@
     })?;
     measured.effect_ms = quantiles(&effects);
     measured.answer_ms = quantiles(&answers);
+    measured.lookup_p50_ms = [quantiles(&alone.0)[0], quantiles(&beside.0)[0]];
     measured.lookup_p99_ms = [quantiles(&alone.0)[1], quantiles(&beside.0)[1]];
     let asked = |(seen, lost): &(Histogram<u64>, u64)| seen.len() + lost;
     measured.lost = [alone.1 + beside.1, asked(&alone) + asked(&beside)];
