--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -1,6 +1,7 @@
 //! Lines through what was measured.
 
-use lab::capacity::{Fit, Point, Sweep};
+use lab::capacity::module::{self, Dealt};
+use lab::capacity::{Beside, Fit, Machine, Needs, Point, Stop, Sweep, servers, tenants};
 
 fn point(tenants: f64, mib: f64) -> Point {
     Point {
@@ -39,3 +40,92 @@
     assert_eq!(sweep.line("nothing", "tenants", 1.0), None);
     assert!(sweep.table().contains("nothing by tenants: too few points"));
 }
+
+#[test]
+fn a_second_build_stands_beside_the_first_size_by_size_with_a_line_of_its_own() {
+    let mut sweep = Sweep { name: "tenants".into(), command: "c".into(), ..Sweep::default() };
+    sweep.points = vec![point(1.0, 10.0), point(2.0, 20.0)];
+    let points =
+        vec![point(1.0, 5.0), Point { void: Some("it ended".into()), ..point(2.0, 0.0) }, point(3.0, 7.0)];
+    sweep.beside = Some(Beside { command: "other".into(), points, lines: Vec::new() });
+    let fit = sweep.line("memory MiB", "tenants", 4.0).expect("two points count");
+    assert!((fit.slope - 10.0).abs() < 1e-9, "the first build's is given: {fit:?}");
+    let table = sweep.table();
+    for part in [
+        "|  | beside |  | beside | beside |",
+        "| memory MiB | 10 | 5 | 20 | 0 | 7 |",
+        "void: it ended (tenants 2, beside)",
+        "\nmemory MiB = 0 + 10 x tenants",
+        "\nbeside: memory MiB = 4 + 1 x tenants",
+        "beside: other",
+    ] {
+        assert!(table.contains(part), "{part}: {table}");
+    }
+    assert!(!sweep.is_whole(), "a row is void");
+}
+
+#[test]
+fn needs_grow_with_the_sizes_and_what_goes_beyond_the_machine_is_named() {
+    let machine = Machine {
+        processor: "p".into(),
+        cores: 2,
+        memory_mib: 8000.0,
+        descriptors: 1024.0,
+        disk_mib: 8000.0,
+        system: "s".into(),
+        load: 0.0,
+    };
+    let own = |n| tenants::Size::of(tenants::Shape::Own, n).needs();
+    assert!(own(8000).memory_mib > own(1000).memory_mib && own(8000).disk_mib > own(1000).disk_mib);
+    let shared = tenants::Size::of(tenants::Shape::Shared, 33_000);
+    assert_eq!((shared.services, shared.routes, shared.servers()), (680, 5300, 12_000), "the target's");
+    assert_eq!(own(100).or(own(200)), own(200));
+    let beyond = |needs: Needs| needs.beyond(&machine);
+    assert_eq!(
+        beyond(Needs { memory_mib: 4000.0, processes: 300.0, descriptors: 1024.0, disk_mib: 4000.0 }),
+        None
+    );
+    for (needs, word) in [
+        (Needs { memory_mib: 4001.0, ..Needs::default() }, "MiB of memory"),
+        (Needs { processes: 301.0, ..Needs::default() }, "processes"),
+        (Needs { descriptors: 1025.0, ..Needs::default() }, "RLIMIT_NOFILE"),
+        (Needs { disk_mib: 4001.0, ..Needs::default() }, "disk"),
+        (servers::Size::of(servers::Of::Services, 12_000).needs(), "descriptors"),
+    ] {
+        assert!(beyond(needs).is_some_and(|what| what.contains(word)), "{word}");
+    }
+}
+
+#[test]
+fn a_stop_ends_waits_and_the_processes_that_are_watched() {
+    let stop = Stop::default();
+    let run = || std::process::Command::new("sleep").arg("600").spawn().expect("it starts");
+    let (mut before, mut after, mut free) = (run(), run(), run());
+    let _watched = stop.watch(before.id()).expect("it runs");
+    drop(stop.watch(free.id()).expect("it runs")); // no longer
+    assert!(stop.check().is_ok());
+    let waiting = stop.clone();
+    let waits = std::thread::spawn(move || waiting.sleep(std::time::Duration::from_secs(600)));
+    stop.stop();
+    let ended = waits.join().expect("it ends").expect_err("it was stopped");
+    assert_eq!(ended.kind(), std::io::ErrorKind::Interrupted);
+    assert!(!before.wait().expect("it has ended").success());
+    let _late = stop.watch(after.id()).expect("it runs");
+    assert!(!after.wait().expect("one that comes after the stop ends as well").success());
+    assert!(free.try_wait().expect("it can be asked").is_none(), "it runs on");
+    free.kill().and_then(|()| free.wait()).expect("it is ended here");
+}
+
+#[test]
+fn a_module_looks_over_its_servers_no_oftener_than_the_page_says() {
+    // docs/CAPACITY.md: 50 looks a second, idle and under load, so that a proxy with all servers looks at 50 times as many.
+    for (dealt, modules) in [(Dealt::One, [1.0, 1.0]), (Dealt::Services, [12.0, 45.0])] {
+        let [small, large] = [200, 800].map(|servers| module::play(dealt, servers, 1));
+        for (m, modules) in [small, large].iter().zip(modules) {
+            assert!(m.timers.iter().all(|timers| *timers <= 1.2 * 50.0 * modules), "{dealt:?}: {m:?}");
+            assert!(m.unsent == 0 && (m.requests - servers::RATE).abs() < 1.0, "{dealt:?}: {m:?}");
+        }
+        let slope = (large.looked[0] - small.looked[0]) / 600.0;
+        assert!(slope <= 1.2 * 50.0 && slope > 0.0, "{dealt:?}: {slope} looks a second and server");
+    }
+}
