--- a/crates/canvascart/src/lab/capacity.rs
+++ b/crates/canvascart/src/lab/capacity.rs
@@ -61,10 +61,13 @@
     beside: Option<String>,
 }
 
+/// Plays a sweep, which tells the command that plays it again.
+type Play = dyn FnOnce(&Setting, String) -> std::io::Result<Sweep>;
+
 /// What one sweep would do.
 struct Plan {
     needs: Needs,
-    play: Box<dyn FnOnce(&Setting, String) -> std::io::Result<Sweep>>,
+    play: Box<Play>,
 }
 
 impl How {
--- a/crates/canvascart/tests/capacity.rs
+++ b/crates/canvascart/tests/capacity.rs
@@ -1,10 +1,15 @@
 //! `canvascart lab capacity`: what it refuses before anything starts, what it leaves when it is interrupted or a process dies, and
 //! that what a tenant, a change and a server cost has not grown by a fifth over what docs/CAPACITY.md says.
 
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
 
+use ::lab::capacity::servers::{self, Of};
+use ::lab::capacity::tenants::{self, Care, Shape};
+use ::lab::capacity::{Fit, Setting, Stop};
 use serde_json::Value;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_canvascart");
@@ -143,3 +148,70 @@
     assert!(text.contains("void: ") && text.contains("too few points for a line"), "{text}");
     std::fs::remove_file(figures).expect("it is there");
 }
+
+fn setting(name: &str) -> Setting {
+    Setting {
+        own: PROGRAM.into(),
+        service: vec![PROGRAM.into()],
+        beside: None,
+        dir: file(name),
+        stop: Stop::default(),
+    }
+}
+
+/// A cost that has grown by more than this over what docs/CAPACITY.md says is a fault.
+const FIFTH: f64 = 1.2;
+
+/// The slope of a figure between two sizes.
+fn slope(figure: &str, small: (f64, &BTreeMap<String, f64>), large: (f64, &BTreeMap<String, f64>)) -> f64 {
+    let of = |(size, figures): (f64, &BTreeMap<String, f64>)| (size, figures[figure]);
+    Fit::of(&[of(small), of(large)]).expect("two sizes make a line").slope
+}
+
+#[test]
+fn what_a_tenant_stores_and_a_change_writes_is_within_a_fifth_of_what_the_page_says() {
+    let setting = setting("stores");
+    // KiB a tenant, by docs/CAPACITY.md: of the state's files, and written for a lone change.
+    for (shape, state, written) in [(Shape::Own, 1.02, 0.707), (Shape::Shared, 3.20, 1.69)] {
+        let [small, large] = [200, 800].map(|tenants| {
+            let mut figures = BTreeMap::new();
+            let size = tenants::Size::of(shape, tenants);
+            tenants::measure(&setting.service, &size, &Care::COUNTS, &setting, &mut figures)
+                .expect("it is measured");
+            figures
+        });
+        for (figure, page) in
+            [("all of the state, KiB", state), ("a lone change and what follows, written, KiB", written)]
+        {
+            let slope = slope(figure, (200.0, &small), (800.0, &large));
+            assert!(large[figure] > 0.0, "{figure} was measured");
+            assert!(slope <= FIFTH * page, "{shape:?}: {figure}: {slope:.3} a tenant, {page} by the page");
+        }
+    }
+    std::fs::remove_dir_all(&setting.dir).expect("it is there");
+}
+
+#[test]
+fn servers_are_connected_once_each_but_for_a_fifth_and_none_of_their_requests_is_lost() {
+    let setting = setting("servers");
+    let care = servers::Care { rest: Duration::ZERO, span: Duration::from_millis(300) };
+    let [small, large] = [72, 360].map(|servers| {
+        let mut figures = BTreeMap::new();
+        servers::measure(
+            &setting.service,
+            &servers::Size::of(Of::Services, servers),
+            &care,
+            &setting,
+            &mut figures,
+        )
+        .expect("it is measured");
+        figures
+    });
+    // docs/CAPACITY.md: 0.98 connections a server.
+    let slope = slope("connections", (72.0, &small), (360.0, &large));
+    assert!(slope > 0.5 && slope <= FIFTH * 0.98, "{slope:.3} connections a server");
+    for figure in ["connected, requests not served", "144 a second, not served"] {
+        assert!(small[figure] + large[figure] <= 0.0, "{figure}: {} and {}", small[figure], large[figure]);
+    }
+    std::fs::remove_dir_all(&setting.dir).expect("it is there");
+}
