--- /dev/null
+++ b/crates/lab/tests/capacity_page.rs
@@ -0,0 +1,342 @@
+//! `docs/CAPACITY.md` against `docs/capacity.toml`: every figure of its tables can be worked out again, names the run that gave it and
+//! says where it lies far outside of what was measured; what is missing stands in the ROADMAP, in the same order and with its size.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use lab::capacity::target;
+use serde::Deserialize;
+
+/// How far outside of what was measured a figure may lie without a word.
+const FAR: f64 = 10.0;
+/// The word.
+const SAYS_FAR: &str = "over ten times";
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+struct Data {
+    /// Sizes of the operators' letter.
+    target: BTreeMap<String, f64>,
+    /// What they allow.
+    allowed: BTreeMap<String, f64>,
+    /// Numbers that are neither measured nor the operators', each with where it comes from.
+    given: BTreeMap<String, Given>,
+    slope: Vec<Slope>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Given {
+    value: f64,
+    unit: String,
+    source: String,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Slope {
+    id: String,
+    what: String,
+    unit: String,
+    slope: f64,
+    base: f64,
+    /// The name of the size, in `target`.
+    by: String,
+    /// Smallest and largest size measured.
+    range: [f64; 2],
+    points: u32,
+    /// The farthest that a point lies from the line, in percent of the largest value; none with two points, which a line always meets.
+    residual: Option<f64>,
+    command: String,
+    source: String,
+    date: String,
+}
+
+impl Slope {
+    fn at(&self, data: &Data) -> f64 {
+        self.slope * data.target[&self.by] + self.base
+    }
+}
+
+fn read(name: &str) -> String {
+    let path = format!("{}/../../docs/{name}", env!("CARGO_MANIFEST_DIR"));
+    std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"))
+}
+
+fn data() -> Data {
+    toml::from_str(&read("capacity.toml")).expect("docs/capacity.toml can be read")
+}
+
+/// The cells of all rows whose first cell is an id of that letter, in order.
+fn rows(text: &str, letter: char) -> Vec<Vec<String>> {
+    let is_id = |cell: &str| {
+        let digits = cell.strip_prefix(letter).unwrap_or_default();
+        !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_digit())
+    };
+    text.lines()
+        .filter_map(|line| line.strip_prefix('|')?.strip_suffix('|'))
+        .map(|line| line.split('|').map(|cell| cell.trim().to_owned()).collect::<Vec<_>>())
+        .filter(|cells| cells.first().is_some_and(|cell| is_id(cell)))
+        .collect()
+}
+
+/// A figure as it is written: its value and the worth of half of its last digit.
+fn figure(cell: &str) -> Option<(f64, f64)> {
+    let number = cell.trim_start_matches("about ").split_whitespace().next()?.replace(',', "");
+    let decimals = number.split_once('.').map_or(0, |(_, part)| part.len());
+    Some((number.parse().ok()?, 0.5 / 10_f64.powi(i32::try_from(decimals).ok()?)))
+}
+
+/// Whether what is written is the value: within the rounding of its last digit, or of its third.
+fn agrees(cell: &str, value: f64) -> bool {
+    figure(cell).is_some_and(|(written, half)| {
+        let slack = (0.005 * value.abs()).max(if value.abs() < 1.0 && written == 0.0 { 0.0 } else { half });
+        (written - value).abs() <= slack * (1.0 + 1e-9) + f64::EPSILON
+    })
+}
+
+/// What the names in a formula stand for.
+struct Names(BTreeMap<String, f64>);
+
+impl Names {
+    /// Works a formula out: numbers, names, `+ - x /` with spaces around them, and parentheses.
+    fn work_out(&self, formula: &str) -> Result<f64, String> {
+        let spaced = formula.replace('(', " ( ").replace(')', " ) ");
+        let mut parts = spaced.split_whitespace().peekable();
+        let value = self.sum(&mut parts)?;
+        parts.next().map_or(Ok(value), |rest| Err(format!("`{formula}`: what is \"{rest}\"?")))
+    }
+
+    fn sum<'a>(&self, parts: &mut std::iter::Peekable<impl Iterator<Item = &'a str>>) -> Result<f64, String> {
+        let mut value = self.product(parts)?;
+        while let Some(sign) = parts.next_if(|p| matches!(*p, "+" | "-")) {
+            let next = self.product(parts)?;
+            value += if sign == "+" { next } else { -next };
+        }
+        Ok(value)
+    }
+
+    fn product<'a>(
+        &self, parts: &mut std::iter::Peekable<impl Iterator<Item = &'a str>>,
+    ) -> Result<f64, String> {
+        let mut value = self.term(parts)?;
+        while let Some(sign) = parts.next_if(|p| matches!(*p, "x" | "/")) {
+            let next = self.term(parts)?;
+            value = if sign == "x" { value * next } else { value / next };
+        }
+        Ok(value)
+    }
+
+    fn term<'a>(
+        &self, parts: &mut std::iter::Peekable<impl Iterator<Item = &'a str>>,
+    ) -> Result<f64, String> {
+        match parts.next() {
+            Some("(") => {
+                let value = self.sum(parts)?;
+                if parts.next() == Some(")") { Ok(value) } else { Err("a parenthesis stays open".into()) }
+            }
+            Some(word) => self
+                .0
+                .get(word)
+                .copied()
+                .or_else(|| word.replace(',', "").parse().ok())
+                .ok_or_else(|| format!("nothing is called \"{word}\"")),
+            None => Err("it ends too early".into()),
+        }
+    }
+}
+
+/// All names: sizes, allowances, given numbers, slopes at the target, and what the page works out of them, in its order.
+fn names(data: &Data, page: &str) -> Names {
+    let mut names = Names(BTreeMap::new());
+    let mut add = |name: &str, value: f64| {
+        let before = names.0.insert(name.to_owned(), value);
+        assert!(before.is_none(), "{name} stands for two things");
+    };
+    data.target.iter().for_each(|(name, value)| add(name, *value));
+    data.allowed.iter().for_each(|(name, value)| add(name, *value));
+    data.given.iter().for_each(|(name, given)| add(name, given.value));
+    for slope in &data.slope {
+        add(&slope.id, slope.at(data));
+        add(&format!("{}.slope", slope.id), slope.slope);
+        add(&format!("{}.base", slope.id), slope.base);
+    }
+    for row in rows(page, 'W') {
+        let [id, _, formula, ..] = &row[..] else { panic!("{row:?} lacks a cell") };
+        let value = names.work_out(formula.trim_matches('`')).unwrap_or_else(|e| panic!("{id}: {e}"));
+        assert!(names.0.insert(id.clone(), value).is_none(), "{id} stands twice");
+    }
+    names
+}
+
+#[test]
+fn the_sizes_are_the_ones_that_the_lab_reckons_with() {
+    let data = data();
+    let sizes = [
+        ("proxies", target::PROXIES),
+        ("servers", target::SERVERS),
+        ("services", target::SERVICES),
+        ("requests", target::REQUESTS),
+        ("routes", target::ROUTES),
+        ("tenants", target::TENANTS),
+        ("changes", target::CHANGES),
+        ("restarts", target::RESTARTS),
+    ];
+    for (name, size) in sizes {
+        assert_eq!(data.target.get(name), Some(&size), "{name}");
+    }
+}
+
+#[test]
+fn every_slope_names_its_run_its_range_and_its_fit() {
+    let data = data();
+    let mut ids = BTreeSet::new();
+    assert!(!data.slope.is_empty());
+    for slope in &data.slope {
+        let id = &slope.id;
+        assert!(ids.insert(id.clone()), "{id} stands twice");
+        assert!(data.target.contains_key(&slope.by), "{id}: no size is called {}", slope.by);
+        let texts = [&slope.what, &slope.unit, &slope.command, &slope.source, &slope.date];
+        assert!(texts.iter().all(|text| !text.trim().is_empty()), "{id} leaves something out");
+        assert!(slope.slope.is_finite() && slope.base.is_finite(), "{id}");
+        let [least, most] = slope.range;
+        assert!(0.0 <= least && least < most, "{id}: {least} to {most} is no range");
+        match slope.residual {
+            Some(residual) => assert!(slope.points > 2 && (0.0..=100.0).contains(&residual), "{id}"),
+            None => assert_eq!(slope.points, 2, "{id} lacks its residual"),
+        }
+    }
+    for (name, given) in &data.given {
+        assert!(!given.source.trim().is_empty() && !given.unit.trim().is_empty(), "{name} has no source");
+    }
+}
+
+#[test]
+fn the_pages_slopes_are_slope_times_size_and_base() {
+    let (data, page) = (data(), read("CAPACITY.md"));
+    let rows = rows(&page, 'S');
+    let shown: BTreeSet<&str> = rows.iter().map(|row| row[0].as_str()).collect();
+    let known: BTreeSet<&str> = data.slope.iter().map(|slope| slope.id.as_str()).collect();
+    assert_eq!(shown, known, "the page's slopes are not those of the data");
+    assert_eq!(rows.len(), data.slope.len(), "a slope stands twice in the page");
+    for row in &rows {
+        let [id, _, slope, base, by, at, range, residual, command] = &row[..] else {
+            panic!("{row:?} does not have nine cells")
+        };
+        let of = data.slope.iter().find(|slope| slope.id == *id).expect("it is known");
+        assert!(agrees(slope, of.slope), "{id}: slope {slope} is not {}", of.slope);
+        assert!(agrees(base, of.base), "{id}: base {base} is not {}", of.base);
+        assert!(agrees(at, of.at(&data)), "{id}: {at} is not {}", of.at(&data));
+        for cell in [slope, at] {
+            assert!(cell.contains(&of.unit), "{id}: {cell} lacks its unit, {}", of.unit);
+        }
+        let size = data.target[&of.by];
+        assert!(agrees(by, size) && by.contains(&of.by), "{id}: {by} is not {size} {}", of.by);
+        let (span, beyond) = range.split_once("; ").unwrap_or_else(|| panic!("{id}: {range}"));
+        let (least, most) = span.split_once(" to ").unwrap_or_else(|| panic!("{id}: {range}"));
+        let right = agrees(least, of.range[0]) && agrees(most, of.range[1]);
+        assert!(right && agrees(beyond, size / of.range[1]), "{id}: {range} is not {:?}", of.range);
+        assert_eq!(beyond.contains(SAYS_FAR), size > FAR * of.range[1], "{id}: {range}");
+        match of.residual {
+            Some(part) => assert!(agrees(residual, part), "{id}: {residual} is not {part}"),
+            None => assert_eq!(residual, "two points", "{id}"),
+        }
+        assert_eq!(command.trim_matches('`'), of.command, "{id}: another command");
+    }
+}
+
+#[test]
+fn what_the_page_works_out_comes_out() {
+    let (data, page) = (data(), read("CAPACITY.md"));
+    let names = names(&data, &page);
+    let rows = rows(&page, 'W');
+    assert!(!rows.is_empty());
+    for row in rows {
+        let [id, _, formula, value, ..] = &row[..] else { panic!("{row:?} lacks a cell") };
+        let is = names.work_out(formula.trim_matches('`')).unwrap_or_else(|e| panic!("{id}: {e}"));
+        assert!(agrees(value, is), "{id}: {value} is not {formula} = {is}");
+    }
+}
+
+#[test]
+fn the_allowance_is_a_multiple_a_line_and_sorted() {
+    let (data, page) = (data(), read("CAPACITY.md"));
+    let names = names(&data, &page);
+    let mut before = f64::INFINITY;
+    let rows = rows(&page, 'A');
+    assert!(!rows.is_empty());
+    for row in rows {
+        let [id, _, formula, value, allowed, multiple, ..] = &row[..] else { panic!("{row:?} lacks a cell") };
+        let is = names.work_out(formula.trim_matches('`')).unwrap_or_else(|e| panic!("{id}: {e}"));
+        assert!(agrees(value, is), "{id}: {value} is not {formula} = {is}");
+        let limit = figure(allowed).unwrap_or_else(|| panic!("{id}: {allowed}")).0;
+        assert!(data.allowed.values().any(|a| *a == limit), "{id}: nobody allows {allowed}");
+        assert!(agrees(multiple, is / limit), "{id}: {multiple} is not {}", is / limit);
+        assert!(is / limit <= before, "{id} is not in order");
+        before = is / limit;
+    }
+}
+
+/// What a text names by an id of these letters.
+fn ids<'a>(text: &'a str, letters: &'a str) -> impl Iterator<Item = &'a str> {
+    text.split(|c: char| !c.is_ascii_alphanumeric()).filter(move |word| {
+        let digits = word.strip_prefix(|c| letters.contains(c)).unwrap_or_default();
+        !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_digit())
+    })
+}
+
+#[test]
+fn no_id_is_named_that_has_no_row() {
+    let page = read("CAPACITY.md");
+    let mut known = BTreeSet::new();
+    for row in "SWAMN".chars().flat_map(|letter| rows(&page, letter)) {
+        assert!(known.insert(row[0].clone()), "{} stands twice", row[0]);
+    }
+    for (name, text) in [("page", &page), ("note", &read("design/capacity.md"))] {
+        for id in ids(text, "SWAMN") {
+            assert!(known.contains(id), "the {name} names {id}, which has no row");
+        }
+    }
+}
+
+#[test]
+fn what_is_missing_stands_in_the_roadmap_in_the_same_order_with_its_size() {
+    let (page, roadmap) = (read("CAPACITY.md"), read("ROADMAP.md"));
+    let begin = roadmap.find("the fleet ahead").expect("the ROADMAP has a part on the fleet ahead");
+    let part = &roadmap[begin..];
+    let part = &part[..part.find("\n## ").unwrap_or(part.len())];
+    let rows = rows(&page, 'M');
+    assert!(!rows.is_empty());
+    let mut at = 0;
+    for (number, row) in rows.iter().enumerate() {
+        let [id, name, size, removes, ..] = &row[..] else { panic!("{row:?} lacks a cell") };
+        assert_eq!(*id, format!("M{}", number + 1), "out of order");
+        assert!(size.contains("lines") && size.contains("week"), "{id}: {size} is no size");
+        assert!(ids(removes, "SWAN").next().is_some(), "{id} names no figure that it takes away");
+        let found = part[at..].lines().position(|line| line.contains(&format!("**{name}**")));
+        let line =
+            found.unwrap_or_else(|| panic!("{id}: \"{name}\" has no line in the ROADMAP from there on"));
+        let text = part[at..].lines().nth(line).unwrap_or_default();
+        assert!(text.contains(id.as_str()), "{id}: the ROADMAP's line is another's: {text}");
+        assert!(text.contains(size.as_str()), "{id}: the ROADMAP's line lacks its size, {size}: {text}");
+        at += part[at..].lines().take(line + 1).map(|l| l.len() + 1).sum::<usize>();
+    }
+    let listed = part.lines().filter(|line| line.contains(". **")).count();
+    assert_eq!(listed, rows.len(), "the ROADMAP has another number of them");
+    let missing = page.lines().filter(|line| line.starts_with('|') && line.contains("missing:"));
+    for line in missing {
+        let named = line.split("missing:").nth(1).unwrap_or_default();
+        assert!(ids(named, "M").next().is_some(), "what is missing has no row: {line}");
+    }
+}
+
+#[test]
+fn a_formula_is_worked_out_by_the_usual_rules() {
+    let names = Names([("lease".to_owned(), 15.0)].into());
+    assert_eq!(names.work_out("2 + 3 x 4 - 6 / 3"), Ok(12.0));
+    assert_eq!(names.work_out("lease x (1 + 0.5) / 1,000"), Ok(0.0225));
+    for wrong in ["", "2 +", "2 3", "(2", "rent x 2"] {
+        assert!(names.work_out(wrong).is_err(), "{wrong}");
+    }
+    assert!(agrees("1.4 ms", 1.44) && !agrees("1.4 ms", 1.46) && agrees("16,800 B/s", 16_790.0));
+    assert!(!agrees("", 1.0) && !agrees("none", 1.0) && !agrees("0 B", 0.4));
+}
