--- a/crates/lab/tests/capacity_page.rs
+++ b/crates/lab/tests/capacity_page.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use lab::capacity::target;
+use lab::capacity::{AtTarget, Fit, target};
 use serde::Deserialize;
 
 /// How far outside of what was measured a figure may lie without a word.
@@ -37,23 +37,23 @@
     id: String,
     what: String,
     unit: String,
-    slope: f64,
-    base: f64,
     /// The name of the size, in `target`.
     by: String,
-    /// Smallest and largest size measured.
-    range: [f64; 2],
-    points: u32,
-    /// The farthest that a point lies from the line, in percent of the largest value; none with two points, which a line always meets.
-    residual: Option<f64>,
+    /// Sizes, and what was measured there.
+    points: Vec<(f64, f64)>,
     command: String,
     source: String,
     date: String,
 }
 
 impl Slope {
-    fn at(&self, data: &Data) -> f64 {
-        self.slope * data.target[&self.by] + self.base
+    /// The line through its points.
+    fn fit(&self) -> Fit {
+        Fit::of(&self.points).unwrap_or_else(|| panic!("{} has no line", self.id))
+    }
+
+    fn at(&self, data: &Data) -> AtTarget {
+        self.fit().at(data.target[&self.by])
     }
 }
 
@@ -145,6 +145,18 @@
     }
 }
 
+/// The slopes that lie over ten times outside of what was measured, and what the page works out of them.
+fn far(data: &Data, page: &str) -> BTreeSet<String> {
+    let slopes = data.slope.iter().filter(|slope| slope.at(data).times > FAR);
+    let mut far: BTreeSet<String> = slopes.map(|slope| slope.id.clone()).collect();
+    for row in rows(page, 'W') {
+        if row[2].trim_matches('`').split_whitespace().any(|word| far.contains(word)) {
+            far.insert(row[0].clone());
+        }
+    }
+    far
+}
+
 /// All names: sizes, allowances, given numbers, slopes at the target, and what the page works out of them, in its order.
 fn names(data: &Data, page: &str) -> Names {
     let mut names = Names(BTreeMap::new());
@@ -156,9 +168,9 @@
     data.allowed.iter().for_each(|(name, value)| add(name, *value));
     data.given.iter().for_each(|(name, given)| add(name, given.value));
     for slope in &data.slope {
-        add(&slope.id, slope.at(data));
-        add(&format!("{}.slope", slope.id), slope.slope);
-        add(&format!("{}.base", slope.id), slope.base);
+        add(&slope.id, slope.at(data).value);
+        add(&format!("{}.slope", slope.id), slope.fit().slope);
+        add(&format!("{}.base", slope.id), slope.fit().base);
     }
     for row in rows(page, 'W') {
         let [id, _, formula, ..] = &row[..] else { panic!("{row:?} lacks a cell") };
@@ -197,13 +209,8 @@
         assert!(data.target.contains_key(&slope.by), "{id}: no size is called {}", slope.by);
         let texts = [&slope.what, &slope.unit, &slope.command, &slope.source, &slope.date];
         assert!(texts.iter().all(|text| !text.trim().is_empty()), "{id} leaves something out");
-        assert!(slope.slope.is_finite() && slope.base.is_finite(), "{id}");
-        let [least, most] = slope.range;
-        assert!(0.0 <= least && least < most, "{id}: {least} to {most} is no range");
-        match slope.residual {
-            Some(residual) => assert!(slope.points > 2 && (0.0..=100.0).contains(&residual), "{id}"),
-            None => assert_eq!(slope.points, 2, "{id} lacks its residual"),
-        }
+        let fit = slope.fit();
+        assert!(0.0 <= fit.range[0] && fit.points == slope.points.len(), "{id}");
     }
     for (name, given) in &data.given {
         assert!(!given.source.trim().is_empty() && !given.unit.trim().is_empty(), "{name} has no source");
@@ -223,22 +230,28 @@
             panic!("{row:?} does not have nine cells")
         };
         let of = data.slope.iter().find(|slope| slope.id == *id).expect("it is known");
-        assert!(agrees(slope, of.slope), "{id}: slope {slope} is not {}", of.slope);
-        assert!(agrees(base, of.base), "{id}: base {base} is not {}", of.base);
-        assert!(agrees(at, of.at(&data)), "{id}: {at} is not {}", of.at(&data));
-        for cell in [slope, at] {
+        let (fit, target) = (of.fit(), of.at(&data));
+        assert!(agrees(slope, fit.slope), "{id}: slope {slope} is not {}", fit.slope);
+        assert!(agrees(base, fit.base), "{id}: base {base} is not {}", fit.base);
+        assert!(agrees(at, target.value), "{id}: {at} is not {}", target.value);
+        for cell in [slope, base, at] {
             assert!(cell.contains(&of.unit), "{id}: {cell} lacks its unit, {}", of.unit);
         }
-        let size = data.target[&of.by];
-        assert!(agrees(by, size) && by.contains(&of.by), "{id}: {by} is not {size} {}", of.by);
+        assert!(
+            agrees(by, target.size) && by.contains(&of.by),
+            "{id}: {by} is not {} {}",
+            target.size,
+            of.by
+        );
         let (span, beyond) = range.split_once("; ").unwrap_or_else(|| panic!("{id}: {range}"));
         let (least, most) = span.split_once(" to ").unwrap_or_else(|| panic!("{id}: {range}"));
-        let right = agrees(least, of.range[0]) && agrees(most, of.range[1]);
-        assert!(right && agrees(beyond, size / of.range[1]), "{id}: {range} is not {:?}", of.range);
-        assert_eq!(beyond.contains(SAYS_FAR), size > FAR * of.range[1], "{id}: {range}");
-        match of.residual {
-            Some(part) => assert!(agrees(residual, part), "{id}: {residual} is not {part}"),
-            None => assert_eq!(residual, "two points", "{id}"),
+        let right = agrees(least, fit.range[0]) && agrees(most, fit.range[1]);
+        assert!(right && agrees(beyond, target.times), "{id}: {range} is not {:?}", fit.range);
+        assert_eq!(beyond.contains(SAYS_FAR), target.times > FAR, "{id}: {range}");
+        if fit.points == 2 {
+            assert_eq!(residual, "two points", "{id}");
+        } else {
+            assert!(agrees(residual, 100.0 * fit.residual), "{id}: {residual} is not {}", fit.residual);
         }
         assert_eq!(command.trim_matches('`'), of.command, "{id}: another command");
     }
@@ -247,20 +260,21 @@
 #[test]
 fn what_the_page_works_out_comes_out() {
     let (data, page) = (data(), read("CAPACITY.md"));
-    let names = names(&data, &page);
+    let (names, far) = (names(&data, &page), far(&data, &page));
     let rows = rows(&page, 'W');
     assert!(!rows.is_empty());
     for row in rows {
         let [id, _, formula, value, ..] = &row[..] else { panic!("{row:?} lacks a cell") };
         let is = names.work_out(formula.trim_matches('`')).unwrap_or_else(|e| panic!("{id}: {e}"));
         assert!(agrees(value, is), "{id}: {value} is not {formula} = {is}");
+        assert_eq!(value.contains(SAYS_FAR), far.contains(id), "{id}: {value}");
     }
 }
 
 #[test]
 fn the_allowance_is_a_multiple_a_line_and_sorted() {
     let (data, page) = (data(), read("CAPACITY.md"));
-    let names = names(&data, &page);
+    let (names, far) = (names(&data, &page), far(&data, &page));
     let mut before = f64::INFINITY;
     let rows = rows(&page, 'A');
     assert!(!rows.is_empty());
@@ -268,6 +282,8 @@
         let [id, _, formula, value, allowed, multiple, ..] = &row[..] else { panic!("{row:?} lacks a cell") };
         let is = names.work_out(formula.trim_matches('`')).unwrap_or_else(|e| panic!("{id}: {e}"));
         assert!(agrees(value, is), "{id}: {value} is not {formula} = {is}");
+        let is_far = formula.trim_matches('`').split_whitespace().any(|word| far.contains(word));
+        assert_eq!(value.contains(SAYS_FAR), is_far, "{id}: {value}");
         let limit = figure(allowed).unwrap_or_else(|| panic!("{id}: {allowed}")).0;
         assert!(data.allowed.values().any(|a| *a == limit), "{id}: nobody allows {allowed}");
         assert!(agrees(multiple, is / limit), "{id}: {multiple} is not {}", is / limit);
