--- a/crates/lab/tests/capacity_page.rs
+++ b/crates/lab/tests/capacity_page.rs
@@ -21,6 +21,8 @@
     /// Numbers that are neither measured nor the operators', each with where it comes from.
     given: BTreeMap<String, Given>,
     slope: Vec<Slope>,
+    /// Single figures, used as they were measured.
+    measured: Vec<Measured>,
 }
 
 #[derive(Deserialize)]
@@ -31,6 +33,18 @@
     source: String,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Measured {
+    id: String,
+    what: String,
+    value: f64,
+    unit: String,
+    command: String,
+    source: String,
+    date: String,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Slope {
@@ -172,6 +186,7 @@
         add(&format!("{}.slope", slope.id), slope.fit().slope);
         add(&format!("{}.base", slope.id), slope.fit().base);
     }
+    data.measured.iter().for_each(|m| add(&m.id, m.value));
     for row in rows(page, 'W') {
         let [id, _, formula, ..] = &row[..] else { panic!("{row:?} lacks a cell") };
         let value = names.work_out(formula.trim_matches('`')).unwrap_or_else(|e| panic!("{id}: {e}"));
@@ -212,6 +227,12 @@
         let fit = slope.fit();
         assert!(0.0 <= fit.range[0] && fit.points == slope.points.len(), "{id}");
     }
+    for m in &data.measured {
+        let id = &m.id;
+        assert!(ids.insert(id.clone()) && m.value.is_finite(), "{id}");
+        let texts = [&m.what, &m.unit, &m.command, &m.source, &m.date];
+        assert!(texts.iter().all(|text| !text.trim().is_empty()), "{id} leaves something out");
+    }
     for (name, given) in &data.given {
         assert!(!given.source.trim().is_empty() && !given.unit.trim().is_empty(), "{name} has no source");
     }
@@ -257,6 +278,25 @@
     }
 }
 
+#[test]
+fn the_pages_single_figures_are_those_that_were_measured() {
+    let (data, page) = (data(), read("CAPACITY.md"));
+    let rows = rows(&page, 'D');
+    let shown: Vec<&str> = rows.iter().map(|row| row[0].as_str()).collect();
+    let known: Vec<&str> = data.measured.iter().map(|m| m.id.as_str()).collect();
+    assert_eq!(shown, known, "the page's single figures are not those of the data");
+    for (row, m) in rows.iter().zip(&data.measured) {
+        let [id, _, value, command] = &row[..] else { panic!("{row:?} does not have four cells") };
+        assert!(
+            agrees(value, m.value) && value.contains(&m.unit),
+            "{id}: {value} is not {} {}",
+            m.value,
+            m.unit
+        );
+        assert_eq!(command.trim_matches('`'), m.command, "{id}: another command");
+    }
+}
+
 #[test]
 fn what_the_page_works_out_comes_out() {
     let (data, page) = (data(), read("CAPACITY.md"));
@@ -304,11 +344,11 @@
 fn no_id_is_named_that_has_no_row() {
     let page = read("CAPACITY.md");
     let mut known = BTreeSet::new();
-    for row in "SWAMN".chars().flat_map(|letter| rows(&page, letter)) {
+    for row in "SDWAMN".chars().flat_map(|letter| rows(&page, letter)) {
         assert!(known.insert(row[0].clone()), "{} stands twice", row[0]);
     }
     for (name, text) in [("page", &page), ("note", &read("design/capacity.md"))] {
-        for id in ids(text, "SWAMN") {
+        for id in ids(text, "SDWAMN") {
             assert!(known.contains(id), "the {name} names {id}, which has no row");
         }
     }
@@ -327,7 +367,7 @@
         let [id, name, size, removes, ..] = &row[..] else { panic!("{row:?} lacks a cell") };
         assert_eq!(*id, format!("M{}", number + 1), "out of order");
         assert!(size.contains("lines") && size.contains("week"), "{id}: {size} is no size");
-        assert!(ids(removes, "SWAN").next().is_some(), "{id} names no figure that it takes away");
+        assert!(ids(removes, "SDWAN").next().is_some(), "{id} names no figure that it takes away");
         let found = part[at..].lines().position(|line| line.contains(&format!("**{name}**")));
         let line =
             found.unwrap_or_else(|| panic!("{id}: \"{name}\" has no line in the ROADMAP from there on"));
