--- a/crates/lab/tests/capacity_page.rs
+++ b/crates/lab/tests/capacity_page.rs
@@ -31,6 +31,9 @@
     value: f64,
     unit: String,
     source: String,
+    /// It is worked out of what lies far outside of what was measured.
+    #[serde(default)]
+    far: bool,
 }
 
 #[derive(Deserialize)]
@@ -167,8 +170,13 @@
 
 /// The slopes that lie over ten times outside of what was measured, and what the page works out of them.
 fn far(data: &Data, page: &str) -> BTreeSet<String> {
-    let slopes = data.slope.iter().filter(|slope| slope.at(data).times > FAR);
-    let mut far: BTreeSet<String> = slopes.map(|slope| slope.id.clone()).collect();
+    let given = data.given.iter().filter(|(_, given)| given.far);
+    let mut far: BTreeSet<String> = given.map(|(name, _)| name.clone()).collect();
+    for slope in &data.slope {
+        if slope.at(data).times > FAR || far.contains(&slope.by) {
+            far.insert(slope.id.clone());
+        }
+    }
     for row in rows(page, 'W') {
         if row[2].trim_matches('`').split_whitespace().any(|word| far.contains(word)) {
             far.insert(row[0].clone());
