--- a/crates/lab/tests/capacity_page.rs
+++ b/crates/lab/tests/capacity_page.rs
@@ -326,6 +326,30 @@
     }
 }
 
+/// What is said outside of the rows as `2.72 a day (W18)`: the nearest figure within three words before an id in parentheses.
+#[test]
+fn a_figure_in_a_sentence_is_the_one_that_it_names() {
+    let (data, page) = (data(), read("CAPACITY.md"));
+    let names = names(&data, &page);
+    let is_row = |line: &&str| {
+        let first = line.trim_start_matches('|').trim_start().split(' ').next().unwrap_or_default();
+        line.starts_with('|') && ids(first, "SDWAMN").next() == Some(first)
+    };
+    let text: String = page.lines().filter(|line| !is_row(line)).map(|line| format!("{line} ")).collect();
+    let mut checked = 0;
+    for (at, _) in text.match_indices('(') {
+        let id = text[at + 1..].split(')').next().unwrap_or_default();
+        let Some(is) = names.0.get(id).filter(|_| ids(id, "WDS").next() == Some(id)) else { continue };
+        let before =
+            text[..at].split_whitespace().rev().take(3).find(|w| w.starts_with(|c: char| c.is_ascii_digit()));
+        if let Some(said) = before {
+            assert!(agrees(said, *is), "{said} ({id}) is {is}");
+            checked += 1;
+        }
+    }
+    assert!(checked > 20, "only {checked} figures are in sentences");
+}
+
 #[test]
 fn the_allowance_is_a_multiple_a_line_and_sorted() {
     let (data, page) = (data(), read("CAPACITY.md"));
