--- a/crates/canvascart/src/lab/capacity.rs
+++ b/crates/canvascart/src/lab/capacity.rs
@@ -175,7 +175,9 @@
             Which::Tenants { shape } => self.tenants(shape),
             Which::Servers => self.servers(),
             Which::All => {
-                let all = [self.tenants(None), self.servers(), self.members(), self.restarts()];
+                // Among the small ones the target's shape stands for both, so that all end within five minutes.
+                let shape = self.small.then_some(tenants::Shape::Shared);
+                let all = [self.tenants(shape), self.servers(), self.members(), self.restarts()];
                 all.into_iter().flatten().collect()
             }
         }
