Let a version come between route and wake in a test, and count bytes of routes and services apart

Cause: the hard case of a version that changes between route and wake was only told to be impossible in one turn; with all turns of a round taken a request waits between the two, and no test let a version come in then. And what a route and a service cost by themselves was in no figure. Change: a test with a changed, a removed and a renewed tenant under requests that wait for their turn; the heap test draws lines by routes and by services with 5,300 tenants, each bound a fifth over what was measured.

--- a/crates/hosted/tests/heap.rs
+++ b/crates/hosted/tests/heap.rs
@@ -47,8 +47,11 @@
 
 /// As at the size ahead, scaled down: 33,000 tenants of 680 services with some 17 servers each, and of 5,300 sets of classes.
 fn of_the_target(n: usize, of: usize) -> Tenant {
-    let services = (680 * of).div_ceil(33_000);
-    let sets = (5_300 * of).div_ceil(33_000);
+    of_parts(n, (680 * of).div_ceil(33_000), (5_300 * of).div_ceil(33_000))
+}
+
+/// One of so many services and sets of classes.
+fn of_parts(n: usize, services: usize, sets: usize) -> Tenant {
     let (service, set) = (n % services, n % sets);
     let servers = (0..17).map(|i| {
         server(
@@ -67,6 +70,16 @@
     }
 }
 
+/// One of so many sets of classes, of a hundred services.
+fn of_routes(n: usize, sets: usize) -> Tenant {
+    of_parts(n, 100, sets)
+}
+
+/// One of so many services, of a hundred sets of classes.
+fn of_services(n: usize, services: usize) -> Tenant {
+    of_parts(n, services, 100)
+}
+
 /// As the lab makes them: two classes, and four servers of their own each.
 fn of_the_lab(n: usize, _: usize) -> Tenant {
     let address = |i| format!("10.{}.{}.{}:8080", n >> 14, (n >> 6) & 255, (n & 63) * 4 + i);
@@ -82,7 +95,7 @@
 }
 
 /// What a plane with so many tenants at rest holds beyond one with none.
-fn at_rest(count: usize, make: fn(usize, usize) -> Tenant) -> f64 {
+fn at_rest(count: usize, make: impl Fn(usize, usize) -> Tenant) -> f64 {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let service = Service::default();
@@ -127,6 +140,18 @@
         );
         assert!(slope < most, "{shape}: {slope} bytes a tenant");
     }
+    // Routes and services apart, each with as many tenants: one more of either is a list of its own, whoever has it.
+    const TENANTS: usize = 5_300;
+    for (what, sizes, make, most) in [
+        ("route", [700, 1_400, 2_800, 5_300], of_routes as fn(usize, usize) -> Tenant, 403.2),
+        ("service", [85, 170, 340, 680], of_services, 1_447.7),
+    ] {
+        let points: Vec<(f64, f64)> =
+            sizes.map(|count| (count as f64, at_rest(TENANTS, |n, _| make(n, count)))).to_vec();
+        let (slope, base) = line(&points);
+        println!("{what}: {slope:.1} bytes each beside {TENANTS} tenants, base {base:.0}, of {points:?}");
+        assert!(slope > 0.0 && slope < most, "{slope} bytes a {what}");
+    }
     let whole = at_rest(33_000, of_the_target);
     println!("target: {:.1} MiB for 33000 tenants at rest", whole / 1_048_576.0);
     assert!(whole < 24.0 * 1_048_576.0, "{whole} bytes");
--- a/crates/hosted/tests/residents.rs
+++ b/crates/hosted/tests/residents.rs
@@ -198,6 +198,61 @@
     .await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_version_that_comes_between_route_and_wake_is_the_one_that_wakes() {
+    local(async {
+        let plane = plane(Process::default(), (0..20).map(|n| tenant(n, &[])).collect());
+        let way = plane.way("all");
+        let uri = "/lookup".parse().expect("a target");
+        let find = |name: &str, turn| way.pool(&uri, &named(name), turn);
+        // All turns of this round are taken, so that who is routed now wakes in a later one.
+        let mut held = Vec::new();
+        let waits = (0..20).find(|n| match find(&format!("t{n:05}"), false) {
+            Ok(pool) => {
+                held.push(pool);
+                false
+            }
+            Err(why) => why == Missing::Turn,
+        });
+        assert!(waits.is_some_and(|n| n < 10), "turns are bounded: {waits:?}");
+        for name in ["t00010", "t00011", "t00012"] {
+            assert_eq!(find(name, false).err(), Some(Missing::Turn), "{name}");
+        }
+        // Meanwhile one has another list and other classes, one is gone, and one goes and comes back as another.
+        let mut parts = Parts::default();
+        let mut other = tenant(10, &[]);
+        other.servers[0].state = State::Draining;
+        other.servers.push(server("s9", "127.0.0.1:9"));
+        other.classes[0].name = "search".into();
+        let mut next = plane.catalog();
+        next.put(&mut parts, &other, 2);
+        next.remove("t00011");
+        next.remove("t00012");
+        plane.go_over(next).expect("it can be carried out");
+        let mut next = plane.catalog();
+        next.put(&mut parts, &tenant(12, &[]), 3);
+        plane.go_over(next).expect("it can be carried out");
+        assert_eq!(plane.residency().resident, held.len(), "no version wakes anybody");
+        for (name, servers) in [
+            ("t00010", Some(vec![("s0", false, false), ("s1", false, true), ("s9", true, true)])),
+            ("t00011", None),
+            ("t00012", Some(vec![("s0", true, true), ("s1", true, true)])),
+        ] {
+            way.turn().await;
+            let found = find(name, true);
+            assert_eq!(found.is_ok(), servers.is_some(), "{name}");
+            if let Err(why) = found {
+                assert!(matches!(why, Missing::Plain(StatusCode::NOT_FOUND, _)), "{name}: {why:?}");
+            }
+            let told = fresh(&plane, name);
+            let told: Vec<(&str, bool, bool)> = told.iter().map(|(n, new, up)| (&**n, *new, *up)).collect();
+            assert_eq!(told, servers.unwrap_or_default(), "{name}");
+        }
+        assert_eq!(plane.residency().resident, held.len() + 2);
+    })
+    .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_drain_told_while_it_wakes_or_rests_holds() {
     local(async {
