--- a/crates/canvascart/src/lab/capacity.rs
+++ b/crates/canvascart/src/lab/capacity.rs
@@ -32,6 +32,9 @@
         /// Only tenants of this shape: four servers of its own each, or the target's with shared services.
         #[arg(long, value_name = "own|shared", value_parser = shape)]
         shape: Option<tenants::Shape>,
+        /// What the sizes are of: tenants; or routes or services of so many tenants of the target's shape, by themselves.
+        #[arg(long, value_name = "tenants|routes|services", value_parser = by, conflicts_with = "shape")]
+        by: Option<tenants::By>,
     },
     /// Servers of one process: known, connected and busy; and the decision module alone.
     Servers,
@@ -47,6 +50,10 @@
     named(&tenants::Shape::ALL, name)
 }
 
+fn by(name: &str) -> Result<tenants::By, String> {
+    named(&tenants::By::ALL, name)
+}
+
 #[derive(Clone, clap::Args)]
 pub struct How {
     /// Small sizes and short spans: all sweeps within five minutes.
@@ -80,21 +87,34 @@
         self.sizes.clone().unwrap_or_else(|| if self.small { small } else { full }.to_vec())
     }
 
+    /// Sweeps over tenants of one shape, or of both.
     fn tenants(&self, only: Option<tenants::Shape>) -> Vec<Plan> {
         let sizes = self.sizes([50, 100, 200, 400], [1000, 2000, 4000, 8000]);
-        let care = if self.small { tenants::Care::SMALL } else { tenants::Care::FULL };
-        let plan = |shape| {
-            let needs = |n: &usize| tenants::Size::of(shape, *n).needs();
-            let sizes = sizes.clone();
-            Plan {
-                needs: sizes.iter().map(needs).fold(Needs::default(), Needs::or),
-                play: Box::new(move |setting, command| {
-                    tenants::sweep(shape, &sizes, &care, command, setting)
-                }),
-            }
-        };
         let shapes = tenants::Shape::ALL.iter().map(|(_, shape)| *shape);
-        shapes.filter(|shape| only.is_none_or(|only| only == *shape)).map(plan).collect()
+        let of = |shape| sizes.iter().map(|n| tenants::Size::of(shape, *n)).collect();
+        let shapes = shapes.filter(|shape| only.is_none_or(|only| only == *shape));
+        shapes.map(|shape| self.tenants_by(tenants::By::Tenants, of(shape))).collect()
+    }
+
+    /// Sweeps over routes, and over services, with as many tenants at each size.
+    fn apart(&self, by: tenants::By) -> Vec<Plan> {
+        let (sizes, tenants) = match by {
+            tenants::By::Tenants => return self.tenants(Some(tenants::Shape::Shared)),
+            tenants::By::Routes => (self.sizes([50, 100, 200, 400], [700, 1400, 2800, 5300]), [400, 5300]),
+            tenants::By::Services => (self.sizes([5, 10, 20, 40], [85, 170, 340, 680]), [400, 5300]),
+        };
+        // Each route and each service has a tenant at least.
+        let most = sizes.iter().copied().max().unwrap_or(1);
+        let tenants = tenants[usize::from(!self.small)].max(most);
+        vec![self.tenants_by(by, sizes.iter().map(|n| tenants::Size::apart(by, *n, tenants)).collect())]
+    }
+
+    fn tenants_by(&self, by: tenants::By, sizes: Vec<tenants::Size>) -> Plan {
+        let care = if self.small { tenants::Care::SMALL } else { tenants::Care::FULL };
+        Plan {
+            needs: sizes.iter().map(tenants::Size::needs).fold(Needs::default(), Needs::or),
+            play: Box::new(move |setting, command| tenants::sweep(by, &sizes, &care, command, setting)),
+        }
     }
 
     fn servers(&self) -> Vec<Plan> {
@@ -126,7 +146,7 @@
     }
 
     /// How hollow members are played, and how many.
-    fn of_members(&self, which: Which) -> (members::Play, Vec<usize>) {
+    fn of_members(&self) -> (members::Play, Vec<usize>) {
         let play = members::Play {
             command: own().ok(),
             rules: members::rules(),
@@ -136,14 +156,14 @@
             changes: if self.small { 3 } else { 10 },
             peak: Duration::from_secs(if self.small { 0 } else { 60 }),
             hurt: !self.small,
+            side_by_side: self.small,
             dir: place_for("members"),
         };
-        let full = if which == Which::Restarts { [12, 24, 100, 300] } else { [24, 100, 300, 900] };
-        (play, self.sizes([4, 6, 8, 10], full))
+        (play, self.sizes([4, 6, 8, 10], [24, 100, 300, 900]))
     }
 
     fn members(&self) -> Vec<Plan> {
-        let (play, sizes) = self.of_members(Which::Members);
+        let (play, sizes) = self.of_members();
         let seen = self.sizes([6, 12, 24, 48], [24, 100, 300, 900]);
         let virtual_play = play.clone();
         vec![
@@ -161,7 +181,7 @@
     }
 
     fn restarts(&self) -> Vec<Plan> {
-        let (play, sizes) = self.of_members(Which::Restarts);
+        let (play, sizes) = self.of_members();
         vec![Plan {
             needs: Needs::default(),
             play: Box::new(move |setting, _| restarts::sweep(&play, &sizes, setting.stop.flag(), |_| ())),
@@ -172,12 +192,15 @@
         match which {
             Which::Members => self.members(),
             Which::Restarts => self.restarts(),
-            Which::Tenants { shape } => self.tenants(shape),
+            Which::Tenants { by: Some(by), .. } => self.apart(by),
+            Which::Tenants { shape, by: None } => self.tenants(shape),
             Which::Servers => self.servers(),
             Which::All => {
                 // Among the small ones the target's shape stands for both, so that all end within five minutes.
                 let shape = self.small.then_some(tenants::Shape::Shared);
-                let all = [self.tenants(shape), self.servers(), self.members(), self.restarts()];
+                let apart = [tenants::By::Routes, tenants::By::Services].map(|by| self.apart(by));
+                let apart = apart.into_iter().flatten().filter(|_| !self.small).collect();
+                let all = [self.tenants(shape), apart, self.servers(), self.members(), self.restarts()];
                 all.into_iter().flatten().collect()
             }
         }
@@ -209,11 +232,9 @@
             }
         }
         if matches!(which, Which::Members | Which::Restarts | Which::All) {
-            for of in [Which::Members, Which::Restarts] {
-                let (play, sizes) = self.of_members(of);
-                if let Err(e) = members::fits(&play, &sizes) {
-                    return Some(format!("--sizes: {e}"));
-                }
+            let (play, sizes) = self.of_members();
+            if let Err(e) = members::fits(&play, &sizes) {
+                return Some(format!("--sizes: {e}"));
             }
         }
         let needs = plans.iter().map(|p| p.needs).fold(Needs::default(), Needs::or);
--- a/crates/canvascart/src/lab/hollow.rs
+++ b/crates/canvascart/src/lab/hollow.rs
@@ -97,6 +97,7 @@
         changes: arguments.changes,
         peak: Duration::from_secs(arguments.peak),
         hurt: !arguments.whole,
+        side_by_side: false,
         dir: arguments.dir.clone().unwrap_or_else(|| std::env::temp_dir().join("canvascart-lab")),
     };
     let stop = stop()?;
--- a/crates/canvascart/tests/hollow.rs
+++ b/crates/canvascart/tests/hollow.rs
@@ -24,6 +24,7 @@
         changes: 10,
         peak: Duration::ZERO,
         hurt: false,
+        side_by_side: false,
         dir: directory.0.clone(),
     };
     let (real, entry) = of_processes(&how, 12, 1).unwrap();
--- a/crates/lab/src/capacity/members.rs
+++ b/crates/lab/src/capacity/members.rs
@@ -72,8 +72,10 @@
     pub changes: u64,
     /// How long changes come at the peak's rate; none without.
     pub peak: Duration,
-    /// Whether some are killed, stopped and started.
+    /// Whether some are killed, stopped and started, and a zone comes back with empty disks.
     pub hurt: bool,
+    /// Whether sizes are played side by side: for small ones, of which counts and bytes are wanted and not times.
+    pub side_by_side: bool,
     /// Where logs go.
     pub dir: PathBuf,
 }
@@ -193,9 +195,11 @@
             left -= count;
         }
     }
+    // A tenth each at most, so that a zone, which is a fifth, is a number of whole processes.
+    let share = (members / 10).clamp(1, SHARE);
     while left > 0 {
-        shares.push((Role::Learners, left.min(SHARE)));
-        left -= left.min(SHARE);
+        shares.push((Role::Learners, left.min(share)));
+        left -= left.min(share);
     }
     shares
 }
@@ -705,31 +709,47 @@
     Ok(())
 }
 
+/// Plays each size, one after the other or side by side. One that fails makes a void point, one that is interrupted none.
+pub(super) fn each(
+    sweep: &mut Sweep, sizes: &[usize], how: &Play, mut tell: impl FnMut(&Sweep),
+    play: impl Fn(usize, &mut Point) -> io::Result<()> + Sync,
+) {
+    let one = |size: usize| {
+        let mut point = Point::default();
+        note_load(&mut point);
+        match play(size, &mut point) {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => return None,
+            Err(e) => point.void = Some(e.to_string()),
+            Ok(()) => {}
+        }
+        Some(point)
+    };
+    let panicked = || Point { void: Some("it panicked".into()), ..Point::default() };
+    let at_once = if how.side_by_side { sizes.len().max(1) } else { 1 };
+    for sizes in sizes.chunks(at_once) {
+        let points: Vec<Option<Point>> = thread::scope(|threads| {
+            let all: Vec<_> = sizes.iter().map(|size| threads.spawn(|| one(*size))).collect();
+            all.into_iter().map(|one| one.join().unwrap_or_else(|_| Some(panicked()))).collect()
+        });
+        sweep.partial |= points.contains(&None);
+        sweep.points.extend(points.into_iter().flatten());
+        tell(sweep);
+        if sweep.partial {
+            return;
+        }
+    }
+}
+
 /// Sweeps over numbers of members. `tell` hears of each point; once `stop` is set the sweep ends and is partial.
 ///
 /// # Errors
 /// A size is zero or beyond the machine; nothing was started.
-pub fn sweep(
-    how: &Play, sizes: &[usize], stop: &AtomicBool, mut tell: impl FnMut(&Sweep),
-) -> io::Result<Sweep> {
+pub fn sweep(how: &Play, sizes: &[usize], stop: &AtomicBool, tell: impl FnMut(&Sweep)) -> io::Result<Sweep> {
     fits(how, sizes)?;
     let list: Vec<String> = sizes.iter().map(usize::to_string).collect();
     let command = format!("canvascart lab members members --sizes {}", list.join(","));
     let mut sweep = Sweep { name: "members".into(), command, ..Sweep::default() };
-    for members in sizes {
-        let mut point = Point::default();
-        note_load(&mut point);
-        match play(how, *members, &mut point, stop) {
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => {
-                sweep.partial = true;
-                break;
-            }
-            Err(e) => point.void = Some(e.to_string()),
-            Ok(()) => {}
-        }
-        sweep.points.push(point);
-        tell(&sweep);
-    }
+    each(&mut sweep, sizes, how, tell, |members, point| play(how, members, point, stop));
     for figure in LINES {
         sweep.line(figure, "members", target::PROXIES);
     }
--- a/crates/lab/src/capacity/restarts.rs
+++ b/crates/lab/src/capacity/restarts.rs
@@ -8,12 +8,15 @@
 
 use cluster::node::Kind;
 
-use super::members::{Cluster, Play, Role, between, fits, note_load, own};
+use super::members::{Cluster, Play, Role, between, each, fits, own};
 use super::{Point, Sweep, target};
 
 /// How long members may take to decide again.
 const PATIENCE: Duration = Duration::from_secs(180);
 
+/// And so much more for each.
+const PATIENCE_EACH: Duration = Duration::from_millis(500);
+
 /// What idle members say a second, heartbeats and confirmations left out: restarts are counted against it.
 struct Rest {
     messages: f64,
@@ -24,6 +27,11 @@
     kinds.iter().map(|k| k[i]).sum::<u64>() as f64
 }
 
+/// Waits until the names of members that are gone for good are free: nothing of them is heard any more for a lease.
+fn forget(how: &Play) {
+    thread::sleep(Duration::from_micros(how.rules.surely(how.rules.lease)) + Duration::from_secs(1));
+}
+
 fn rest(play: &Play, cluster: &mut Cluster) -> io::Result<Rest> {
     let period = Duration::from_micros(play.rules.lease / 5);
     thread::sleep(2 * period);
@@ -34,18 +42,32 @@
     Ok(Rest { messages, bytes })
 }
 
-/// Kills groups and starts them again within the same two seconds; what it costs.
+/// Who is killed and started again.
+struct Hit<'a> {
+    name: &'a str,
+    groups: &'a [usize],
+    /// Whether they come back as new machines do, with nothing on their disks.
+    empty: bool,
+}
+
+/// Kills groups and starts them again, at once if they keep their disks; what it costs.
 fn restart(
-    cluster: &mut Cluster, groups: &[usize], (rest, period): (&Rest, Duration), name: &str,
-    point: &mut Point, stop: &AtomicBool,
+    cluster: &mut Cluster, hit: &Hit, how: &Play, rest: &Rest, point: &mut Point, stop: &AtomicBool,
 ) -> io::Result<()> {
-    let before = cluster.look()?;
+    let Hit { name, groups, empty } = *hit;
+    let period = Duration::from_micros(how.rules.lease / 5);
+    let mut before = cluster.look()?;
     let members: usize = groups.iter().map(|g| cluster.count(*g)).sum();
     groups.iter().for_each(|g| cluster.kill(*g));
+    if empty {
+        groups.iter().try_for_each(|g| cluster.empty(*g))?;
+        forget(how);
+        before = cluster.look()?;
+    }
     let began = Instant::now();
     cluster.restart(groups)?;
     let started = began.elapsed();
-    cluster.all_decide(began + PATIENCE, stop)?;
+    cluster.all_decide(began + PATIENCE + PATIENCE_EACH * members as u32, stop)?;
     let took = began.elapsed();
     thread::sleep(period * 2);
     let after = cluster.look()?;
@@ -85,45 +107,45 @@
 fn play(how: &Play, members: usize, point: &mut Point, stop: &AtomicBool) -> io::Result<()> {
     point.sizes.insert("members".into(), members as f64);
     let mut cluster = Cluster::start(how, members, stop)?;
-    let idle = rest(how, &mut cluster)?;
-    let idle = (&idle, Duration::from_micros(how.rules.lease / 5));
+    let rest = rest(how, &mut cluster)?;
+    let mut hit = |cluster: &mut Cluster, name: &str, groups: &[usize], empty: bool| {
+        restart(cluster, &Hit { name, groups, empty }, how, &rest, point, stop)
+    };
     let few = cluster.of(&[Role::Few]);
-    restart(&mut cluster, &few, idle, "learners (1 %)", point, stop)?;
+    hit(&mut cluster, "learners (1 %)", &few, false)?;
     let voters = cluster.of(&[Role::Voter]);
     let leads = cluster.leader(voters[0])?.unwrap_or(voters[0]);
     let other = voters.iter().copied().find(|v| *v != leads).unwrap_or(leads);
-    restart(&mut cluster, &[other], idle, "a voter", point, stop)?;
-    restart(&mut cluster, &[leads], idle, "the leader", point, stop)?;
-    // A fifth, as a zone has: whole processes, so many as come nearest.
+    hit(&mut cluster, "a voter", &[other], false)?;
+    hit(&mut cluster, "the leader", &[leads], false)?;
+    // A fifth, as a zone has: whole processes, so many as come nearest from below.
     let mut zone = Vec::new();
     let mut count = 0;
     for group in cluster.of(&[Role::Few, Role::Many, Role::Learners]) {
-        if count + cluster.count(group) <= members / 5 + 1 || zone.is_empty() {
+        if count + cluster.count(group) <= members.div_ceil(5) || zone.is_empty() {
             count += cluster.count(group);
             zone.push(group);
         }
     }
-    restart(&mut cluster, &zone, idle, "a zone", point, stop)
+    hit(&mut cluster, "a zone", &zone, false)?;
+    if how.hurt {
+        hit(&mut cluster, "a zone, empty disks", &zone, true)?;
+    }
+    Ok(())
 }
 
 /// Sweeps over numbers of members: a learner, a voter and the leader restarted, and a zone at once.
 ///
 /// # Errors
 /// A size is zero or beyond the machine; nothing was started.
-pub fn sweep(
-    how: &Play, sizes: &[usize], stop: &AtomicBool, mut tell: impl FnMut(&Sweep),
-) -> io::Result<Sweep> {
+pub fn sweep(how: &Play, sizes: &[usize], stop: &AtomicBool, tell: impl FnMut(&Sweep)) -> io::Result<Sweep> {
     fits(how, sizes)?;
     let list: Vec<String> = sizes.iter().map(usize::to_string).collect();
     let command = format!("canvascart lab members restarts --sizes {}", list.join(","));
     let mut sweep = Sweep { name: "restarts".into(), command, ..Sweep::default() };
-    for members in sizes {
-        if !point(&mut sweep, stop, |p| play(how, *members, p, stop)) {
-            break;
-        }
-        tell(&sweep);
-    }
-    for who in ["learners (1 %)", "a voter", "the leader", "a zone"] {
+    each(&mut sweep, sizes, how, tell, |members, point| play(how, members, point, stop));
+    let hits = ["learners (1 %)", "a voter", "the leader", "a zone", "a zone, empty disks"];
+    for who in hits.iter().take(if how.hurt { 5 } else { 4 }) {
         for what in ["all decide s", "messages", "bytes", "voters cpu ms"] {
             sweep.line(&format!("{who} {what}"), "members", target::PROXIES);
         }
@@ -131,29 +153,13 @@
     Ok(sweep)
 }
 
-/// Plays a point; whether the sweep goes on.
-fn point(sweep: &mut Sweep, stop: &AtomicBool, play: impl FnOnce(&mut Point) -> io::Result<()>) -> bool {
-    let mut point = Point::default();
-    note_load(&mut point);
-    match play(&mut point) {
-        Err(e) if e.kind() == io::ErrorKind::Interrupted => {
-            sweep.partial = true;
-            return false;
-        }
-        Err(e) => point.void = Some(e.to_string()),
-        Ok(()) => {}
-    }
-    sweep.points.push(point);
-    !stop.load(std::sync::atomic::Ordering::Relaxed)
-}
-
 /// Sweeps over sizes of the state, at a few members: what each holds of it in memory and on disk, and what it costs the leader to
 /// bring a new member up to it.
 ///
 /// # Errors
 /// A size is beyond the machine; nothing was started.
 pub fn snapshots(
-    how: &Play, members: usize, states: &[usize], stop: &AtomicBool, mut tell: impl FnMut(&Sweep),
+    how: &Play, members: usize, states: &[usize], stop: &AtomicBool, tell: impl FnMut(&Sweep),
 ) -> io::Result<Sweep> {
     for state in states {
         fits(&Play { state_bytes: *state, ..how.clone() }, &[members])?;
@@ -161,13 +167,9 @@
     let list: Vec<String> = states.iter().map(usize::to_string).collect();
     let command = format!("canvascart lab members snapshots --sizes {}", list.join(","));
     let mut sweep = Sweep { name: "snapshots".into(), command, ..Sweep::default() };
-    for state in states {
-        let how = Play { state_bytes: *state, ..how.clone() };
-        if !point(&mut sweep, stop, |p| with_state(&how, members, p, stop)) {
-            break;
-        }
-        tell(&sweep);
-    }
+    each(&mut sweep, states, how, tell, |state, point| {
+        with_state(&Play { state_bytes: state, ..how.clone() }, members, point, stop)
+    });
     for figure in ["learner MiB", "leader MiB", "disk MiB", "caught up s", "caught up bytes", "leader cpu ms"]
     {
         sweep.line(figure, "state bytes", 40e6);
@@ -190,7 +192,7 @@
     // As a new machine has it: no log. Its name is free once nothing of it is heard any more for a lease.
     cluster.kill(new);
     cluster.empty(new)?;
-    thread::sleep(Duration::from_micros(how.rules.surely(how.rules.lease)) + Duration::from_secs(1));
+    forget(how);
     let before = cluster.look()?;
     let began = Instant::now();
     cluster.restart(&[new])?;
--- a/crates/lab/src/capacity/tenants.rs
+++ b/crates/lab/src/capacity/tenants.rs
@@ -55,6 +55,32 @@
     pub const ALL: [(&str, Shape); 2] = [("own", Shape::Own), ("shared", Shape::Shared)];
 }
 
+/// By which size a sweep goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum By {
+    /// Tenants, and the part of the target's services and routes that goes with them.
+    Tenants,
+    /// Routes, which are sets of classes here: tenants and services stay as many.
+    Routes,
+    /// Services of 17 or 18 servers each: tenants and routes stay as many.
+    Services,
+}
+
+impl By {
+    /// All of them, with the names that the command line has for them.
+    pub const ALL: [(&str, By); 3] =
+        [("tenants", By::Tenants), ("routes", By::Routes), ("services", By::Services)];
+
+    /// The name of its size, and how many there are at the target.
+    fn target(self) -> (&'static str, f64) {
+        match self {
+            By::Tenants => ("tenants", target::TENANTS),
+            By::Routes => ("routes", target::ROUTES),
+            By::Services => ("services", target::SERVICES),
+        }
+    }
+}
+
 /// How many tenants of what shape, and how long it is measured.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -80,6 +106,16 @@
         }
     }
 
+    /// So many tenants of the target's shape with another number of their routes or services.
+    pub fn apart(by: By, count: usize, tenants: usize) -> Self {
+        let size = Size::of(Shape::Shared, tenants);
+        match by {
+            By::Tenants => Size::of(Shape::Shared, count),
+            By::Routes => Size { routes: count, ..size },
+            By::Services => Size { services: count, ..size },
+        }
+    }
+
     /// How many servers there are in all services.
     pub fn servers(&self) -> usize {
         (0..self.services).map(of_service).sum()
@@ -523,20 +559,24 @@
 }
 
 /// Plays the sweep.
-pub fn sweep(
-    shape: Shape, sizes: &[usize], care: &Care, command: String, setting: &Setting,
-) -> io::Result<Sweep> {
-    let name = match shape {
-        Shape::Own => "tenants with four servers of their own each",
-        Shape::Shared => "tenants that share services and sets of classes",
+///
+/// # Errors
+/// Its files can't be removed.
+pub fn sweep(by: By, sizes: &[Size], care: &Care, command: String, setting: &Setting) -> io::Result<Sweep> {
+    let tenants = sizes.first().map_or(0, |s| s.tenants);
+    let name = match (by, sizes.first().map(|s| s.shape)) {
+        (By::Tenants, Some(Shape::Own)) => "tenants with four servers of their own each".into(),
+        (By::Tenants, _) => "tenants that share services and sets of classes".into(),
+        (By::Routes, _) => format!("routes (sets of classes) of {tenants} tenants"),
+        (By::Services, _) => format!("services of {tenants} tenants"),
     };
-    let mut sweep = Sweep { name: name.into(), command, ..Sweep::default() };
-    let sizes: Vec<Size> = sizes.iter().map(|n| Size::of(shape, *n)).collect();
-    in_turn(&mut sweep, setting, &sizes, Size::named, |command, size, figures| {
+    let mut sweep = Sweep { name, command, ..Sweep::default() };
+    in_turn(&mut sweep, setting, sizes, Size::named, |command, size, figures| {
         measure(command, size, care, setting, figures)
     });
+    let (size, target) = by.target();
     for figure in LINES {
-        sweep.line(figure, "tenants", target::TENANTS);
+        sweep.line(figure, size, target);
     }
     match std::fs::remove_dir_all(&setting.dir) {
         Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
--- a/crates/lab/tests/members.rs
+++ b/crates/lab/tests/members.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use lab::capacity::members::{Needs, Play, Room, in_virtual_time, play, rules, sweep};
-use lab::capacity::{Fit, Point};
+use lab::capacity::{Fit, Point, restarts};
 
 fn hollow(command: Option<Vec<String>>, dir: &std::path::Path) -> Play {
     Play {
@@ -16,6 +16,7 @@
         changes: 1,
         peak: Duration::ZERO,
         hurt: false,
+        side_by_side: false,
         dir: dir.to_owned(),
     }
 }
@@ -74,10 +75,50 @@
 
 #[test]
 fn a_sweep_that_is_stopped_is_partial_and_leaves_nothing_behind() {
-    let dir = directory("stopped");
-    let sweep = sweep(&hollow(None, &dir), &[6], &AtomicBool::new(true), |_| ()).unwrap();
-    assert!(sweep.partial && sweep.points.is_empty());
-    assert_eq!(std::fs::read_dir(&dir).unwrap().count(), 0);
+    for side_by_side in [false, true] {
+        let dir = directory("stopped");
+        let how = Play { side_by_side, ..hollow(None, &dir) };
+        let sweep = sweep(&how, &[4, 6], &AtomicBool::new(true), |_| ()).unwrap();
+        assert!(sweep.partial && sweep.points.is_empty());
+        assert_eq!(std::fs::read_dir(&dir).unwrap().count(), 0);
+        std::fs::remove_dir_all(&dir).unwrap();
+    }
+}
+
+/// As the unit of time of all that members do; a small one, so that a test does not wait.
+fn quick() -> cluster::machine::Rules {
+    cluster::machine::Rules { lease: 2_000_000, short: 1_500_000, ..rules() }
+}
+
+#[test]
+fn sizes_side_by_side_stand_in_their_order_and_a_void_one_has_no_part() {
+    let dir = directory("beside");
+    let how = Play { rules: quick(), changes: 0, side_by_side: true, ..hollow(None, &dir) };
+    let mut told = 0;
+    let sweep = sweep(&how, &[6, 4, 3], &AtomicBool::new(false), |_| told += 1).unwrap();
+    let sizes: Vec<f64> = sweep.points.iter().map(|p| p.sizes["members"]).collect();
+    assert_eq!((sizes, told), (vec![6.0, 4.0, 3.0], 1));
+    assert!(sweep.is_whole() && sweep.points.iter().all(|p| p.figures["report /s"] > 0.0), "{sweep:?}");
+    std::fs::remove_dir_all(&dir).unwrap();
+}
+
+/// By docs/CAPACITY.md: one snapshot for each that comes back with nothing, and none for any that has its disk.
+#[test]
+fn who_comes_back_with_its_disk_needs_no_snapshot_and_a_zone_with_empty_ones_needs_one_each() {
+    const STATE: usize = 20_000;
+    let dir = directory("restarts");
+    let how = Play { rules: quick(), periods: 4, state_bytes: STATE, hurt: true, ..hollow(None, &dir) };
+    let sweep = restarts::sweep(&how, &[10], &AtomicBool::new(false), |_| ()).unwrap();
+    assert!(sweep.is_whole(), "{sweep:?}");
+    let of = |hit: &str, what: &str| sweep.points[0].figures[&format!("{hit} {what}")];
+    for (hit, members) in [("learners (1 %)", 1.0), ("a voter", 1.0), ("the leader", 1.0), ("a zone", 2.0)] {
+        assert_eq!((of(hit, "members"), of(hit, "snapshots")), (members, 0.0), "{hit}");
+        assert!(of(hit, "all decide s") > 0.0, "{hit}");
+    }
+    let empty = "a zone, empty disks";
+    assert_eq!((of(empty, "members"), of(empty, "snapshots")), (2.0, 2.0));
+    let bytes = of(empty, "snapshot bytes") / 2.0;
+    assert!(bytes > STATE as f64 && bytes < 1.2 * STATE as f64, "{bytes} for a state of {STATE}");
     std::fs::remove_dir_all(&dir).unwrap();
 }
 
@@ -108,11 +149,7 @@
 #[test]
 fn hollow_members_on_threads_are_a_cluster_and_count_what_they_say() {
     let dir = directory("threads");
-    let how = Play {
-        rules: cluster::machine::Rules { lease: 2_000_000, short: 1_500_000, ..rules() },
-        periods: 8,
-        ..hollow(None, &dir)
-    };
+    let how = Play { rules: quick(), periods: 8, ..hollow(None, &dir) };
     let mut point = Point::default();
     play(&how, 6, &mut point, &AtomicBool::new(false)).unwrap();
     let of = |name: &str| point.figures[name];
