--- a/crates/admin/src/figures.rs
+++ b/crates/admin/src/figures.rs
@@ -102,10 +102,10 @@
         let ends = ["in-effect", "given-up"].map(|end| format!("end=\"{end}\""));
         let help = "Changes whose end was heard of here since the start.";
         text.put("cluster_changes_total", "counter", help, ends.into_iter().zip(s.changes.map(|n| n as f64)));
-        let [sent, bytes, dropped, rubbish] = s.letters.map(|n| n as f64);
-        text.one("cluster_letters_total", "counter", "Letters sent to other instances.", sent);
-        text.one("cluster_letter_bytes_total", "counter", "Bytes of these.", bytes);
-        text.one("cluster_letters_dropped_total", "counter", "Letters that could not go in time.", dropped);
+        let [sent, bytes, dropped, rubbish] = s.messages.map(|n| n as f64);
+        text.one("cluster_messages_total", "counter", "Messages sent to other instances.", sent);
+        text.one("cluster_message_bytes_total", "counter", "Bytes of these.", bytes);
+        text.one("cluster_messages_dropped_total", "counter", "Messages that could not go in time.", dropped);
         text.one(
             "cluster_links_refused_total",
             "counter",
--- a/crates/admin/tests/unit/figures.rs
+++ b/crates/admin/tests/unit/figures.rs
@@ -10,7 +10,7 @@
         version: 7,
         decides: Some(7),
         changes: [3, 1],
-        letters: [5, 600, 0, 2],
+        messages: [5, 600, 0, 2],
         ..Status::default()
     };
     let tenant = TenantStatus {
--- a/crates/canvascart/src/lab/together.rs
+++ b/crates/canvascart/src/lab/together.rs
@@ -134,7 +134,7 @@
 pub fn pace(sizes: &[usize], in_virtual: Option<usize>, changes: u64) -> Result<u8, String> {
     let (command, dir) = (own()?, place_for("pace"));
     println!(
-        "| what | state | first ms | p50 ms | p99 ms | served | refused | idle letters / bytes a second |"
+        "| what | state | first ms | p50 ms | p99 ms | served | refused | idle messages / bytes a second |"
     );
     println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
     let mut broken = false;
--- a/crates/canvascart/tests/cluster.rs
+++ b/crates/canvascart/tests/cluster.rs
@@ -438,7 +438,7 @@
         let _ = peer.read_to_end(&mut answer); // a reset is an end as well
         assert!(answer.is_empty());
     }
-    fleet.wait("the counts", |f| f.status(0).unwrap()["here"]["letters"][3] == 3).unwrap();
+    fleet.wait("the counts", |f| f.status(0).unwrap()["here"]["messages"][3] == 3).unwrap();
 
     let text = std::fs::read_to_string(fleet.config(0)).unwrap();
     let taken = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/cluster/tests/model.rs
+++ b/crates/cluster/tests/model.rs
@@ -58,7 +58,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-enum Letter {
+enum Message {
     Report { from: usize, seq: u64 },
     Grant { to: usize, seq: u64, version: Version, span: Span },
 }
@@ -71,7 +71,7 @@
     /// Where the log's leader is; others may still take themselves for it.
     elected: usize,
     leaders: [Option<Leader>; 2],
-    mail: BTreeSet<Letter>,
+    mail: BTreeSet<Message>,
     reports: BTreeMap<u64, (usize, Report)>,
     budget: Budget,
     /// The newest version that anybody has decided under.
@@ -84,7 +84,7 @@
 enum Act {
     Tick,
     Report(usize),
-    Deliver(Letter, usize),
+    Deliver(Message, usize),
     Apply(usize),
     Confirm(usize),
     Grant(usize),
@@ -172,14 +172,14 @@
     /// These report to the one that leads, which answers.
     fn reported(&self, world: &mut World, who: &[usize], leader: usize) {
         who.iter().for_each(|i| _ = self.act(world, &Act::Report(*i)));
-        let reports: Vec<Letter> = world.mail.iter().cloned().collect();
+        let reports: Vec<Message> = world.mail.iter().cloned().collect();
         reports.into_iter().for_each(|l| _ = self.act(world, &Act::Deliver(l, leader)));
         [Act::Confirm(leader), Act::Grant(leader)].iter().for_each(|a| _ = self.act(world, a));
     }
 
     /// All grants that are on their way come.
     fn granted(&self, world: &mut World) {
-        let grants: Vec<Letter> = world.mail.iter().cloned().collect();
+        let grants: Vec<Message> = world.mail.iter().cloned().collect();
         grants.into_iter().for_each(|l| _ = self.act(world, &Act::Deliver(l, 0)));
     }
 
@@ -194,21 +194,21 @@
                 world.budget.reports[*i] = world.budget.reports[*i].checked_sub(1)?;
                 let report = world.instances[*i].fence.report(Self::clock(*i, now));
                 let key = report.seq << 1 | *i as u64;
-                world.mail.insert(Letter::Report { from: *i, seq: key });
+                world.mail.insert(Message::Report { from: *i, seq: key });
                 world.reports.insert(key, (*i, report));
             }
-            Act::Deliver(letter, to) => {
-                if !world.mail.remove(letter) {
+            Act::Deliver(message, to) => {
+                if !world.mail.remove(message) {
                     return None;
                 }
-                match letter {
-                    Letter::Report { seq, .. } => {
+                match message {
+                    Message::Report { seq, .. } => {
                         let (from, report) = world.reports.remove(seq)?;
                         let clock = Self::clock(*to, now);
                         let (leader, machine) = Self::leader(world, *to)?;
                         leader.warden.report(clock, from as u64 + 1, &report, &machine);
                     }
-                    Letter::Grant { to, seq, version, span } => {
+                    Message::Grant { to, seq, version, span } => {
                         let fence = &mut world.instances[*to].fence;
                         let mut grant = Grant { seq: *seq, version: *version, span: *span };
                         if self.fault == Fault::AnyGrant {
@@ -254,7 +254,7 @@
                 let asked = std::mem::take(&mut leader.confirmed);
                 for (to, g) in leader.warden.confirmed(clock, &asked, &machine) {
                     let (to, seq, version, span) = (to as usize - 1, g.seq, g.version, g.span);
-                    world.mail.insert(Letter::Grant { to, seq, version, span });
+                    world.mail.insert(Message::Grant { to, seq, version, span });
                 }
             }
             Act::Say(i) => {
@@ -405,14 +405,14 @@
                 acts.extend([Act::Confirm(i), Act::Grant(i), Act::Say(i)]);
             }
         }
-        for letter in &world.mail {
-            match letter {
-                Letter::Grant { .. } => acts.push(Act::Deliver(letter.clone(), 0)),
-                Letter::Report { from, .. } => {
+        for message in &world.mail {
+            match message {
+                Message::Grant { .. } => acts.push(Act::Deliver(message.clone(), 0)),
+                Message::Report { from, .. } => {
                     let there = (0..2).filter(|l| world.leaders[*l].is_some());
                     // There, too, the second reports to it, and the first to the one elected.
                     let there = there.filter(|l| self.begin != Begin::Deposed || l == from);
-                    acts.extend(there.map(|l| Act::Deliver(letter.clone(), l)));
+                    acts.extend(there.map(|l| Act::Deliver(message.clone(), l)));
                 }
             }
         }
--- a/crates/lab/src/capacity/members.rs
+++ b/crates/lab/src/capacity/members.rs
@@ -821,7 +821,7 @@
         for i in 0..members {
             let (_, text) = fleet.line(i)?.call("GET", "/v1/figures", "", "")?;
             let text = String::from_utf8_lossy(&text).into_owned();
-            for (n, name) in ["canvascart_cluster_letters_total ", "canvascart_cluster_letter_bytes_total "]
+            for (n, name) in ["canvascart_cluster_messages_total ", "canvascart_cluster_message_bytes_total "]
                 .into_iter()
                 .enumerate()
             {
--- a/crates/lab/src/service/pace.rs
+++ b/crates/lab/src/service/pace.rs
@@ -57,7 +57,7 @@
     pub ms: Vec<f64>,
     /// Requests of clients of instances that run: served, and refused or not answered.
     pub requests: [u64; 2],
-    /// Letters and bytes a second that an idle instance sends, where that was measured.
+    /// Messages and bytes a second that an idle instance sends, where that was measured.
     pub idle: Option<[f64; 2]>,
     /// What should not have been.
     pub broken: Vec<String>,
@@ -105,10 +105,10 @@
     Ok(Row::of("one process, without [cluster]".into(), "up", &times))
 }
 
-/// Letters and bytes that an instance has sent.
+/// Messages and bytes that an instance has sent.
 fn sent(fleet: &Fleet, i: usize) -> io::Result<[f64; 2]> {
     let status: Value = fleet.status(i)?;
-    let at = |n: usize| status["here"]["letters"][n].as_f64().unwrap_or(0.0);
+    let at = |n: usize| status["here"]["messages"][n].as_f64().unwrap_or(0.0);
     Ok([at(0), at(1)])
 }
 
--- a/crates/links/src/frame.rs
+++ b/crates/links/src/frame.rs
@@ -1,4 +1,4 @@
-//! Letters on a link: how a link is opened under the cluster's key, and how each letter is framed and sealed. Without I/O.
+//! Messages on a link: how a link is opened under the cluster's key, and how each message is framed and sealed. Without I/O.
 //!
 //! The one that dials says the version and draws a number; the one that is dialled draws another and proves that it has the key; from
 //! then on each frame carries its length and a seal over both numbers, the frame's own number and its bytes. So nothing can be put
@@ -9,18 +9,20 @@
 
 /// The version of what is said on links.
 pub const VERSION: u16 = 1;
-/// Bytes of a letter at most: the snapshot of a large service fits.
-pub const LETTER: usize = 64 << 20;
+/// Bytes of a message at most: the snapshot of a large service fits.
+pub const LONGEST: usize = 64 << 20;
 /// What a link begins with.
 const MAGIC: [u8; 4] = *b"CCLK";
 /// Bytes of the drawn numbers and of a seal.
 const NONCE: usize = 16;
 const SEAL: usize = 16;
+/// What a message's seal begins with. Members of versions that called messages letters seal alike, so the word stays.
+const SEALED: &[u8] = b"letter";
 /// Bytes that the one who dials says first.
 pub const OPENING: usize = MAGIC.len() + 2 + NONCE + SEAL;
 /// Bytes of the answer to it.
 pub const ANSWER: usize = 2 + NONCE + SEAL;
-/// Bytes before a letter.
+/// Bytes before a message.
 pub const HEAD: usize = 4 + SEAL;
 
 /// Why a link ends.
@@ -35,8 +37,8 @@
     /// Another cluster, or another key.
     #[error("it is of another cluster, or has another key")]
     Stranger,
-    /// A letter is too long.
-    #[error("a letter of {0} bytes is too long")]
+    /// A message is too long.
+    #[error("a message of {0} bytes is too long")]
     TooLong(usize),
     /// A seal does not fit.
     #[error("a seal does not fit")]
@@ -76,7 +78,7 @@
     }
 }
 
-/// Seals letters one way, or checks them.
+/// Seals messages one way, or checks them.
 pub struct Sealer {
     key: Key,
     session: [u8; 2 * NONCE],
@@ -91,38 +93,38 @@
         Sealer { key: key.clone(), session, number: 0 }
     }
 
-    /// The head of the next letter.
+    /// The head of the next message.
     ///
     /// # Errors
     /// It is too long.
-    pub fn seal(&mut self, letter: &[u8]) -> Result<[u8; HEAD], Rubbish> {
-        if letter.len() > LETTER {
-            return Err(Rubbish::TooLong(letter.len()));
+    pub fn seal(&mut self, message: &[u8]) -> Result<[u8; HEAD], Rubbish> {
+        if message.len() > LONGEST {
+            return Err(Rubbish::TooLong(message.len()));
         }
         let mut head = [0; HEAD];
-        head[..4].copy_from_slice(&(letter.len() as u32).to_le_bytes());
-        let seal = self.key.seal(&[b"letter", &self.session, &self.number.to_le_bytes(), letter]);
+        head[..4].copy_from_slice(&(message.len() as u32).to_le_bytes());
+        let seal = self.key.seal(&[SEALED, &self.session, &self.number.to_le_bytes(), message]);
         head[4..].copy_from_slice(&seal);
         self.number += 1;
         Ok(head)
     }
 
-    /// The length of the letter that a head announces.
+    /// The length of the message that a head announces.
     ///
     /// # Errors
     /// It is too long.
     pub fn length(head: &[u8; HEAD]) -> Result<usize, Rubbish> {
         let length = u32::from_le_bytes([head[0], head[1], head[2], head[3]]) as usize;
-        if length > LETTER { Err(Rubbish::TooLong(length)) } else { Ok(length) }
+        if length > LONGEST { Err(Rubbish::TooLong(length)) } else { Ok(length) }
     }
 
-    /// Whether a letter is the next one.
+    /// Whether a message is the next one.
     ///
     /// # Errors
     /// It is not.
-    pub fn check(&mut self, head: &[u8; HEAD], letter: &[u8]) -> Result<(), Rubbish> {
+    pub fn check(&mut self, head: &[u8; HEAD], message: &[u8]) -> Result<(), Rubbish> {
         let number = self.number.to_le_bytes();
-        if !self.key.fits(&[b"letter", &self.session, &number, letter], &head[4..]) {
+        if !self.key.fits(&[SEALED, &self.session, &number, message], &head[4..]) {
             return Err(Rubbish::Seal);
         }
         self.number += 1;
@@ -140,7 +142,7 @@
     bytes
 }
 
-/// The answer of the one who is dialled, and how letters that follow are checked.
+/// The answer of the one who is dialled, and how messages that follow are checked.
 ///
 /// # Errors
 /// No answer is due: the link ends.
@@ -165,7 +167,7 @@
     Ok((bytes, Sealer::new(key, theirs, &drawn)))
 }
 
-/// How letters are sealed after this answer.
+/// How messages are sealed after this answer.
 ///
 /// # Errors
 /// The other has not proved that it has the key.
@@ -180,58 +182,3 @@
     }
     Ok(Sealer::new(key, &drawn, theirs))
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn link() -> (Sealer, Sealer) {
-        let key = Key::new("c", b"secret");
-        let (answer, reader) = answer(&key, &opening(&key, [1; NONCE]), [2; NONCE]).unwrap();
-        (opened(&key, [1; NONCE], &answer).unwrap(), reader)
-    }
-
-    #[test]
-    fn letters_pass_in_order_and_no_other_way() {
-        let (mut writer, mut reader) = link();
-        let (one, two) = (writer.seal(b"one").unwrap(), writer.seal(b"two").unwrap());
-        assert_eq!(Sealer::length(&one), Ok(3));
-        assert_eq!(reader.check(&two, b"two"), Err(Rubbish::Seal), "out of order");
-        assert_eq!(reader.check(&one, b"one"), Ok(()));
-        assert_eq!(reader.check(&one, b"one"), Err(Rubbish::Seal), "played again");
-        assert_eq!(reader.check(&two, b"twp"), Err(Rubbish::Seal), "changed");
-        let (_, mut other) = link();
-        assert_eq!(other.check(&two, b"two"), Err(Rubbish::Seal), "left out");
-    }
-
-    #[test]
-    fn another_key_name_version_or_program_is_turned_away() {
-        let key = Key::new("c", b"secret");
-        for other in [Key::new("c", b"other"), Key::new("d", b"secret")] {
-            assert_eq!(answer(&key, &opening(&other, [1; NONCE]), [2; NONCE]).err(), Some(Rubbish::Stranger));
-            let (said, _) = answer(&other, &opening(&other, [1; NONCE]), [2; NONCE]).unwrap();
-            assert_eq!(opened(&key, [1; NONCE], &said).err(), Some(Rubbish::Stranger));
-        }
-        let mut bytes = opening(&key, [1; NONCE]);
-        bytes[4] = 9;
-        assert_eq!(answer(&key, &bytes, [2; NONCE]).err(), Some(Rubbish::Version(9)));
-        bytes[0] = b'G';
-        assert_eq!(answer(&key, &bytes, [2; NONCE]).err(), Some(Rubbish::Foreign));
-        let mut head = [0xFF; HEAD];
-        assert_eq!(Sealer::length(&head), Err(Rubbish::TooLong(u32::MAX as usize)));
-        head[..4].copy_from_slice(&(LETTER as u32).to_le_bytes());
-        assert_eq!(Sealer::length(&head), Ok(LETTER));
-    }
-
-    #[test]
-    fn bytes_by_chance_open_nothing() {
-        let key = Key::new("c", b"secret");
-        let mut chance = fastrand::Rng::with_seed(7);
-        for _ in 0..10_000 {
-            let mut bytes = opening(&key, [3; NONCE]);
-            let at = chance.usize(..OPENING);
-            bytes[at] ^= chance.u8(1..);
-            assert!(answer(&key, &bytes, [2; NONCE]).is_err());
-        }
-    }
-}
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -9,9 +9,9 @@
 pub mod clock;
 pub mod frame;
 pub mod kept;
-pub mod letter;
 mod mark;
 pub mod member;
+pub mod message;
 pub mod post;
 pub mod right;
 pub mod status;
--- a/crates/links/src/member.rs
+++ b/crates/links/src/member.rs
@@ -1,4 +1,4 @@
-//! The loop that drives one member: letters, disk and clock to the cluster's part, and what comes of it to the application.
+//! The loop that drives one member: messages, disk and clock to the cluster's part, and what comes of it to the application.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -9,7 +9,7 @@
 
 use cluster::fence::Until;
 use cluster::machine::{Effect, Machine, Member, Micros, Outcome, Phase, Proposal, Rules, Version};
-use cluster::node::{Message, Node, Output, Persist, Refusal, Saved, TICK, found};
+use cluster::node::{Node, Output, Persist, Refusal, Saved, TICK, found};
 use store::log::{Append, Log, Logged};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
@@ -18,8 +18,8 @@
 use crate::clock;
 use crate::frame::Key;
 use crate::kept::{Identity, new_cluster, put_identity, saved};
-use crate::letter::{Body, Letter, Sender};
 use crate::mark::Mark;
+use crate::message::{Body, Message, Sender};
 use crate::post::{Counts, Post};
 use crate::right::Right;
 use crate::status::{ChangeStatus, MemberStatus, Status};
@@ -28,7 +28,7 @@
 const STEP: Duration = Duration::from_millis(20);
 /// From one time that something is asked for to the next.
 const AGAIN: Micros = 300_000;
-/// Letters taken in one turn, before what they came to is put on disk.
+/// Messages taken in one turn, before what they came to is put on disk.
 const TURN: usize = 256;
 /// Calls that wait for the one that leads.
 const CALLS: usize = 1024;
@@ -126,7 +126,7 @@
     settings: Settings,
     log: Log,
     post: Post,
-    letters: mpsc::Receiver<Letter>,
+    messages: mpsc::Receiver<Message>,
     to: mpsc::UnboundedSender<Told>,
     from: mpsc::UnboundedReceiver<Said>,
     right: Arc<Right>,
@@ -187,11 +187,11 @@
     let listener = TcpListener::bind(&settings.address).await.map_err(at)?;
     let address = listener.local_addr().map_err(at)?.to_string();
     tracing::info!(address, "the cluster's links listen");
-    let (put, letters) = mpsc::channel(TURN * 4);
+    let (put, messages) = mpsc::channel(TURN * 4);
     let post = Post::new(Key::new(&settings.cluster, &settings.key), listener, put);
     let mut driven = Driven {
         post,
-        letters,
+        messages,
         to,
         from,
         right,
@@ -265,12 +265,12 @@
         self.carry_out()?;
         loop {
             tokio::select! {
-                letter = self.letters.recv() => match letter {
-                    Some(letter) => {
-                        self.letter(letter)?;
+                message = self.messages.recv() => match message {
+                    Some(message) => {
+                        self.message(message)?;
                         for _ in 0..TURN {
-                            let Ok(letter) = self.letters.try_recv() else { break };
-                            self.letter(letter)?;
+                            let Ok(message) = self.messages.try_recv() else { break };
+                            self.message(message)?;
                         }
                     }
                     None => return Ok(()),
@@ -293,8 +293,8 @@
     fn write(&mut self, name: &str, address: &str, body: Body) {
         // What the operator's file says of where another is goes before what that one says itself.
         let address = self.settings.peers.get(name).map_or(address, String::as_str).to_owned();
-        let letter = Letter { from: self.me(), body };
-        self.post.send(name, &address, &letter);
+        let message = Message { from: self.me(), body };
+        self.post.send(name, &address, &message);
     }
 
     fn write_to(&mut self, id: u64, body: Body) {
@@ -379,8 +379,8 @@
         self.begin_with(identity, &saved)
     }
 
-    fn letter(&mut self, letter: Letter) -> Result<(), String> {
-        let Letter { from, body } = letter;
+    fn message(&mut self, message: Message) -> Result<(), String> {
+        let Message { from, body } = message;
         let now = clock::now();
         let ours = self.identity.as_ref().is_some_and(|i| i.cluster == from.cluster);
         if !ours && !from.cluster.is_empty() && matches!(body, Body::Node(..) | Body::Ask { .. }) {
@@ -675,14 +675,14 @@
 
     fn status(&self, now: Micros) -> Status {
         let counts = self.post.counts();
-        let letters = [&counts.sent, &counts.bytes, &counts.dropped, &counts.rubbish];
-        let letters = letters.map(|c| c.load(Ordering::Relaxed));
+        let messages = [&counts.sent, &counts.bytes, &counts.dropped, &counts.rubbish];
+        let messages = messages.map(|c| c.load(Ordering::Relaxed));
         let me = self.me();
         let mut status = Status {
             name: me.name,
             id: me.id,
             cluster: me.cluster,
-            letters,
+            messages,
             changes: self.changes,
             ..Status::default()
         };
@@ -739,6 +739,3 @@
 
 /// The shortest span in which anything is looked at.
 pub const LOOK: Micros = TICK;
-
-/// A message, for those who only pass it on.
-pub type Passed = Message;
--- a/crates/links/src/letter.rs
+++ b/crates/links/src/message.rs
@@ -1,11 +1,11 @@
 //! What members write to each other.
 
-use cluster::node::{Kind, Message};
+use cluster::node::{self, Kind};
 use serde::{Deserialize, Serialize};
 
-/// A letter, with who wrote it.
+/// A message, with who wrote it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Letter {
+pub struct Message {
     /// Who wrote it.
     pub from: Sender,
     /// What it says.
@@ -25,12 +25,12 @@
     pub cluster: String,
 }
 
-/// What a letter says.
+/// What a message says.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Body {
     /// From one member's part to another's, by its number.
-    Node(u64, Message),
+    Node(u64, node::Message),
     /// One that is no member asks whether there is a cluster, and who leads it.
     Ask {
         /// The members that its file names, with its own name, so that those who found a cluster mean the same one.
@@ -61,11 +61,11 @@
     Reply(String, Result<String, String>),
 }
 
-/// The first byte of a letter: the log's own messages go as they are, all others as JSON.
+/// The first byte of a message: the log's own messages go as they are, all others as JSON.
 const LOG: u8 = 1;
 const JSON: u8 = 2;
 
-impl Letter {
+impl Message {
     /// What it is about.
     pub fn kind(&self) -> Kind {
         match &self.body {
@@ -74,9 +74,9 @@
         }
     }
 
-    /// The letter's bytes.
+    /// The message's bytes.
     pub fn write(&self) -> Vec<u8> {
-        if let Body::Node(to, Message::Log(log)) = &self.body
+        if let Body::Node(to, node::Message::Log(log)) = &self.body
             && let Ok(from) = serde_json::to_vec(&self.from)
         {
             let mut bytes = vec![LOG];
@@ -92,12 +92,12 @@
         bytes
     }
 
-    /// A letter from its bytes; none if it is no letter.
+    /// A message from its bytes; none if it is no message.
     pub fn read(bytes: &[u8]) -> Option<Self> {
         let (kind, rest) = bytes.split_first()?;
         if *kind == JSON {
             let (from, body) = serde_json::from_slice(rest).ok()?;
-            return Some(Letter { from, body });
+            return Some(Message { from, body });
         }
         if *kind != LOG {
             return None;
@@ -105,50 +105,7 @@
         let (length, rest) = rest.split_first_chunk::<4>()?;
         let (from, rest) = rest.split_at_checked(u32::from_le_bytes(*length) as usize)?;
         let (to, log) = rest.split_first_chunk::<8>()?;
-        let body = Body::Node(u64::from_le_bytes(*to), Message::Log(log.to_vec()));
-        Some(Letter { from: serde_json::from_slice(from).ok()?, body })
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn sender() -> Sender {
-        Sender { name: "a".into(), address: "127.0.0.1:1".into(), id: 3, cluster: "c".into() }
-    }
-
-    #[test]
-    fn letters_are_read_as_they_were_written() {
-        let bodies = [
-            Body::Node(7, Message::Log(vec![0, 1, 255])),
-            Body::Ask { names: vec!["a".into()] },
-            Body::Tell { leader: Some(("a".into(), "b".into())), names: Vec::new() },
-            Body::Joined(Err("no".into())),
-            Body::Reply("1".into(), Ok("{}".into())),
-        ];
-        for body in bodies {
-            let letter = Letter { from: sender(), body };
-            assert_eq!(Letter::read(&letter.write()), Some(letter));
-        }
-    }
-
-    #[test]
-    fn bytes_by_chance_are_no_letters_and_no_trouble() {
-        let mut chance = fastrand::Rng::with_seed(11);
-        let whole = Letter { from: sender(), body: Body::Node(7, Message::Log(vec![9; 40])) }.write();
-        for _ in 0..20_000 {
-            let mut bytes = whole.clone();
-            bytes.truncate(chance.usize(..=whole.len()));
-            for _ in 0..chance.usize(..4) {
-                if !bytes.is_empty() {
-                    let at = chance.usize(..bytes.len());
-                    bytes[at] = chance.u8(..);
-                }
-            }
-            let _ = Letter::read(&bytes); // whatever comes of it
-        }
-        assert_eq!(Letter::read(&[]), None);
-        assert_eq!(Letter::read(b"\x01\xff\xff\xff\xff"), None);
+        let body = Body::Node(u64::from_le_bytes(*to), node::Message::Log(log.to_vec()));
+        Some(Message { from: serde_json::from_slice(from).ok()?, body })
     }
 }
--- a/crates/links/src/post.rs
+++ b/crates/links/src/post.rs
@@ -1,4 +1,4 @@
-//! The post: one link out to each member that letters are for, and all links in. A letter that can't go in time is dropped: whoever
+//! The post: one link out to each member that messages are for, and all links in. A message that can't go in time is dropped: whoever
 //! needs it writes again.
 
 use std::collections::BTreeMap;
@@ -15,9 +15,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::frame::{self, ANSWER, HEAD, Key, OPENING, Rubbish, Sealer};
-use crate::letter::Letter;
+use crate::message::Message;
 
-/// Letters that wait for one member.
+/// Messages that wait for one member.
 const QUEUE: usize = 1024;
 /// Links in at once.
 const LINKS: usize = 2048;
@@ -31,11 +31,11 @@
 /// What the post has seen.
 #[derive(Debug, Default)]
 pub struct Counts {
-    /// Letters that went out, and their bytes.
+    /// Messages that went out, and their bytes.
     pub sent: AtomicU64,
     /// As above.
     pub bytes: AtomicU64,
-    /// Letters that were dropped, as they could not go in time.
+    /// Messages that were dropped, as they could not go in time.
     pub dropped: AtomicU64,
     /// Links that were ended as rubbish came by them.
     pub rubbish: AtomicU64,
@@ -66,14 +66,14 @@
     }
 }
 
-/// A letter's kind and its bytes.
+/// A message's kind and its bytes.
 type Written = (Kind, Vec<u8>);
 
 /// The post.
 pub struct Post {
     key: Key,
     counts: Arc<Counts>,
-    /// By name: where it is, and the letters that wait for it.
+    /// By name: where it is, and the messages that wait for it.
     out: BTreeMap<String, (String, mpsc::Sender<Written>)>,
 }
 
@@ -88,10 +88,10 @@
 }
 
 impl Post {
-    /// A post under a key; what comes in goes to `letters`.
-    pub fn new(key: Key, listener: TcpListener, letters: mpsc::Sender<Letter>) -> Self {
+    /// A post under a key; what comes in goes to `messages`.
+    pub fn new(key: Key, listener: TcpListener, messages: mpsc::Sender<Message>) -> Self {
         let counts = Arc::new(Counts::default());
-        tokio::spawn(receive(key.clone(), listener, letters, counts.clone()));
+        tokio::spawn(receive(key.clone(), listener, messages, counts.clone()));
         Post { key, counts, out: BTreeMap::new() }
     }
 
@@ -100,16 +100,16 @@
         &self.counts
     }
 
-    /// Sends a letter to whoever is there, under that name.
-    pub fn send(&mut self, name: &str, address: &str, letter: &Letter) {
+    /// Sends a message to whoever is there, under that name.
+    pub fn send(&mut self, name: &str, address: &str, message: &Message) {
         let gone = |(at, out): &(String, mpsc::Sender<_>)| at != address || out.is_closed();
         if self.out.get(name).is_none_or(gone) {
-            let (out, letters) = mpsc::channel(QUEUE);
-            tokio::spawn(deliver(self.key.clone(), address.to_owned(), letters, self.counts.clone()));
+            let (out, messages) = mpsc::channel(QUEUE);
+            tokio::spawn(deliver(self.key.clone(), address.to_owned(), messages, self.counts.clone()));
             self.out.insert(name.to_owned(), (address.to_owned(), out));
         }
         if let Some((_, out)) = self.out.get(name)
-            && out.try_send((letter.kind(), letter.write())).is_err()
+            && out.try_send((message.kind(), message.write())).is_err()
         {
             self.counts.dropped.fetch_add(1, Ordering::Relaxed);
         }
@@ -137,11 +137,11 @@
     Ok((stream, sealer))
 }
 
-/// Delivers letters to one member, over one link after another.
-async fn deliver(key: Key, address: String, mut letters: mpsc::Receiver<Written>, counts: Arc<Counts>) {
+/// Delivers messages to one member, over one link after another.
+async fn deliver(key: Key, address: String, mut messages: mpsc::Receiver<Written>, counts: Arc<Counts>) {
     let mut link: Option<(TcpStream, Sealer)> = None;
     let mut told = false;
-    while let Some((kind, letter)) = letters.recv().await {
+    while let Some((kind, message)) = messages.recv().await {
         if link.is_none() {
             match within(dial(&key, &address)).await {
                 Ok(opened) => (link, told) = (Some(opened), false),
@@ -152,7 +152,7 @@
                     }
                     // What waited is too old by the next try.
                     let mut dropped = 1;
-                    while letters.try_recv().is_ok() {
+                    while messages.try_recv().is_ok() {
                         dropped += 1;
                     }
                     counts.dropped.fetch_add(dropped, Ordering::Relaxed);
@@ -162,22 +162,22 @@
             }
         }
         let Some((stream, sealer)) = &mut link else { continue };
-        let head = match sealer.seal(&letter) {
+        let head = match sealer.seal(&message) {
             Ok(head) => head,
             Err(e) => {
-                tracing::error!(error = %e, "a letter can't be sent");
+                tracing::error!(error = %e, "a message can't be sent");
                 continue;
             }
         };
         let write = async {
             stream.write_all(&head).await?;
-            stream.write_all(&letter).await
+            stream.write_all(&message).await
         };
         match within(write).await {
             Ok(()) => {
                 counts.sent.fetch_add(1, Ordering::Relaxed);
-                counts.bytes.fetch_add((HEAD + letter.len()) as u64, Ordering::Relaxed);
-                counts.out[kind as usize].add(HEAD + letter.len());
+                counts.bytes.fetch_add((HEAD + message.len()) as u64, Ordering::Relaxed);
+                counts.out[kind as usize].add(HEAD + message.len());
             }
             Err(_) => {
                 counts.dropped.fetch_add(1, Ordering::Relaxed);
@@ -187,7 +187,7 @@
     }
 }
 
-async fn receive(key: Key, listener: TcpListener, letters: mpsc::Sender<Letter>, counts: Arc<Counts>) {
+async fn receive(key: Key, listener: TcpListener, messages: mpsc::Sender<Message>, counts: Arc<Counts>) {
     let room = Arc::new(Semaphore::new(LINKS));
     loop {
         let Ok(place) = room.clone().acquire_owned().await else { return };
@@ -199,9 +199,9 @@
                 continue;
             }
         };
-        let (key, letters, counts) = (key.clone(), letters.clone(), counts.clone());
+        let (key, messages, counts) = (key.clone(), messages.clone(), counts.clone());
         tokio::spawn(async move {
-            if let Err(e) = read(&key, stream, &letters, &counts).await
+            if let Err(e) = read(&key, stream, &messages, &counts).await
                 && e.kind() == io::ErrorKind::InvalidData
             {
                 counts.rubbish.fetch_add(1, Ordering::Relaxed);
@@ -213,7 +213,7 @@
 }
 
 async fn read(
-    key: &Key, stream: TcpStream, letters: &mpsc::Sender<Letter>, counts: &Counts,
+    key: &Key, stream: TcpStream, messages: &mpsc::Sender<Message>, counts: &Counts,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut stream = BufReader::new(stream);
@@ -232,17 +232,18 @@
             Err(_) => return Ok(()),
         }
         let length = Sealer::length(&head).map_err(rubbish)?;
-        let mut letter = Vec::new();
+        let mut message = Vec::new();
         // Room grows with what comes, so that a length alone takes none.
-        match timeout(SILENCE, (&mut stream).take(length as u64).read_to_end(&mut letter)).await {
+        match timeout(SILENCE, (&mut stream).take(length as u64).read_to_end(&mut message)).await {
             Ok(Ok(read)) if read == length => {}
             _ => return Err(io::ErrorKind::UnexpectedEof.into()),
         }
-        sealer.check(&head, &letter).map_err(rubbish)?;
-        let letter = Letter::read(&letter);
-        let letter = letter.ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, "it is no letter"))?;
-        counts.incoming[letter.kind() as usize].add(HEAD + length);
-        if letters.send(letter).await.is_err() {
+        sealer.check(&head, &message).map_err(rubbish)?;
+        let message = Message::read(&message);
+        let message =
+            message.ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, "it is no message"))?;
+        counts.incoming[message.kind() as usize].add(HEAD + length);
+        if messages.send(message).await.is_err() {
             return Ok(()); // the member has ended
         }
     }
--- a/crates/links/src/status.rs
+++ b/crates/links/src/status.rs
@@ -38,8 +38,8 @@
     /// Its disk was found to have been put back from a copy since the start, and it has joined anew.
     #[serde(default)]
     pub put_back: bool,
-    /// Letters sent, their bytes, letters dropped, and links ended for rubbish.
-    pub letters: [u64; 4],
+    /// Messages sent, their bytes, messages dropped, and links ended for rubbish.
+    pub messages: [u64; 4],
     /// Changes whose end was heard of here since the start: in effect, and given up.
     #[serde(default)]
     pub changes: [u64; 2],
--- a/crates/links/tests/links.rs
+++ b/crates/links/tests/links.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use links::frame::{ANSWER, Key, OPENING, opened, opening};
-use links::letter::{Body, Letter, Sender};
+use links::message::{Body, Message, Sender};
 use links::post::Post;
 use store::log::{Append, Log, Logged};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -11,42 +11,42 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-fn letter(n: usize) -> Letter {
+fn message(n: usize) -> Message {
     let from = Sender { name: "a".into(), address: "127.0.0.1:1".into(), id: 1, cluster: "c".into() };
-    Letter { from, body: Body::Ask { names: vec!["n".repeat(n)] } }
+    Message { from, body: Body::Ask { names: vec!["n".repeat(n)] } }
 }
 
-async fn post(key: &Key) -> (Post, mpsc::Receiver<Letter>, String) {
+async fn post(key: &Key) -> (Post, mpsc::Receiver<Message>, String) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
-    let (put, letters) = mpsc::channel(64);
-    (Post::new(key.clone(), listener, put), letters, address)
+    let (put, messages) = mpsc::channel(64);
+    (Post::new(key.clone(), listener, put), messages, address)
 }
 
 #[tokio::test]
-async fn letters_come_in_order_also_after_a_link_was_lost() {
+async fn messages_come_in_order_also_after_a_link_was_lost() {
     let key = Key::new("c", b"0123456789abcdef");
     let (mut here, _, _) = post(&key).await;
-    let (there, mut letters, address) = post(&key).await;
+    let (there, mut messages, address) = post(&key).await;
     for n in [1, 100_000, 3] {
-        here.send("b", &address, &letter(n));
-        assert_eq!(letters.recv().await.unwrap(), letter(n));
+        here.send("b", &address, &message(n));
+        assert_eq!(messages.recv().await.unwrap(), message(n));
     }
     assert_eq!(here.counts().sent.load(Ordering::Relaxed), 3);
     // Nobody is there: what is for it is dropped, and nothing waits.
-    here.send("nobody", "127.0.0.1:1", &letter(1));
+    here.send("nobody", "127.0.0.1:1", &message(1));
     while here.counts().dropped.load(Ordering::Relaxed) == 0 {
         tokio::task::yield_now().await;
     }
-    here.send("b", &address, &letter(7));
-    assert_eq!(letters.recv().await.unwrap(), letter(7));
+    here.send("b", &address, &message(7));
+    assert_eq!(messages.recv().await.unwrap(), message(7));
     assert_eq!(there.counts().rubbish.load(Ordering::Relaxed), 0);
 }
 
 #[tokio::test]
-async fn a_letter_that_is_changed_played_again_or_too_long_ends_its_link() {
+async fn a_message_that_is_changed_played_again_or_too_long_ends_its_link() {
     let key = Key::new("c", b"0123456789abcdef");
-    let (there, mut letters, address) = post(&key).await;
+    let (there, mut messages, address) = post(&key).await;
     for (n, how) in ["changed", "again", "long"].iter().enumerate() {
         let mut stream = TcpStream::connect(&address).await.unwrap();
         let drawn = [7; 16];
@@ -55,11 +55,11 @@
         let mut answer = [0; ANSWER];
         stream.read_exact(&mut answer).await.unwrap();
         let mut sealer = opened(&key, drawn, &answer).unwrap();
-        let mut bytes = letter(5).write();
+        let mut bytes = message(5).write();
         let mut head = sealer.seal(&bytes).unwrap();
         stream.write_all(&head).await.unwrap();
         stream.write_all(&bytes).await.unwrap();
-        assert_eq!(letters.recv().await.unwrap(), letter(5), "a good one first");
+        assert_eq!(messages.recv().await.unwrap(), message(5), "a good one first");
         match *how {
             "changed" => {
                 head = sealer.seal(&bytes).unwrap();
@@ -77,7 +77,7 @@
             tokio::task::yield_now().await;
         }
     }
-    assert!(letters.try_recv().is_err());
+    assert!(messages.try_recv().is_err());
 }
 
 #[test]
