--- a/crates/lab/src/capacity/servers.rs
+++ b/crates/lab/src/capacity/servers.rs
@@ -31,6 +31,8 @@
 const ROUNDS: usize = 12;
 /// Connections of the clients of a closed load.
 const CLIENTS: u64 = 8;
+/// Connections of the clients that ask at the target's rate.
+const PACED: u64 = 4;
 /// Requests a second that a proxy gets at the target.
 pub const RATE: f64 = 144.0;
 /// When the memory of a start is looked at.
@@ -179,7 +181,7 @@
     let began = Instant::now();
     let mut service = begin(command, &place, stop)?;
     figures.insert("start to ready, ms".into(), ms(began));
-    let done = measured(size, care, stop, &service.1, figures);
+    let done = measured(size, care, stop, &service.1, addresses[0], figures);
     ended(&mut service.1, done)
 }
 
@@ -246,7 +248,8 @@
 }
 
 fn measured(
-    size: &Size, care: &Care, stop: &Stop, service: &Service, figures: &mut BTreeMap<String, f64>,
+    size: &Size, care: &Care, stop: &Stop, service: &Service, server: SocketAddr,
+    figures: &mut BTreeMap<String, f64>,
 ) -> io::Result<()> {
     let (id, ready) = (service.id(), Instant::now());
     let mut put = |name: &str, value: f64| {
@@ -285,10 +288,17 @@
     put("connected, idle, % of a core", over(care.span)?);
     put("connected, requests not served", lost as f64);
 
+    // The same clients at one of the servers without anything between, by which it is known what is added.
+    let gap = Some(Duration::from_secs_f64(1.0 / RATE));
+    let until = Instant::now() + care.span;
+    let directly = Load { at: server, tenants: 1, next: AtomicU64::new(0) };
+    let (seen, _) = directly.ask(PACED, gap, &|_| Instant::now() < until && !stop.is_set())?;
+    let direct = quantiles(&seen);
+    put("144 a second directly, p50, ms", direct[0]);
+    put("144 a second directly, p99, ms", direct[1]);
+
     // Busy: at the target's rate, and as fast as a few clients can.
-    for (what, clients, gap) in
-        [("144 a second", 4, Some(Duration::from_secs_f64(1.0 / RATE))), ("closed load", CLIENTS, None)]
-    {
+    for (what, clients, gap) in [("144 a second", PACED, gap), ("closed load", CLIENTS, None)] {
         stop.check()?;
         let (before, from) = (process::spent(id)?, Instant::now());
         let until = from + care.span;
@@ -299,6 +309,9 @@
         put(&format!("{what}, requests a second"), seen.len() as f64 / took.as_secs_f64());
         put(&format!("{what}, p50, ms"), quantiles(&seen)[0]);
         put(&format!("{what}, p99, ms"), quantiles(&seen)[1]);
+        if gap.is_some() {
+            put(&format!("{what}, p99 less the direct one, ms"), quantiles(&seen)[1] - direct[1]);
+        }
         put(&format!("{what}, not served"), lost as f64);
     }
     put("busy, memory, MiB", process::memory(id)?.resident);
@@ -329,7 +342,7 @@
 }
 
 /// What lines are drawn of.
-const LINES: [&str; 9] = [
+const LINES: [&str; 10] = [
     "known, memory, MiB",
     "known, first seconds, % of a core",
     "known, idle, % of a core",
@@ -338,5 +351,6 @@
     "connected, idle, % of a core",
     "144 a second, % of a core",
     "144 a second, us of processor a request",
+    "144 a second, p99 less the direct one, ms",
     "closed load, us of processor a request",
 ];
