--- a/crates/lab/src/capacity/tenants.rs
+++ b/crates/lab/src/capacity/tenants.rs
@@ -354,12 +354,15 @@
     put("refused before the first answer", refused);
     put("processor time to first answer, ms", process::spent(id)?.all());
     put("memory at ready, MiB", process::memory(id)?.resident);
-    let at_ready = process::spent(id)?;
+    // A first answer that comes later leaves nothing of the first seconds to measure.
+    let (at_ready, in_time) = (process::spent(id)?, ready.elapsed() < care.first);
     stop.sleep(SETTLED.min(care.first).saturating_sub(ready.elapsed()))?;
     put("memory, MiB", process::memory(id)?.resident);
     stop.sleep(care.first.saturating_sub(ready.elapsed()))?;
     let part = |spent: Spent, over: Duration| 100.0 * spent.all() / (1000.0 * over.as_secs_f64());
-    put("first seconds, % of a core", part(process::spent(id)?.since(&at_ready), ready.elapsed()));
+    if in_time {
+        put("first seconds, % of a core", part(process::spent(id)?.since(&at_ready), ready.elapsed()));
+    }
     stop.sleep(care.rest.saturating_sub(ready.elapsed()))?;
     let (before, from) = (process::spent(id)?, Instant::now());
     stop.sleep(care.idle)?;
@@ -413,8 +416,11 @@
         let seen = asking.join().map_err(|_| io::Error::other("a client panicked"))?;
         slept.and(seen)
     })?;
-    put("busy lookups after a restart p50, ms", quantiles(&seen)[0]);
-    put("busy lookups after a restart p99, ms", quantiles(&seen)[1]);
+    // Where none was answered there is no quantile, and no zero.
+    if !seen.is_empty() {
+        put("busy lookups after a restart p50, ms", quantiles(&seen)[0]);
+        put("busy lookups after a restart p99, ms", quantiles(&seen)[1]);
+    }
     put("busy lookups after a restart not served", lost as f64);
     Ok(())
 }
