Add up what sizes that are played side by side need, before anything starts

Change: members::fits holds the sum against memory, disk and processes as well, where sizes are played side by side.

--- a/crates/lab/src/capacity/members.rs
+++ b/crates/lab/src/capacity/members.rs
@@ -717,6 +717,12 @@
         }
         Needs::of(*members, play.state_bytes, play.command.is_none()).fit(*members, &room)?;
     }
+    if play.side_by_side {
+        // All at once: what they hold adds up, while descriptors are a process's.
+        let all = sizes.iter().sum();
+        Needs { descriptors: 0, ..Needs::of(all, play.state_bytes, play.command.is_none()) }
+            .fit(all, &room)?;
+    }
     Ok(())
 }
 
--- a/crates/lab/tests/members.rs
+++ b/crates/lab/tests/members.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use lab::capacity::members::{Needs, Play, Room, in_virtual_time, play, rules, sweep};
+use lab::capacity::members::{Needs, Play, Room, fits, in_virtual_time, play, rules, sweep};
 use lab::capacity::{Fit, Point, restarts};
 
 fn hollow(command: Option<Vec<String>>, dir: &std::path::Path) -> Play {
@@ -40,6 +40,17 @@
     assert!(refused(&[6, 20_000], 0).contains("20000"), "all sizes are looked at first");
     let said = refused(&[900], 1 << 30);
     assert!(said.contains("900") && said.contains("half of the machine's"), "{said}");
+    // Sizes side by side may fit one by one, and not together.
+    let room = Room::here(&dir).unwrap();
+    let state_bytes = (room.memory / 48).min(room.disk / 36) as usize;
+    let how = |side_by_side| Play {
+        state_bytes,
+        side_by_side,
+        ..hollow(Some(vec!["/nowhere/at/all".into()]), &dir)
+    };
+    fits(&how(false), &[6, 7, 8]).unwrap();
+    let said = fits(&how(true), &[6, 7, 8]).unwrap_err().to_string();
+    assert!(said.contains("21 need") && said.contains("half of"), "{said}");
     let entries = std::fs::read_dir(&dir).unwrap().count();
     assert_eq!(entries, 0, "no log of a member was made");
     std::fs::remove_dir_all(&dir).unwrap();
