Narrow the pooled window by what servers tell of their load

Excluded, by counts over all proxies: refusals while slots were open (under 1 %), cold budgets (0.6 to 1 % with nothing open), spoilt answers and clients that leave (3 to 5 %), a window too small. Cause: choice.rs, heed. Answers within four times the calm latency widen the window, and calm was learnt in the crowd: 100 ms, where half the answers of the first seconds took 22 to 38. What servers tell with each answer (X-Server-Load) was not read. Change: an answer whose server tells of over CALM / ln 2 requests a core narrows the window.

--- a/crates/engine/src/driver.rs
+++ b/crates/engine/src/driver.rs
@@ -25,6 +25,7 @@
 use crate::hosts::Host;
 use crate::inbox::{Answer, Arrival, FAILED, GONE, Inbox, Input, REFUSED, SERVED};
 use crate::lifecycle::Life;
+use crate::load;
 use crate::message::{Outgoing, Reply};
 use crate::note;
 use crate::peers::Peers;
@@ -338,6 +339,9 @@
         if upload.as_ref().is_some_and(|u| u.is_touched()) {
             self.handle(Event::Spent(request));
         }
+        if let Some(load) = reply.as_ref().and_then(|r| load::told(&r.headers)) {
+            self.handle(Event::Load { request, attempt, load });
+        }
         if upload.is_some_and(|u| u.is_lost()) && self.close(request, GONE).is_some() {
             self.handle(Event::Abandoned(request));
         }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -22,6 +22,7 @@
 mod inbox;
 mod inherited;
 pub mod lifecycle;
+pub mod load;
 mod log;
 mod message;
 pub mod objects;
--- a/crates/engine/tests/sockets/mod.rs
+++ b/crates/engine/tests/sockets/mod.rs
@@ -294,6 +294,8 @@
     /// Of every class; its aim is four fifths of it.
     pub deadline: u32,
     pub may_tell: Option<(SocketAddr, SocketAddr)>,
+    /// How many proxies share the servers, where they can't tell each other anything.
+    pub proxies: u32,
     /// Descriptors that the system allows the process.
     pub descriptors: Option<u32>,
     /// The text of the features' settings; `None` starts the proxy without the flag.
@@ -318,6 +320,7 @@
             dial_timeout: 400,
             deadline: 5000,
             may_tell: None,
+            proxies: 1,
             descriptors: None,
             properties: None,
             unread: false,
@@ -349,7 +352,7 @@
         setup.memory_mb,
         setup.sockets,
         setup.known,
-        if tells { 2 } else { 1 },
+        if tells { 2 } else { setup.proxies },
         if setup.asks { "on_request" } else { "pushed" },
         setup.dial_timeout,
         setup.idle_close,
--- a/crates/wharfhitch/src/choice.rs
+++ b/crates/wharfhitch/src/choice.rs
@@ -38,6 +38,7 @@
 const UNMEASURED: f64 = 0.5; // part of a new kind's slots, lest a jam from the start pass for calm
 const LATE: f64 = 0.5; // part of the aim past which an answer says that the pooled servers are crowded
 const CALM: f64 = 4.0; // and times the latency of calm servers past which it says so
+const CROWD: f64 = CALM / std::f64::consts::LN_2; // requests a core holds where half of them take that long
 const WINDOW_CUT: f64 = 0.9; // by which such an answer shrinks the in-flight window
 const WINDOW_FIRST: f64 = 4.0; // requests that a proxy may have out at its start
 const WINDOW_LEAST: f64 = 1.0; // and always
@@ -201,6 +202,7 @@
             Event::Ended { request, attempt, latency, outcome, closed, .. } => {
                 self.ended(now, request, attempt as usize, latency, outcome, closed, out);
             }
+            Event::Load { request, attempt, load } => return self.note(request, attempt as usize, load),
             Event::Abandoned(id) => self.finish(id),
             Event::Timer(0) => self.tick(now, out),
             Event::Timer(token) => self.answer(RequestId(token - 1), out), // its time is up
@@ -486,10 +488,12 @@
     /// An answer from a warm server fits the window: one that eats up its aim, or took far longer than on
     /// calm servers, narrows it. The aim alone lets many proxies crowd few servers until they hold several
     /// times what they work on, and then do less. A server that is slow by itself says nothing of others.
-    fn heed(&mut self, k: usize, class: usize, latency: Millis, size: f64) {
+    fn heed(&mut self, k: usize, class: usize, latency: Millis, size: f64, load: Load) {
         let kind = &self.kinds[self.servers[k].kind];
         let calm = kind.core / self.mean * self.class_ms[class].0 * size;
-        let good = latency < (CALM * calm).min(LATE * self.cfg.classes[class].aim);
+        // Calm may have been learnt in a crowd: what the server tells of itself goes before it.
+        let crowded = load.per_core(self.servers[k].cores).is_some_and(|n| n > CROWD);
+        let good = !crowded && latency < (CALM * calm).min(LATE * self.cfg.classes[class].aim);
         if good || self.servers[k].slow.0 <= OUTLIER * kind.slow.0 {
             self.fit_window(good);
         }
@@ -540,7 +544,7 @@
         };
         self.kinds[which].cores = cores.max(1.0);
         let s = &mut self.servers[k];
-        (s.room, s.mine) = (room, mine);
+        (s.cores, s.room, s.mine) = (cores.max(1.0), room, mine);
         s.weight = 1.0 / (s.info.rating * s.warmth).max(1e-6);
     }
 
@@ -704,6 +708,12 @@
         }
     }
 
+    /// Takes in what an answer tells of its server's load.
+    fn note(&mut self, id: RequestId, attempt: usize, load: Load) {
+        let attempt = self.requests.get_mut(&id).and_then(|r| r.attempts.get_mut(attempt));
+        attempt.into_iter().for_each(|a| a.load = load);
+    }
+
     fn ended(
         &mut self, now: Millis, id: RequestId, attempt: usize, latency: Millis, outcome: Outcome,
         closed: bool, out: &mut Vec<Action>,
@@ -745,7 +755,7 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(a) = r.attempts.get_mut(attempt) else { return };
         (a.over, a.ran) = (true, outcome.may_have_run());
-        let (k, lone, silent, budgeted) = (a.server, a.lone, a.silent, a.budgeted);
+        let (k, lone, load, silent, budgeted) = (a.server, a.lone, a.load, a.silent, a.budgeted);
         let (class, size, home) = (r.class, r.size, r.home);
         self.running.retain(|o| *o != id);
         self.silent -= usize::from(silent);
@@ -763,7 +773,7 @@
         match outcome {
             Outcome::Served => {
                 if !budgeted {
-                    self.heed(k, class, latency, size);
+                    self.heed(k, class, latency, size, load);
                 }
                 self.learn(k, class, latency / size, home == Some(k), lone);
                 self.judge(k, class, outcome, now);
--- a/crates/wharfhitch/src/interface.rs
+++ b/crates/wharfhitch/src/interface.rs
@@ -235,6 +235,23 @@
     }
 }
 
+/// A load report: what a server held some time ago, as it told with an answer. Late and noisy.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests that it had in hand.
+    pub in_hand: Option<f64>,
+    /// Requests that waited there.
+    pub waiting: Option<f64>,
+}
+
+impl Load {
+    /// How many requests there were to one of so many cores; none if nothing was told. Where only those that
+    /// wait are told, each core is taken to have one in work.
+    pub fn per_core(self, cores: f64) -> Option<f64> {
+        self.in_hand.map(|n| n / cores).or(self.waiting.map(|n| if n > 0.0 { 1.0 + n / cores } else { 0.0 }))
+    }
+}
+
 /// What a proxy sees.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -305,6 +322,15 @@
         /// How many there are; 1 at least.
         proxies: u32,
     },
+    /// What the answer of an attempt told of its server's load; the attempt's end follows.
+    Load {
+        /// The request.
+        request: RequestId,
+        /// Its attempt.
+        attempt: u32,
+        /// What it told.
+        load: Load,
+    },
     /// An attempt has ended.
     Ended {
         /// The request.
--- a/crates/wharfhitch/src/records.rs
+++ b/crates/wharfhitch/src/records.rs
@@ -39,6 +39,7 @@
     pub tokens_at: Millis,
     pub grant: f64,                // the most that a request may take of it for one send
     pub kind: usize,               // its kind of machine; 0 if none is told
+    pub cores: f64,                // its cores, as its size tells
     pub room: f64,                 // slots for all proxies together
     pub mine: f64,                 // those of them that are this proxy's own
     pub owned: Option<(u32, u32)>, // of so many slots, how many are this proxy's own by the hash
@@ -71,6 +72,7 @@
             tokens_at: now,
             grant: f64::INFINITY,
             kind: 0,
+            cores: 1.0,
             room: 1.0,
             mine: 0.0,
             owned: None,
@@ -141,6 +143,7 @@
     pub over: bool,
     pub budgeted: bool, // its server was cold
     pub lone: bool,     // it found the server idle
+    pub load: Load,     // of its server, as its answer tells
     pub silent: bool,   // it was out for so long that its server was blamed
     pub ran: bool,      // it runs or may have run
 }
--- a/crates/wharfhitch/src/state.rs
+++ b/crates/wharfhitch/src/state.rs
@@ -100,7 +100,8 @@
         self.dequeue(id);
         let budgeted = self.servers[server].budgeted();
         let r = self.requests.get_mut(&id).expect("only known requests are sent");
-        r.attempts.push(Attempt { server, sent: now, over: false, ran: true, lone, budgeted, silent: false });
+        let (over, ran, silent, load) = (false, true, false, Load::default());
+        r.attempts.push(Attempt { server, sent: now, over, ran, lone, load, budgeted, silent });
         self.budgeted += usize::from(budgeted);
         self.running.push(id);
     }
--- a/crates/wharfhitch/tests/choice.rs
+++ b/crates/wharfhitch/tests/choice.rs
@@ -684,6 +684,43 @@
     assert!(out <= 2, "{out} out among servers that take ten times as long as when calm");
 }
 
+/// One of 32 proxies before twelve servers of one core, which answer in 250 ms from the first request on.
+fn among_small_servers(load: fn(usize) -> Load) -> Hand {
+    let small = |id| Backend { rating: 1.0, ..server(id) };
+    let mut hand = Hand::new(settings(32), (0..12).map(small).collect());
+    hand.load = load;
+    hand
+}
+
+#[test]
+fn a_crowd_that_servers_tell_of_narrows_the_window_where_calm_was_learnt_in_it() {
+    // Seen on throng+brink: twenty in hand at each server of one core from the start, so that what they took passed
+    // for calm, and answers within four times of that widened the window.
+    let out = |load| among_small_servers(load).drive(6000, 12, |_, _| 250.0).1.len();
+    for (load, why) in [
+        ((|_| Load { in_hand: Some(20.0), waiting: Some(0.0) }) as fn(usize) -> Load, "in hand"),
+        (|_| Load { in_hand: None, waiting: Some(20.0) }, "waiting alone"),
+    ] {
+        assert!(out(load) <= 2, "{why}: {}", out(load));
+    }
+    for (load, why) in [
+        ((|_| Load::default()) as fn(usize) -> Load, "nothing is told"),
+        (|_| Load { in_hand: Some(4.0), waiting: Some(9.0) }, "few in hand go before those that wait"),
+        (|_| Load { in_hand: None, waiting: Some(3.0) }, "few wait"),
+    ] {
+        assert!(out(load) >= 6, "{why}: {}", out(load));
+    }
+}
+
+#[test]
+fn a_load_is_told_for_each_core() {
+    let told = |in_hand, waiting| Load { in_hand, waiting };
+    assert_eq!(told(None, None).per_core(2.0), None);
+    assert_eq!(told(Some(6.0), Some(40.0)).per_core(2.0), Some(3.0), "what is in hand goes first");
+    assert_eq!(told(None, Some(6.0)).per_core(2.0), Some(4.0), "and those in work beside");
+    assert_eq!(told(None, Some(0.0)).per_core(2.0), Some(0.0), "none may be in work");
+}
+
 #[test]
 fn servers_that_are_slow_by_themselves_do_not_narrow_the_window() {
     // Keys at home on slow servers keep asking there.
--- a/crates/wharfhitch/tests/common/mod.rs
+++ b/crates/wharfhitch/tests/common/mod.rs
@@ -74,6 +74,8 @@
     pub now: Millis,
     /// Of how many keys `drive` asks in turn; 0 if requests have none.
     pub keys: u64,
+    /// What the n-th answer tells of its server's load.
+    pub load: fn(usize) -> Load,
     timers: Vec<(Millis, u64)>,
 }
 
@@ -83,7 +85,8 @@
     }
 
     pub fn seeded(settings: Settings, servers: Vec<Backend>, seed: u64) -> Self {
-        let mut hand = Hand { balancer: Balancer::new(settings, seed), now: 1000.0, keys: 0, timers: vec![] };
+        let balancer = Balancer::new(settings, seed);
+        let mut hand = Hand { balancer, now: 1000.0, keys: 0, load: |_| Load::default(), timers: vec![] };
         hand.give(full(servers));
         hand
     }
@@ -134,6 +137,7 @@
     ) -> (Vec<(Millis, u64, u64)>, Vec<u64>) {
         let mut all = vec![];
         let mut out: Vec<(u64, u64, Millis, Millis)> = vec![]; // until when, and its latency
+        let mut answers = 0;
         for step in 0..span {
             let mut actions = self.pass(1.0);
             if step % every == 0 {
@@ -147,6 +151,9 @@
             let (over, still) = out.into_iter().partition::<Vec<_>, _>(|o| o.2 <= now);
             out = still;
             for (id, _, _, latency) in over {
+                let load = (self.load)(answers);
+                answers += 1;
+                actions.extend(self.give(Event::Load { request: RequestId(id), attempt: 0, load }));
                 actions.extend(self.give(ended(id, 0, latency, Outcome::Served)));
             }
             for (id, to) in sends(&actions) {
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -60,6 +60,9 @@
                     }
                 }
                 let Some(instance) = instances.get_mut(&id) else { continue };
+                if let Some(load) = instance.load(name, &fields).map_err(at)? {
+                    instance.handle(now, load, id, &mut reply);
+                }
                 let Some(event) = instance
                     .event(name, &fields, &items)
                     .map_err(|e| if e.starts_with("line ") { e } else { at(e) })?
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -7,8 +7,8 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use rustc_hash::FxHashMap;
 use wharfhitch::{
-    Action, Backend, BackendId, Balancer, CellId, ClassId, Event, Key, KindId, Outcome, RequestId, Scope,
-    State, TenantId, ZoneId,
+    Action, Backend, BackendId, Balancer, CellId, ClassId, Event, Key, KindId, Load, Outcome, RequestId,
+    Scope, State, TenantId, ZoneId,
 };
 
 use settings::{Names, index_of, number_of};
@@ -161,6 +161,27 @@
         Ok(self.ids.get(fields.text("rid")?).copied().map(RequestId))
     }
 
+    /// What an outcome tells of its server's load, to be handed in before it; values of other names mean nothing here.
+    pub fn load(&self, name: &str, fields: &Fields) -> Result<Option<Event>, String> {
+        let (true, Some(told)) = (name == "OUTCOME", fields.get("feedback")) else { return Ok(None) };
+        let Some(request) = self.request(fields)? else { return Ok(None) };
+        let mut load = Load::default();
+        for pair in told.split(',').filter(|p| !p.is_empty()) {
+            let (name, value) =
+                pair.split_once(':').ok_or_else(|| format!("'feedback': '{pair}' has no ':'"))?;
+            let count = || match value.parse::<f64>() {
+                Ok(n) if n.is_finite() => Ok(Some(n.max(0.0))),
+                _ => Err(format!("'feedback': '{pair}' is no number")),
+            };
+            match name {
+                "busy_reqs" => load.in_hand = count()?,
+                "pending" => load.waiting = count()?,
+                _ => {}
+            }
+        }
+        Ok(Some(Event::Load { request, attempt: fields.whole("sendNo")? as u32, load }))
+    }
+
     /// Translates a line; `None` for what means nothing to this proxy any more.
     pub fn event(
         &mut self, name: &str, fields: &Fields, items: &[(usize, String)],
--- a/crates/wirehost/tests/adapter.rs
+++ b/crates/wirehost/tests/adapter.rs
@@ -61,6 +61,33 @@
     assert!(out.contains("rid=r-1"), "{out}");
 }
 
+/// Serves so many requests one after the other, each of which tells of such a load, then asks for ten at once.
+fn sent_at_once_after(load: &str) -> usize {
+    let params = PARAMS.replace("\"nInstances\":1", "\"nInstances\":32");
+    let mut input = format!("FRAME\tts=10\n{}GO\n", start(0).replace(PARAMS, &params));
+    let ask = |n: usize| format!("ARRIVAL\ti=0\trid=r-{n}\ttierClass=odd\ttimeBudget=900\n");
+    for n in 0..40 {
+        let (at, end) = (20 + 100 * n, 60 + 100 * n);
+        input += &format!("FRAME\tts={at}\n{}GO\nFRAME\tts={end}\n", ask(n));
+        input += &format!(
+            "OUTCOME\ti=0\trid=r-{n}\tbackend=b.one\tlatency=40\tsendNo=0\tclosed=1\treason=completed\tfeedback={load}\nGO\n"
+        );
+    }
+    let burst: String = (100..110).map(ask).collect();
+    input += &format!("FRAME\tts=5000\n{burst}GO\n");
+    let (ok, out, err) = wirehost(&input);
+    assert!(ok, "{err}");
+    out.split("EOR\n").nth(81).unwrap().matches("SUBMIT_TO").count()
+}
+
+#[test]
+fn what_outcomes_tell_of_a_crowd_narrows_the_window() {
+    // No more than one is out at a time, so that good answers don't widen the first window; two servers have room for two.
+    let (calm, crowded) =
+        (sent_at_once_after("failed_ps:0,busy_reqs:2"), sent_at_once_after("busy_reqs:30,pending:1"));
+    assert_eq!((calm, crowded), (2, 1));
+}
+
 #[test]
 fn malformed_lines_end_it_with_their_number() {
     for (line, at) in [
@@ -71,6 +98,16 @@
         ("ARRIVAL\tnonsense\n", "line 6"),
         ("TOPOLOGY\ti=0\tscope=delta\tnodesList=1\nGO\n", "line 7"),
         ("NOTE_FROM\ti=0\twho=1\tmsg=***\n", "line 6"),
+        (
+            "ARRIVAL\ti=0\trid=r-1\ttierClass=page\ttimeBudget=900\n\
+          OUTCOME\ti=0\trid=r-1\tsendNo=0\treason=completed\tclosed=1\tfeedback=busy_reqs:many\n",
+            "line 7",
+        ),
+        (
+            "ARRIVAL\ti=0\trid=r-1\ttierClass=page\ttimeBudget=900\n\
+          OUTCOME\ti=0\trid=r-1\tsendNo=0\treason=completed\tclosed=1\tfeedback=pending\n",
+            "line 7",
+        ),
     ] {
         let (ok, _, err) = wirehost(&format!("FRAME\tts=10\n{}{line}GO\n", start(0)));
         assert!(!ok, "accepted {line}");
