Name the place of load reports among the engine's layers

Cause: layers.rs, which holds each part of the engine to those below it, failed on driver.rs using load.rs. Change: load stands below the driver. Measured: the test passes.

--- a/crates/engine/tests/layers.rs
+++ b/crates/engine/tests/layers.rs
@@ -19,6 +19,7 @@
     "message",
     "vars",
     "inbox",
+    "load",
     "lifecycle",
     "upstream",
     "capture",
