--- a/crates/canvascart/tests/hollow.rs
+++ b/crates/canvascart/tests/hollow.rs
@@ -13,7 +13,7 @@
 const AROUND: usize = 110;
 
 #[test]
-fn messages_and_bytes_of_hollow_members_are_those_of_real_ones_within_a_tenth() {
+fn hollow_members_idle_and_change_as_real_ones_do() {
     let directory = Directory::new();
     let mut how = Play {
         command: Some(command()),
