Open a store whose header a power failure has torn

Callers saw: after a power failure `serve` did not start ("the store is damaged: its pages are inconsistent", exit code 3), although a whole version was in the file; the remedy named was a backup.

Cause: redb 2.6.4 keeps the number of pages in the header (bytes 24 to 31) without a checksum and overwrites it in place. Torn after 29 of its bytes, one new byte stands beside three old ones; the number can then name more pages than the file has, and TransactionalMemory::new asserts file length >= layout before its recovery, which would take the number from the file's length.

Change: the store and the agreed log open their files through a storage of our own, which shows the library a header whose number of pages is that of the file's length. A file whose header has to be corrected is copied beside itself first (.before-recovery). Files that can't be a database are named with path, reason and remedy, and are not touched; before, most of them were "pages are inconsistent" or "failed to fill whole buffer".

It prints what survived of the pending writes, since the library's write order differs from run to run.

--- a/crates/admin-api/tests/service/mod.rs
+++ b/crates/admin-api/tests/service/mod.rs
@@ -6,11 +6,12 @@
 use admin_api::{AdminState, Call, Outcome, Principal, Problem, Reply, Role};
 use config_store::{Retention, Store};
 use multi_tenant::document::Service;
-use redb::Database;
 use redb::backends::InMemoryBackend;
 use serde_json::{Value, json};
 
 pub const NOW: u64 = 1_800_000_000_000;
+/// Size of the database's page cache, in bytes.
+const CACHE_BYTES: usize = 1 << 30;
 /// Number of versions that the store keeps.
 pub const KEEP: u64 = 6;
 
@@ -61,7 +62,7 @@
         let directory =
             std::env::temp_dir().join(format!("canvascart-admin-api-{}-{n}", std::process::id()));
         std::fs::create_dir_all(&directory).unwrap();
-        let memory = || Ok(Database::builder().create_with_backend(InMemoryBackend::new())?);
+        let memory = || config_store::open_database(InMemoryBackend::new(), CACHE_BYTES);
         let keep = Retention {
             versions,
             ..Retention::default()
--- a/crates/config-store/src/error.rs
+++ b/crates/config-store/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors of the store and of the raft log file.
 
 use std::io;
+use std::path::Path;
 
 /// Failure of a store operation; the message names the operator's next step.
 #[derive(Debug, thiserror::Error)]
@@ -84,6 +85,18 @@
     Empty,
 }
 
+impl StoreError {
+    /// Names the file in the reason of a corruption.
+    pub(crate) fn in_file(self, path: &Path) -> Self {
+        match self {
+            StoreError::Corrupted(reason) => {
+                StoreError::Corrupted(format!("{}: {reason}", path.display()))
+            }
+            other => other,
+        }
+    }
+}
+
 impl From<redb::Error> for StoreError {
     fn from(error: redb::Error) -> Self {
         match error {
--- a/crates/config-store/src/integrity.rs
+++ b/crates/config-store/src/integrity.rs
@@ -1,7 +1,8 @@
 //! Verification of a whole database: page checksums, record checksums, and references between records.
 
-use redb::{Database, ReadTransaction, ReadableTable as _, ReadableTableMetadata as _};
+use redb::{ReadTransaction, ReadableTable as _, ReadableTableMetadata as _};
 
+use crate::database::RecoverableDatabase;
 use crate::error::StoreError;
 use crate::queries;
 use crate::tables::{
@@ -13,8 +14,8 @@
 ///
 /// # Errors
 /// The first inconsistency, as [`StoreError::Corrupted`], or the database can't be read.
-pub fn verify(database: &mut Database) -> Result<(), StoreError> {
-    if !database.check_integrity()? {
+pub fn verify(database: &mut RecoverableDatabase) -> Result<(), StoreError> {
+    if !database.verify_pages()? {
         return Err(corrupted("the database was repaired; check it again"));
     }
     queries::state(database)?;
--- a/crates/config-store/src/lib.rs
+++ b/crates/config-store/src/lib.rs
@@ -20,8 +20,10 @@
 mod checksum;
 mod commit;
 mod corruption;
+mod database;
 mod error;
 mod export;
+mod header;
 mod integrity;
 mod migration;
 mod queries;
@@ -33,6 +35,7 @@
 mod tables;
 mod transaction;
 
+pub use database::{RecoverableDatabase, open_database};
 pub use error::StoreError;
 pub use export::{export, import, restore};
 pub use record::{AuditEntry, Author, DocumentEdit, DocumentRevision, DocumentVisitor, StoreState};
--- a/crates/config-store/src/store.rs
+++ b/crates/config-store/src/store.rs
@@ -1,8 +1,6 @@
 //! The store: queries, commits, and recovery of the database after a failed commit.
 
 use std::collections::BTreeMap;
-use std::fs::File;
-use std::io::ErrorKind;
 use std::path::Path;
 
 use redb::Database;
@@ -10,6 +8,7 @@
 
 use crate::commit::commit;
 use crate::corruption::catch_corruption;
+use crate::database::{RecoverableDatabase, create_file, open_file};
 use crate::error::StoreError;
 use crate::integrity;
 use crate::migration::prepare;
@@ -25,13 +24,13 @@
 const CACHE_BYTES: usize = 4 << 20;
 
 /// Function that opens the database, from a file or from the storage of a test.
-pub type Opener = Box<dyn Fn() -> Result<Database, StoreError> + Send>;
+pub type Opener = Box<dyn Fn() -> Result<RecoverableDatabase, StoreError> + Send>;
 
 /// Documents with their revisions, the audit log, tokens and replies.
 pub struct Store {
     opener: Opener,
     /// `None` after a failure, until the database is reopened.
-    database: Option<Database>,
+    database: Option<RecoverableDatabase>,
     retention: Retention,
     version: u64,
     last_entry: u64,
@@ -46,14 +45,11 @@
         std::fs::create_dir_all(directory)?;
         let file = directory.join(FILE_NAME);
         if !file.exists() {
-            create(directory, &file)?;
+            create_file(directory, FILE_NAME, prepare)?;
         }
-        let opener = move || {
-            Ok(Database::builder()
-                .set_cache_size(CACHE_BYTES)
-                .open(&file)?)
-        };
-        Store::with_opener(Box::new(opener), retention)
+        let path = file.clone();
+        let opener = move || open_file(&file, CACHE_BYTES);
+        Store::with_opener(Box::new(opener), retention).map_err(|e| e.in_file(&path))
     }
 
     /// Opens the existing store of a directory.
@@ -117,7 +113,7 @@
     }
 
     pub(crate) fn database(&self) -> Result<&Database, StoreError> {
-        self.database.as_ref().ok_or(StoreError::Closed)
+        self.database.as_deref().ok_or(StoreError::Closed)
     }
 
     /// Returns the current version; 0 before the first.
@@ -311,15 +307,3 @@
         self.close();
     }
 }
-
-/// Creates a store under another name and renames it: a crash leaves no partial store.
-fn create(directory: &Path, file: &Path) -> Result<(), StoreError> {
-    let partial = directory.join(format!("{FILE_NAME}.new"));
-    match std::fs::remove_file(&partial) {
-        Err(e) if e.kind() != ErrorKind::NotFound => return Err(e.into()),
-        _ => {}
-    }
-    prepare(&Database::create(&partial)?)?;
-    std::fs::rename(&partial, file)?;
-    Ok(File::open(directory)?.sync_all()?)
-}
--- a/crates/config-store/tests/store.rs
+++ b/crates/config-store/tests/store.rs
@@ -121,17 +121,19 @@
                 let disk = new_disk();
                 disk.fail_at(at);
                 let acknowledged = commit_until_failure(&disk, retention, COMMITS);
-                let (mut store, state) =
-                    Store::with_opener(disk.after_crash(crash, &mut rng).opener(), retention)
-                        .unwrap_or_else(|e| panic!("boundary {at}, {crash:?}, seed {seed}: {e}"));
+                let crashed = disk.after_crash(crash, &mut rng);
+                let case = format!(
+                    "boundary {at}, {crash:?}, seed {seed}, survivors: {}",
+                    crashed.survivors()
+                );
+                let (mut store, state) = Store::with_opener(crashed.opener(), retention)
+                    .unwrap_or_else(|e| panic!("{case}: {e}"));
                 let found = number(&store, &state);
                 assert!(
                     (acknowledged..=acknowledged + 1).contains(&found),
-                    "boundary {at}, {crash:?}, seed {seed}: {found} after {acknowledged} were acknowledged"
+                    "{case}: {found} after {acknowledged} were acknowledged"
                 );
-                store
-                    .verify()
-                    .unwrap_or_else(|e| panic!("boundary {at}, {crash:?}, seed {seed}: {e}"));
+                store.verify().unwrap_or_else(|e| panic!("{case}: {e}"));
                 store
                     .commit(&numbered_transaction(store.last_entry(), found + 1))
                     .unwrap();
