Recover a store whose header is durable before its new length

Callers saw: as with a torn header, a store that does not open after a power failure, now on any disk: the header is overwritten in place, and a file system may have it on disk before it has recorded the file's new length.

Cause: redb takes the newer commit, whose pages lie beyond the file's end, and its check of that commit ends with a read error where it should find a wrong checksum and take the commit before.

Evidence: a power failure at each sync, all writes kept and the length as it was. The test's disk held until now that lengths always survive in order; that case stays, and this one is new.

Change: while a database is opened, bytes beyond the end read as zeros.

--- a/crates/config-store/src/database.rs
+++ b/crates/config-store/src/database.rs
@@ -1,10 +1,12 @@
 //! Opening of database files: their creation, their checks, and recovery after a power failure.
 //!
 //! The library recovers a database that was not closed: it takes the number of pages from the file's length, and the older of
-//! two commits if the newer one is incomplete. [`RecoveringStorage`] closes a gap of that recovery:
+//! two commits if the newer one is incomplete. [`RecoveringStorage`] closes two gaps of that recovery:
 //!
 //! - The header names the number of pages without a checksum, so that a power failure can tear it. The library rejects a
 //!   header that names more pages than the file has. It is shown a header that fits the file.
+//! - The header is overwritten in place, so that it can be durable before the file's new length is. Pages beyond the end
+//!   read as zeros, so that their commit counts as incomplete.
 
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, ErrorKind};
@@ -153,11 +155,18 @@
         self.recovering.load(Ordering::Acquire)
     }
 
-    /// Reads with a header that fits the file.
+    /// Reads with zeros for bytes beyond the end, and a header that fits the file.
     fn read_for_recovery(&self, offset: u64, length: usize) -> io::Result<Vec<u8>> {
-        let mut bytes = self.storage.read(offset, length)?;
+        let file_bytes = self.storage.len()?;
+        let stored = file_bytes.saturating_sub(offset);
+        let available = usize::try_from(stored).map_or(length, |stored| stored.min(length));
+        let mut bytes = match available {
+            0 => Vec::new(),
+            available => self.storage.read(offset, available)?,
+        };
+        bytes.resize(length, 0);
         if offset == 0 && length >= HEADER_BYTES {
-            correct_header(&mut bytes, self.storage.len()?)?;
+            correct_header(&mut bytes, file_bytes)?;
         }
         Ok(bytes)
     }
--- a/crates/config-store/tests/power_cut.rs
+++ b/crates/config-store/tests/power_cut.rs
@@ -7,6 +7,7 @@
 
 use config_store::{Author, Retention, Store, StoreError, Transaction};
 use disk::{Disk, TornHeader};
+use fastrand::Rng;
 use serde_json::json;
 
 const COMMITS: u64 = 8;
@@ -198,3 +199,24 @@
     at_each_boundary(Boundary::Sync, crash);
     at_each_boundary(Boundary::Operation, crash);
 }
+
+/// The header is written in place, so that it can be durable before the file system has recorded the file's new length.
+#[test]
+fn a_lost_change_of_the_length_leaves_one_complete_version() {
+    const SEEDS: u64 = 12;
+    let crash = |disk: &Disk, at: u64, acknowledged: u64, failures: &mut Vec<String>| {
+        if let Err(e) = check_recovery(&disk.after_lost_length(), acknowledged) {
+            failures.push(format!("boundary {at}, all writes survive: {e}"));
+        }
+        for seed in 0..SEEDS {
+            let mut rng = Rng::with_seed(at * 100 + seed);
+            let crashed = disk.after_random_length(&mut rng);
+            if let Err(e) = check_recovery(&crashed, acknowledged) {
+                failures.push(format!("boundary {at}, seed {seed}: {e}"));
+            }
+        }
+        1 + SEEDS
+    };
+    at_each_boundary(Boundary::Sync, crash);
+    at_each_boundary(Boundary::Operation, crash);
+}
