Keep the later term that a voter has named when a leader confirms a disk

Callers saw nothing at first: two members could lead in one term, each with its own entries under the same index, so that a change acknowledged by one could be missing from the other.

Cause: AmnesiaCheck::confirm_by_leader overwrote the term named by a voter's reply with the leader's lower one. A voter whose disk was restored from a copy forgets a vote in the later term; the leader before, which does not know of that term, confirms the disk, and the voter votes again in it.

The invariant checker of the simulation does not look at terms, so that no test saw it.

Change: the larger of both terms stands.

--- a/crates/cluster/src/node/amnesia_check.rs
+++ b/crates/cluster/src/node/amnesia_check.rs
@@ -84,13 +84,10 @@
     }
 
     /// Confirms the disk by a committed entry of a leader's term. The leader was elected without this member's vote after its restart,
-    /// but the member may have voted in that term before it lost state.
-    ///
-    /// Open issue: this overwrites a later term from a voter's reply, so a lost vote in that later term is not excluded any more. It
-    /// requires a leader that does not know of the later term yet; it is not proved that this can't happen.
+    /// but the member may have voted in that term before it lost state. A voter may have named a later term, which stands.
     pub fn confirm_by_leader(&mut self, term: u64) {
         self.is_confirmed = true;
-        self.latest_forgotten_vote_term = term;
+        self.latest_forgotten_vote_term = self.latest_forgotten_vote_term.max(term);
     }
 
     /// Confirms the disk on behalf of an operator.
