Create a member's log under another name, and name a damaged one

Callers saw: a member whose machine lost power while it first created its log did not start again ("invalid data"); and the message for a damaged log named commands that only help with a store.

Cause: the log was created in place, so that a crash could leave a file without its first bytes; the store has always been created under another name and renamed. Both errors shared one text.

Evidence: damaged_file.rs. On the code before, the log's messages name neither file nor remedy, and a log of zeros, which a crash during creation leaves, ends with "invalid data".

Change: one function creates both files. An empty log file, which older programs may have left, is still replaced. A damaged log's message names the file and says to start with an empty directory, as docs/recovery.md does.

--- a/crates/config-store/src/error.rs
+++ b/crates/config-store/src/error.rs
@@ -29,6 +29,11 @@
          import), or serve the last known good state with --read-only-state"
     )]
     Corrupted(String),
+    /// A checksum of a member's log does not match, or its file is no log.
+    #[error(
+        "the log is damaged: {0}; move its directory away and start with an empty one: the instance joins as a new member"
+    )]
+    CorruptedLog(String),
     /// The disk is full; the transaction was not applied.
     #[error("the disk is full; nothing has changed")]
     DiskFull,
@@ -95,6 +100,14 @@
             other => other,
         }
     }
+
+    /// Names the log file in the reason of a corruption, and the way to recover a log.
+    pub(crate) fn in_log_file(self, path: &Path) -> Self {
+        match self.in_file(path) {
+            StoreError::Corrupted(reason) => StoreError::CorruptedLog(reason),
+            other => other,
+        }
+    }
 }
 
 impl From<redb::Error> for StoreError {
@@ -104,6 +117,9 @@
             redb::Error::Io(e) if e.kind() == io::ErrorKind::InvalidData => {
                 StoreError::Corrupted(e.to_string())
             }
+            redb::Error::Io(e) if e.kind() == io::ErrorKind::UnexpectedEof => {
+                StoreError::Corrupted("pages are missing at its end".into())
+            }
             redb::Error::Io(e) => StoreError::Io(e),
             redb::Error::DatabaseAlreadyOpen => StoreError::Locked,
             redb::Error::Corrupted(reason) => StoreError::Corrupted(reason),
--- a/crates/config-store/src/raft_log.rs
+++ b/crates/config-store/src/raft_log.rs
@@ -2,18 +2,22 @@
 //!
 //! All contents are opaque bytes, each with a checksum.
 
+use std::io;
 use std::path::Path;
 
 use redb::{Database, ReadableTable, TableDefinition, TableError, WriteTransaction};
 
 use crate::checksum::{frame, verified_payload};
 use crate::corruption::catch_corruption;
+use crate::database::{RecoverableDatabase, create_file, open_file};
 use crate::error::StoreError;
 
 /// Name of the log's file in its directory.
 pub const FILE_NAME: &str = "cluster.redb";
 /// Format version that this program writes.
 const FORMAT_VERSION: u64 = 1;
+/// Size of the database's page cache, in bytes.
+const CACHE_BYTES: usize = 1 << 30;
 
 const META: TableDefinition<&str, u64> = TableDefinition::new("meta");
 const PARTS: TableDefinition<&str, &[u8]> = TableDefinition::new("parts");
@@ -66,7 +70,7 @@
 
 /// Raft log of a member. One process has it open at a time.
 pub struct RaftLog {
-    database: Database,
+    database: RecoverableDatabase,
 }
 
 impl RaftLog {
@@ -77,8 +81,22 @@
     pub fn open(directory: &Path) -> Result<(Self, LogContents), StoreError> {
         std::fs::create_dir_all(directory)?;
         let file = directory.join(FILE_NAME);
+        if is_missing_or_empty(&file)? {
+            create_file(directory, FILE_NAME, |_| Ok(()))?;
+        }
+        let opener = || open_file(&file, CACHE_BYTES);
+        RaftLog::with_opener(opener).map_err(|e| e.in_log_file(&file))
+    }
+
+    /// Opens a log through an opener, and increments its start count.
+    ///
+    /// # Errors
+    /// As [`RaftLog::open`].
+    pub fn with_opener(
+        opener: impl FnOnce() -> Result<RecoverableDatabase, StoreError>,
+    ) -> Result<(Self, LogContents), StoreError> {
         catch_corruption(|| {
-            let database = Database::create(&file)?;
+            let database = opener()?;
             verify_format(&database)?;
             record_start(&database)?;
             let contents = read_contents(&database)?;
@@ -114,6 +132,15 @@
     }
 }
 
+/// Returns whether there is no log yet. An older program that ended while it created one may have left an empty file.
+fn is_missing_or_empty(file: &Path) -> io::Result<bool> {
+    match std::fs::metadata(file) {
+        Ok(metadata) => Ok(metadata.len() == 0),
+        Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(true),
+        Err(e) => Err(e),
+    }
+}
+
 fn verify_format(database: &Database) -> Result<(), StoreError> {
     let found = match database.begin_read()?.open_table(META) {
         Ok(meta) => number(&meta, FORMAT)?,
--- a/crates/config-store/tests/damaged_file.rs
+++ b/crates/config-store/tests/damaged_file.rs
@@ -2,6 +2,7 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
+use config_store::raft_log::{self, RaftLog};
 use config_store::{Author, FILE_NAME, Retention, Store, StoreError, Transaction};
 use serde_json::json;
 
@@ -121,6 +122,36 @@
     );
 }
 
+#[test]
+fn an_unusable_log_file_is_named_with_the_remedy_and_left_as_it_is() {
+    let directory = Directory::new("log");
+    let path = directory.0.join(raft_log::FILE_NAME);
+    drop(RaftLog::open(&directory.0).unwrap());
+    let whole = fs::read(&path).unwrap();
+    for (name, bytes) in unusable_files(&whole) {
+        if bytes.is_empty() {
+            continue; // as a new log
+        }
+        fs::write(&path, &bytes).unwrap();
+        let opened = RaftLog::open(&directory.0);
+        let error = opened.err().unwrap_or_else(|| panic!("{name}: it opened"));
+        assert!(
+            matches!(error, StoreError::CorruptedLog(_)),
+            "{name}: {error}"
+        );
+        let message = error.to_string();
+        assert!(
+            message.contains(&path.display().to_string())
+                && message.contains("move its directory away"),
+            "{name}: {message}"
+        );
+        assert_eq!(fs::read(&path).unwrap(), bytes, "{name}: it was modified");
+        assert_eq!(names_of(&directory.0), [raft_log::FILE_NAME], "{name}");
+    }
+    fs::write(&path, &whole).unwrap();
+    assert_eq!(RaftLog::open(&directory.0).unwrap().1.start_count, 2);
+}
+
 /// Header and length of these files were written apart; the contents are whole.
 #[test]
 fn a_file_whose_header_does_not_fit_its_length_is_copied_and_recovered() {
@@ -168,3 +199,13 @@
         assert_eq!(names_of(&directory.0), [FILE_NAME], "{name}");
     }
 }
+
+/// A log that was being created when the machine lost power.
+#[test]
+fn a_partly_created_log_is_created_anew() {
+    let directory = Directory::new("partial");
+    let partial = directory.0.join(format!("{}.new", raft_log::FILE_NAME));
+    fs::write(&partial, vec![0; 10 * PAGE_BYTES]).unwrap();
+    assert_eq!(RaftLog::open(&directory.0).unwrap().1.start_count, 1);
+    assert_eq!(names_of(&directory.0), [raft_log::FILE_NAME]);
+}
