Revoke the lease of a registration that fails

Callers saw: after a registration that failed, a lease that nobody renews stayed in etcd for its whole TTL; a program that retries adds one each time.

Cause: Registry::register revoked the lease only if the name was in use; after eight conflicts or a rejected or failed call it returned with the lease granted. If the write had been applied and only its answer was lost, the endpoint was listed although the caller had been told of a failure.

Evidence: a_failed_registration_leaves_no_lease, with conflicts and with etcd over its space limit, which the fake server learns here. It failed before with one lease where none may be; it passes now.

Change: every failure after the grant revokes the lease. The original error is returned also where the revocation fails; then the lease ends with its TTL.

--- a/crates/etcd-fake/src/store.rs
+++ b/crates/etcd-fake/src/store.rs
@@ -42,6 +42,10 @@
     pub credentials: Option<(String, String)>,
     /// Lifetime of new tokens.
     pub token_ttl: Duration,
+    /// Set if the database has reached its size limit: values can't be stored, but deleted.
+    pub is_space_exceeded: bool,
+    /// Number of transactions whose comparisons fail, as after a change by another client.
+    pub conflicts: usize,
     tokens: BTreeMap<String, Instant>,
 }
 
@@ -79,6 +83,8 @@
             frozen_at: vec![None; members],
             credentials: None,
             token_ttl: TOKEN_TTL,
+            is_space_exceeded: false,
+            conflicts: 0,
             tokens: BTreeMap::new(),
         }
     }
@@ -220,7 +226,7 @@
     /// # Errors
     /// The lease does not exist.
     pub fn put(&mut self, member: usize, request: &PutRequest) -> StoreResult<PutResponse> {
-        self.check_lease(request)?;
+        self.check_put(request)?;
         self.revision += 1;
         let prev_kv = self.put_at(self.revision, request);
         Ok(PutResponse {
@@ -229,7 +235,12 @@
         })
     }
 
-    fn check_lease(&self, request: &PutRequest) -> StoreResult<()> {
+    fn check_put(&self, request: &PutRequest) -> StoreResult<()> {
+        if self.is_space_exceeded {
+            return Err(Box::new(Status::resource_exhausted(
+                "etcdserver: mvcc: database space exceeded",
+            )));
+        }
         if request.lease != 0 && !self.leases.contains_key(&request.lease) {
             return Err(Box::new(Status::not_found(
                 "etcdserver: requested lease not found",
@@ -325,9 +336,11 @@
     /// Runs a transaction; all of its writes share one revision.
     ///
     /// # Errors
-    /// A lease does not exist; then nothing is written.
+    /// A lease does not exist, or the database has reached its size limit; then nothing is written.
     pub fn txn(&mut self, member: usize, request: &TxnRequest) -> StoreResult<TxnResponse> {
-        let succeeded = request.compare.iter().all(|c| self.comparison_holds(c));
+        let conflicts = self.conflicts > 0;
+        self.conflicts = self.conflicts.saturating_sub(1);
+        let succeeded = !conflicts && request.compare.iter().all(|c| self.comparison_holds(c));
         let ops = if succeeded {
             &request.success
         } else {
@@ -335,7 +348,7 @@
         };
         for op in ops {
             if let Some(Request::RequestPut(put)) = &op.request {
-                self.check_lease(put)?;
+                self.check_put(put)?;
             }
         }
         let (revision, before) = (self.revision + 1, self.log.len());
@@ -436,6 +449,11 @@
         id
     }
 
+    /// Returns the number of leases.
+    pub fn lease_count(&self) -> usize {
+        self.leases.len()
+    }
+
     /// Renews a lease and returns its TTL, or `None` if it does not exist.
     pub fn renew_lease(&mut self, id: i64) -> Option<Duration> {
         let lease = self.leases.get_mut(&id)?;
--- a/crates/etcd-fake/tests/registry.rs
+++ b/crates/etcd-fake/tests/registry.rs
@@ -140,3 +140,35 @@
         unguarded.until("the list", |w| w.names() == ["s7"]).await;
     });
 }
+
+/// Number of conflicts after which an operation gives up.
+const CONFLICTS: usize = 8;
+
+#[test]
+fn a_failed_registration_leaves_no_lease() {
+    run(async {
+        let etcd = FakeEtcd::start(1).await.unwrap();
+        let registry = registry(&etcd).await;
+        let ttl = Duration::from_secs(60);
+        let lease_count = || etcd.with_store(|s| s.lease_count());
+        etcd.with_store(|s| s.conflicts = CONFLICTS);
+        let failed = registry.register("n1", &record(9001), ttl).await;
+        assert!(
+            matches!(failed, Err(RegistryError::Rejected(_))),
+            "{failed:?}"
+        );
+        assert_eq!(lease_count(), 0, "after conflicts");
+        etcd.with_store(|s| s.is_space_exceeded = true);
+        let failed = registry.register("n1", &record(9001), ttl).await;
+        assert!(
+            matches!(failed, Err(RegistryError::Rejected(_))),
+            "{failed:?}"
+        );
+        assert_eq!(lease_count(), 0, "after a rejected write");
+        etcd.with_store(|s| s.is_space_exceeded = false);
+        registry.register("n1", &record(9001), ttl).await.unwrap();
+        let taken = registry.register("n1", &record(9002), ttl).await;
+        assert_eq!(taken, Err(RegistryError::NameInUse("n1".into())));
+        assert_eq!(lease_count(), 1);
+    });
+}
--- a/crates/etcd/src/registry.rs
+++ b/crates/etcd/src/registry.rs
@@ -198,23 +198,42 @@
     /// Registers an endpoint with a lease of its own. A name that is registered with another address is not taken over.
     ///
     /// # Errors
-    /// A call of etcd fails, or the name is in use.
+    /// A call of etcd fails, or the name is in use. The lease is revoked then, as far as etcd can be reached.
     pub async fn register(
         &self,
         name: &str,
         record: &EndpointRecord,
         ttl: Duration,
     ) -> Result<Registration, RegistryError> {
+        let registration = self.grant_lease(ttl).await?;
+        let written = self.write_record(name, record, registration.lease).await;
+        if written.is_err() {
+            // A lease that is not revoked expires after its TTL.
+            let _ = self.revoke_lease(registration.lease).await;
+        }
+        written.map(|()| registration)
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<Registration, RegistryError> {
         let grant = LeaseGrantRequest {
             ttl: ttl.as_secs().max(1) as i64,
             id: 0,
         };
         let mut leases = LeaseClient::new(self.member.channel.clone());
         let lease = Self::call(leases.lease_grant(self.member.authorized_request(grant))).await?;
-        let registration = Registration {
+        Ok(Registration {
             lease: lease.id,
             ttl: Duration::from_secs(lease.ttl.max(1) as u64),
-        };
+        })
+    }
+
+    /// Writes the record of a new registration under its lease.
+    async fn write_record(
+        &self,
+        name: &str,
+        record: &EndpointRecord,
+        lease: i64,
+    ) -> Result<(), RegistryError> {
         for _ in 0..MAX_UPDATE_ATTEMPTS {
             let current = self.get(name).await?;
             let mut record = record.clone();
@@ -223,7 +242,6 @@
                 .and_then(|kv| EndpointRecord::parse(&kv.value).ok())
             {
                 if old.address != record.address && old.state != EndpointState::Removed {
-                    self.revoke_lease(registration.lease).await?;
                     return Err(RegistryError::NameInUse(name.to_owned()));
                 }
                 // Keep fields that other programs have written.
@@ -232,16 +250,11 @@
                 }
             }
             let revision = current.map_or(0, |kv| kv.mod_revision);
-            if self
-                .put_if(name, revision, &record, registration.lease)
-                .await?
-            {
-                return Ok(registration);
+            if self.put_if(name, revision, &record, lease).await? {
+                return Ok(());
             }
         }
-        Err(RegistryError::Rejected(format!(
-            "{name} is changed concurrently; giving up after {MAX_UPDATE_ATTEMPTS} attempts"
-        )))
+        Err(too_many_conflicts(name))
     }
 
     /// Writes a record if its key is still at this revision; 0 stands for a missing key.
@@ -349,9 +362,7 @@
                 return Ok(());
             }
         }
-        Err(RegistryError::Rejected(format!(
-            "{name} is changed concurrently; giving up after {MAX_UPDATE_ATTEMPTS} attempts"
-        )))
+        Err(too_many_conflicts(name))
     }
 
     /// Removes an endpoint. Its state is set to removed first, so that proxies can distinguish the removal from an expired lease.
@@ -391,6 +402,12 @@
     }
 }
 
+fn too_many_conflicts(name: &str) -> RegistryError {
+    RegistryError::Rejected(format!(
+        "{name} is changed concurrently; giving up after {MAX_UPDATE_ATTEMPTS} attempts"
+    ))
+}
+
 async fn connect_any<C: Connector>(
     connector: &C,
     settings: &Settings,
