Delete an endpoint only after its state is set to removed

Callers saw: `fleet` reported an endpoint as removed while etcd had rejected the change of its state. Proxies take a key that vanishes without that state for an expired lease, and may go on sending to the endpoint when many vanish at once (endpoints of a mass expiry are kept).

Cause: Registry::deregister took each rejection for a record that can't be read, and deleted the key: also after eight conflicts, and over etcd's space limit, where writes are rejected and deletions are not.

Evidence: an_endpoint_whose_state_is_not_set_is_not_deleted.

Change: an unreadable record is an error of its own; only after that the key is deleted without the state. Exit codes and messages stay.

--- a/crates/canvascart/src/fleet.rs
+++ b/crates/canvascart/src/fleet.rs
@@ -132,7 +132,7 @@
             match error {
                 RegistryError::Unavailable(_) => UNAVAILABLE,
                 RegistryError::NotFound(_) | RegistryError::NameInUse(_) => NOT_FOUND_OR_IN_USE,
-                RegistryError::Rejected(_) => REJECTED,
+                RegistryError::Rejected(_) | RegistryError::Unreadable(_) => REJECTED,
             }
         },
         |()| 0,
--- a/crates/etcd-fake/tests/registry.rs
+++ b/crates/etcd-fake/tests/registry.rs
@@ -172,3 +172,37 @@
         assert_eq!(lease_count(), 1);
     });
 }
+
+/// Proxies take a key that is deleted without the state before for an expired lease.
+#[test]
+fn an_endpoint_whose_state_is_not_set_is_not_deleted() {
+    run(async {
+        let etcd = FakeEtcd::start(1).await.unwrap();
+        let registry = registry(&etcd).await;
+        let ttl = Duration::from_secs(60);
+        registry.register("n1", &record(9001), ttl).await.unwrap();
+        etcd.with_store(|s| s.is_space_exceeded = true);
+        let failed = registry.deregister("n1").await;
+        assert!(
+            matches!(failed, Err(RegistryError::Rejected(_))),
+            "{failed:?}"
+        );
+        assert_eq!(
+            registry.list().await.unwrap().len(),
+            1,
+            "after a rejected write"
+        );
+        etcd.with_store(|s| (s.is_space_exceeded, s.conflicts) = (false, CONFLICTS));
+        let failed = registry.deregister("n1").await;
+        assert!(
+            matches!(failed, Err(RegistryError::Rejected(_))),
+            "{failed:?}"
+        );
+        assert_eq!(registry.list().await.unwrap().len(), 1, "after conflicts");
+        // A record that can't be read has no state to set.
+        let put = harness::put_request("n1", "not a record".into());
+        etcd.with_store(|s| s.put(0, &put).unwrap());
+        registry.deregister("n1").await.unwrap();
+        assert!(registry.list().await.unwrap().is_empty());
+    });
+}
--- a/crates/etcd/src/registry.rs
+++ b/crates/etcd/src/registry.rs
@@ -33,8 +33,10 @@
     NotFound(String),
     /// An endpoint with another address has the name.
     NameInUse(String),
-    /// etcd rejects the call, or the stored value can't be read.
+    /// etcd rejects the call.
     Rejected(String),
+    /// The stored record can't be read.
+    Unreadable(String),
 }
 
 impl fmt::Display for RegistryError {
@@ -43,7 +45,7 @@
             RegistryError::Unavailable(why) => write!(f, "etcd can't be reached: {why}"),
             RegistryError::NotFound(name) => write!(f, "there is no server \"{name}\""),
             RegistryError::NameInUse(name) => write!(f, "another server has the name \"{name}\""),
-            RegistryError::Rejected(why) => write!(f, "{why}"),
+            RegistryError::Rejected(why) | RegistryError::Unreadable(why) => write!(f, "{why}"),
         }
     }
 }
@@ -345,7 +347,7 @@
     /// Changes an endpoint's state. The other fields of its record are kept, including those that this program does not know.
     ///
     /// # Errors
-    /// The endpoint does not exist, or a call of etcd fails.
+    /// The endpoint does not exist, its record can't be read, or a call of etcd fails.
     pub async fn set_state(&self, name: &str, state: EndpointState) -> Result<(), RegistryError> {
         for _ in 0..MAX_UPDATE_ATTEMPTS {
             let kv = self
@@ -353,7 +355,7 @@
                 .await?
                 .ok_or_else(|| RegistryError::NotFound(name.to_owned()))?;
             let mut record = EndpointRecord::parse(&kv.value)
-                .map_err(|e| RegistryError::Rejected(format!("{name}: {e}")))?;
+                .map_err(|e| RegistryError::Unreadable(format!("{name}: {e}")))?;
             record.state = state;
             if self
                 .put_if(name, kv.mod_revision, &record, kv.lease)
@@ -372,7 +374,7 @@
     pub async fn deregister(&self, name: &str) -> Result<(), RegistryError> {
         match self.set_state(name, EndpointState::Removed).await {
             // A record that can't be read is deleted without the state change.
-            Ok(()) | Err(RegistryError::Rejected(_)) => {}
+            Ok(()) | Err(RegistryError::Unreadable(_)) => {}
             Err(e) => return Err(e),
         }
         let request = DeleteRangeRequest {
