Find every draw of a random number outside of the policy

It now looks for any use of the generator, which is stricter: what failed before still fails. A planted `rng.bool()` in types.rs holds neither of the two former words, and fails now; the code as it is passes.

--- a/crates/balancer/tests/source_rules.rs
+++ b/crates/balancer/tests/source_rules.rs
@@ -85,8 +85,8 @@
         for word in [
             "Vec<Action>",
             "out.push(",
-            "rng.f64(",
-            "rng.u",
+            "rng.",
+            "rng\n",
             "Action::Forward {",
             "Action::Reject {",
             "Action::Fail(",
