Copy a store before recovery only where the library can't recover it alone

Callers would have seen: a start that copies the whole file after each kill of a process that had extended it, since its header then names fewer pages than the file has. The library has always corrected that by itself.

Cause: open_file took each correction for one that the library rejects.

--- a/crates/config-store/src/database.rs
+++ b/crates/config-store/src/database.rs
@@ -80,7 +80,7 @@
     })
 }
 
-/// Opens the database file of a directory; copies it first if its header has to be corrected.
+/// Opens the database file of a directory; copies it first if only a corrected header lets the library open it.
 pub(crate) fn open_file(
     path: &Path,
     cache_bytes: usize,
@@ -90,7 +90,9 @@
     if storage.len()? == 0 {
         return Err(StoreError::Corrupted("it is empty".into()));
     }
-    if let HeaderCheck::Corrected(_) = check_header(&storage)? {
+    if let HeaderCheck::Corrected(correction) = check_header(&storage)?
+        && correction.is_required
+    {
         copy_beside(path)?;
     }
     open_database(storage, cache_bytes)
@@ -187,8 +189,8 @@
 fn correct_header(bytes: &mut [u8], file_bytes: u64) -> io::Result<()> {
     let checked = header::check(&bytes[..HEADER_BYTES], file_bytes);
     let checked = checked.map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
-    if let HeaderCheck::Corrected(corrected) = checked {
-        bytes[..HEADER_BYTES].copy_from_slice(corrected.as_slice());
+    if let HeaderCheck::Corrected(correction) = checked {
+        bytes[..HEADER_BYTES].copy_from_slice(correction.header.as_slice());
     }
     Ok(())
 }
--- a/crates/config-store/src/header.rs
+++ b/crates/config-store/src/header.rs
@@ -25,8 +25,16 @@
 pub enum HeaderCheck {
     /// The header names the file's length.
     Consistent,
-    /// The header does not name the file's length; this one does, and requires recovery.
-    Corrected(Box<[u8; HEADER_BYTES]>),
+    /// The header does not name the file's length.
+    Corrected(Correction),
+}
+
+/// Correction of a header.
+pub struct Correction {
+    /// Header that names the file's length, and requires recovery.
+    pub header: Box<[u8; HEADER_BYTES]>,
+    /// False if the library would make the same correction, as after the kill of a process that had extended the file.
+    pub is_required: bool,
 }
 
 /// Reason why a file is no database that recovery could open.
@@ -87,7 +95,11 @@
     mark_not_closed(corrected.as_mut_slice());
     corrected[FULL_REGIONS].copy_from_slice(&layout.full_regions.to_le_bytes());
     corrected[LAST_REGION_DATA_PAGES].copy_from_slice(&layout.last_region_data_pages.to_le_bytes());
-    Ok(HeaderCheck::Corrected(corrected))
+    let is_extended = named.is_some_and(|named| named < file_bytes);
+    Ok(HeaderCheck::Corrected(Correction {
+        header: corrected,
+        is_required: closed || !is_extended,
+    }))
 }
 
 /// Marks a database as not closed, so that it is recovered when it is opened.
