Review case 1: a late second answer reaches another client, checkouts run twice

Seen: a connection that has not rested is used again at once, so a second answer that comes 5 ms late is taken as the answer to the next request: over 200 clients a minute get another request's answer, and a late 503 with X-Not-Processed makes the proxy send a running checkout again.

--- /dev/null
+++ b/review/standin/main.rs
@@ -0,0 +1,19 @@
+//! The stand-ins and checks of all cases: `standin CASE FOLDER`, from the repository's root.
+
+mod rig;
+mod second_answer;
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let (case, folder) = (
+        arguments.next().unwrap_or_default(),
+        arguments.next().unwrap_or_default(),
+    );
+    match case.as_str() {
+        "second-answer" => second_answer::run(&folder),
+        _ => {
+            eprintln!("no such case: {case}");
+            std::process::exit(2);
+        }
+    }
+}
