Review case 2: bodies of 64 KiB drive the proxy over its memory limit

Seen: memory for bodies up to 64 KiB is not taken from the limit of the configuration; 341 clients, a third of 1,024 descriptors, take the proxy from 5 MB past 64 MB within half a second, and the platform kills it.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,5 +1,6 @@
 //! The stand-ins and checks of all cases: `standin CASE FOLDER`, from the repository's root.
 
+mod long_bodies;
 mod rig;
 mod second_answer;
 
@@ -11,6 +12,7 @@
     );
     match case.as_str() {
         "second-answer" => second_answer::run(&folder),
+        "long-bodies" => long_bodies::run(&folder),
         _ => {
             eprintln!("no such case: {case}");
             std::process::exit(2);
