Review case 3: a checkout with a long body is taken in a shutdown and never answered

Seen: the timeout of a body that is streamed is not shortened in a shutdown; the checkout runs, and the proxy ends 0.8 s after the request's last byte without an answer.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 mod long_bodies;
 mod rig;
 mod second_answer;
+mod shutdown_upload;
 
 fn main() {
     let mut arguments = std::env::args().skip(1);
@@ -13,6 +14,7 @@
     match case.as_str() {
         "second-answer" => second_answer::run(&folder),
         "long-bodies" => long_bodies::run(&folder),
+        "shutdown-upload" => shutdown_upload::run(&folder),
         _ => {
             eprintln!("no such case: {case}");
             std::process::exit(2);
