--- a/review/standin/long_bodies.rs
+++ b/review/standin/long_bodies.rs
@@ -9,17 +9,17 @@
 
 use crate::rig::*;
 
-const MEMORY_MB: u32 = 64;
-const SOCKETS: u32 = 1024;
+const MEMORY_MB: u32 = 48;
+const SOCKETS: u32 = 672;
 /// A third of the descriptors.
-const CLIENTS: usize = 341;
+const CLIENTS: usize = 224;
 const SERVERS: usize = 10;
 /// Work of a checkout.
 const WORK_MS: u64 = 100;
 /// The longest body of the protocol page, and the one of its example.
 const LONG: usize = 64 << 10;
 const SHORT: usize = 212;
-const ROUNDS: usize = 3;
+const ROUNDS: usize = 4;
 const TIMEOUT: f64 = 2.0;
 
 /// The resident memory of a process in kB.
