--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,10 +11,18 @@
         arguments.next().unwrap_or_default(),
         arguments.next().unwrap_or_default(),
     );
-    match case.as_str() {
-        "second-answer" => second_answer::run(&folder),
-        "long-bodies" => long_bodies::run(&folder),
-        "shutdown-upload" => shutdown_upload::run(&folder),
+    // A fault of a stand-in means that the case could not run; unwinding ends the proxy.
+    let ended = std::panic::catch_unwind(|| run(&case, &folder));
+    if ended.is_err() {
+        std::process::exit(2);
+    }
+}
+
+fn run(case: &str, folder: &str) {
+    match case {
+        "second-answer" => second_answer::run(folder),
+        "long-bodies" => long_bodies::run(folder),
+        "shutdown-upload" => shutdown_upload::run(folder),
         _ => {
             eprintln!("no such case: {case}");
             std::process::exit(2);
--- a/review/standin/rig.rs
+++ b/review/standin/rig.rs
@@ -4,7 +4,7 @@
 use std::fs::{self, File};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::unix::process::ExitStatusExt;
+use std::os::unix::process::{CommandExt, ExitStatusExt};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
@@ -14,7 +14,10 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
+/// Asks the system for a signal when the parent ends (`prctl`).
+const PR_SET_PDEATHSIG: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 /// A case runs for 120 s at most.
@@ -130,7 +133,8 @@
         let private = self.tmp.join("private");
         fs::create_dir_all(&private).unwrap();
         let log = File::create(self.tmp.join("proxy.log")).unwrap();
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        command
             .args(["-c", &run])
             .current_dir(&self.root)
             .env("NODE_NAME", "n0")
@@ -140,9 +144,15 @@
             .env("TMPDIR", private)
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn()
-            .expect("the proxy can be started");
+            .stderr(log);
+        // The proxy ends with this process, also where this process is interrupted.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        let child = command.spawn().expect("the proxy can be started");
         self.proxy.store(child.id(), Ordering::Relaxed);
         Proxy {
             child,
