Answer every request before a shutdown ends, also one whose body ends late

Cause: a streamed body's timeout begins with its last byte, in the driver, with the client's full time; only the frontend shortened timeouts in a shutdown. A body that is still incomplete had no limit but the stall timeout, buffered or streamed, and was cut off without an answer.

Change: Lifecycle says when a late request and when any request must be answered; the frontend waits for the answer or that time, and the driver then fails the request. Bodies that are still being read get 408. So it no longer matters where a request's deadline was set.

--- a/crates/proxy-core/src/driver.rs
+++ b/crates/proxy-core/src/driver.rs
@@ -243,6 +243,7 @@
                     self.handle(Event::ClientDisconnected(id));
                 }
             }
+            Input::AnswerDue(id) => self.fail(id),
             Input::AttemptEnded {
                 request,
                 attempt,
@@ -358,7 +359,7 @@
         });
     }
 
-    /// Fails a request that has no answer in time. It may have been executed, so it is not rejected.
+    /// Fails a request that has no answer in time.
     fn fail_at_deadline(&mut self, id: RequestId) {
         let body_incomplete = |active: &ActiveRequest| {
             active
@@ -373,6 +374,11 @@
         }) {
             return; // its timeout has not started or was started again
         }
+        self.fail(id);
+    }
+
+    /// Fails a request that has no answer yet. It may have been executed, so it is not rejected.
+    fn fail(&mut self, id: RequestId) {
         if let Some(response_sender) = self.close(id, STATUS_FAILED) {
             let _ = response_sender.send(Answer::Failed); // a client that has disconnected needs no answer
             self.handle(Event::ClientDisconnected(id));
--- a/crates/proxy-core/src/frontend.rs
+++ b/crates/proxy-core/src/frontend.rs
@@ -519,11 +519,15 @@
             Ok(admitted) => admitted,
             Err(delay) => return self.reject(pool, delay).await,
         };
-        let (body, _memory) =
-            match read_body(body, parsed.timeout, receive_deadline, &pool.body_memory).await {
-                Ok(body) => body,
-                Err((status, text)) => return text_response(status, text).map(ResponseBody::from),
-            };
+        let received = tokio::select! {
+            biased;
+            received = read_body(body, parsed.timeout, receive_deadline, &pool.body_memory) => received,
+            () = self.lifecycle.answer_due(|| self.router.max_deadline(), || false) => Err(BODY_TOO_LATE),
+        };
+        let (body, _memory) = match received {
+            Ok(body) => body,
+            Err((status, text)) => return text_response(status, text).map(ResponseBody::from),
+        };
         let upload = body.upload().cloned();
         // A streamed body reserves memory for as long as it is sent.
         let slot = upload.as_ref().map(|_| pool.body_memory.try_stream_slot());
@@ -591,7 +595,7 @@
                 id,
                 armed: true,
             };
-            let answer = receiver.await;
+            let answer = self.answer(&pool, id, receiver, upload.as_deref()).await;
             disconnect_guard.armed = false;
             drop(disconnect_guard);
             match (answer, &routing_input) {
@@ -627,6 +631,25 @@
         drills.apply(&hit, response).await
     }
 
+    /// Waits for the driver's answer, and asks for one when the process is about to exit.
+    async fn answer(
+        &self,
+        pool: &Pool,
+        id: RequestId,
+        mut receiver: oneshot::Receiver<Answer>,
+        upload: Option<&Upload>,
+    ) -> Result<Answer, oneshot::error::RecvError> {
+        let is_complete = || upload.is_none_or(Upload::is_complete);
+        tokio::select! {
+            biased;
+            answer = &mut receiver => answer,
+            () = self.lifecycle.answer_due(|| self.router.max_deadline(), is_complete) => {
+                pool.inbox.send(Input::AnswerDue(id));
+                receiver.await
+            }
+        }
+    }
+
     /// Routes a request again that was not decided before a version change took effect.
     async fn reroute(
         &self,
@@ -723,6 +746,9 @@
     let _ = timeout(CLOSE_TIMEOUT, drained).await; // after that the connection is reset, because its client keeps sending
 }
 
+/// The error of a request whose body is not complete in time.
+const BODY_TOO_LATE: (StatusCode, &str) = (StatusCode::REQUEST_TIMEOUT, "the body came too late");
+
 /// Reads a body as far as it is buffered; the rest is streamed. It must be complete by the deadline plus the transfer
 /// time of its size.
 async fn read_body(
@@ -757,7 +783,7 @@
             }
             Ok(None) => return Ok((RequestContent::Buffered(buffer.into_bytes()), permit)),
             Ok(Some(Err(_))) => return Err((StatusCode::BAD_REQUEST, "the body is malformed")),
-            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body came too late")),
+            Err(_) => return Err(BODY_TOO_LATE),
         }
     }
 }
--- a/crates/proxy-core/src/inbox.rs
+++ b/crates/proxy-core/src/inbox.rs
@@ -34,6 +34,8 @@
     },
     /// The client has disconnected.
     ClientDisconnected(RequestId),
+    /// The request must be answered now, because the process is about to exit.
+    AnswerDue(RequestId),
     /// The last byte of a request body that is streamed has been sent.
     BodyComplete(RequestId),
     /// A response too large to be buffered has begun.
--- a/crates/proxy-core/src/lifecycle.rs
+++ b/crates/proxy-core/src/lifecycle.rs
@@ -6,6 +6,7 @@
 
 use balancer::Millis;
 use tokio::sync::Notify;
+use tokio::time::sleep;
 
 use crate::clock::Clock;
 
@@ -134,15 +135,37 @@
         client_timeout: Duration,
         longest_deadline: Duration,
     ) -> Duration {
-        let Some(terminated_at) = self
-            .terminated_at
-            .filter(|terminated_at| now - terminated_at > LATE_REQUEST_MS)
-        else {
+        if !self.is_late(now) {
             return client_timeout;
-        };
-        let end = terminated_at + MIN_KILL_DELAY_MS - KILL_MARGIN_MS
-            + (longest_deadline.as_secs_f64() * 1000.0).min(MAX_COUNTED_DEADLINE_MS);
-        client_timeout.min(Duration::from_secs_f64((end - now).max(0.0) / 1000.0))
+        }
+        self.late_answer_due(longest_deadline)
+            .map_or(client_timeout, |due| {
+                client_timeout.min(Duration::from_secs_f64((due - now).max(0.0) / 1000.0))
+            })
+    }
+
+    /// Returns true if a request that is complete now could be unanswered at the earliest SIGKILL.
+    pub fn is_late(&self, now: Millis) -> bool {
+        self.late_from().is_some_and(|late_from| now > late_from)
+    }
+
+    /// Returns the time from which a complete request is late; `None` before a shutdown.
+    fn late_from(&self) -> Option<Millis> {
+        Some(self.terminated_at? + LATE_REQUEST_MS)
+    }
+
+    /// Returns the time at which each request that is late must be answered; `None` before a shutdown.
+    fn late_answer_due(&self, longest_deadline: Duration) -> Option<Millis> {
+        let counted_deadline =
+            (longest_deadline.as_secs_f64() * 1000.0).min(MAX_COUNTED_DEADLINE_MS);
+        Some(self.terminated_at? + MIN_KILL_DELAY_MS - KILL_MARGIN_MS + counted_deadline)
+    }
+
+    /// Returns the time at which every request must be answered; `None` before a shutdown. The process exits soon
+    /// after.
+    fn last_answer_due(&self, longest_deadline: Duration) -> Option<Millis> {
+        let deadline = longest_deadline.as_secs_f64() * 1000.0;
+        Some(self.terminated_at? + MIN_KILL_DELAY_MS - KILL_MARGIN_MS + deadline)
     }
 
     /// Returns true if an idle connection has to close now.
@@ -209,6 +232,35 @@
         self.clock.time_of(at)
     }
 
+    /// Waits until a request must be answered because the process is shutting down. `is_complete` tells whether the
+    /// request's last byte has arrived.
+    pub async fn answer_due(
+        &self,
+        longest_deadline: impl Fn() -> Duration,
+        is_complete: impl Fn() -> bool,
+    ) {
+        self.reach(|lifecycle| lifecycle.late_from()).await;
+        if is_complete() {
+            self.reach(|lifecycle| lifecycle.last_answer_due(longest_deadline()))
+                .await;
+        } else {
+            self.reach(|lifecycle| lifecycle.late_answer_due(longest_deadline()))
+                .await;
+        }
+    }
+
+    /// Waits for a time that is known once the shutdown has begun.
+    async fn reach(&self, time: impl Fn(&Lifecycle) -> Option<Millis>) {
+        loop {
+            let changed = self.changed.notified();
+            match self.read(|lifecycle, now| time(lifecycle).map(|at| at - now)) {
+                Some(left) if left <= 0.0 => return,
+                Some(left) => sleep(Duration::from_secs_f64(left / 1000.0)).await,
+                None => changed.await,
+            }
+        }
+    }
+
     /// Waits for the next change.
     pub async fn changed(&self) {
         self.changed.notified().await;
--- a/crates/proxy/tests/crossings_shutdown.rs
+++ b/crates/proxy/tests/crossings_shutdown.rs
@@ -4,7 +4,7 @@
 #[path = "../../proxy-core/tests/sockets/mod.rs"]
 mod sockets;
 
-use std::io::Write;
+use std::io::{BufReader, Write};
 use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -208,3 +208,94 @@
     assert!(proxy.wait().success());
     assert!(server.try_next_request().is_none());
 }
+
+/// Bytes of a body that is too large to be buffered whole.
+const STREAMED_BODY_BYTES: usize = 3 << 20;
+
+/// Sends the head of a request and the first part of its body.
+fn begin_upload(proxy: &Proxy, body_bytes: usize, sent_bytes: usize) -> TcpStream {
+    let mut stream = TcpStream::connect(proxy.address).expect("the proxy accepts");
+    stream
+        .set_read_timeout(Some(LIMIT))
+        .expect("the timeout is set");
+    let head = format!(
+        "POST /submit HTTP/1.1\r\nHost: x\r\nX-Request-ID: r-1\r\nX-Tenant-Id: acme\r\nX-Timeout: 4\r\nContent-Length: {body_bytes}\r\n\r\n"
+    );
+    stream
+        .write_all(head.as_bytes())
+        .expect("the bytes are accepted");
+    stream
+        .write_all(&vec![b'x'; sent_bytes])
+        .expect("the bytes are accepted");
+    stream
+}
+
+fn read_answer(stream: &TcpStream) -> Option<Message> {
+    read_message(&mut BufReader::new(stream))
+}
+
+/// Guards against a streamed body whose end starts a timeout that lasts beyond the end of the process: the request ran
+/// and was never answered.
+#[test]
+fn a_streamed_body_that_ends_late_in_a_shutdown_is_answered_before_the_process_exits() {
+    let server = ScriptedPeer::new();
+    let setup = Setup {
+        deadline: 2000,
+        ..Setup::default()
+    };
+    let (_discovery, mut proxy) = proxy_with(&[&server], &setup);
+    let missing_bytes = 1000;
+    let mut client = begin_upload(
+        &proxy,
+        STREAMED_BODY_BYTES,
+        STREAMED_BODY_BYTES - missing_bytes,
+    );
+    proxy.terminate();
+    thread::sleep(Duration::from_millis(1500));
+    client
+        .write_all(&vec![b'x'; missing_bytes])
+        .expect("the bytes are accepted");
+    let _unanswered = server.next_request();
+    assert_eq!(status(read_answer(&client)), 502, "it may have run");
+    assert!(proxy.wait().success());
+}
+
+/// Guards against bodies that are still being received when the process exits: a last byte written by then would get no
+/// answer.
+#[test]
+fn bodies_that_are_incomplete_at_the_end_of_a_shutdown_are_answered_and_never_run() {
+    let server = ScriptedPeer::new();
+    let setup = Setup {
+        deadline: 1000,
+        ..Setup::default()
+    };
+    let (_discovery, mut proxy) = proxy_with(&[&server], &setup);
+    let uploads: Vec<_> = [STREAMED_BODY_BYTES, 1 << 20, 60_000]
+        .into_iter()
+        .map(|body_bytes| begin_upload(&proxy, body_bytes, body_bytes - 1000))
+        .collect();
+    proxy.terminate();
+    // The clients go on sending, so that no body counts as stalled.
+    let answers: Vec<_> = uploads
+        .into_iter()
+        .map(|mut stream| {
+            let reader = stream.try_clone().expect("a handle");
+            let sender = thread::spawn(move || {
+                for _ in 0..100 {
+                    thread::sleep(Duration::from_millis(50));
+                    if stream.write_all(b"x").is_err() {
+                        return;
+                    }
+                }
+            });
+            (reader, sender)
+        })
+        .collect();
+    for (reader, sender) in answers {
+        let status = status(read_answer(&reader));
+        assert!([408, 502, 503].contains(&status), "{status}");
+        sender.join().expect("no panic");
+    }
+    assert!(proxy.wait().success());
+    assert!(server.try_next_request().is_none());
+}
