Pass long answers on to their end before a shutdown's process exits

Cause: Frontend::serve took every connection that was active after the longest deadline for one without an answer. A deadline ends with the first byte of a long answer. By reading, the last bytes could be lost as well: once hyper had them, the connection counted as idle.

Change: a connection knows whether its answer is being received, waits for the socket, or is delivered; the process exits once all that have begun are delivered. A peer that stalls ends its connection as ever, and the wait is bounded by the largest body at the lowest rate.

--- a/crates/proxy-core/src/connection.rs
+++ b/crates/proxy-core/src/connection.rs
@@ -26,9 +26,21 @@
 /// The time for which a connection may be idle, which must be at least 2 s.
 pub const IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// The delivery of the latest answer to the client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Delivery {
+    /// The socket has the whole answer.
+    Done,
+    /// The answer has begun and is still being received from the endpoint.
+    Streaming,
+    /// The answer is complete, and its last bytes wait for the socket.
+    Flushing,
+}
+
 /// The state of a client's connection.
 pub struct ClientConnection {
     pub active: Cell<bool>,
+    pub delivery: Cell<Delivery>,
     /// True if the connection has had a response. Before that its first request may arrive at any moment.
     pub answered_before: Cell<bool>,
     pub idle_since: Cell<Instant>,
@@ -57,6 +69,7 @@
     pub fn new(account: Option<Rc<dyn TenantAccount>>) -> Self {
         ClientConnection {
             active: Cell::new(false),
+            delivery: Cell::new(Delivery::Done),
             answered_before: Cell::new(false),
             idle_since: Cell::new(Instant::now()),
             head_started: Cell::new(None),
@@ -102,6 +115,13 @@
         first.min(head_started + HEAD_TIMEOUT)
     }
 
+    /// Records that everything written so far has reached the socket.
+    fn record_flush(&self) {
+        if self.delivery.get() == Delivery::Flushing {
+            self.delivery.set(Delivery::Done);
+        }
+    }
+
     fn record_write(&self, written: &Poll<io::Result<usize>>) {
         if matches!(written, Poll::Ready(Ok(1..))) {
             self.last_io.set(Instant::now());
@@ -274,6 +294,7 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        self.client.record_flush(); // hyper flushes a socket once its own buffer is empty
         Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
     }
 
--- a/crates/proxy-core/src/frontend.rs
+++ b/crates/proxy-core/src/frontend.rs
@@ -28,7 +28,9 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::account::{self, TenantAccount};
-use crate::connection::{ClientConnection, ClientSocket, IDLE_TIMEOUT, MAX_READS_PER_POLL};
+use crate::connection::{
+    ClientConnection, ClientSocket, Delivery, IDLE_TIMEOUT, MAX_READS_PER_POLL,
+};
 use crate::figures::InFlightRequest;
 use crate::framing::FramingValidator;
 use crate::gate::{Gate, insert_stamp};
@@ -40,8 +42,8 @@
 use crate::note;
 use crate::pool::{Pool, RequestHead};
 use crate::stream::{
-    self, BodyBuffer, BodyMemory, MAX_BUFFERED_BYTES, MemoryPermit, RequestContent, ResponseBody,
-    Upload,
+    self, BodyBuffer, BodyMemory, MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MemoryPermit, RequestContent,
+    ResponseBody, Upload,
 };
 use crate::upstream::{Upstreams, has_no_unread_input};
 use crate::vars::RequestEnd;
@@ -217,21 +219,31 @@
         }
         drop(listener);
         let end = drain_started + MAX_ACCEPT_DRAIN + self.router.max_deadline() + FINISH_MARGIN;
-        while self.has_active_connections() {
-            if Instant::now() >= end {
-                note!("shutdown: closing connections that are still active");
-                break;
-            }
+        while self.has_active_connections() && Instant::now() < end {
+            let _ = timeout(IDLE_CHECK_INTERVAL, self.connection_closed.notified()).await;
+        }
+        let end = end + stream::transfer_time(MAX_BODY_BYTES as usize);
+        while self.has_undelivered_answers() && Instant::now() < end {
             let _ = timeout(IDLE_CHECK_INTERVAL, self.connection_closed.notified()).await;
         }
+        if self.has_active_connections() {
+            note!("shutdown: closing connections that are still active");
+        }
         drop(close_task);
     }
 
+    /// Returns whether an answer has begun whose client does not have all of it yet.
+    fn has_undelivered_answers(&self) -> bool {
+        let clients = self.clients.borrow();
+        clients.values().any(|c| c.delivery.get() != Delivery::Done)
+    }
+
     /// Returns whether a connection has a request or may be about to send one.
     fn has_active_connections(&self) -> bool {
         self.lifecycle.read(|lifecycle, now| {
             let is_active = |c: &Rc<ClientConnection>| {
                 c.active.get()
+                    || c.delivery.get() != Delivery::Done
                     || c.head_started.get().is_some()
                     || !lifecycle.should_close(now, self.idle_state(c))
             };
@@ -389,13 +401,16 @@
                 let end = move || flight.into_iter().for_each(|f| f.end(code));
                 match response.body_mut() {
                     ResponseBody::Streamed(_, on_done) => {
+                        client.delivery.set(Delivery::Streaming);
                         *on_done = Some(Box::new(move || {
                             end();
+                            client.delivery.set(Delivery::Flushing);
                             client.request_answered();
                         }));
                     }
                     ResponseBody::Buffered(_) => {
                         end();
+                        client.delivery.set(Delivery::Flushing);
                         if !close_after {
                             client.request_answered();
                         }
@@ -762,7 +777,7 @@
     if body.is_end_stream() {
         return Ok((RequestContent::empty(), None));
     }
-    if length.is_some_and(|n| n > stream::MAX_BODY_BYTES) {
+    if length.is_some_and(|n| n > MAX_BODY_BYTES) {
         return Err(too_large);
     }
     let (mut buffer, mut size, mut permit) = (BodyBuffer::default(), 0, None);
--- a/crates/proxy/tests/crossings_shutdown.rs
+++ b/crates/proxy/tests/crossings_shutdown.rs
@@ -299,3 +299,34 @@
     assert!(proxy.wait().success());
     assert!(server.try_next_request().is_none());
 }
+
+/// Guards against an answer that is cut off by the end of the process while its endpoint and its client still take part.
+#[test]
+fn a_long_answer_is_passed_on_to_its_end_in_a_shutdown() {
+    let server = ScriptedPeer::new();
+    let setup = Setup {
+        deadline: 300,
+        ..Setup::default()
+    };
+    let (_discovery, mut proxy) = proxy_with(&[&server], &setup);
+    let client = TcpStream::connect(proxy.address).expect("the proxy accepts");
+    client
+        .set_read_timeout(Some(LIMIT))
+        .expect("the timeout is set");
+    (&client)
+        .write_all(page("r-1").as_bytes())
+        .expect("the bytes are accepted");
+    let mut request = server.next_request();
+    let answer = ok(&"x".repeat(30 << 20));
+    let endpoint = thread::spawn(move || request.write(&answer));
+    wait_for("the first bytes", || {
+        client.peek(&mut [0]).is_ok_and(|bytes| bytes > 0)
+    });
+    proxy.terminate();
+    // By then a process exits that waits for the longest deadline only.
+    thread::sleep(Duration::from_millis(1500));
+    let answer = read_answer(&client).expect("the whole answer");
+    assert_eq!(answer.body.len(), 30 << 20);
+    assert!(endpoint.join().expect("no panic"));
+    assert!(proxy.wait().success());
+}
