Reserve memory for every body before it is read, and keep no copies of it

Cause: nothing counted a body of up to 64 KiB, and each was held up to three times: in the read buffer of the client's connection, which hyper doubles up to 64 KiB and keeps for an idle connection; as the body; and as a copy in the write buffer of the endpoint's connection, which stays as large too.

Change: reads take at most 8 KiB, so hyper's buffers keep their first size; connections to endpoints write vectored, so a body is passed on uncopied; all buffered bytes of requests are reserved (body_memory.rs) and released with their last reference. Without memory a request waits in turn for at most 0.4 of its client's time, which is taken off its timeout, then it is rejected; larger ones are rejected at once as before. Tenants' accounts go on limiting the hosted service. A request's future is boxed: idle connections get smaller.

--- a/crates/proxy-core/src/connection.rs
+++ b/crates/proxy-core/src/connection.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::account::TenantAccount;
+use crate::bounded_read::poll_read_part;
 use crate::framing::FramingValidator;
 
 /// The time from the first byte of a request to its last, plus the transfer time of its body. A client may take 2 s
@@ -215,7 +216,7 @@
         let read = if pipelined.is_empty() && self.client.overflowed.get() {
             return Poll::Ready(Ok(())); // bytes have been lost before what follows
         } else if pipelined.is_empty() {
-            Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf)
+            poll_read_part(&mut self.stream.borrow_mut(), cx, buf)
         } else {
             let now = pipelined.len().min(buf.remaining());
             buf.put_slice(&pipelined[..now]);
--- a/crates/proxy-core/src/frontend.rs
+++ b/crates/proxy-core/src/frontend.rs
@@ -28,6 +28,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::account::{self, TenantAccount};
+use crate::body_memory::{BodyBuffer, BodyMemory, MAX_BUFFERED_BYTES, Reservation};
 use crate::connection::{
     ClientConnection, ClientSocket, Delivery, IDLE_TIMEOUT, MAX_READS_PER_POLL,
 };
@@ -41,10 +42,7 @@
 };
 use crate::note;
 use crate::pool::{Pool, RequestHead};
-use crate::stream::{
-    self, BodyBuffer, BodyMemory, MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MemoryPermit, RequestContent,
-    ResponseBody, Upload,
-};
+use crate::stream::{self, MAX_BODY_BYTES, RequestContent, ResponseBody, Upload};
 use crate::upstream::{Upstreams, has_no_unread_input};
 use crate::vars::RequestEnd;
 
@@ -70,6 +68,8 @@
 const FIRST_REQUEST_WAIT: Duration = Duration::from_secs(2);
 /// The retry delay in ms when there is no memory for another body.
 const MEMORY_RETRY_AFTER_MS: f64 = 500.0;
+/// The fraction of a client's timeout for which its request waits for memory for its body before it is rejected.
+const MAX_MEMORY_WAIT: f64 = 0.4;
 /// The pause after a failed accept, which prevents a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -380,9 +380,15 @@
                         reject_over_limit(pool, request).map(ResponseBody::from)
                     }
                     Ok(pool) => {
-                        frontend
-                            .respond(pool, request, &client, receive_deadline, flight.as_ref())
-                            .await
+                        // Boxed, so that connections without a request take no memory for it.
+                        Box::pin(frontend.respond(
+                            pool,
+                            request,
+                            &client,
+                            receive_deadline,
+                            flight.as_ref(),
+                        ))
+                        .await
                     }
                 };
                 let close_after = over_limit
@@ -526,7 +532,7 @@
         flight: Option<&InFlightRequest>,
     ) -> Response<ResponseBody> {
         let (head, body) = request.into_parts();
-        let parsed = match pool.parse_head(&head.method, &head.uri, &head.headers) {
+        let mut parsed = match pool.parse_head(&head.method, &head.uri, &head.headers) {
             Ok(parsed) => parsed,
             Err((status, text)) => return text_response(status, text).map(ResponseBody::from),
         };
@@ -536,22 +542,25 @@
         };
         let received = tokio::select! {
             biased;
-            received = read_body(body, parsed.timeout, receive_deadline, &pool.body_memory) => received,
-            () = self.lifecycle.answer_due(|| self.router.max_deadline(), || false) => Err(BODY_TOO_LATE),
+            received = read_body(body, &mut parsed.timeout, receive_deadline, &pool.body_memory) => received,
+            () = self.lifecycle.answer_due(|| self.router.max_deadline(), || false) => {
+                Err(BodyError::TooLate)
+            }
         };
-        let (body, _memory) = match received {
+        let body = match received {
             Ok(body) => body,
-            Err((status, text)) => return text_response(status, text).map(ResponseBody::from),
+            Err(BodyError::NoMemory(body)) => {
+                drain_body(body);
+                return self.reject_without_memory(pool, &parsed).await;
+            }
+            Err(error) => return error.into_response(),
         };
         let upload = body.upload().cloned();
         // A streamed body reserves memory for as long as it is sent.
         let slot = upload.as_ref().map(|_| pool.body_memory.try_stream_slot());
         if matches!(slot, Some(None)) {
-            pool.counts.request_accepted(parsed.class.0);
-            pool.counts
-                .request_ended(parsed.class.0, RequestEnd::Deferred);
             upload.into_iter().for_each(drain_upload);
-            return self.reject(pool, MEMORY_RETRY_AFTER_MS).await;
+            return self.reject_without_memory(pool, &parsed).await;
         }
         // The input for routing the request again, if that may be needed.
         let routing_input = self
@@ -571,7 +580,6 @@
             headers,
             body,
         };
-        let mut parsed = parsed;
         // The timeout counts from the request's last byte. During shutdown a late request is answered before the
         // process is killed.
         let max_deadline = self.router.max_deadline();
@@ -727,6 +735,18 @@
         }))
     }
 
+    /// Rejects a request for whose body there is no memory.
+    async fn reject_without_memory(
+        &self,
+        pool: &Rc<Pool>,
+        parsed: &RequestHead,
+    ) -> Response<ResponseBody> {
+        pool.counts.request_accepted(parsed.class.0);
+        pool.counts
+            .request_ended(parsed.class.0, RequestEnd::Deferred);
+        self.reject(pool, MEMORY_RETRY_AFTER_MS).await
+    }
+
     /// Lets the balancer reject a request for which there is no room. The body is not read, so hyper closes the
     /// connection if there is one.
     async fn reject(&self, pool: &Rc<Pool>, delay: f64) -> Response<ResponseBody> {
@@ -761,56 +781,100 @@
     let _ = timeout(CLOSE_TIMEOUT, drained).await; // after that the connection is reset, because its client keeps sending
 }
 
-/// The error of a request whose body is not complete in time.
-const BODY_TOO_LATE: (StatusCode, &str) = (StatusCode::REQUEST_TIMEOUT, "the body came too late");
+/// The reason why a request's body was not read.
+enum BodyError {
+    TooLarge,
+    Malformed,
+    /// It was not complete in time.
+    TooLate,
+    /// There was no memory for it in time.
+    NoMemory(Incoming),
+}
+
+impl BodyError {
+    fn into_response(self) -> Response<ResponseBody> {
+        let (status, text) = match self {
+            BodyError::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
+            BodyError::Malformed => (StatusCode::BAD_REQUEST, "the body is malformed"),
+            BodyError::TooLate => (StatusCode::REQUEST_TIMEOUT, "the body came too late"),
+            BodyError::NoMemory(_) => (StatusCode::SERVICE_UNAVAILABLE, "try again"),
+        };
+        text_response(status, text).map(ResponseBody::from)
+    }
+}
 
 /// Reads a body as far as it is buffered; the rest is streamed. It must be complete by the deadline plus the transfer
-/// time of its size.
+/// time of its size. The wait for memory is taken off the client's timeout, as the client may have sent its last byte
+/// before.
 async fn read_body(
     mut body: Incoming,
-    timeout: Duration,
+    timeout: &mut Duration,
     receive_deadline: Instant,
     body_memory: &BodyMemory,
-) -> Result<(RequestContent, MemoryPermit), (StatusCode, &'static str)> {
-    let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+) -> Result<RequestContent, BodyError> {
     let length = body.size_hint().exact();
     if body.is_end_stream() {
-        return Ok((RequestContent::empty(), None));
+        return Ok(RequestContent::empty());
     }
     if length.is_some_and(|n| n > MAX_BODY_BYTES) {
-        return Err(too_large);
+        return Err(BodyError::TooLarge);
     }
-    let (mut buffer, mut size, mut permit) = (BodyBuffer::default(), 0, None);
+    let Some(reservation) = reserve_memory(length, timeout, body_memory).await else {
+        return Err(BodyError::NoMemory(body));
+    };
+    let mut buffer = BodyBuffer::new(reservation, length);
     loop {
-        match timeout_at(receive_deadline + stream::transfer_time(size), body.frame()).await {
+        let deadline = receive_deadline + stream::transfer_time(buffer.len());
+        match timeout_at(deadline, body.frame()).await {
             Ok(Some(Ok(frame))) => {
                 let Ok(data) = frame.into_data() else {
                     continue;
                 }; // trailers are dropped
-                size += data.len();
-                buffer.add(data, length);
+                buffer.add(data);
                 // A slow body would occupy an endpoint's slot while it is received, so it is buffered as long as
                 // there is memory.
-                if size > MAX_BUFFERED_BYTES && !body_memory.try_buffer(size, &mut permit) {
-                    let upload = Upload::new(buffer.into_bytes(), length, body, timeout);
-                    return Ok((RequestContent::Streamed(upload), permit));
+                if !buffer.may_grow(body_memory) {
+                    let upload = Upload::new(buffer.into_bytes(), length, body, *timeout);
+                    return Ok(RequestContent::Streamed(upload));
                 }
             }
-            Ok(None) => return Ok((RequestContent::Buffered(buffer.into_bytes()), permit)),
-            Ok(Some(Err(_))) => return Err((StatusCode::BAD_REQUEST, "the body is malformed")),
-            Err(_) => return Err(BODY_TOO_LATE),
+            Ok(None) => return Ok(RequestContent::Buffered(buffer.into_bytes())),
+            Ok(Some(Err(_))) => return Err(BodyError::Malformed),
+            Err(_) => return Err(BodyError::TooLate),
         }
     }
 }
 
+/// Reserves memory for a body. If there is none now, a body that may be short waits for it for a part of the client's
+/// timeout.
+async fn reserve_memory(
+    length: Option<u64>,
+    client_timeout: &mut Duration,
+    body_memory: &BodyMemory,
+) -> Option<Reservation> {
+    if let Some(reservation) = body_memory.try_reserve(length) {
+        return Some(reservation);
+    }
+    if length.is_some_and(|bytes| bytes > MAX_BUFFERED_BYTES as u64) {
+        return None;
+    }
+    let begun = Instant::now();
+    let max_wait = client_timeout.mul_f64(MAX_MEMORY_WAIT);
+    let reservation = timeout(max_wait, body_memory.reserve(length)).await;
+    *client_timeout = client_timeout.saturating_sub(begun.elapsed());
+    reservation.ok().flatten()
+}
+
 /// Reads the rest of the body of an answered request: a client that is still sending would miss the answer if the
 /// connection were closed.
 fn drain_upload(upload: Rc<Upload>) {
-    let Some(mut rest) = upload.take_rest() else {
-        return;
-    };
+    upload.take_rest().into_iter().for_each(drain_body);
+}
+
+/// Reads a body that is not needed.
+fn drain_body(mut body: Incoming) {
     spawn_local(async move {
-        let all = async { while let Some(Ok(_)) = rest.frame().await {} };
+        let all = async { while let Some(Ok(_)) = body.frame().await {} };
         let _ = timeout(DRAIN_TIMEOUT, all).await;
     });
 }
--- a/crates/proxy-core/src/lib.rs
+++ b/crates/proxy-core/src/lib.rs
@@ -7,6 +7,8 @@
 
 pub mod account;
 pub mod backoff;
+pub mod body_memory;
+mod bounded_read;
 mod capture;
 pub mod clock;
 mod config;
--- a/crates/proxy-core/src/pool.rs
+++ b/crates/proxy-core/src/pool.rs
@@ -10,13 +10,13 @@
 use settings::{Names, ReloadableSettings, stable_hash};
 
 use crate::account::TenantAccount;
+use crate::body_memory::BodyMemory;
 use crate::capture::Capture;
 use crate::drills::Drills;
 use crate::figures::MetricsExporter;
 use crate::inbox::{Inbox, Input};
 use crate::lifecycle::SharedLifecycle;
 use crate::message::{class_name, sid};
-use crate::stream::BodyMemory;
 use crate::vars::Counters;
 
 /// Optional features that take part in answering requests; each is present only if it is enabled.
--- a/crates/proxy-core/src/process.rs
+++ b/crates/proxy-core/src/process.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::{LocalSet, spawn_local};
 
+use crate::body_memory::BodyMemory;
 use crate::capture::Capture;
 use crate::clock::Clock;
 use crate::config::Config;
@@ -27,7 +28,6 @@
 use crate::lifecycle::SharedLifecycle;
 use crate::ops::{self, OperationsListener};
 use crate::pool::{Features, Pool};
-use crate::stream::BodyMemory;
 use crate::vars::Counters;
 use crate::{config, discovery, frontend, hosts, inherited, log, note, peers, upstream};
 
--- a/crates/proxy-core/src/service.rs
+++ b/crates/proxy-core/src/service.rs
@@ -15,6 +15,7 @@
 use tokio::task::{JoinError, spawn_local};
 
 use crate::account::{self, TenantAccount};
+use crate::body_memory::BodyMemory;
 use crate::clock::Clock;
 use crate::driver::{Driver, DriverState, Parts};
 use crate::frontend::{self, Frontend};
@@ -22,7 +23,6 @@
 use crate::inbox::{Inbox, Input};
 use crate::lifecycle::SharedLifecycle;
 use crate::pool::{Features, Pool};
-use crate::stream::BodyMemory;
 use crate::upstream::Upstreams;
 use crate::vars::Counters;
 
@@ -144,7 +144,7 @@
             clock: Clock::default(),
             sockets,
             next_id: Rc::default(),
-            body_memory: BodyMemory::new(BODY_MEMORY_BYTES),
+            body_memory: BodyMemory::with_accounts(BODY_MEMORY_BYTES),
             gate: None,
         }
     }
--- a/crates/proxy-core/src/stream.rs
+++ b/crates/proxy-core/src/stream.rs
@@ -5,19 +5,15 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 
-/// The size up to which a body is always buffered: a response up to it is forwarded whole, and a request up to it is
-/// always read before it is forwarded.
-pub const MAX_BUFFERED_BYTES: usize = 64 << 10;
 /// The largest body of a request or a response.
 pub const MAX_BODY_BYTES: u64 = 32 << 20;
 /// The time without progress after which a body is aborted.
@@ -34,105 +30,6 @@
     io::Error::new(io::ErrorKind::InvalidData, message)
 }
 
-/// The memory for one streamed body: the buffers at both ends and the piece between them.
-const STREAM_SLOT_BYTES: usize = 192 << 10;
-
-/// The unit in which buffered bodies reserve memory.
-const BUFFER_STEP_BYTES: usize = 64 << 10;
-/// The largest request body that is read completely before it is forwarded.
-const MAX_SPOOLED_BYTES: usize = 2 << 20;
-
-/// The memory budget of all buffered and streamed bodies.
-pub struct BodyMemory {
-    stream_slots: Arc<Semaphore>,
-    /// Permits for [`BUFFER_STEP_BYTES`] each.
-    buffer_steps: Arc<Semaphore>,
-}
-
-/// A reserved part of the memory, released when dropped.
-pub type MemoryPermit = Option<OwnedSemaphorePermit>;
-
-impl BodyMemory {
-    /// Divides the process memory: an eighth for buffered bodies, a quarter for streamed ones, and the rest for
-    /// everything else.
-    pub fn new(memory: usize) -> Rc<Self> {
-        let part = |bytes: usize, of: usize| Arc::new(Semaphore::new((bytes / of).max(8)));
-        Rc::new(BodyMemory {
-            stream_slots: part(memory / 4, STREAM_SLOT_BYTES),
-            buffer_steps: part(memory / 8, BUFFER_STEP_BYTES),
-        })
-    }
-
-    /// Reserves memory for a streamed body, if there is any now.
-    pub fn try_stream_slot(&self) -> MemoryPermit {
-        self.stream_slots.clone().try_acquire_owned().ok()
-    }
-
-    /// Waits in turn for memory for a streamed body: a response that has begun can't be rejected any more.
-    pub async fn stream_slot(&self) -> MemoryPermit {
-        self.stream_slots.clone().acquire_owned().await.ok()
-    }
-
-    /// Returns whether a body may be buffered up to `size` and read further. The memory it needs is added to the
-    /// permit.
-    pub fn try_buffer(&self, size: usize, permit: &mut MemoryPermit) -> bool {
-        let acquired = permit.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
-        let more = (size / BUFFER_STEP_BYTES).saturating_sub(acquired);
-        if size > MAX_SPOOLED_BYTES {
-            return false;
-        }
-        let Ok(more) = self
-            .buffer_steps
-            .clone()
-            .try_acquire_many_owned(more as u32)
-        else {
-            return false;
-        };
-        match permit {
-            Some(permit) => permit.merge(more),
-            None => *permit = Some(more),
-        }
-        true
-    }
-}
-
-/// The received part of a body in one buffer; separate pieces and a joined copy would take the memory twice.
-#[derive(Default)]
-pub struct BodyBuffer {
-    single: Bytes,
-    joined: BytesMut,
-}
-
-impl BodyBuffer {
-    /// Appends received data; `length` is the announced length of the complete body.
-    pub fn add(&mut self, data: Bytes, length: Option<u64>) {
-        if self.single.is_empty() && self.joined.is_empty() {
-            self.single = data; // most bodies arrive in one piece
-            return;
-        }
-        if self.joined.is_empty() {
-            let capacity = length
-                .and_then(|n| usize::try_from(n).ok())
-                .unwrap_or(0)
-                .min(MAX_SPOOLED_BYTES);
-            self.joined
-                .reserve(capacity.max(self.single.len() + data.len()));
-            self.joined
-                .extend_from_slice(&std::mem::take(&mut self.single));
-        }
-        self.joined.extend_from_slice(&data);
-    }
-
-    /// Returns the buffered data.
-    pub fn into_bytes(self) -> Bytes {
-        if self.joined.is_empty() {
-            self.single
-        } else {
-            self.joined.freeze()
-        }
-    }
-}
-
 /// A request body that is received while it is sent.
 pub struct Upload {
     /// The buffered beginning, which each attempt sends first.
--- a/crates/proxy-core/src/upstream.rs
+++ b/crates/proxy-core/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::future::pending;
-use std::io;
+use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
@@ -26,10 +26,10 @@
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use crate::account::{self, TenantAccount};
+use crate::body_memory::{BodyMemory, MAX_BUFFERED_BYTES};
+use crate::bounded_read::poll_read_part;
 use crate::message::{EndpointResponse, OutboundRequest, ResponseContent, strip_hop_by_hop};
-use crate::stream::{
-    self, BodyMemory, MAX_BUFFERED_BYTES, RequestBody, ResponsePiece, ResponseStream, Upload,
-};
+use crate::stream::{self, RequestBody, ResponsePiece, ResponseStream, Upload};
 use crate::vars::Counters;
 
 /// The fraction of an endpoint's idle timeout after which a pooled connection is closed.
@@ -227,6 +227,16 @@
         }
     }
 
+    /// Records the first `written` bytes of several parts.
+    fn record_vectored_write(&self, parts: &[IoSlice], written: usize) {
+        let mut rest = written;
+        for part in parts {
+            let bytes = rest.min(part.len());
+            self.record_write(&part[..bytes]);
+            rest -= bytes;
+        }
+    }
+
     fn track(&self, bytes: &[u8]) {
         let mut rest = bytes;
         while self.blank_line_matched.get() < BLANK_LINE.len() {
@@ -273,7 +283,7 @@
         cx: &mut Context,
         buf: &mut ReadBuf,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf)
+        poll_read_part(&mut self.stream.borrow_mut(), cx, buf)
     }
 }
 
@@ -289,6 +299,26 @@
         written
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context,
+        parts: &[IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        if !self.tracker.may_write() {
+            return Poll::Ready(Err(io::ErrorKind::PermissionDenied.into()));
+        }
+        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, parts);
+        if let Poll::Ready(Ok(n)) = written {
+            self.tracker.record_vectored_write(parts, n);
+        }
+        written
+    }
+
+    // The HTTP library then keeps a body's pieces as they are in place of copying them into a buffer of its own.
+    fn is_write_vectored(&self) -> bool {
+        self.stream.borrow().is_write_vectored()
+    }
+
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
--- a/crates/proxy-core/tests/layers.rs
+++ b/crates/proxy-core/tests/layers.rs
@@ -2,8 +2,10 @@
 use std::path::Path;
 
 /// The modules, from the lowest layer up.
-const LAYERS: [&str; 30] = [
+const LAYERS: [&str; 32] = [
     "backoff",
+    "body_memory",
+    "bounded_read",
     "json_stream",
     "line_writer",
     "log",
--- /dev/null
+++ b/crates/proxy/tests/memory.rs
@@ -0,0 +1,264 @@
+//! Memory of a proxy whose clients and endpoints keep as many bytes in it as they can. The platform kills a process that
+//! exceeds its memory limit.
+mod scripted_peer;
+#[path = "../../proxy-core/tests/sockets/mod.rs"]
+mod sockets;
+
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use scripted_peer::{ReceivedRequest, ScriptedPeer};
+use sockets::*;
+
+/// The longest body of the protocol.
+const BODY_BYTES: usize = 64 << 10;
+/// The smallest memory limit of the platform with its largest descriptor limit.
+const SMALL_LIMITS: Limits = Limits {
+    memory_mb: 32,
+    sockets: 1024,
+};
+const CLIENT_STACK_BYTES: usize = 128 << 10;
+
+struct Limits {
+    memory_mb: u32,
+    sockets: usize,
+}
+
+impl Limits {
+    /// Clients hold a third of the descriptors for their requests.
+    fn clients(&self) -> usize {
+        self.sockets / 3
+    }
+
+    fn setup(&self) -> Setup {
+        Setup {
+            memory_mb: self.memory_mb,
+            sockets: self.sockets,
+            operations_enabled: true,
+            ..Setup::default()
+        }
+    }
+
+    fn check(&self, proxy: &Proxy) {
+        let peak_mb = proxy.memory_peak_mb() * 1000.0 / 1024.0;
+        assert!(
+            peak_mb <= f64::from(self.memory_mb),
+            "{peak_mb:.1} MiB of {}",
+            self.memory_mb
+        );
+    }
+}
+
+/// Starts endpoints that answer each request after a while.
+fn slow_backends(answer_bytes: usize) -> Vec<Backend> {
+    let answer = ok(&"y".repeat(answer_bytes));
+    (0..10)
+        .map(|_| {
+            let answer = answer.clone();
+            Backend::with(move |_| {
+                thread::sleep(Duration::from_millis(100));
+                BackendAction::Write(answer.clone())
+            })
+        })
+        .collect()
+}
+
+fn proxy_for(backends: &[Backend], limits: &Limits) -> (Discovery, Proxy) {
+    let addresses: Vec<_> = backends.iter().map(|b| b.address).collect();
+    start_proxy_for(&addresses, &limits.setup())
+}
+
+/// Runs one client per thread and returns the status codes of their answers.
+fn run_clients(
+    count: usize,
+    client: impl Fn(usize) -> Vec<u16> + Send + Sync + Clone + 'static,
+) -> Vec<u16> {
+    let threads: Vec<_> = (0..count)
+        .map(|number| {
+            let client = client.clone();
+            thread::Builder::new()
+                .stack_size(CLIENT_STACK_BYTES)
+                .spawn(move || client(number))
+                .expect("a thread starts")
+        })
+        .collect();
+    threads
+        .into_iter()
+        .flat_map(|thread| thread.join().expect("no panic"))
+        .collect()
+}
+
+fn connect(address: std::net::SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("the proxy accepts");
+    stream
+        .set_read_timeout(Some(LIMIT))
+        .expect("the timeout is set");
+    stream
+}
+
+/// Sends requests one after another and returns the status codes of the answers.
+fn ask(address: std::net::SocketAddr, request: &str, rounds: usize) -> Vec<u16> {
+    let mut codes = Vec::new();
+    let mut stream = connect(address);
+    for _ in 0..rounds {
+        stream
+            .write_all(request.as_bytes())
+            .expect("the bytes are accepted");
+        let answer = read_message(&mut BufReader::new(&stream)).expect("an answer");
+        codes.push(answer.status());
+        if answer.header("connection") == Some("close") {
+            stream = connect(address);
+        }
+    }
+    codes
+}
+
+/// Sends long bodies from all clients at a time and checks the limit.
+fn check_long_bodies(limits: &Limits, body_bytes: usize) {
+    let backends = slow_backends(10);
+    let (_discovery, mut proxy) = proxy_for(&backends, limits);
+    let (address, body) = (proxy.address, "x".repeat(body_bytes));
+    let codes = run_clients(limits.clients(), move |number| {
+        ask(address, &submit(&format!("r-{number}"), "2", &body), 4)
+    });
+    let served = codes.iter().filter(|code| **code == 200).count();
+    assert!(codes.iter().all(|code| [200, 502, 503].contains(code)));
+    assert!(served >= limits.clients(), "{served} served");
+    assert!(proxy.is_running());
+    limits.check(&proxy);
+}
+
+/// Guards against bodies up to the protocol's length that no limit counts: the platform killed the proxy with all
+/// requests that it had taken.
+#[test]
+fn long_bodies_from_a_third_of_the_descriptors_stay_within_the_limit() {
+    let limits = Limits {
+        memory_mb: 48,
+        sockets: 672,
+    };
+    check_long_bodies(&limits, BODY_BYTES);
+}
+
+/// Guards against the same where memory is scarcest, and against bodies just below the size of a unit of memory.
+#[test]
+fn long_bodies_stay_within_the_smallest_limit() {
+    check_long_bodies(&SMALL_LIMITS, BODY_BYTES);
+    check_long_bodies(&SMALL_LIMITS, BODY_BYTES - 1);
+}
+
+/// A proxy whose memory for bodies is taken by requests that its endpoint has not answered yet.
+struct FullProxy {
+    server: ScriptedPeer,
+    proxy: Proxy,
+    _discovery: Discovery,
+    _clients: Vec<TcpStream>,
+}
+
+/// Number of bodies of [`BODY_BYTES`] for which a proxy with the least memory has room.
+const BODIES_IN_LEAST_MEMORY: usize = 16;
+
+impl FullProxy {
+    fn new() -> Self {
+        let server = ScriptedPeer::new();
+        let setup = Setup {
+            memory_mb: 1,
+            operations_enabled: true,
+            ..Setup::default()
+        };
+        let (discovery, proxy) = start_proxy_for(&[server.address], &setup);
+        let clients = (0..BODIES_IN_LEAST_MEMORY)
+            .map(|_| send_body(proxy.address, "r-first", 5.0))
+            .collect();
+        wait_for("the requests to be read", || {
+            proxy.metric("node_current") == BODIES_IN_LEAST_MEMORY as f64
+        });
+        FullProxy {
+            server,
+            proxy,
+            _discovery: discovery,
+            _clients: clients,
+        }
+    }
+
+    /// Answers the first requests and returns the requests that are received until `ended`.
+    fn answer_first(
+        &self,
+        ended: impl Fn(&Option<ReceivedRequest>) -> bool,
+    ) -> Vec<ReceivedRequest> {
+        let mut others = Vec::new();
+        loop {
+            let mut received = self.server.try_next_request();
+            let has_ended = ended(&received);
+            match &mut received {
+                Some(request) if request.message.id() == "r-first" => {
+                    request.write(&ok("first"));
+                }
+                Some(_) => others.extend(received),
+                None => thread::sleep(Duration::from_millis(5)),
+            }
+            if has_ended {
+                return others;
+            }
+        }
+    }
+}
+
+fn send_body(address: std::net::SocketAddr, id: &str, timeout: f64) -> TcpStream {
+    let mut stream = connect(address);
+    let request = submit(id, &timeout.to_string(), &"x".repeat(BODY_BYTES));
+    stream
+        .write_all(request.as_bytes())
+        .expect("the bytes are accepted");
+    stream
+}
+
+/// Guards against requests that are kept waiting for memory until their time is over.
+#[test]
+fn a_request_for_whose_body_there_is_no_memory_is_rejected_in_its_time() {
+    let full = FullProxy::new();
+    let sent_at = Instant::now();
+    let client = send_body(full.proxy.address, "r-late", 2.0);
+    let answer = read_message(&mut BufReader::new(&client)).expect("an answer");
+    assert_eq!(answer.status(), 503);
+    assert!(sent_at.elapsed() < Duration::from_secs(2));
+}
+
+/// Guards against a timeout that counts from the time at which a body that waited for memory is read.
+#[test]
+fn the_wait_for_memory_counts_as_part_of_the_clients_time() {
+    let full = FullProxy::new();
+    let sent_at = Instant::now();
+    let client = send_body(full.proxy.address, "r-late", 4.0);
+    thread::sleep(Duration::from_millis(700));
+    let is_late = |received: &Option<ReceivedRequest>| {
+        received
+            .as_ref()
+            .is_some_and(|r| r.message.id() == "r-late")
+    };
+    let mut others = full.answer_first(is_late);
+    let late = others.last_mut().expect("the request");
+    let told: f64 = late
+        .message
+        .header("x-timeout")
+        .and_then(|text| text.parse().ok())
+        .expect("a timeout");
+    let left = 4.0 - (late.at - sent_at).as_secs_f64();
+    // The slack that the platform allows.
+    assert!(told <= left + 0.15, "{told} s of {left} s");
+    late.write(&ok("late"));
+    let answer = read_message(&mut BufReader::new(&client)).expect("an answer");
+    assert_eq!(answer.text(), "late");
+}
+
+/// Guards against a request that is forwarded although its client left while it waited for memory.
+#[test]
+fn a_client_that_leaves_while_it_waits_for_memory_is_not_forwarded() {
+    let full = FullProxy::new();
+    drop(send_body(full.proxy.address, "r-late", 5.0));
+    thread::sleep(Duration::from_millis(200));
+    let others = full
+        .answer_first(|received| received.is_none() && full.proxy.metric("node_current") == 0.0);
+    assert!(others.is_empty());
+}
