Receive answers into one buffer whose memory is reserved

An endpoint that writes its answers in small pieces takes the proxy over its memory limit, for which the platform kills it.

Cause: exchange kept the pieces of an answer until it was whole. Each piece holds the 8 KiB buffer into which it was read, and nothing counted answers of up to 64 KiB.

Change: an answer that is forwarded is received into a BodyBuffer, with its memory reserved until the client's socket has it; without memory it is passed on as it arrives, as longer ones are. Bodies of answers that are not forwarded are read and dropped.

--- a/crates/proxy-core/src/upstream.rs
+++ b/crates/proxy-core/src/upstream.rs
@@ -26,7 +26,7 @@
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use crate::account::{self, TenantAccount};
-use crate::body_memory::{BodyMemory, MAX_BUFFERED_BYTES};
+use crate::body_memory::{BodyBuffer, BodyMemory, MAX_BUFFERED_BYTES};
 use crate::bounded_read::poll_read_part;
 use crate::message::{EndpointResponse, OutboundRequest, ResponseContent, strip_hop_by_hop};
 use crate::stream::{self, RequestBody, ResponsePiece, ResponseStream, Upload};
@@ -541,7 +541,7 @@
         tracker.start(condition, remaining_body_bytes, upload.clone());
         let deadline = Cell::new(deadline);
         let result = {
-            let mut exchange = pin!(exchange(&mut connection.sender, request));
+            let mut exchange = pin!(exchange(&mut connection.sender, request, &self.body_memory));
             loop {
                 let incomplete_upload = upload.as_ref().filter(|u| !u.is_complete());
                 let end = incomplete_upload.map_or(deadline.get(), |u| u.stalls_at());
@@ -578,7 +578,7 @@
                     body: ResponseContent::Streamed(response_stream),
                 }));
                 let outcome = stream_response(
-                    large.first_chunks,
+                    large.first_part,
                     large.remaining_body,
                     large.length,
                     &self.body_memory,
@@ -653,11 +653,12 @@
     Large(LargeResponse),
 }
 
-/// A successful response that is too large to be buffered.
+/// A successful response that is not buffered whole.
 struct LargeResponse {
     headers: HeaderMap,
     length: Option<u64>,
-    first_chunks: Vec<Bytes>,
+    /// The part that has been received.
+    first_part: Bytes,
     remaining_body: Incoming,
 }
 
@@ -665,6 +666,7 @@
 async fn exchange(
     sender: &mut SendRequest<RequestBody>,
     request: Request<RequestBody>,
+    body_memory: &BodyMemory,
 ) -> Result<ExchangeResult, String> {
     let response = sender
         .send_request(request)
@@ -689,9 +691,19 @@
     let has_explicit_length =
         length.is_some() || head.headers.contains_key(header::TRANSFER_ENCODING);
     let delimited = has_explicit_length || closes;
-    let (mut chunks, mut size) = (Vec::new(), 0);
+    // Only a successful response is forwarded; the body of any other is read so that the connection can be reused.
+    let is_forwarded = head.status == StatusCode::OK && delimited;
+    let is_long = length.is_some_and(|n| n > MAX_BUFFERED_BYTES as u64);
+    let mut buffer = if is_forwarded && !is_long {
+        let reservation = body_memory.try_reserve(length);
+        reservation.map(|reservation| BodyBuffer::new(reservation, length))
+    } else {
+        None
+    };
+    let mut size = 0;
     let large = loop {
-        if size > MAX_BUFFERED_BYTES || length.is_some_and(|n| n > MAX_BUFFERED_BYTES as u64) {
+        // Without memory a response is forwarded as it arrives.
+        if size > MAX_BUFFERED_BYTES || is_long || is_forwarded && buffer.is_none() {
             break true;
         }
         let Some(frame) = body.frame().await else {
@@ -699,9 +711,12 @@
         };
         if let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() {
             size += data.len();
-            chunks.push(data);
+            if let Some(buffer) = &mut buffer {
+                buffer.add(data);
+            }
         }
     };
+    let received = buffer.map_or_else(Bytes::new, BodyBuffer::into_bytes);
     let not_processed = head
         .headers
         .get("x-not-processed")
@@ -717,20 +732,15 @@
                 return Ok(ExchangeResult::Large(LargeResponse {
                     headers,
                     length,
-                    first_chunks: chunks,
+                    first_part: received,
                     remaining_body: body,
                 }));
             }
-            let body = if chunks.len() == 1 {
-                chunks.remove(0)
-            } else {
-                chunks.concat().into()
-            };
             ExchangeResult::Complete(
                 Outcome::Served,
                 Some(EndpointResponse {
                     headers,
-                    body: ResponseContent::Buffered(body),
+                    body: ResponseContent::Buffered(received),
                 }),
                 has_explicit_length,
             )
@@ -748,7 +758,7 @@
 
 /// Forwards a large response as it arrives, no faster than the client reads.
 async fn stream_response(
-    first_chunks: Vec<Bytes>,
+    first_part: Bytes,
     mut remaining_body: Incoming,
     length: Option<u64>,
     body_memory: &BodyMemory,
@@ -756,10 +766,10 @@
 ) -> Outcome {
     let _slot = body_memory.stream_slot().await;
     let mut passed = 0;
-    let mut first_chunks = first_chunks.into_iter();
+    let mut first_part = Some(first_part).filter(|part| !part.is_empty());
     let is_whole = |passed| length == Some(passed);
     loop {
-        let data = match first_chunks.next() {
+        let data = match first_part.take() {
             Some(data) => data,
             None => tokio::select! {
                 frame = timeout(RESPONSE_IDLE_TIMEOUT, remaining_body.frame()) => match frame {
--- a/crates/proxy/tests/memory.rs
+++ b/crates/proxy/tests/memory.rs
@@ -5,7 +5,7 @@
 mod sockets;
 
 use std::io::{BufReader, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -148,6 +148,51 @@
     check_long_bodies(&SMALL_LIMITS, BODY_BYTES - 1);
 }
 
+/// Guards against answers that are kept in the buffers into which their pieces were read.
+#[test]
+fn answers_in_small_pieces_stay_within_the_smallest_limit() {
+    const PIECES: usize = 200;
+    let addresses: Vec<_> = (0..10).map(|_| start_endpoint_in_pieces(PIECES)).collect();
+    let (_discovery, mut proxy) = start_proxy_for(&addresses, &SMALL_LIMITS.setup());
+    let address = proxy.address;
+    let codes = run_clients(SMALL_LIMITS.clients(), move |number| {
+        ask(address, &page(&format!("r-{number}")), 2)
+    });
+    assert!(codes.iter().all(|code| [200, 502, 503].contains(code)));
+    assert!(proxy.is_running());
+    SMALL_LIMITS.check(&proxy);
+}
+
+/// Starts an endpoint that writes each answer in pieces of 100 bytes, one at a time.
+fn start_endpoint_in_pieces(pieces: usize) -> std::net::SocketAddr {
+    const PIECE: [u8; 100] = [b'y'; 100];
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            stream.set_nodelay(true).expect("the option is set");
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+                while read_message(&mut reader).is_some() {
+                    let length = PIECE.len() * pieces;
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+                    // The proxy may have closed the connection.
+                    let mut written = stream.write_all(head.as_bytes());
+                    for _ in 0..pieces {
+                        thread::sleep(Duration::from_millis(2));
+                        written = written.and_then(|()| stream.write_all(&PIECE));
+                    }
+                    if written.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
 /// A proxy whose memory for bodies is taken by requests that its endpoint has not answered yet.
 struct FullProxy {
     server: ScriptedPeer,
