Reserve memory for long heads and for bytes behind a request

Anyone who can connect may take the proxy over its memory limit, for which the platform kills it with all that it has taken.

Cause: a connection may keep 64 KiB of a head and 64 KiB behind a request; the number of connections goes by descriptors, and the budget counted bodies only.

Change: what a connection keeps beyond 8 KiB of a head (twice, as hyper may hold two buffers of that size) or 4 KiB behind a request is reserved. Without memory a head gets 431, and bytes behind a request end the connection with the present answer, as they did beyond 64 KiB. Limits of 64 KiB stay.

--- a/crates/proxy-core/src/body_memory.rs
+++ b/crates/proxy-core/src/body_memory.rs
@@ -1,5 +1,6 @@
 //! Memory for bodies. Every buffered byte of a body is reserved before it is read and released with the last reference
-//! to it, so that clients and endpoints together can't exceed the memory limit of the process.
+//! to it, so that clients and endpoints together can't exceed the memory limit of the process. Other input that is kept
+//! is covered as well.
 //!
 //! [`BodyMemory`] is the budget, [`BodyBuffer`] the received part of one body. What passes through without being
 //! buffered takes a [`StreamSlot`]. Does no I/O.
@@ -17,6 +18,8 @@
 const MAX_SPOOLED_BYTES: usize = 2 << 20;
 /// The unit in which a body of more than [`MAX_BUFFERED_BYTES`] reserves memory.
 const SPOOL_STEP_BYTES: usize = 64 << 10;
+/// The unit in which other input than bodies reserves memory.
+const INPUT_STEP_BYTES: usize = 4 << 10;
 /// The memory for one streamed body: the buffers at both ends and the piece between them.
 const STREAM_SLOT_BYTES: usize = 192 << 10;
 /// The smallest number of bodies of [`MAX_BUFFERED_BYTES`] that a budget has room for.
@@ -91,6 +94,23 @@
         permit.await.ok().map(Reservation)
     }
 
+    /// Extends a reservation to at least this many bytes, if there is memory now.
+    pub fn try_cover(&self, reservation: &mut Option<Reservation>, bytes: usize) -> bool {
+        let covered = reservation.as_ref().map_or(0, |r| r.0.num_permits());
+        let Some(more) = bytes.checked_sub(covered).filter(|more| *more > 0) else {
+            return true;
+        };
+        let more = more.next_multiple_of(INPUT_STEP_BYTES);
+        let Ok(permit) = self.buffers.clone().try_acquire_many_owned(more as u32) else {
+            return false;
+        };
+        match reservation {
+            Some(reservation) => reservation.0.merge(permit),
+            None => *reservation = Some(Reservation(permit)),
+        }
+        true
+    }
+
     /// Reserves memory so that a body may be buffered up to `size` and read further. Returns false if the body is too
     /// large or there is no memory now.
     fn try_extend(&self, reservation: &mut Reservation, size: usize) -> bool {
--- a/crates/proxy-core/src/connection.rs
+++ b/crates/proxy-core/src/connection.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::account::TenantAccount;
+use crate::body_memory::{BodyMemory, Reservation};
 use crate::bounded_read::poll_read_part;
 use crate::framing::FramingValidator;
 
@@ -57,8 +58,12 @@
     /// Requests that have been read completely, and requests that have been answered.
     requests_read: Cell<u64>,
     requests_answered: Cell<u64>,
+    /// Memory for what the connection keeps of its input.
+    memory: Rc<BodyMemory>,
     /// Bytes received after a request that has no answer yet.
-    pipelined: RefCell<Vec<u8>>,
+    pipelined: RefCell<PipelinedBytes>,
+    /// The memory of long heads, which the HTTP library's buffer keeps as long as the connection lasts.
+    head_reservation: RefCell<Option<Reservation>>,
     /// The reader to wake once the request is answered.
     read_waker: RefCell<Option<Waker>>,
     /// More bytes followed than are buffered, so the connection is closed after the answer.
@@ -67,8 +72,9 @@
 
 impl ClientConnection {
     /// Creates the state of a new connection.
-    pub fn new(account: Option<Rc<dyn TenantAccount>>) -> Self {
+    pub fn new(account: Option<Rc<dyn TenantAccount>>, memory: Rc<BodyMemory>) -> Self {
         ClientConnection {
+            memory,
             active: Cell::new(false),
             delivery: Cell::new(Delivery::Done),
             answered_before: Cell::new(false),
@@ -81,6 +87,7 @@
             requests_read: Cell::new(0),
             requests_answered: Cell::new(0),
             pipelined: RefCell::default(),
+            head_reservation: RefCell::default(),
             read_waker: RefCell::default(),
             overflowed: Cell::new(false),
         }
@@ -88,7 +95,7 @@
 
     /// Returns whether no received bytes are waiting to be parsed.
     pub fn pipelined_is_empty(&self) -> bool {
-        self.pipelined.borrow().is_empty()
+        self.pipelined.borrow().bytes.is_empty()
     }
 
     /// Returns whether more bytes followed a request than are buffered.
@@ -129,6 +136,20 @@
         }
     }
 
+    /// Keeps as many bytes of further requests as there is room and memory for.
+    fn keep_pipelined(&self, bytes: &[u8]) {
+        let kept = self.pipelined.borrow_mut().append(bytes, &self.memory);
+        self.overflowed
+            .set(self.overflowed.get() || kept < bytes.len());
+    }
+
+    /// Reserves memory for a head of this length, of which there may be two copies. Returns false if there is none.
+    fn cover_head(&self, head_bytes: usize) -> bool {
+        let is_short = head_bytes <= MAX_SHORT_HEAD_BYTES;
+        let mut reservation = self.head_reservation.borrow_mut();
+        is_short || self.memory.try_cover(&mut reservation, 2 * head_bytes)
+    }
+
     /// Marks the current request as answered.
     pub fn request_answered(&self) {
         self.active.set(false);
@@ -183,6 +204,51 @@
 
 /// The largest number of bytes buffered behind a request that has no answer yet.
 const MAX_PIPELINED_BYTES: usize = 64 << 10;
+/// The number of these bytes for which every connection has room.
+const MAX_FREE_PIPELINED_BYTES: usize = 4 << 10;
+/// The length of a head that fits into the first buffer of the HTTP library.
+const MAX_SHORT_HEAD_BYTES: usize = 8 << 10;
+
+/// The answer to a request whose long head there is no memory for.
+const HEAD_TOO_LONG: &[u8] =
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// Received bytes of further requests, with their memory.
+#[derive(Default)]
+struct PipelinedBytes {
+    bytes: Vec<u8>,
+    reservation: Option<Reservation>,
+}
+
+impl PipelinedBytes {
+    /// Appends bytes as far as there is room and memory for them, and returns their number.
+    fn append(&mut self, bytes: &[u8], memory: &BodyMemory) -> usize {
+        let room = MAX_PIPELINED_BYTES.saturating_sub(self.bytes.len());
+        let kept = room.min(bytes.len());
+        let size = self.bytes.len() + kept;
+        if size > MAX_FREE_PIPELINED_BYTES && !memory.try_cover(&mut self.reservation, size) {
+            return 0;
+        }
+        self.bytes.reserve_exact(kept);
+        self.bytes.extend_from_slice(&bytes[..kept]);
+        kept
+    }
+
+    /// Puts bytes of the latest read before the others.
+    fn put_back(&mut self, bytes: &[u8]) {
+        self.bytes.splice(..0, bytes.iter().copied());
+    }
+
+    /// Moves bytes from the beginning to a buffer.
+    fn take(&mut self, buf: &mut ReadBuf) {
+        let taken = self.bytes.len().min(buf.remaining());
+        buf.put_slice(&self.bytes[..taken]);
+        self.bytes.drain(..taken);
+        if self.bytes.is_empty() {
+            *self = PipelinedBytes::default();
+        }
+    }
+}
 /// The number of reads in one poll for bytes that are not parsed at once.
 pub const MAX_READS_PER_POLL: usize = 4;
 
@@ -192,6 +258,8 @@
     pub stream: Rc<RefCell<TcpStream>>,
     pub client: Rc<ClientConnection>,
     pub framing: FramingValidator,
+    /// Received bytes of an incomplete head.
+    pub head_bytes: usize,
 }
 
 impl AsyncRead for ClientSocket {
@@ -212,19 +280,13 @@
             return self.read_pipelined(cx);
         }
         let before = buf.filled().len();
-        let pipelined = std::mem::take(&mut *self.client.pipelined.borrow_mut());
-        let read = if pipelined.is_empty() && self.client.overflowed.get() {
+        let read = if !self.client.pipelined_is_empty() {
+            self.client.pipelined.borrow_mut().take(buf);
+            Poll::Ready(Ok(()))
+        } else if self.client.overflowed.get() {
             return Poll::Ready(Ok(())); // bytes have been lost before what follows
-        } else if pipelined.is_empty() {
-            poll_read_part(&mut self.stream.borrow_mut(), cx, buf)
         } else {
-            let now = pipelined.len().min(buf.remaining());
-            buf.put_slice(&pipelined[..now]);
-            self.client
-                .pipelined
-                .borrow_mut()
-                .extend_from_slice(&pipelined[now..]);
-            Poll::Ready(Ok(()))
+            poll_read_part(&mut self.stream.borrow_mut(), cx, buf)
         };
         if buf.filled().len() > before {
             match self.framing.feed(&buf.filled()[before..]) {
@@ -234,14 +296,16 @@
                     return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
                 }
                 Ok((taken, request_ended)) => {
-                    self.client
-                        .pipelined
-                        .borrow_mut()
-                        .splice(..0, buf.filled()[before + taken..].iter().copied());
+                    let rest = &buf.filled()[before + taken..];
+                    self.client.pipelined.borrow_mut().put_back(rest);
                     buf.set_filled(before + taken);
                     self.client
                         .requests_read
                         .set(self.client.requests_read.get() + u64::from(request_ended));
+                    if !self.cover_head(taken) {
+                        self.refuse_head();
+                        return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+                    }
                 }
             }
             let now = Instant::now();
@@ -258,6 +322,24 @@
 }
 
 impl ClientSocket {
+    /// Reserves memory for the head that is being received, of which these many bytes have just come. Returns false if
+    /// there is none.
+    fn cover_head(&mut self, received: usize) -> bool {
+        if !self.framing.in_head() {
+            self.head_bytes = 0;
+            return true;
+        }
+        self.head_bytes += received;
+        self.client.cover_head(self.head_bytes)
+    }
+
+    /// Answers a request whose head is not kept; the connection ends with this.
+    fn refuse_head(&self) {
+        if self.client.delivery.get() == Delivery::Done {
+            let _ = self.stream.borrow().try_write(HEAD_TOO_LONG); // the client may have disconnected
+        }
+    }
+
     /// Buffers bytes that follow a request without an answer. Only the end of the client's stream is reported.
     fn read_pipelined(&self, cx: &mut Context) -> Poll<io::Result<()>> {
         let mut bytes = [0; 4 << 10];
@@ -266,14 +348,9 @@
             match Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut buf) {
                 Poll::Ready(Ok(())) if !buf.filled().is_empty() => {
                     self.client.last_io.set(Instant::now());
-                    let mut pipelined = self.client.pipelined.borrow_mut();
-                    let room = MAX_PIPELINED_BYTES
-                        .saturating_sub(pipelined.len())
-                        .min(buf.filled().len());
-                    pipelined.extend_from_slice(&buf.filled()[..room]);
-                    self.client
-                        .overflowed
-                        .set(self.client.overflowed.get() || room < buf.filled().len());
+                    if !self.client.overflowed.get() {
+                        self.client.keep_pipelined(buf.filled());
+                    }
                 }
                 Poll::Pending => {
                     self.client.read_waker.replace(Some(cx.waker().clone()));
--- a/crates/proxy-core/src/frontend.rs
+++ b/crates/proxy-core/src/frontend.rs
@@ -162,6 +162,7 @@
     /// The next number of a connection or a request, shared by all listeners of a process.
     next_id: Rc<Cell<u64>>,
     lifecycle: Rc<SharedLifecycle>,
+    memory: Rc<BodyMemory>,
     clients: RefCell<BTreeMap<u64, Rc<ClientConnection>>>,
     connection_closed: Notify,
 }
@@ -172,12 +173,14 @@
         max_connections: usize,
         next_id: Rc<Cell<u64>>,
         lifecycle: Rc<SharedLifecycle>,
+        memory: Rc<BodyMemory>,
     ) -> Rc<Self> {
         Rc::new(Frontend {
             router,
             max_connections,
             next_id,
             lifecycle,
+            memory,
             clients: RefCell::default(),
             connection_closed: Notify::new(),
         })
@@ -311,7 +314,7 @@
                     self.close_idle(1, FIRST_REQUEST_WAIT);
                 }
                 let id = self.next_id.replace(self.next_id.get() + 1);
-                let client = Rc::new(ClientConnection::new(account));
+                let client = Rc::new(ClientConnection::new(account, self.memory.clone()));
                 self.clients.borrow_mut().insert(id, client.clone());
                 spawn_local(async move {
                     if client.account.borrow().is_some() {
@@ -432,6 +435,7 @@
                     stream: stream.clone(),
                     client: client.clone(),
                     framing: FramingValidator::default(),
+                    head_bytes: 0,
                 }),
                 service,
             );
--- a/crates/proxy-core/src/process.rs
+++ b/crates/proxy-core/src/process.rs
@@ -272,7 +272,7 @@
         reloadable,
         lifecycle: lifecycle.clone(),
         counts: counts.clone(),
-        body_memory,
+        body_memory: body_memory.clone(),
         features,
         account: None,
         requires_headers: true,
@@ -294,6 +294,7 @@
         max_clients,
         Rc::default(),
         lifecycle.clone(),
+        body_memory,
     );
     let address = listener.local_addr().map_err(at("listener"))?;
     note!("{} listens on {address}", config.name);
--- a/crates/proxy-core/src/service.rs
+++ b/crates/proxy-core/src/service.rs
@@ -259,9 +259,16 @@
     ) {
         let lifecycle = Rc::new(SharedLifecycle::new(self.clock, false));
         lifecycle.update(|lifecycle, _| lifecycle.mark_list_received()); // the pools have lists or answer for themselves
-        Frontend::new(router, max_connections, self.next_id.clone(), lifecycle)
-            .serve(listener, stop)
-            .await;
+        let memory = self.body_memory.clone();
+        Frontend::new(
+            router,
+            max_connections,
+            self.next_id.clone(),
+            lifecycle,
+            memory,
+        )
+        .serve(listener, stop)
+        .await;
     }
 }
 
--- a/crates/proxy-core/tests/unit/frontend.rs
+++ b/crates/proxy-core/tests/unit/frontend.rs
@@ -62,7 +62,13 @@
         let address = listener.local_addr().expect("local address");
         let account = Rc::new(NeverReadable::default());
         let lifecycle = Rc::new(SharedLifecycle::new(Clock::default(), false));
-        let frontend = Frontend::new(NoPools(account.clone()), 10, Rc::default(), lifecycle);
+        let frontend = Frontend::new(
+            NoPools(account.clone()),
+            10,
+            Rc::default(),
+            lifecycle,
+            BodyMemory::new(0),
+        );
         spawn_local(frontend.serve(listener, std::future::pending()));
         let client = TcpStream::connect(address)
             .await
--- a/crates/proxy/tests/memory.rs
+++ b/crates/proxy/tests/memory.rs
@@ -193,6 +193,103 @@
     address
 }
 
+/// Guards against answers that are kept for clients that do not read them.
+#[test]
+fn long_answers_that_clients_do_not_read_stay_within_the_smallest_limit() {
+    let backends = slow_backends(BODY_BYTES);
+    let (_discovery, mut proxy) = proxy_for(&backends, &SMALL_LIMITS);
+    let streams: Vec<TcpStream> = (0..SMALL_LIMITS.clients())
+        .map(|number| {
+            let mut stream = connect(proxy.address);
+            for request in 0..4 {
+                let id = format!("r-{number}-{request}");
+                stream
+                    .write_all(page(&id).as_bytes())
+                    .expect("the bytes are accepted");
+            }
+            stream
+        })
+        .collect();
+    wait_for("the requests to end", || {
+        proxy.metric("node_current") == 0.0
+    });
+    assert!(proxy.is_running());
+    SMALL_LIMITS.check(&proxy);
+    drop(streams);
+}
+
+/// Guards against bytes behind a request that are kept until its answer.
+#[test]
+fn bytes_behind_requests_stay_within_the_smallest_limit() {
+    let backends = slow_backends(10);
+    let (_discovery, mut proxy) = proxy_for(&backends, &SMALL_LIMITS);
+    let address = proxy.address;
+    run_clients(SMALL_LIMITS.clients(), move |_| {
+        let mut stream = connect(address);
+        let mut bytes = page("r-1");
+        while bytes.len() < BODY_BYTES {
+            bytes += &page("r-2");
+        }
+        let _ = stream.write_all(bytes.as_bytes()); // the proxy may close the connection before
+        let answer = read_message(&mut BufReader::new(&stream));
+        answer.map(|a| a.status()).into_iter().collect()
+    });
+    assert!(proxy.is_running());
+    SMALL_LIMITS.check(&proxy);
+}
+
+/// Guards against long heads, which clients send on any connection; each of them gets an answer.
+#[test]
+fn long_heads_stay_within_the_smallest_limit() {
+    const CONNECTIONS: usize = 600;
+    let backends = slow_backends(10);
+    let (_discovery, mut proxy) = proxy_for(&backends, &SMALL_LIMITS);
+    let long_line = format!("X-Long: {}\r\n\r\n", "x".repeat(BODY_BYTES - 1000));
+    let request = page("r-1").replace("\r\n\r\n", &format!("\r\n{long_line}"));
+    let (begin, end) = request.split_at(request.len() - 10);
+    let mut streams: Vec<TcpStream> = (0..CONNECTIONS)
+        .map(|_| {
+            let mut stream = connect(proxy.address);
+            let _ = stream.write_all(begin.as_bytes()); // the proxy may close the connection before
+            stream
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    for stream in &mut streams {
+        let _ = stream.write_all(end.as_bytes());
+    }
+    for stream in &streams {
+        let answer = read_message(&mut BufReader::new(stream)).expect("an answer");
+        assert!([200, 431, 502, 503].contains(&answer.status()));
+    }
+    assert!(proxy.is_running());
+    SMALL_LIMITS.check(&proxy);
+}
+
+/// Guards against connections without a request that take memory as well as a descriptor.
+#[test]
+fn idle_connections_stay_within_the_smallest_limit() {
+    let backends = slow_backends(10);
+    let (_discovery, mut proxy) = proxy_for(&backends, &SMALL_LIMITS);
+    let address = proxy.address;
+    let streams: Vec<TcpStream> = (0..SMALL_LIMITS.sockets)
+        .map(|_| connect(address))
+        .collect();
+    let codes = run_clients(SMALL_LIMITS.clients(), move |_| {
+        let Ok(mut stream) = TcpStream::connect(address) else {
+            return Vec::new();
+        };
+        let _ = stream.set_read_timeout(Some(LIMIT));
+        let _ = stream.write_all(page("r-1").as_bytes());
+        let answer = read_message(&mut BufReader::new(&stream));
+        answer.map(|a| a.status()).into_iter().collect()
+    });
+    assert!(codes.iter().all(|code| [200, 502, 503].contains(code)));
+    assert!(proxy.is_running());
+    SMALL_LIMITS.check(&proxy);
+    drop(streams);
+}
+
 /// A proxy whose memory for bodies is taken by requests that its endpoint has not answered yet.
 struct FullProxy {
     server: ScriptedPeer,
