Play all that takes memory at a time, against the smaller reading of the limit

What: memory.rs gets a test in which bodies, slowly read long answers, long heads and idle connections share 32 MB, and its limits are checked as a million bytes a MB, the stricter of two readings. Bytes behind a request are handed to hyper in parts of one read, so that they don't make its buffer grow either.

--- a/crates/proxy-core/src/bounded_read.rs
+++ b/crates/proxy-core/src/bounded_read.rs
@@ -10,7 +10,7 @@
 
 /// The most bytes of one read: fewer than the HTTP library's first buffer, which grows once a read fills it and keeps
 /// its size as long as the connection lasts.
-const MAX_READ_BYTES: usize = (8 << 10) - 1;
+pub const MAX_READ_BYTES: usize = (8 << 10) - 1;
 
 /// Reads at most [`MAX_READ_BYTES`] from a socket. A buffer into which nothing is read stays untouched, so that idle
 /// connections take no pages for theirs.
--- a/crates/proxy-core/src/connection.rs
+++ b/crates/proxy-core/src/connection.rs
@@ -16,7 +16,7 @@
 
 use crate::account::TenantAccount;
 use crate::body_memory::{BodyMemory, Reservation};
-use crate::bounded_read::poll_read_part;
+use crate::bounded_read::{MAX_READ_BYTES, poll_read_part};
 use crate::framing::FramingValidator;
 
 /// The time from the first byte of a request to its last, plus the transfer time of its body. A client may take 2 s
@@ -241,7 +241,7 @@
 
     /// Moves bytes from the beginning to a buffer.
     fn take(&mut self, buf: &mut ReadBuf) {
-        let taken = self.bytes.len().min(buf.remaining());
+        let taken = self.bytes.len().min(buf.remaining()).min(MAX_READ_BYTES);
         buf.put_slice(&self.bytes[..taken]);
         self.bytes.drain(..taken);
         if self.bytes.is_empty() {
@@ -249,6 +249,7 @@
         }
     }
 }
+
 /// The number of reads in one poll for bytes that are not parsed at once.
 pub const MAX_READS_PER_POLL: usize = 4;
 
--- a/crates/proxy/tests/memory.rs
+++ b/crates/proxy/tests/memory.rs
@@ -4,7 +4,7 @@
 #[path = "../../proxy-core/tests/sockets/mod.rs"]
 mod sockets;
 
-use std::io::{BufReader, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -41,11 +41,12 @@
         }
     }
 
+    /// Checks the limit in its smaller reading, a million bytes a MB.
     fn check(&self, proxy: &Proxy) {
-        let peak_mb = proxy.memory_peak_mb() * 1000.0 / 1024.0;
+        let peak_mb = proxy.memory_peak_mb() * 1.024;
         assert!(
             peak_mb <= f64::from(self.memory_mb),
-            "{peak_mb:.1} MiB of {}",
+            "{peak_mb:.1} MB of {}",
             self.memory_mb
         );
     }
@@ -290,6 +291,59 @@
     drop(streams);
 }
 
+/// Guards against parts of the memory that stay within their own limits and exceed that of the process together.
+#[test]
+fn bodies_streams_heads_and_idle_connections_together_stay_within_the_smallest_limit() {
+    const LONG_ANSWER_BYTES: usize = 2 << 20;
+    const HEADS: usize = 100;
+    let long_answer = ok(&"y".repeat(LONG_ANSWER_BYTES));
+    let backends: Vec<_> = (0..10)
+        .map(|_| {
+            let long_answer = long_answer.clone();
+            Backend::with(move |message| {
+                thread::sleep(Duration::from_millis(100));
+                BackendAction::Write(match message.id() {
+                    "r-long" => long_answer.clone(),
+                    _ => ok(&"y".repeat(BODY_BYTES)),
+                })
+            })
+        })
+        .collect();
+    let (_discovery, mut proxy) = proxy_for(&backends, &SMALL_LIMITS);
+    let address = proxy.address;
+    let idle: Vec<TcpStream> = (0..SMALL_LIMITS.sockets / 4)
+        .map(|_| connect(address))
+        .collect();
+    let long_head = format!("GET /page HTTP/1.1\r\nX-Long: {}", "x".repeat(BODY_BYTES));
+    let heads: Vec<TcpStream> = (0..HEADS)
+        .map(|_| {
+            let mut stream = connect(address);
+            let _ = stream.write_all(long_head.as_bytes()); // the proxy may close the connection before
+            stream
+        })
+        .collect();
+    let body = "x".repeat(BODY_BYTES);
+    run_clients(SMALL_LIMITS.clients(), move |number| {
+        if number % 3 > 0 {
+            return ask(address, &submit(&format!("r-{number}"), "4", &body), 6);
+        }
+        // A client that takes its answer slowly.
+        let mut stream = connect(address);
+        let _ = stream.write_all(page("r-long").as_bytes()); // idle connections may leave no room
+        let mut buffer = [0; 4 << 10];
+        for _ in 0..300 {
+            thread::sleep(Duration::from_millis(10));
+            if stream.read(&mut buffer).unwrap_or(0) == 0 {
+                break;
+            }
+        }
+        Vec::new()
+    });
+    assert!(proxy.is_running());
+    SMALL_LIMITS.check(&proxy);
+    drop((idle, heads));
+}
+
 /// A proxy whose memory for bodies is taken by requests that its endpoint has not answered yet.
 struct FullProxy {
     server: ScriptedPeer,
