--- a/crates/proxy-core/src/connection.rs
+++ b/crates/proxy-core/src/connection.rs
@@ -209,9 +209,9 @@
 /// The length of a head that fits into the first buffer of the HTTP library.
 const MAX_SHORT_HEAD_BYTES: usize = 8 << 10;
 
-/// The answer to a request whose long head there is no memory for.
-const HEAD_TOO_LONG: &[u8] =
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+/// The answer to a request for whose long head there is no memory.
+const NO_MEMORY_FOR_HEAD: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /// Received bytes of further requests, with their memory.
 #[derive(Default)]
@@ -304,7 +304,7 @@
                         .requests_read
                         .set(self.client.requests_read.get() + u64::from(request_ended));
                     if !self.cover_head(taken) {
-                        self.refuse_head();
+                        self.reject_head();
                         return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
                     }
                 }
@@ -334,10 +334,10 @@
         self.client.cover_head(self.head_bytes)
     }
 
-    /// Answers a request whose head is not kept; the connection ends with this.
-    fn refuse_head(&self) {
+    /// Rejects a request whose head is not kept; the connection ends with this.
+    fn reject_head(&self) {
         if self.client.delivery.get() == Delivery::Done {
-            let _ = self.stream.borrow().try_write(HEAD_TOO_LONG); // the client may have disconnected
+            let _ = self.stream.borrow().try_write(NO_MEMORY_FOR_HEAD); // the client may have disconnected
         }
     }
 
--- a/crates/proxy/tests/memory.rs
+++ b/crates/proxy/tests/memory.rs
@@ -261,7 +261,7 @@
     }
     for stream in &streams {
         let answer = read_message(&mut BufReader::new(stream)).expect("an answer");
-        assert!([200, 431, 502, 503].contains(&answer.status()));
+        assert!([200, 502, 503].contains(&answer.status()));
     }
     assert!(proxy.is_running());
     SMALL_LIMITS.check(&proxy);
