Split receiving of request bodies and exchanges off frontend and upstream

Change: moved as they were to request_body.rs and exchange.rs; no logic.

Measured: tests of proxy and proxy-core pass.

--- /dev/null
+++ b/crates/proxy-core/src/exchange.rs
@@ -0,0 +1,174 @@
+//! One exchange on a connection to an endpoint: sends a request, receives the response, and forwards a long one as it
+//! arrives.
+
+use std::time::Duration;
+
+use balancer::Outcome;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
+use hyper::client::conn::http1::SendRequest;
+use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::{Request, StatusCode, Version};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::body_memory::{BodyBuffer, BodyMemory, MAX_BUFFERED_BYTES};
+use crate::message::{EndpointResponse, ResponseContent, strip_hop_by_hop};
+use crate::stream::{self, RequestBody, ResponsePiece};
+
+/// The time without data after which a response that has begun is aborted.
+const RESPONSE_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The result of an exchange.
+pub enum ExchangeResult {
+    /// The flag is true if the connection may be reused.
+    Complete(Outcome, Option<EndpointResponse>, bool),
+    Large(LargeResponse),
+}
+
+/// A successful response that is not buffered whole.
+pub struct LargeResponse {
+    pub headers: HeaderMap,
+    pub length: Option<u64>,
+    /// The part that has been received.
+    pub first_part: Bytes,
+    pub remaining_body: Incoming,
+}
+
+/// Sends a request and reads the complete response, or as much of it as is buffered.
+pub async fn exchange(
+    sender: &mut SendRequest<RequestBody>,
+    request: Request<RequestBody>,
+    body_memory: &BodyMemory,
+) -> Result<ExchangeResult, String> {
+    let response = sender
+        .send_request(request)
+        .await
+        .map_err(|e| e.to_string())?;
+    let (head, mut body) = response.into_parts();
+    // The end of the connection delimits a body if the head announces the close; an endpoint that crashes resets the
+    // connection. Without the announcement a truncated body could not be detected.
+    let length = body.size_hint().exact();
+    let has_close = |value: &HeaderValue| {
+        value.to_str().is_ok_and(|v| {
+            v.split(',')
+                .any(|part| part.trim().eq_ignore_ascii_case("close"))
+        })
+    };
+    let closes = head.version == Version::HTTP_10
+        || head
+            .headers
+            .get_all(header::CONNECTION)
+            .iter()
+            .any(has_close);
+    let has_explicit_length =
+        length.is_some() || head.headers.contains_key(header::TRANSFER_ENCODING);
+    let delimited = has_explicit_length || closes;
+    // Only a successful response is forwarded; the body of any other is read so that the connection can be reused.
+    let is_forwarded = head.status == StatusCode::OK && delimited;
+    let is_long = length.is_some_and(|n| n > MAX_BUFFERED_BYTES as u64);
+    let mut buffer = if is_forwarded && !is_long {
+        let reservation = body_memory.try_reserve(length);
+        reservation.map(|reservation| BodyBuffer::new(reservation, length))
+    } else {
+        None
+    };
+    let mut size = 0;
+    let large = loop {
+        // Without memory a response is forwarded as it arrives.
+        if size > MAX_BUFFERED_BYTES || is_long || is_forwarded && buffer.is_none() {
+            break true;
+        }
+        let Some(frame) = body.frame().await else {
+            break false;
+        };
+        if let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() {
+            size += data.len();
+            if let Some(buffer) = &mut buffer {
+                buffer.add(data);
+            }
+        }
+    };
+    let received = buffer.map_or_else(Bytes::new, BodyBuffer::into_bytes);
+    let not_processed = head
+        .headers
+        .get("x-not-processed")
+        .is_some_and(|v| v.as_bytes().trim_ascii() == b"1");
+    let mut headers = head.headers;
+    Ok(match head.status {
+        StatusCode::OK if !delimited => {
+            return Err("the response has neither a length nor an announced close".into());
+        }
+        StatusCode::OK => {
+            strip_hop_by_hop(&mut headers);
+            if large {
+                return Ok(ExchangeResult::Large(LargeResponse {
+                    headers,
+                    length,
+                    first_part: received,
+                    remaining_body: body,
+                }));
+            }
+            ExchangeResult::Complete(
+                Outcome::Served,
+                Some(EndpointResponse {
+                    headers,
+                    body: ResponseContent::Buffered(received),
+                }),
+                has_explicit_length,
+            )
+        }
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_processed => {
+            ExchangeResult::Complete(Outcome::Overloaded, None, !large)
+        }
+        status => ExchangeResult::Complete(
+            Outcome::Error,
+            None,
+            !large && status != StatusCode::SWITCHING_PROTOCOLS,
+        ),
+    })
+}
+
+/// Forwards a large response as it arrives, no faster than the client reads.
+pub async fn stream_response(
+    first_part: Bytes,
+    mut remaining_body: Incoming,
+    length: Option<u64>,
+    body_memory: &BodyMemory,
+    pieces: mpsc::Sender<ResponsePiece>,
+) -> Outcome {
+    let _slot = body_memory.stream_slot().await;
+    let mut passed = 0;
+    let mut first_part = Some(first_part).filter(|part| !part.is_empty());
+    let is_whole = |passed| length == Some(passed);
+    loop {
+        let data = match first_part.take() {
+            Some(data) => data,
+            None => tokio::select! {
+                frame = timeout(RESPONSE_IDLE_TIMEOUT, remaining_body.frame()) => match frame {
+                    Ok(Some(Ok(frame))) => match frame.into_data() {
+                        Ok(data) => data,
+                        Err(_) => continue, // trailers are dropped
+                    },
+                    Ok(None) => break,
+                    Ok(Some(Err(_))) | Err(_) => return Outcome::Reset,
+                },
+                () = pieces.closed(), if !is_whole(passed) => return Outcome::Cancelled,
+            },
+        };
+        passed += data.len() as u64;
+        if passed > stream::MAX_BODY_BYTES {
+            return Outcome::Reset; // over the size limit
+        }
+        if pieces.send(ResponsePiece::Data(data)).await.is_err() && !is_whole(passed) {
+            return Outcome::Cancelled; // the client has disconnected
+        }
+    }
+    // With an announced length the receiver needs no end marker.
+    if pieces.send(ResponsePiece::End).await.is_ok() || is_whole(passed) {
+        Outcome::Served
+    } else {
+        Outcome::Cancelled
+    }
+}
--- a/crates/proxy-core/src/frontend.rs
+++ b/crates/proxy-core/src/frontend.rs
@@ -13,7 +13,6 @@
 
 use balancer::RequestId;
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
@@ -25,10 +24,10 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::account::{self, TenantAccount};
-use crate::body_memory::{BodyBuffer, BodyMemory, MAX_BUFFERED_BYTES, Reservation};
+use crate::body_memory::{BodyMemory, MAX_BUFFERED_BYTES};
 use crate::connection::{
     ClientConnection, ClientSocket, Delivery, IDLE_TIMEOUT, MAX_READS_PER_POLL,
 };
@@ -42,6 +41,7 @@
 };
 use crate::note;
 use crate::pool::{Pool, RequestHead};
+use crate::request_body::{self, BodyError};
 use crate::stream::{self, MAX_BODY_BYTES, RequestContent, ResponseBody, Upload};
 use crate::upstream::{Upstreams, has_no_unread_input};
 use crate::vars::RequestEnd;
@@ -49,8 +49,6 @@
 /// The time without I/O after which a connection with an active request is closed, in addition to the longest
 /// deadline.
 const STALLED_CLIENT_TIMEOUT: Duration = Duration::from_secs(10);
-/// The time limit for reading the rest of an unneeded request body, so that the client does not miss the answer.
-const DRAIN_TIMEOUT: Duration = Duration::from_secs(3);
 const MAX_HEAD_BYTES: usize = 64 << 10;
 const LISTEN_BACKLOG: u32 = 1024;
 /// After the proxy stops accepting, the time without a new connection after which the accept queue counts as empty.
@@ -68,8 +66,6 @@
 const FIRST_REQUEST_WAIT: Duration = Duration::from_secs(2);
 /// The retry delay in ms when there is no memory for another body.
 const MEMORY_RETRY_AFTER_MS: f64 = 500.0;
-/// The fraction of a client's timeout for which its request waits for memory for its body before it is rejected.
-const MAX_MEMORY_WAIT: f64 = 0.4;
 /// The pause after a failed accept, which prevents a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -546,7 +542,7 @@
         };
         let received = tokio::select! {
             biased;
-            received = read_body(body, &mut parsed.timeout, receive_deadline, &pool.body_memory) => received,
+            received = request_body::read_body(body, &mut parsed.timeout, receive_deadline, &pool.body_memory) => received,
             () = self.lifecycle.answer_due(|| self.router.max_deadline(), || false) => {
                 Err(BodyError::TooLate)
             }
@@ -554,7 +550,7 @@
         let body = match received {
             Ok(body) => body,
             Err(BodyError::NoMemory(body)) => {
-                drain_body(body);
+                request_body::drain_body(body);
                 return self.reject_without_memory(pool, &parsed).await;
             }
             Err(error) => return error.into_response(),
@@ -563,7 +559,7 @@
         // A streamed body reserves memory for as long as it is sent.
         let slot = upload.as_ref().map(|_| pool.body_memory.try_stream_slot());
         if matches!(slot, Some(None)) {
-            upload.into_iter().for_each(drain_upload);
+            upload.into_iter().for_each(request_body::drain_upload);
             return self.reject_without_memory(pool, &parsed).await;
         }
         // The input for routing the request again, if that may be needed.
@@ -631,7 +627,7 @@
                     match self.reroute(&pool, routing_input).await {
                         Ok(rerouted) => (pool, parsed) = rerouted,
                         Err(response) => {
-                            upload.into_iter().for_each(drain_upload);
+                            upload.into_iter().for_each(request_body::drain_upload);
                             return response;
                         }
                     }
@@ -639,7 +635,7 @@
                 (answer, _) => break answer,
             }
         };
-        upload.into_iter().for_each(drain_upload);
+        upload.into_iter().for_each(request_body::drain_upload);
         let mut response = final_response(answer);
         if let (Some(decision), Some(gate)) = (decision.and_then(|d| d.get()), self.router.gate())
             && gate.send_stamps()
@@ -785,104 +781,6 @@
     let _ = timeout(CLOSE_TIMEOUT, drained).await; // after that the connection is reset, because its client keeps sending
 }
 
-/// The reason why a request's body was not read.
-enum BodyError {
-    TooLarge,
-    Malformed,
-    /// It was not complete in time.
-    TooLate,
-    /// There was no memory for it in time.
-    NoMemory(Incoming),
-}
-
-impl BodyError {
-    fn into_response(self) -> Response<ResponseBody> {
-        let (status, text) = match self {
-            BodyError::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
-            BodyError::Malformed => (StatusCode::BAD_REQUEST, "the body is malformed"),
-            BodyError::TooLate => (StatusCode::REQUEST_TIMEOUT, "the body came too late"),
-            BodyError::NoMemory(_) => (StatusCode::SERVICE_UNAVAILABLE, "try again"),
-        };
-        text_response(status, text).map(ResponseBody::from)
-    }
-}
-
-/// Reads a body as far as it is buffered; the rest is streamed. It must be complete by the deadline plus the transfer
-/// time of its size. The wait for memory is taken off the client's timeout, as the client may have sent its last byte
-/// before.
-async fn read_body(
-    mut body: Incoming,
-    timeout: &mut Duration,
-    receive_deadline: Instant,
-    body_memory: &BodyMemory,
-) -> Result<RequestContent, BodyError> {
-    let length = body.size_hint().exact();
-    if body.is_end_stream() {
-        return Ok(RequestContent::empty());
-    }
-    if length.is_some_and(|n| n > MAX_BODY_BYTES) {
-        return Err(BodyError::TooLarge);
-    }
-    let Some(reservation) = reserve_memory(length, timeout, body_memory).await else {
-        return Err(BodyError::NoMemory(body));
-    };
-    let mut buffer = BodyBuffer::new(reservation, length);
-    loop {
-        let deadline = receive_deadline + stream::transfer_time(buffer.len());
-        match timeout_at(deadline, body.frame()).await {
-            Ok(Some(Ok(frame))) => {
-                let Ok(data) = frame.into_data() else {
-                    continue;
-                }; // trailers are dropped
-                buffer.add(data);
-                // A slow body would occupy an endpoint's slot while it is received, so it is buffered as long as
-                // there is memory.
-                if !buffer.may_grow(body_memory) {
-                    let upload = Upload::new(buffer.into_bytes(), length, body, *timeout);
-                    return Ok(RequestContent::Streamed(upload));
-                }
-            }
-            Ok(None) => return Ok(RequestContent::Buffered(buffer.into_bytes())),
-            Ok(Some(Err(_))) => return Err(BodyError::Malformed),
-            Err(_) => return Err(BodyError::TooLate),
-        }
-    }
-}
-
-/// Reserves memory for a body. If there is none now, a body that may be short waits for it for a part of the client's
-/// timeout.
-async fn reserve_memory(
-    length: Option<u64>,
-    client_timeout: &mut Duration,
-    body_memory: &BodyMemory,
-) -> Option<Reservation> {
-    if let Some(reservation) = body_memory.try_reserve(length) {
-        return Some(reservation);
-    }
-    if length.is_some_and(|bytes| bytes > MAX_BUFFERED_BYTES as u64) {
-        return None;
-    }
-    let begun = Instant::now();
-    let max_wait = client_timeout.mul_f64(MAX_MEMORY_WAIT);
-    let reservation = timeout(max_wait, body_memory.reserve(length)).await;
-    *client_timeout = client_timeout.saturating_sub(begun.elapsed());
-    reservation.ok().flatten()
-}
-
-/// Reads the rest of the body of an answered request: a client that is still sending would miss the answer if the
-/// connection were closed.
-fn drain_upload(upload: Rc<Upload>) {
-    upload.take_rest().into_iter().for_each(drain_body);
-}
-
-/// Reads a body that is not needed.
-fn drain_body(mut body: Incoming) {
-    spawn_local(async move {
-        let all = async { while let Some(Ok(_)) = body.frame().await {} };
-        let _ = timeout(DRAIN_TIMEOUT, all).await;
-    });
-}
-
 /// Rejects a request on a connection over the limit, without the balancer.
 fn reject_over_limit(pool: &Pool, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let (head, _) = request.into_parts();
--- /dev/null
+++ b/crates/proxy-core/src/request_body.rs
@@ -0,0 +1,118 @@
+//! Receives the bodies of requests: buffered while there is memory, streamed beyond, or read and dropped.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
+use hyper::{Response, StatusCode};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use crate::body_memory::{BodyBuffer, BodyMemory, MAX_BUFFERED_BYTES, Reservation};
+use crate::message::text_response;
+use crate::stream::{self, MAX_BODY_BYTES, RequestContent, ResponseBody, Upload};
+
+/// The time limit for reading the rest of an unneeded request body, so that the client does not miss the answer.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(3);
+/// The fraction of a client's timeout for which its request waits for memory for its body before it is rejected.
+const MAX_MEMORY_WAIT: f64 = 0.4;
+
+/// The reason why a request's body was not read.
+pub enum BodyError {
+    TooLarge,
+    Malformed,
+    /// It was not complete in time.
+    TooLate,
+    /// There was no memory for it in time.
+    NoMemory(Incoming),
+}
+
+impl BodyError {
+    /// Returns the answer for the client.
+    pub fn into_response(self) -> Response<ResponseBody> {
+        let (status, text) = match self {
+            BodyError::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
+            BodyError::Malformed => (StatusCode::BAD_REQUEST, "the body is malformed"),
+            BodyError::TooLate => (StatusCode::REQUEST_TIMEOUT, "the body came too late"),
+            BodyError::NoMemory(_) => (StatusCode::SERVICE_UNAVAILABLE, "try again"),
+        };
+        text_response(status, text).map(ResponseBody::from)
+    }
+}
+
+/// Reads a body as far as it is buffered; the rest is streamed. It must be complete by the deadline plus the transfer
+/// time of its size. The wait for memory is taken off the client's timeout, as the client may have sent its last byte
+/// before.
+pub async fn read_body(
+    mut body: Incoming,
+    timeout: &mut Duration,
+    receive_deadline: Instant,
+    body_memory: &BodyMemory,
+) -> Result<RequestContent, BodyError> {
+    let length = body.size_hint().exact();
+    if body.is_end_stream() {
+        return Ok(RequestContent::empty());
+    }
+    if length.is_some_and(|n| n > MAX_BODY_BYTES) {
+        return Err(BodyError::TooLarge);
+    }
+    let Some(reservation) = reserve_memory(length, timeout, body_memory).await else {
+        return Err(BodyError::NoMemory(body));
+    };
+    let mut buffer = BodyBuffer::new(reservation, length);
+    loop {
+        let deadline = receive_deadline + stream::transfer_time(buffer.len());
+        match timeout_at(deadline, body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                let Ok(data) = frame.into_data() else {
+                    continue;
+                }; // trailers are dropped
+                buffer.add(data);
+                // A slow body would occupy an endpoint's slot while it is received, so it is buffered as long as
+                // there is memory.
+                if !buffer.may_grow(body_memory) {
+                    let upload = Upload::new(buffer.into_bytes(), length, body, *timeout);
+                    return Ok(RequestContent::Streamed(upload));
+                }
+            }
+            Ok(None) => return Ok(RequestContent::Buffered(buffer.into_bytes())),
+            Ok(Some(Err(_))) => return Err(BodyError::Malformed),
+            Err(_) => return Err(BodyError::TooLate),
+        }
+    }
+}
+
+/// Reserves memory for a body. If there is none now, a body that may be short waits for it for a part of the client's
+/// timeout.
+async fn reserve_memory(
+    length: Option<u64>,
+    client_timeout: &mut Duration,
+    body_memory: &BodyMemory,
+) -> Option<Reservation> {
+    if let Some(reservation) = body_memory.try_reserve(length) {
+        return Some(reservation);
+    }
+    if length.is_some_and(|bytes| bytes > MAX_BUFFERED_BYTES as u64) {
+        return None;
+    }
+    let begun = Instant::now();
+    let max_wait = client_timeout.mul_f64(MAX_MEMORY_WAIT);
+    let reservation = timeout(max_wait, body_memory.reserve(length)).await;
+    *client_timeout = client_timeout.saturating_sub(begun.elapsed());
+    reservation.ok().flatten()
+}
+
+/// Reads the rest of the body of an answered request: a client that is still sending would miss the answer if the
+/// connection were closed.
+pub fn drain_upload(upload: Rc<Upload>) {
+    upload.take_rest().into_iter().for_each(drain_body);
+}
+
+/// Reads a body that is not needed.
+pub fn drain_body(mut body: Incoming) {
+    spawn_local(async move {
+        let all = async { while let Some(Ok(_)) = body.frame().await {} };
+        let _ = timeout(DRAIN_TIMEOUT, all).await;
+    });
+}
--- a/crates/proxy-core/tests/layers.rs
+++ b/crates/proxy-core/tests/layers.rs
@@ -2,7 +2,7 @@
 use std::path::Path;
 
 /// The modules, from the lowest layer up.
-const LAYERS: [&str; 32] = [
+const LAYERS: [&str; 34] = [
     "backoff",
     "body_memory",
     "bounded_read",
@@ -19,6 +19,8 @@
     "hosts",
     "stream",
     "message",
+    "exchange",
+    "request_body",
     "vars",
     "inbox",
     "load_report",
