Reserve memory for bodies as they arrive while half of the buffers is free

Cause: each body reserved its first 64 KiB before its first byte, so slow ones held memory that they did not use, and long ones were kept from the buffers.

Change: a body reserves 8 KiB ahead while at most half of the buffers is in use. Beyond that it reserves its rest at once, in turn, as bodies that wait with parts in hand could wait for each other. Buffers have a quarter of the memory. A body over 64 KiB without memory passes through instead of being refused.

Tests of proxy, proxy-core pass.

--- a/crates/proxy-core/src/body_memory.rs
+++ b/crates/proxy-core/src/body_memory.rs
@@ -16,7 +16,9 @@
 pub const MAX_BUFFERED_BYTES: usize = 64 << 10;
 /// The largest request body that is read completely before it is forwarded.
 const MAX_SPOOLED_BYTES: usize = 2 << 20;
-/// The unit in which a body of more than [`MAX_BUFFERED_BYTES`] reserves memory.
+/// The unit in which a body reserves memory as it arrives: at least what one read brings.
+const ARRIVAL_STEP_BYTES: usize = 8 << 10;
+/// The same for a body of more than [`MAX_BUFFERED_BYTES`].
 const SPOOL_STEP_BYTES: usize = 64 << 10;
 /// The unit in which other input than bodies reserves memory.
 const INPUT_STEP_BYTES: usize = 4 << 10;
@@ -34,6 +36,9 @@
     buffers: Arc<Semaphore>,
     /// The number of bytes of all buffers.
     buffer_bytes: usize,
+    /// The number of bytes in use up to which bodies reserve memory as they arrive. Beyond it, a body that begins to
+    /// wait for memory could wait for others that wait as well, so each reserves all of its rest at once.
+    max_arrival_use_bytes: usize,
     /// The number of bytes in use up to which bodies of more than [`MAX_BUFFERED_BYTES`] are buffered.
     max_spooled_use_bytes: usize,
 }
@@ -42,19 +47,20 @@
 pub type StreamSlot = Option<OwnedSemaphorePermit>;
 
 /// Reserved bytes of the memory for buffered bodies, released when dropped.
-#[derive(Debug)]
-pub struct Reservation(OwnedSemaphorePermit);
+#[derive(Debug, Default)]
+pub struct Reservation(Option<OwnedSemaphorePermit>);
 
 impl BodyMemory {
-    /// Divides the memory of a process: three sixteenths for buffered bodies, a quarter for streamed ones, and the
-    /// rest for everything else. Bodies of more than [`MAX_BUFFERED_BYTES`] leave half of the buffers to others.
+    /// Divides the memory of a process: a quarter for buffered bodies, a quarter for streamed ones, and the rest for
+    /// everything else. Bodies of more than [`MAX_BUFFERED_BYTES`] leave a quarter of the buffers to others.
     pub fn new(memory_bytes: usize) -> Rc<Self> {
-        let buffer_bytes = (memory_bytes / 16 * 3).max(MIN_BUFFERED_BODIES * MAX_BUFFERED_BYTES);
+        let buffer_bytes = (memory_bytes / 4).max(MIN_BUFFERED_BODIES * MAX_BUFFERED_BYTES);
         Rc::new(BodyMemory {
             stream_slots: stream_slots(memory_bytes),
             buffers: Arc::new(Semaphore::new(buffer_bytes)),
             buffer_bytes,
-            max_spooled_use_bytes: buffer_bytes / 2,
+            max_arrival_use_bytes: buffer_bytes / 2,
+            max_spooled_use_bytes: buffer_bytes / 4 * 3,
         })
     }
 
@@ -65,6 +71,7 @@
             stream_slots: stream_slots(memory_bytes),
             buffers: Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)),
             buffer_bytes: Semaphore::MAX_PERMITS,
+            max_arrival_use_bytes: Semaphore::MAX_PERMITS,
             max_spooled_use_bytes: memory_bytes / 8,
         })
     }
@@ -79,57 +86,23 @@
         self.stream_slots.clone().acquire_owned().await.ok()
     }
 
-    /// Reserves memory for the first [`MAX_BUFFERED_BYTES`] of a body of this length, if there is any now.
-    pub fn try_reserve(&self, length: Option<u64>) -> Option<Reservation> {
-        let permit = self
-            .buffers
-            .clone()
-            .try_acquire_many_owned(first_bytes(length));
-        permit.ok().map(Reservation)
-    }
-
-    /// Waits in turn for memory for the first [`MAX_BUFFERED_BYTES`] of a body of this length.
-    pub async fn reserve(&self, length: Option<u64>) -> Option<Reservation> {
-        let permit = self.buffers.clone().acquire_many_owned(first_bytes(length));
-        permit.await.ok().map(Reservation)
+    /// Extends a reservation to at least this many bytes, if there is memory now.
+    pub fn try_cover(&self, reservation: &mut Reservation, bytes: usize) -> bool {
+        let more = bytes.saturating_sub(reservation.bytes());
+        more == 0 || self.try_extend(reservation, more.next_multiple_of(INPUT_STEP_BYTES))
     }
 
-    /// Extends a reservation to at least this many bytes, if there is memory now.
-    pub fn try_cover(&self, reservation: &mut Option<Reservation>, bytes: usize) -> bool {
-        let covered = reservation.as_ref().map_or(0, |r| r.0.num_permits());
-        let Some(more) = bytes.checked_sub(covered).filter(|more| *more > 0) else {
-            return true;
-        };
-        let more = more.next_multiple_of(INPUT_STEP_BYTES);
-        let Ok(permit) = self.buffers.clone().try_acquire_many_owned(more as u32) else {
-            return false;
-        };
-        match reservation {
-            Some(reservation) => reservation.0.merge(permit),
-            None => *reservation = Some(Reservation(permit)),
-        }
-        true
+    fn try_extend(&self, reservation: &mut Reservation, bytes: usize) -> bool {
+        let permit = self.buffers.clone().try_acquire_many_owned(bytes as u32);
+        permit.is_ok_and(|permit| {
+            reservation.add(permit);
+            true
+        })
     }
 
-    /// Reserves memory so that a body may be buffered up to `size` and read further. Returns false if the body is too
-    /// large or there is no memory now.
-    fn try_extend(&self, reservation: &mut Reservation, size: usize) -> bool {
-        if size > MAX_SPOOLED_BYTES {
-            return false;
-        }
-        let needed = size.next_multiple_of(SPOOL_STEP_BYTES);
-        let more = needed.saturating_sub(reservation.0.num_permits());
-        let in_use = self.buffer_bytes - self.buffers.available_permits();
-        if in_use + more > self.max_spooled_use_bytes {
-            return false;
-        }
-        match self.buffers.clone().try_acquire_many_owned(more as u32) {
-            Ok(permit) => {
-                reservation.0.merge(permit);
-                true
-            }
-            Err(_) => false,
-        }
+    /// Returns the number of bytes that are reserved or about to be.
+    fn bytes_in_use(&self) -> usize {
+        self.buffer_bytes - self.buffers.available_permits()
     }
 }
 
@@ -138,40 +111,84 @@
     Arc::new(Semaphore::new(slots.max(MIN_STREAMED_BODIES)))
 }
 
-/// Returns the number of bytes reserved for the first part of a body of this length.
-fn first_bytes(length: Option<u64>) -> u32 {
-    let limit = MAX_BUFFERED_BYTES as u64;
-    length.unwrap_or(limit).min(limit) as u32
-}
-
 impl Reservation {
+    fn bytes(&self) -> usize {
+        self.0.as_ref().map_or(0, OwnedSemaphorePermit::num_permits)
+    }
+
+    fn add(&mut self, more: OwnedSemaphorePermit) {
+        match &mut self.0 {
+            Some(permit) => permit.merge(more),
+            None => self.0 = Some(more),
+        }
+    }
+
     /// Releases what exceeds `size`.
     fn shrink_to(&mut self, size: usize) {
-        let surplus = self.0.num_permits().saturating_sub(size);
-        drop(self.0.split(surplus));
+        let surplus = self.bytes().saturating_sub(size);
+        drop(self.0.as_mut().and_then(|permit| permit.split(surplus)));
     }
 }
 
 /// The received part of a body in one buffer; separate pieces would keep the whole buffers into which they were read.
 pub struct BodyBuffer {
     /// The announced length of the complete body.
-    length: Option<u64>,
+    length: Option<usize>,
     reservation: Reservation,
     single: Bytes,
     joined: BytesMut,
 }
 
 impl BodyBuffer {
-    /// Creates an empty buffer with the memory reserved for a body of this length.
-    pub fn new(reservation: Reservation, length: Option<u64>) -> Self {
+    /// Creates an empty buffer for a body of this length.
+    pub fn new(length: Option<u64>) -> Self {
         BodyBuffer {
-            length,
-            reservation,
+            length: length.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX)),
+            reservation: Reservation::default(),
             single: Bytes::new(),
             joined: BytesMut::new(),
         }
     }
 
+    /// Reserves memory for what the next read brings, if there is any now.
+    pub fn try_reserve_next(&mut self, memory: &BodyMemory) -> bool {
+        let size = self.len();
+        let needed = self.length.map_or(ARRIVAL_STEP_BYTES, |length| {
+            length.saturating_sub(size).min(ARRIVAL_STEP_BYTES)
+        });
+        let more = (size + needed).saturating_sub(self.reservation.bytes());
+        if more == 0 {
+            return true;
+        }
+        if size >= MAX_BUFFERED_BYTES {
+            return size < MAX_SPOOLED_BYTES
+                && memory.bytes_in_use() + SPOOL_STEP_BYTES <= memory.max_spooled_use_bytes
+                && memory.try_extend(&mut self.reservation, SPOOL_STEP_BYTES);
+        }
+        let arrives = memory.bytes_in_use() + more <= memory.max_arrival_use_bytes;
+        let more = if arrives { more } else { self.missing_bytes() };
+        memory.try_extend(&mut self.reservation, more)
+    }
+
+    /// Waits in turn for memory for the rest of the first [`MAX_BUFFERED_BYTES`].
+    pub async fn reserve_rest(&mut self, memory: &BodyMemory) {
+        let missing = self.missing_bytes() as u32;
+        if let Ok(permit) = memory.buffers.clone().acquire_many_owned(missing).await {
+            self.reservation.add(permit);
+        }
+    }
+
+    /// Returns the part of the first [`MAX_BUFFERED_BYTES`] for which no memory is reserved.
+    fn missing_bytes(&self) -> usize {
+        let first = self.length.unwrap_or(usize::MAX).min(MAX_BUFFERED_BYTES);
+        first.saturating_sub(self.reservation.bytes())
+    }
+
+    /// Returns whether the complete body fits into the first [`MAX_BUFFERED_BYTES`], as far as is known.
+    pub fn may_be_short(&self) -> bool {
+        self.length.unwrap_or(0).max(self.len()) <= MAX_BUFFERED_BYTES
+    }
+
     /// Appends received data.
     pub fn add(&mut self, data: Bytes) {
         if self.is_empty() {
@@ -190,7 +207,6 @@
     /// Returns the number of bytes to make room for when a second piece arrives.
     fn expected_bytes(&self) -> usize {
         self.length
-            .and_then(|length| usize::try_from(length).ok())
             .map_or(MAX_BUFFERED_BYTES, |length| length.min(MAX_SPOOLED_BYTES))
     }
 
@@ -204,12 +220,6 @@
         self.single.len() + self.joined.len()
     }
 
-    /// Returns whether more data may be added, for which memory is reserved if necessary.
-    pub fn may_grow(&mut self, memory: &BodyMemory) -> bool {
-        let size = self.len();
-        size <= MAX_BUFFERED_BYTES || memory.try_extend(&mut self.reservation, size)
-    }
-
     /// Returns the buffered data, which holds its reservation.
     pub fn into_bytes(mut self) -> Bytes {
         if self.is_empty() {
--- a/crates/proxy-core/src/connection.rs
+++ b/crates/proxy-core/src/connection.rs
@@ -63,7 +63,7 @@
     /// Bytes received after a request that has no answer yet.
     pipelined: RefCell<PipelinedBytes>,
     /// The memory of long heads, which the HTTP library's buffer keeps as long as the connection lasts.
-    head_reservation: RefCell<Option<Reservation>>,
+    head_reservation: RefCell<Reservation>,
     /// The reader to wake once the request is answered.
     read_waker: RefCell<Option<Waker>>,
     /// More bytes followed than are buffered, so the connection is closed after the answer.
@@ -217,7 +217,7 @@
 #[derive(Default)]
 struct PipelinedBytes {
     bytes: Vec<u8>,
-    reservation: Option<Reservation>,
+    reservation: Reservation,
 }
 
 impl PipelinedBytes {
--- a/crates/proxy-core/src/exchange.rs
+++ b/crates/proxy-core/src/exchange.rs
@@ -68,16 +68,12 @@
     // Only a successful response is forwarded; the body of any other is read so that the connection can be reused.
     let is_forwarded = head.status == StatusCode::OK && delimited;
     let is_long = length.is_some_and(|n| n > MAX_BUFFERED_BYTES as u64);
-    let mut buffer = if is_forwarded && !is_long {
-        let reservation = body_memory.try_reserve(length);
-        reservation.map(|reservation| BodyBuffer::new(reservation, length))
-    } else {
-        None
-    };
+    let mut buffer = is_forwarded.then(|| BodyBuffer::new(length));
     let mut size = 0;
     let large = loop {
         // Without memory a response is forwarded as it arrives.
-        if size > MAX_BUFFERED_BYTES || is_long || is_forwarded && buffer.is_none() {
+        let has_memory = |buffer: &mut BodyBuffer| buffer.try_reserve_next(body_memory);
+        if is_long || size > MAX_BUFFERED_BYTES || !buffer.as_mut().is_none_or(has_memory) {
             break true;
         }
         let Some(frame) = body.frame().await else {
--- a/crates/proxy-core/src/request_body.rs
+++ b/crates/proxy-core/src/request_body.rs
@@ -9,7 +9,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::body_memory::{BodyBuffer, BodyMemory, MAX_BUFFERED_BYTES, Reservation};
+use crate::body_memory::{BodyBuffer, BodyMemory};
 use crate::message::text_response;
 use crate::stream::{self, MAX_BODY_BYTES, RequestContent, ResponseBody, Upload};
 
@@ -57,25 +57,22 @@
     if length.is_some_and(|n| n > MAX_BODY_BYTES) {
         return Err(BodyError::TooLarge);
     }
-    let Some(reservation) = reserve_memory(length, timeout, body_memory).await else {
-        return Err(BodyError::NoMemory(body));
-    };
-    let mut buffer = BodyBuffer::new(reservation, length);
+    let mut buffer = BodyBuffer::new(length);
     loop {
+        // A slow body would occupy an endpoint's slot while it is received, so it is buffered as long as there is memory.
+        if !buffer.try_reserve_next(body_memory) {
+            if !buffer.may_be_short() {
+                let upload = Upload::new(buffer.into_bytes(), length, body, *timeout);
+                return Ok(RequestContent::Streamed(upload));
+            }
+            if !wait_for_memory(&mut buffer, timeout, body_memory).await {
+                return Err(BodyError::NoMemory(body));
+            }
+        }
         let deadline = receive_deadline + stream::transfer_time(buffer.len());
         match timeout_at(deadline, body.frame()).await {
-            Ok(Some(Ok(frame))) => {
-                let Ok(data) = frame.into_data() else {
-                    continue;
-                }; // trailers are dropped
-                buffer.add(data);
-                // A slow body would occupy an endpoint's slot while it is received, so it is buffered as long as
-                // there is memory.
-                if !buffer.may_grow(body_memory) {
-                    let upload = Upload::new(buffer.into_bytes(), length, body, *timeout);
-                    return Ok(RequestContent::Streamed(upload));
-                }
-            }
+            // Trailers are dropped.
+            Ok(Some(Ok(frame))) => frame.into_data().into_iter().for_each(|d| buffer.add(d)),
             Ok(None) => return Ok(RequestContent::Buffered(buffer.into_bytes())),
             Ok(Some(Err(_))) => return Err(BodyError::Malformed),
             Err(_) => return Err(BodyError::TooLate),
@@ -83,24 +80,17 @@
     }
 }
 
-/// Reserves memory for a body. If there is none now, a body that may be short waits for it for a part of the client's
-/// timeout.
-async fn reserve_memory(
-    length: Option<u64>,
+/// Waits for the memory of a short body for a part of the client's timeout; returns false if there was none.
+async fn wait_for_memory(
+    buffer: &mut BodyBuffer,
     client_timeout: &mut Duration,
     body_memory: &BodyMemory,
-) -> Option<Reservation> {
-    if let Some(reservation) = body_memory.try_reserve(length) {
-        return Some(reservation);
-    }
-    if length.is_some_and(|bytes| bytes > MAX_BUFFERED_BYTES as u64) {
-        return None;
-    }
+) -> bool {
     let begun = Instant::now();
     let max_wait = client_timeout.mul_f64(MAX_MEMORY_WAIT);
-    let reservation = timeout(max_wait, body_memory.reserve(length)).await;
+    let reserved = timeout(max_wait, buffer.reserve_rest(body_memory)).await;
     *client_timeout = client_timeout.saturating_sub(begun.elapsed());
-    reservation.ok().flatten()
+    reserved.is_ok()
 }
 
 /// Reads the rest of the body of an answered request: a client that is still sending would miss the answer if the
