Take a leader's entries only after its answer about an outdated disk

Cause: the member compares the voters' answers with its log as it is when they come. If the question or the answer is lost, as while connections are opened again, the leader's entries fill the gap first. It votes for nobody meanwhile, so no entry and no vote was lost.

A confirmed disk waits for nothing.

--- a/crates/canvascart/tests/lost_state.rs
+++ b/crates/canvascart/tests/lost_state.rs
@@ -78,7 +78,10 @@
     assert_eq!(limit(&fleet, old), 2002);
     assert!(
         member_id(&fleet, leader, old) > before,
-        "the member kept its old id"
+        "the member kept its old id: {}\nits log: {}\nthe leader's log: {}",
+        fleet.status(old).unwrap(),
+        fleet.log(old),
+        fleet.log(leader)
     );
     assert_eq!(fleet.status(old).unwrap()["here"]["put-back"], true);
     assert!(
--- a/crates/cluster/src/node/amnesia_check.rs
+++ b/crates/cluster/src/node/amnesia_check.rs
@@ -18,6 +18,8 @@
     is_confirmed: bool,
     /// Voters that know of no acknowledged entry that this member's disk lacks.
     confirmed_by: BTreeSet<u64>,
+    /// Members whose record has been compared with this member's log.
+    compared_with: BTreeSet<u64>,
     /// Latest term, according to the confirmation, in which this member may have cast a vote that it has lost.
     latest_forgotten_vote_term: u64,
     next_check: Micros,
@@ -39,6 +41,7 @@
             own_id,
             is_confirmed,
             confirmed_by: BTreeSet::new(),
+            compared_with: BTreeSet::new(),
             latest_forgotten_vote_term: 0,
             next_check: now,
             acknowledged,
@@ -56,6 +59,12 @@
         self.is_trusted(voters) && term > self.latest_forgotten_vote_term
     }
 
+    /// Returns true if this member may receive entries from a leader. Before the leader's record has been compared with the log, they
+    /// could fill the gap by which amnesia is detected.
+    pub fn may_append_from(&self, leader: u64) -> bool {
+        self.is_confirmed || self.compared_with.contains(&leader)
+    }
+
     /// Returns true if a request to the voters is due, and schedules the next one.
     pub fn begin_check(&mut self, now: Micros) -> bool {
         let is_due = !self.is_confirmed && now >= self.next_check;
@@ -67,6 +76,7 @@
 
     /// Records a voter's reply, and confirms the disk once all other voters have replied.
     pub fn record_reply(&mut self, from: u64, reply: &DiskCheckReply, voters: &[u64]) {
+        self.compared_with.insert(from);
         // A voter with another set of voters may know of later terms, which this member has not seen.
         if self.is_confirmed || reply.voters != voters {
             return;
--- a/crates/cluster/src/node/replication.rs
+++ b/crates/cluster/src/node/replication.rs
@@ -62,6 +62,13 @@
             MessageType::MsgRequestVote | MessageType::MsgRequestPreVote => self
                 .amnesia_check
                 .may_vote(message.term, &self.raft.voters()),
+            // A leader that is not among the voters of the log on disk is asked here only.
+            MessageType::MsgAppend | MessageType::MsgSnapshot
+                if !self.amnesia_check.may_append_from(message.from) =>
+            {
+                self.send(message.from, Message::DiskCheck);
+                false
+            }
             // Raft would start an election and vote for this member.
             MessageType::MsgTimeoutNow => self.is_disk_confirmed(),
             _ => true,
