Give each argument group of canvascart its own name; debug builds start again

What developers saw: `cargo run -p canvascart` and every subcommand of a debug build ended with "Argument group name must be unique, 'Arguments' is already in use".

Cause: clap names the group of a `derive(Args)` type after the type, several were called `Arguments`, and it checks this with debug assertions only, which our profiles leave out.

Why it works: each type has a name of its own (`ServeArguments`, `LogArguments`, ...), and check.sh builds and starts the command once with debug assertions. The command line is as before.

--- a/check.sh
+++ b/check.sh
@@ -10,4 +10,6 @@
 .ci/known-red-test.sh
 # Failpoints let tests delay or block a process at a named place. Tests listed in KNOWN-RED.txt may fail.
 .ci/known-red.sh KNOWN-RED.txt cargo test --locked --workspace --profile ci --features canvascart/failpoints
+# A development build, whose assertions the optimised profiles leave out, has to start.
+cargo run --locked -p canvascart -- --version
 RUSTDOCFLAGS="-D warnings" cargo doc --locked --workspace --no-deps --profile ci
--- a/crates/canvascart/src/admin/arguments.rs
+++ b/crates/canvascart/src/admin/arguments.rs
@@ -12,7 +12,7 @@
 
 #[derive(clap::Args)]
 #[command(after_help = EXIT_CODES)]
-pub struct Arguments {
+pub struct AdminArguments {
     /// URL of the administration API.
     #[arg(
         long,
--- a/crates/canvascart/src/admin/mod.rs
+++ b/crates/canvascart/src/admin/mod.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 
 use api_client::{ApiClient, ApiResponse, encode_path_segment};
-pub use arguments::Arguments;
+pub use arguments::AdminArguments;
 use arguments::{Class, Command, Effect, Role, Server, Tenant, Token};
 use table::{cell, differences, table, time};
 
@@ -58,7 +58,7 @@
 ///
 /// # Errors
 /// Wrong usage.
-pub fn run(arguments: Arguments) -> Result<u8, String> {
+pub fn run(arguments: AdminArguments) -> Result<u8, String> {
     let client = ApiClient::new(&arguments.url, read_token(arguments.token_file.as_deref())?)?;
     let admin = Admin {
         client,
--- a/crates/canvascart/src/client.rs
+++ b/crates/canvascart/src/client.rs
@@ -24,7 +24,7 @@
 #[command(
     after_help = "Exit codes: 0 served, 1 failed, 2 wrong usage or settings, 3 refused, 4 out of time."
 )]
-pub struct Arguments {
+pub struct ClientArguments {
     #[command(flatten)]
     properties: crate::Properties,
     /// Address of the proxy, overriding client.target.
@@ -43,7 +43,7 @@
     class: ClassName,
 }
 
-pub fn run(arguments: Arguments) -> Result<u8, String> {
+pub fn run(arguments: ClientArguments) -> Result<u8, String> {
     let mut settings = arguments.properties.read()?.client;
     settings.target = arguments.target.or(settings.target);
     if settings.target.is_none() {
--- a/crates/canvascart/src/cluster/command.rs
+++ b/crates/canvascart/src/cluster/command.rs
@@ -24,7 +24,7 @@
 
 #[derive(clap::Args)]
 #[command(after_help = EXIT_CODES)]
-pub struct Arguments {
+pub struct ClusterArguments {
     /// URL of the administration API of an instance.
     #[arg(
         long,
@@ -92,7 +92,7 @@
 ///
 /// # Errors
 /// Wrong usage.
-pub fn run(arguments: Arguments) -> Result<u8, String> {
+pub fn run(arguments: ClusterArguments) -> Result<u8, String> {
     if let Command::Restore(restore) = &arguments.command {
         return Ok(super::restore::restore(restore).map_or_else(
             |e| {
--- a/crates/canvascart/src/cluster/mod.rs
+++ b/crates/canvascart/src/cluster/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::serve::unix_ms;
 
-pub use command::{Arguments, run};
+pub use command::{ClusterArguments, run};
 
 /// Minimum length of a key in bytes.
 const MIN_KEY_BYTES: usize = 16;
--- a/crates/canvascart/src/fleet.rs
+++ b/crates/canvascart/src/fleet.rs
@@ -29,7 +29,7 @@
 
 #[derive(clap::Args)]
 #[command(after_help = EXIT_CODES)]
-pub struct Arguments {
+pub struct FleetArguments {
     /// URL of an etcd member; may be repeated.
     #[arg(
         long = "etcd",
@@ -110,7 +110,7 @@
 ///
 /// # Errors
 /// Wrong usage.
-pub fn run(arguments: Arguments) -> Result<u8, String> {
+pub fn run(arguments: FleetArguments) -> Result<u8, String> {
     let credentials = match std::env::var("CANVASCART_ETCD_USER") {
         Ok(text) => {
             let (name, password) = text
--- a/crates/canvascart/src/lab.rs
+++ b/crates/canvascart/src/lab.rs
@@ -35,14 +35,14 @@
     List,
     /// Checks a scenario and reports all its problems.
     #[command(after_help = EXIT_CODES_HELP)]
-    Check(Which),
+    Check(ScenarioArguments),
     /// Runs a scenario on real sockets: proxy processes with an emulated fleet on 127.0.0.1.
     #[command(after_help = EXIT_CODES_HELP)]
     Run {
         #[command(flatten)]
-        which: Which,
+        which: ScenarioArguments,
         #[command(flatten)]
-        how: How,
+        how: RunArguments,
         /// Command that starts a proxy, which reads the configuration named by NODE_CONFIG; without it, the proxy in this program.
         #[arg(long, value_name = "COMMAND")]
         proxy: Option<String>,
@@ -51,9 +51,9 @@
     #[command(after_help = EXIT_CODES_HELP)]
     Sim {
         #[command(flatten)]
-        which: Which,
+        which: ScenarioArguments,
         #[command(flatten)]
-        how: How,
+        how: RunArguments,
         /// Injects this defect into the module, to test that the oracle detects it.
         #[arg(long, value_parser = sabotage)]
         sabotage: Option<InjectedDefect>,
@@ -67,7 +67,7 @@
         /// The second side.
         b: String,
         #[command(flatten)]
-        which: Which,
+        which: ScenarioArguments,
         /// Number of seeds.
         #[arg(long, default_value_t = 10)]
         repeat: u64,
@@ -204,7 +204,7 @@
     },
     /// Measures the cost of each part by size, with fitted lines and their values at the operators' target.
     #[command(after_help = EXIT_CODES_HELP)]
-    Capacity(capacity::Arguments),
+    Capacity(capacity::CapacityArguments),
     /// Compares algorithms that share one process between tenants, in virtual time.
     Shares {
         /// Number of seeds.
@@ -219,7 +219,7 @@
     Hollow,
     /// Sweeps over numbers of emulated members, or their state sizes.
     #[command(hide = true)]
-    Members(hollow::Arguments),
+    Members(hollow::MembersArguments),
     /// Helper processes of the price measurement.
     #[command(subcommand, hide = true)]
     Peer(Peer),
@@ -233,7 +233,7 @@
     #[command(after_help = EXIT_CODES_HELP)]
     Sweep {
         #[command(flatten)]
-        which: Which,
+        which: ScenarioArguments,
         /// Setting, such as load.level, fleet.servers or proxies.count.
         key: String,
         /// Values of the setting.
@@ -273,7 +273,7 @@
 
 /// A scenario and overrides of its keys.
 #[derive(clap::Args)]
-pub struct Which {
+pub struct ScenarioArguments {
     /// Name of an included scenario, or a file.
     scenario: String,
     /// Overrides a key, such as load.level=80%.
@@ -281,8 +281,9 @@
     sets: Vec<String>,
 }
 
+/// Which seeds are run, and where the results go.
 #[derive(clap::Args)]
-pub struct How {
+pub struct RunArguments {
     /// Random seed.
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -318,7 +319,7 @@
     named(&ProxyDefect::ALL, name)
 }
 
-impl Which {
+impl ScenarioArguments {
     fn read(&self, extra: &[String]) -> Result<Arc<Scenario>, String> {
         let sets: Vec<String> = self.sets.iter().chain(extra).cloned().collect();
         let text = match shipped::text(&self.scenario) {
@@ -648,7 +649,11 @@
     }
 }
 
-fn run_real(which: &Which, how: &How, proxy: Option<&str>) -> Result<u8, String> {
+fn run_real(
+    which: &ScenarioArguments,
+    how: &RunArguments,
+    proxy: Option<&str>,
+) -> Result<u8, String> {
     let scenario = which.read(&[])?;
     let command = proxy_command(proxy)?;
     let mut exit_code = 0;
@@ -784,7 +789,7 @@
 
 impl Side {
     /// Reads `key=value,...`, `-`, or `proxy:COMMAND`.
-    fn read(text: &str, which: &Which) -> Result<Self, String> {
+    fn read(text: &str, which: &ScenarioArguments) -> Result<Self, String> {
         match text.strip_prefix("proxy:") {
             Some(command) => Ok(Side::Proxy(
                 which.read(&[])?,
@@ -806,7 +811,13 @@
     }
 }
 
-fn compare(which: &Which, a: &str, b: &str, repeat: u64, json: bool) -> Result<u8, String> {
+fn compare(
+    which: &ScenarioArguments,
+    a: &str,
+    b: &str,
+    repeat: u64,
+    json: bool,
+) -> Result<u8, String> {
     let sides = [Side::read(a, which)?, Side::read(b, which)?];
     let dir = std::env::temp_dir()
         .join("canvascart-lab")
@@ -987,7 +998,7 @@
 
 /// Runs a scenario with each value of a setting, with the same seeds.
 fn sweep<'v>(
-    which: &Which,
+    which: &ScenarioArguments,
     key: &str,
     values: &'v [String],
     repeat: u64,
--- a/crates/canvascart/src/lab/capacity.rs
+++ b/crates/canvascart/src/lab/capacity.rs
@@ -17,18 +17,19 @@
 /// Minimum number of sizes in a sweep; with fewer, the deviation from the fitted line cannot be estimated.
 const MIN_SIZES: usize = 4;
 
+/// Arguments of `lab capacity`.
 #[derive(clap::Args)]
-pub struct Arguments {
+pub struct CapacityArguments {
     /// Sweep to run; all if missing.
     #[command(subcommand)]
-    which: Option<Which>,
+    which: Option<SweepCommand>,
     #[command(flatten)]
-    how: How,
+    how: SweepArguments,
 }
 
 /// Sweeps, each with its own plans.
 #[derive(Clone, Copy, PartialEq, Eq, clap::Subcommand)]
-pub enum Which {
+pub enum SweepCommand {
     /// Tenants, routes and services of one process.
     Tenants {
         /// Only tenants of this shape: four servers of its own each, or the target shape with shared services.
@@ -56,8 +57,9 @@
     named(&tenants::By::ALL, name)
 }
 
+/// Sizes of the sweeps, and where the results go.
 #[derive(Clone, clap::Args)]
-pub struct How {
+pub struct SweepArguments {
     /// Small sizes and short durations: all sweeps within five minutes.
     #[arg(long, global = true)]
     small: bool,
@@ -84,7 +86,7 @@
     play: Box<RunSweep>,
 }
 
-impl How {
+impl SweepArguments {
     fn sizes(&self, small: [usize; MIN_SIZES], full: [usize; MIN_SIZES]) -> Vec<usize> {
         self.sizes
             .clone()
@@ -233,14 +235,14 @@
         }]
     }
 
-    fn plans(&self, which: Which) -> Vec<Plan> {
+    fn plans(&self, which: SweepCommand) -> Vec<Plan> {
         match which {
-            Which::Members => self.members(),
-            Which::Restarts => self.restarts(),
-            Which::Tenants { by: Some(by), .. } => self.routes_or_services(by),
-            Which::Tenants { shape, by: None } => self.tenants(shape),
-            Which::Servers => self.servers(),
-            Which::All => {
+            SweepCommand::Members => self.members(),
+            SweepCommand::Restarts => self.restarts(),
+            SweepCommand::Tenants { by: Some(by), .. } => self.routes_or_services(by),
+            SweepCommand::Tenants { shape, by: None } => self.tenants(shape),
+            SweepCommand::Servers => self.servers(),
+            SweepCommand::All => {
                 // Small sweeps use only the target shape, so that all end within five minutes.
                 let shape = self.small.then_some(tenants::Shape::Shared);
                 let routes_or_services = [tenants::By::Routes, tenants::By::Services]
@@ -265,12 +267,12 @@
     /// Returns the first problem of the arguments; called before any sweep starts.
     fn find_argument_error(
         &self,
-        which: Which,
+        which: SweepCommand,
         plans: &[Plan],
         machine: &Machine,
     ) -> Option<String> {
         if let Some(sizes) = &self.sizes {
-            if which == Which::All {
+            if which == SweepCommand::All {
                 return Some(
                     "--sizes: name one sweep, such as tenants: their sizes are not each other's"
                         .into(),
@@ -299,7 +301,10 @@
                 return Some(format!("{name}: it names no command"));
             }
         }
-        if matches!(which, Which::Members | Which::Restarts | Which::All) {
+        if matches!(
+            which,
+            SweepCommand::Members | SweepCommand::Restarts | SweepCommand::All
+        ) {
             let (play, sizes) = self.member_options();
             if let Err(e) = members::check_sizes(&play, &sizes) {
                 return Some(format!("--sizes: {e}"));
@@ -338,8 +343,8 @@
 }
 
 /// Runs the sweeps and prints their results.
-pub fn run(arguments: &Arguments) -> Result<u8, String> {
-    let (which, how) = (arguments.which.unwrap_or(Which::All), &arguments.how);
+pub fn run(arguments: &CapacityArguments) -> Result<u8, String> {
+    let (which, how) = (arguments.which.unwrap_or(SweepCommand::All), &arguments.how);
     let split_words = |text: &str| {
         text.split_whitespace()
             .map(str::to_owned)
--- a/crates/canvascart/src/lab/hollow.rs
+++ b/crates/canvascart/src/lab/hollow.rs
@@ -30,7 +30,7 @@
 
 /// Arguments of a sweep.
 #[derive(clap::Args)]
-pub struct Arguments {
+pub struct MembersArguments {
     what: SweepKind,
     /// Numbers of members, or state sizes in bytes.
     #[arg(long, value_delimiter = ',', required = true)]
@@ -92,7 +92,7 @@
 }
 
 /// Runs a sweep and prints its table.
-pub fn run(arguments: &Arguments) -> Result<u8, String> {
+pub fn run(arguments: &MembersArguments) -> Result<u8, String> {
     let program = std::env::current_exe().map_err(|e| format!("this program's own path: {e}"))?;
     let options = Options {
         command: Some(vec![program.to_string_lossy().into_owned()]),
--- a/crates/canvascart/src/log.rs
+++ b/crates/canvascart/src/log.rs
@@ -15,7 +15,7 @@
 }
 
 #[derive(clap::Args)]
-pub struct Arguments {
+pub struct LogArguments {
     /// Format of log lines on standard error.
     #[arg(long, global = true, value_enum, default_value_t = Format::Human)]
     log_format: Format,
@@ -25,7 +25,7 @@
     log: Option<String>,
 }
 
-impl Arguments {
+impl LogArguments {
     /// Starts writing the log.
     ///
     /// # Errors
--- a/crates/canvascart/src/main.rs
+++ b/crates/canvascart/src/main.rs
@@ -25,9 +25,9 @@
 /// Runs, administers and tests the proxy.
 #[derive(Parser)]
 #[command(name = "canvascart", version)]
-struct Arguments {
+struct CommandLine {
     #[command(flatten)]
-    log: log::Arguments,
+    log: log::LogArguments,
     #[command(subcommand)]
     command: Command,
 }
@@ -35,7 +35,7 @@
 #[derive(Subcommand)]
 enum Command {
     /// Sends a lookup or a checkout to a proxy, with retries where they are safe.
-    Client(client::Arguments),
+    Client(client::ClientArguments),
     /// Reads captures of a proxy.
     #[command(subcommand)]
     Capture(capture::Command),
@@ -46,13 +46,13 @@
     #[command(subcommand)]
     Lab(lab::Command),
     /// Serves several tenants in one process, each with its own servers, classes and limits.
-    Serve(serve::Arguments),
+    Serve(serve::ServeArguments),
     /// Administers a running `serve`: tenants, servers, classes, limits, versions, tokens.
-    Admin(admin::Arguments),
+    Admin(admin::AdminArguments),
     /// Administers a cluster of `serve` instances.
-    Cluster(cluster::Arguments),
+    Cluster(cluster::ClusterArguments),
     /// Registers, drains, lists and watches servers in etcd.
-    Fleet(fleet::Arguments),
+    Fleet(fleet::FleetArguments),
     /// Checks, exports and imports the durable state of a `serve` that is not running.
     #[command(subcommand)]
     Store(state::Command),
@@ -99,7 +99,7 @@
 const USAGE_ERROR: u8 = 2;
 
 fn main() -> ExitCode {
-    let arguments = Arguments::parse();
+    let arguments = CommandLine::parse();
     if let Err(message) = arguments.log.start() {
         eprintln!("canvascart: {message}");
         return ExitCode::from(USAGE_ERROR);
@@ -124,3 +124,7 @@
         USAGE_ERROR
     }))
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/command_line.rs"]
+mod tests;
--- a/crates/canvascart/src/serve.rs
+++ b/crates/canvascart/src/serve.rs
@@ -36,7 +36,7 @@
 
 #[derive(clap::Args)]
 #[command(after_help = EXIT_CODES)]
-pub struct Arguments {
+pub struct ServeArguments {
     /// Configuration file, in TOML (docs/hosted.md).
     #[arg(long, value_name = "FILE", required_unless_present = "demo")]
     config: Option<PathBuf>,
@@ -82,7 +82,7 @@
 ///
 /// # Errors
 /// The configuration is invalid.
-pub fn run(arguments: &Arguments) -> Result<u8, String> {
+pub fn run(arguments: &ServeArguments) -> Result<u8, String> {
     if let Some(instances) = arguments.instances {
         return demo::run_cluster(usize::from(instances));
     }
@@ -152,7 +152,11 @@
     member: Option<UnboundedSender<MemberCommand>>,
 }
 
-async fn serve(service: Service, arguments: &Arguments, demo: Option<&Demo>) -> Result<u8, String> {
+async fn serve(
+    service: Service,
+    arguments: &ServeArguments,
+    demo: Option<&Demo>,
+) -> Result<u8, String> {
     let stream = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
     let mut signals = Signals {
         term: stream(SignalKind::terminate())?,
