Cluster tests read who votes only once the votes have settled

Cause: the test reads the voters as soon as the cluster serves. Votes still move then, so the side that the test takes for the majority may have lost one by the time of the partition.

The five tests that did so now wait with settled_voters, as their neighbours do; what they assert is as before.

--- a/crates/canvascart/tests/cluster.rs
+++ b/crates/canvascart/tests/cluster.rs
@@ -313,7 +313,7 @@
     let directory = Directory::new();
     let fleet = fleet(&directory, 5, SHORT_LEASES);
     let leader = fleet.leader().unwrap();
-    let votes = voters(&fleet);
+    let votes = settled_voters(&fleet);
     // The leader is partitioned from the other voters, together with the members without a vote.
     let (minority, majority): (Vec<usize>, Vec<usize>) =
         (0..5).partition(|i| *i == leader || !votes.contains(i));
@@ -423,7 +423,10 @@
     let directory = Directory::new();
     let fleet = fleet(&directory, 5, SHORT_LEASES);
     let leader = fleet.leader().unwrap();
-    let slow = voters(&fleet).into_iter().find(|i| *i != leader).unwrap();
+    let slow = settled_voters(&fleet)
+        .into_iter()
+        .find(|i| *i != leader)
+        .unwrap();
     fleet
         .set_failpoints(slow, "cluster-log=sleep(2000)")
         .unwrap();
@@ -605,7 +608,7 @@
 fn without_a_majority_of_voters_no_instance_decides_beyond_its_lease() {
     let directory = Directory::new();
     let mut fleet = fleet(&directory, 5, SHORT_LEASES);
-    let voters = voters(&fleet);
+    let voters = settled_voters(&fleet);
     let non_voter = (0..5).find(|i| !voters.contains(i)).unwrap();
     voters[..2].iter().for_each(|i| fleet.kill(*i));
     assert!(fleet.is_up(non_voter), "the lease has already expired");
--- a/crates/canvascart/tests/lost_state.rs
+++ b/crates/canvascart/tests/lost_state.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::process::{Command, Output};
 
-use cluster_fixture::{Directory, SHORT_LEASES, command, fleet, limit, set_limit, voters};
+use cluster_fixture::{Directory, SHORT_LEASES, command, fleet, limit, set_limit, settled_voters};
 use lab::service::fleet::Fleet;
 
 fn copy(from: &Path, to: &Path) {
@@ -54,7 +54,10 @@
     let directory = Directory::new();
     let mut fleet = fleet(&directory, 5, SHORT_LEASES);
     let leader = fleet.leader().unwrap();
-    let old = voters(&fleet).into_iter().find(|i| *i != leader).unwrap();
+    let old = settled_voters(&fleet)
+        .into_iter()
+        .find(|i| *i != leader)
+        .unwrap();
     let before = member_id(&fleet, leader, old);
     assert_eq!(set_limit(&fleet, leader, 2001, "").0, 200);
     fleet.kill(old);
@@ -99,7 +102,7 @@
     let directory = Directory::new();
     let mut fleet = fleet(&directory, 5, SHORT_LEASES);
     let leader = fleet.leader().unwrap();
-    let votes = voters(&fleet);
+    let votes = settled_voters(&fleet);
     let non_voters: Vec<usize> = (0..5).filter(|i| !votes.contains(i)).collect();
     let (survivor, late) = (non_voters[0], non_voters[1]);
     for n in 2001..2004 {
