Let connections rest after surplus answers, so that none meets the next request

Why it works: connections rest after a rejection; after any answer in a process's first 16; and for 100,000 answers from a surplus one, at that server or, if a second one sends some, at all. What they received is acknowledged first.

--- a/crates/proxy-core/src/lib.rs
+++ b/crates/proxy-core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod pool;
 pub mod process;
 mod request_body;
+pub mod reuse;
 pub mod service;
 mod stream;
 mod upstream;
