Take back the rests after surplus answers until a broken drain is explained

The cause is not found. No code that learns of a drain was changed, and a request is still held back at its first byte once the drain is known; it may be chance or load.

--- a/crates/proxy-core/src/frontend.rs
+++ b/crates/proxy-core/src/frontend.rs
@@ -43,7 +43,7 @@
 use crate::pool::{Pool, RequestHead};
 use crate::request_body::{self, BodyError};
 use crate::stream::{self, MAX_BODY_BYTES, RequestContent, ResponseBody, Upload};
-use crate::upstream::{UnreadInput, Upstreams, unread_input};
+use crate::upstream::{Upstreams, has_no_unread_input};
 use crate::vars::RequestEnd;
 
 /// The time without I/O after which a connection with an active request is closed, in addition to the longest
@@ -475,8 +475,7 @@
                 // Closing now would lose a request that has arrived but has not been read. It is read next, unless
                 // the tenant's account defers reading: then closing is tried again later, and forced after a while.
                 let now = Instant::now();
-                if client.pipelined_is_empty()
-                    && unread_input(&stream.borrow()) == UnreadInput::None
+                if client.pipelined_is_empty() && has_no_unread_input(&stream.borrow())
                     || client.next_check() + IDLE_TIMEOUT <= now
                 {
                     connection.as_mut().graceful_shutdown();
--- a/crates/proxy-core/src/lib.rs
+++ b/crates/proxy-core/src/lib.rs
@@ -35,7 +35,6 @@
 pub mod pool;
 pub mod process;
 mod request_body;
-pub mod reuse;
 pub mod service;
 mod stream;
 mod upstream;
--- a/crates/proxy-core/src/upstream.rs
+++ b/crates/proxy-core/src/upstream.rs
@@ -26,12 +26,14 @@
 use crate::bounded_read::poll_read_part;
 use crate::exchange::{ExchangeResult, exchange, stream_response};
 use crate::message::{EndpointResponse, OutboundRequest, ResponseContent};
-use crate::reuse::{LastResponse, ReusePolicy, SurplusRecord};
 use crate::stream::{RequestBody, ResponseStream, Upload};
 use crate::vars::Counters;
 
 /// The fraction of an endpoint's idle timeout after which a pooled connection is closed.
 const IDLE_FRACTION: f64 = 0.7;
+/// The time within which a surplus second response is expected. A later one is detected only if no request has been
+/// sent before it.
+const SETTLE_TIME: Duration = Duration::from_millis(20);
 /// The longest wait for a connection to become ready for its next request.
 const READY_TIMEOUT: Duration = Duration::from_secs(1);
 /// The buffer size of a connection, which also limits the head of a response.
@@ -43,9 +45,7 @@
     pub started_unix_ms: f64,
     /// The endpoint drains, is removed or was replaced: nothing new is written to it.
     closed: Cell<bool>,
-    /// Idle connections, the one that has been idle longest first.
-    idle: RefCell<Vec<Connection>>,
-    surplus: Rc<SurplusRecord>,
+    idle: RefCell<Vec<IdleConnection>>,
 }
 
 impl Endpoint {
@@ -55,7 +55,6 @@
             started_unix_ms,
             closed: Cell::new(false),
             idle: RefCell::default(),
-            surplus: Rc::default(),
         })
     }
 
@@ -71,37 +70,40 @@
         !self.closed.get()
     }
 
-    /// Takes an idle connection. Among those that have rested, it is the last used one, which is the least likely to have
-    /// been closed; otherwise it is the one that has been idle longest, which the caller lets rest.
-    fn take_idle(&self, reuse: &ReusePolicy) -> Option<Connection> {
+    /// Takes an idle connection. Among those idle for at least [`SETTLE_TIME`], on which a surplus response would
+    /// have arrived by now, it is the last used one, which is the least likely to have been closed; otherwise it is
+    /// the one idle longest.
+    fn take_idle(&self) -> Option<IdleConnection> {
         let mut idle = self.idle.borrow_mut();
-        let now = Instant::now();
-        let rested = idle
+        let settled = idle
             .iter()
-            .rposition(|c| reuse.has_rested(c.last_response, c.idle_since, now))
+            .rposition(|i| i.since.elapsed() >= SETTLE_TIME)
             .unwrap_or(0);
-        (!idle.is_empty()).then(|| idle.remove(rested))
+        (!idle.is_empty()).then(|| idle.remove(settled))
     }
 
     /// Pools a clean connection for the next request.
     fn keep_idle(&self, connection: Connection) {
         if self.is_open() {
-            let mut idle = self.idle.borrow_mut();
-            let position = idle.partition_point(|c| c.idle_since <= connection.idle_since);
-            idle.insert(position, connection);
+            self.idle.borrow_mut().push(IdleConnection {
+                connection,
+                since: Instant::now(),
+            });
         }
     }
 }
 
+struct IdleConnection {
+    connection: Connection,
+    since: Instant,
+}
+
 /// A connection to an endpoint; dropping it closes the socket.
 struct Connection {
     sender: SendRequest<RequestBody>,
     tracker: Rc<WriteTracker>,
     stream: Rc<RefCell<TcpStream>>,
     task: JoinHandle<()>,
-    last_response: LastResponse,
-    /// The time of the last response, or of the connection's establishment.
-    idle_since: Instant,
 }
 
 impl Drop for Connection {
@@ -114,43 +116,15 @@
     /// Returns whether a request may be written: the endpoint has neither closed the connection nor sent unsolicited
     /// data. The runtime may not have noticed this yet, so the socket itself is checked.
     fn is_alive(&self) -> bool {
-        let unread_input = unread_input(&self.stream.borrow());
-        if unread_input == UnreadInput::Data {
-            self.tracker.record_unsolicited();
-        }
-        unread_input == UnreadInput::None && self.sender.is_ready()
-    }
-
-    /// Acknowledges at once what has been received: until then an endpoint's system may hold back a surplus response, and
-    /// the next request would acknowledge it.
-    fn acknowledge_input(&self) {
-        let _ = socket2::SockRef::from(&*self.stream.borrow()).set_tcp_quickack(true); // a broken connection shows later
-    }
-
-    /// Records that a response has been received completely.
-    fn response_ended(&mut self, last_response: LastResponse) {
-        let now = Instant::now();
-        self.last_response = last_response;
-        self.idle_since = now;
-        self.tracker.request_ended(now);
+        has_no_unread_input(&self.stream.borrow()) && self.sender.is_ready()
     }
 }
 
-/// Input of a socket that has not been read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum UnreadInput {
-    None,
-    Data,
-    /// The peer has closed the connection, or it is broken.
-    End,
-}
-
-/// Returns the kind of the input that has not been read.
-pub fn unread_input(stream: &TcpStream) -> UnreadInput {
+/// Returns whether the peer has neither closed the connection nor sent data that has not been read.
+pub fn has_no_unread_input(stream: &TcpStream) -> bool {
     match socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
-        Err(e) if e.kind() == io::ErrorKind::WouldBlock => UnreadInput::None,
-        Err(_) | Ok(0) => UnreadInput::End,
-        Ok(_) => UnreadInput::Data,
+        Err(e) => e.kind() == io::ErrorKind::WouldBlock,
+        Ok(_) => false,
     }
 }
 
@@ -160,11 +134,6 @@
 struct WriteTracker {
     /// Counts requests whose last byte has been written.
     counts: Rc<Counters>,
-    /// Learns of bytes that arrive between requests.
-    reuse: Rc<ReusePolicy>,
-    surplus: Rc<SurplusRecord>,
-    /// The end of the last response, until bytes arrive after it.
-    response_ended_at: Cell<Option<Instant>>,
     /// The condition for writing the first byte; `None` between requests.
     condition: RefCell<Option<SendCondition>>,
     started: Cell<bool>,
@@ -233,29 +202,6 @@
         self.remaining_body_bytes.set(body);
     }
 
-    fn request_ended(&self, now: Instant) {
-        self.condition.replace(None);
-        self.response_ended_at.set(Some(now));
-    }
-
-    /// Returns whether no byte of a request has been written since the last response.
-    fn is_idle(&self) -> bool {
-        self.condition.borrow().is_none() || !self.started.get()
-    }
-
-    /// Records that bytes have arrived to which no request has been sent.
-    fn record_unsolicited(&self) {
-        let Some(ended_at) = self.response_ended_at.take() else {
-            return;
-        };
-        if self
-            .reuse
-            .record_unsolicited(&self.surplus, ended_at.elapsed())
-        {
-            self.counts.surplus_response();
-        }
-    }
-
     /// Returns whether a write is permitted.
     fn may_write(&self) -> bool {
         let allowed = self.started.get()
@@ -332,12 +278,7 @@
         cx: &mut Context,
         buf: &mut ReadBuf,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let result = poll_read_part(&mut self.stream.borrow_mut(), cx, buf);
-        if buf.filled().len() > before && self.tracker.is_idle() {
-            self.tracker.record_unsolicited();
-        }
-        result
+        poll_read_part(&mut self.stream.borrow_mut(), cx, buf)
     }
 }
 
@@ -390,7 +331,6 @@
     /// The account to charge, in a process of many tenants.
     account: Option<Rc<dyn TenantAccount>>,
     counts: Rc<Counters>,
-    reuse: Rc<ReusePolicy>,
     /// Memory for request and response bodies.
     body_memory: Rc<BodyMemory>,
     /// The endpoints whose idle connections can be closed when the connection limit is reached.
@@ -412,7 +352,6 @@
             sockets,
             account,
             counts,
-            reuse: Rc::default(),
             body_memory,
             endpoints: RefCell::default(),
         };
@@ -438,7 +377,8 @@
     /// referenced.
     pub fn close_expired(&self) {
         let now = Instant::now();
-        let is_usable = |c: &Connection| now - c.idle_since < self.idle_limit.get() && c.is_alive();
+        let is_usable =
+            |i: &IdleConnection| now - i.since < self.idle_limit.get() && i.connection.is_alive();
         self.endpoints.borrow_mut().retain(|e| {
             e.idle.borrow_mut().retain(is_usable);
             Rc::strong_count(e) > 1
@@ -456,7 +396,7 @@
     /// Closes the connection that has been idle longest, of any endpoint.
     pub fn close_longest_idle(&self) {
         let endpoints = self.endpoints.borrow();
-        let oldest = |e: &Rc<Endpoint>| e.idle.borrow().first().map(|c| c.idle_since);
+        let oldest = |e: &Rc<Endpoint>| e.idle.borrow().first().map(|i| i.since);
         if let Some(endpoint) = endpoints
             .iter()
             .filter(|e| oldest(e).is_some())
@@ -474,30 +414,23 @@
         connect_attempted: &Cell<bool>,
     ) -> io::Result<Connection> {
         loop {
-            let Some(idle) = endpoint.take_idle(&self.reuse) else {
+            let Some(idle) = endpoint.take_idle() else {
                 break;
             };
-            let usable_from =
-                self.reuse
-                    .usable_from(&endpoint.surplus, idle.last_response, idle.idle_since);
-            if usable_from > Instant::now() {
-                self.counts.rest_begun();
-                sleep_until(usable_from).await;
-            }
-            if idle.idle_since.elapsed() < self.idle_limit.get() && idle.is_alive() {
-                return Ok(idle);
+            if idle.since.elapsed() < self.idle_limit.get() && idle.connection.is_alive() {
+                return Ok(idle.connection);
             }
         }
         timeout(
             self.connect_timeout.get(),
-            self.connect(endpoint, connect_attempted),
+            self.connect(endpoint.address, connect_attempted),
         )
         .await?
     }
 
     async fn connect(
         &self,
-        endpoint: &Endpoint,
+        address: SocketAddr,
         connect_attempted: &Cell<bool>,
     ) -> io::Result<Connection> {
         if self.sockets.available_permits() == 0 {
@@ -510,15 +443,13 @@
             .await
             .map_err(io::Error::other)?;
         connect_attempted.set(true);
-        let stream = TcpStream::connect(endpoint.address)
+        let stream = TcpStream::connect(address)
             .await
             .inspect_err(|e| connect_attempted.set(!is_resource_shortage(e)))?;
         stream.set_nodelay(true)?;
         let stream = Rc::new(RefCell::new(stream));
         let tracker = Rc::new(WriteTracker {
             counts: self.counts.clone(),
-            reuse: self.reuse.clone(),
-            surplus: endpoint.surplus.clone(),
             ..WriteTracker::default()
         });
         let io = TrackedStream {
@@ -534,7 +465,6 @@
         let connection_work = async move {
             let _ = connection.await; // errors are reported with the request
         };
-        self.counts.connection_opened();
         let task = match &self.account {
             None => tokio::task::spawn_local(connection_work),
             Some(account) => {
@@ -546,8 +476,6 @@
             tracker,
             stream,
             task,
-            last_response: LastResponse::None,
-            idle_since: Instant::now(),
         })
     }
 
@@ -633,10 +561,10 @@
                 }
             }
         };
-        let (outcome, reusable) = match result {
+        let reusable = match result {
             Some(Ok(ExchangeResult::Complete(outcome, response, reusable))) => {
                 report(AttemptEvent::Ended(outcome, response));
-                (outcome, reusable)
+                reusable && tracker.is_complete()
             }
             Some(Ok(ExchangeResult::Large(large))) => {
                 let (sender, response_stream) = ResponseStream::new(large.length);
@@ -653,7 +581,7 @@
                 )
                 .await;
                 report(AttemptEvent::Ended(outcome, None));
-                (outcome, outcome == Outcome::Served)
+                outcome == Outcome::Served && tracker.is_complete()
             }
             Some(Err(_)) if tracker.blocked.get() && !tracker.started.get() => {
                 return report(AttemptEvent::Ended(Outcome::NotSent, None));
@@ -665,22 +593,13 @@
             // The connection is dropped and never reused.
             None => return report(AttemptEvent::Ended(Outcome::TimedOut, None)),
         };
-        let last_response = match outcome {
-            Outcome::Overloaded => LastResponse::Rejection,
-            _ => LastResponse::Other,
-        };
-        connection.response_ended(last_response);
+        tracker.condition.replace(None);
         let ready = reusable
-            && tracker.is_complete()
             && matches!(
                 timeout(READY_TIMEOUT, connection.sender.ready()).await,
                 Ok(Ok(()))
             );
         if ready {
-            if self.reuse.has_to_rest(&endpoint.surplus, last_response) {
-                connection.acknowledge_input();
-            }
-            self.reuse.record_response(&endpoint.surplus);
             endpoint.keep_idle(connection);
         }
     }
--- a/crates/proxy-core/src/vars.rs
+++ b/crates/proxy-core/src/vars.rs
@@ -28,12 +28,6 @@
     class_counters: RefCell<Vec<ClassCounters>>,
     /// Attempts whose last byte has been written to an endpoint.
     attempts_sent: Cell<u64>,
-    /// Connections established to endpoints.
-    connections_opened: Cell<u64>,
-    /// Requests that waited until a connection had rested.
-    rests: Cell<u64>,
-    /// Responses of endpoints to which no request had been sent.
-    surplus_responses: Cell<u64>,
     configurations_loaded: Cell<u64>,
     configurations_invalid: Cell<u64>,
 }
@@ -80,22 +74,6 @@
         self.attempts_sent.set(self.attempts_sent.get() + 1);
     }
 
-    /// Counts a connection established to an endpoint.
-    pub fn connection_opened(&self) {
-        self.connections_opened
-            .set(self.connections_opened.get() + 1);
-    }
-
-    /// Counts a request that waits until a connection has rested.
-    pub fn rest_begun(&self) {
-        self.rests.set(self.rests.get() + 1);
-    }
-
-    /// Counts a response to which no request had been sent.
-    pub fn surplus_response(&self) {
-        self.surplus_responses.set(self.surplus_responses.get() + 1);
-    }
-
     /// Counts a configuration file read at SIGHUP, by whether it is valid.
     pub fn configuration_read(&self, valid: bool) {
         let count = if valid {
@@ -136,17 +114,6 @@
         labelled("node_taken", &|counters| counters.accepted);
         for (name, kind, value) in [
             ("node_sends", "counter", self.attempts_sent.get()),
-            (
-                "node_connections_opened",
-                "counter",
-                self.connections_opened.get(),
-            ),
-            ("node_connection_rests", "counter", self.rests.get()),
-            (
-                "node_surplus_responses",
-                "counter",
-                self.surplus_responses.get(),
-            ),
             ("node_current", "gauge", gauges.in_flight as u64),
             ("node_cluster_size", "gauge", gauges.listed_endpoints as u64),
             (
@@ -190,9 +157,6 @@
         counts.request_accepted(0);
         counts.request_ended(0, RequestEnd::Deferred);
         counts.attempt_sent();
-        counts.connection_opened();
-        counts.rest_begun();
-        counts.surplus_response();
         counts.configuration_read(true);
         counts.configuration_read(false);
         counts.register_classes(&["lookup".into(), "a \"b\"\\\n".into(), "renewal".into()]);
@@ -210,9 +174,6 @@
             "node_answered{group=\"renewal\"} 0",
             "node_taken{group=\"lookup\"} 1",
             "node_sends 1",
-            "node_connections_opened 1",
-            "node_connection_rests 1",
-            "node_surplus_responses 1",
             "node_current 3",
             "node_cluster_size 9",
             "node_cluster_unhealthy 1",
--- a/crates/proxy-core/tests/layers.rs
+++ b/crates/proxy-core/tests/layers.rs
@@ -2,7 +2,7 @@
 use std::path::Path;
 
 /// The modules, from the lowest layer up.
-const LAYERS: [&str; 35] = [
+const LAYERS: [&str; 34] = [
     "backoff",
     "body_memory",
     "bounded_read",
@@ -25,7 +25,6 @@
     "inbox",
     "load_report",
     "lifecycle",
-    "reuse",
     "upstream",
     "capture",
     "discovery",
--- a/crates/proxy/tests/scripted_peer/mod.rs
+++ b/crates/proxy/tests/scripted_peer/mod.rs
@@ -104,16 +104,6 @@
         self.requests.try_recv().ok()
     }
 
-    /// Answers all requests from now on, each on a thread of its own.
-    pub fn answer_all(self, answer: impl Fn(ReceivedRequest) + Clone + Send + 'static) {
-        thread::spawn(move || {
-            for request in self.requests {
-                let answer = answer.clone();
-                thread::spawn(move || answer(request));
-            }
-        });
-    }
-
     /// Returns a discovery with this peer's address, for the configuration of a proxy.
     pub fn as_discovery(&self) -> Discovery {
         let mut discovery = Discovery::new();
