--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -6,7 +6,7 @@
 use std::fs::File;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -16,22 +16,9 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
-    fn dup2(from: i32, to: i32) -> i32;
-    fn fcntl(descriptor: i32, command: i32, value: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
-/// Opens the clients' listening socket as descriptor 3, which all processes inherit. To be called before all else.
-pub fn hold_listening_socket() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| stop(2, &format!("listen: {e}")));
-    let address = listener.local_addr().unwrap();
-    if listener.as_raw_fd() != 3 {
-        unsafe { dup2(listener.as_raw_fd(), 3) };
-    }
-    const F_SETFD: i32 = 2;
-    unsafe { fcntl(3, F_SETFD, 0) };
-    std::mem::forget(listener);
-    address
-}
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
@@ -126,8 +113,6 @@
     pub known: String,
     /// The proxy's number, and the number of proxies.
     pub number: (u32, u32),
-    /// The clients' listening socket, which the platform holds as descriptor 3.
-    pub inherited: Option<SocketAddr>,
 }
 
 impl Default for Deployment {
@@ -138,7 +123,6 @@
             discovery: "pushed",
             known: "null".into(),
             number: (0, 1),
-            inherited: None,
         }
     }
 }
@@ -161,7 +145,7 @@
 
 /// Starts one proxy with `run` of the deploy file and waits until `/_ready` says yes.
 pub fn start_proxy(discovery: SocketAddr, deployment: &Deployment) -> Proxy {
-    let (address, ops) = (deployment.inherited.unwrap_or_else(free_address), free_address());
+    let (address, ops) = (free_address(), free_address());
     let run = RUN.get().unwrap();
     let folder = run.folder.join(format!("proxy-{}", ops.port()));
     let _ = std::fs::create_dir_all(folder.join("tmp"));
@@ -192,8 +176,13 @@
     let log = folder.join("log.txt");
     let out = File::create(&log).unwrap();
     let mut command = Command::new("/bin/sh");
-    if deployment.inherited.is_some() {
-        command.env("NODE_SOCKET_FD", "3");
+    const PR_SET_PDEATHSIG: i32 = 1;
+    // The proxy ends with the script, also where the script is interrupted.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+            Ok(())
+        });
     }
     let child = command
         .args(["-c", &command_of_the_deploy_file()])
@@ -216,7 +205,7 @@
     };
     let end = Instant::now() + Duration::from_secs(20);
     while Instant::now() < end {
-        // The operators' door answers for this process alone, also where another has the same listening socket.
+        // The operators' door says yes as soon as the process takes clients.
         let answer = TcpStream::connect(ops).ok().and_then(|mut s| {
             s.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
             s.write_all(b"GET /_ready HTTP/1.1\r\nHost: operators\r\nConnection: close\r\n\r\n")
--- a/review/stand-ins-2/memory.rs
+++ b/review/stand-ins-2/memory.rs
@@ -70,6 +70,9 @@
     );
     sleep_ms(500.0);
     let (address, pid) = (proxy.address, proxy.pid());
+    if memory_of(pid) == 0 {
+        finish(2, "the memory of the proxy can't be read");
+    }
     let over = AtomicBool::new(false);
     let counts: [AtomicU64; 4] = Default::default();
     let mut peak = 0;
