Allocate the memory of bodies only as it is reserved, in blocks

Cause: BodyBuffer::add allocated room for the announced length, up to 2 MiB, at a body's second piece, while the budget counted what had arrived. The allocator gives freed rooms out again with touched pages. Bodies are now kept in blocks of the size that is reserved; each block is released with its reservation.

--- /dev/null
+++ b/crates/proxy-core/src/body_buffer.rs
@@ -0,0 +1,222 @@
+//! Bodies in memory, in blocks of which each has exactly the size that is reserved for it.
+//!
+//! A block is never larger than its reservation, not even while it is filled: the allocator gives freed memory out
+//! again with its pages, so that room which was made in advance would be resident without having been counted.
+//!
+//! [`BodyBuffer`] receives a body, [`BufferedBody`] is what was received. Does no I/O.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+
+use crate::body_memory::{BodyMemory, MAX_BUFFERED_BYTES, Reservation};
+
+/// The unit in which a body of up to [`MAX_BUFFERED_BYTES`] is reserved and allocated: at least what one read brings.
+const ARRIVAL_STEP_BYTES: usize = 8 << 10;
+/// The same for the part of a body beyond [`MAX_BUFFERED_BYTES`].
+const SPOOL_STEP_BYTES: usize = 64 << 10;
+/// The largest request body that is read completely before it is forwarded.
+const MAX_SPOOLED_BYTES: usize = 2 << 20;
+
+/// The part of a body that has been received.
+pub struct BodyBuffer {
+    /// The announced length of the complete body.
+    length: Option<usize>,
+    reservation: Reservation,
+    blocks: Vec<Vec<u8>>,
+    /// The capacity of all blocks.
+    allocated_bytes: usize,
+    received_bytes: usize,
+}
+
+impl BodyBuffer {
+    /// Creates an empty buffer for a body of this length.
+    pub fn new(length: Option<u64>) -> Self {
+        BodyBuffer {
+            length: length.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX)),
+            reservation: Reservation::default(),
+            blocks: Vec::new(),
+            allocated_bytes: 0,
+            received_bytes: 0,
+        }
+    }
+
+    /// Reserves memory for what the next read brings, if there is any now.
+    pub fn try_reserve_next(&mut self, memory: &BodyMemory) -> bool {
+        let rest = self.length.map_or(usize::MAX, |length| {
+            length.saturating_sub(self.received_bytes)
+        });
+        let needed = self.received_bytes + rest.min(ARRIVAL_STEP_BYTES);
+        let more = needed.saturating_sub(self.reservation.bytes());
+        if more == 0 {
+            return true;
+        }
+        if self.received_bytes >= MAX_BUFFERED_BYTES {
+            let unreserved = (self.received_bytes.saturating_add(rest)) - self.reservation.bytes();
+            return self.received_bytes < MAX_SPOOLED_BYTES
+                && memory.try_spool(&mut self.reservation, unreserved.min(SPOOL_STEP_BYTES));
+        }
+        let missing = self.missing_bytes();
+        memory.try_arrival(&mut self.reservation, more, missing)
+    }
+
+    /// Waits in turn for memory for the rest of the first [`MAX_BUFFERED_BYTES`].
+    pub async fn reserve_rest(&mut self, memory: &BodyMemory) {
+        let missing = self.missing_bytes();
+        memory.extend(&mut self.reservation, missing).await;
+    }
+
+    /// Returns the part of the first [`MAX_BUFFERED_BYTES`] for which no memory is reserved.
+    fn missing_bytes(&self) -> usize {
+        let first = self.length.unwrap_or(usize::MAX).min(MAX_BUFFERED_BYTES);
+        first.saturating_sub(self.reservation.bytes())
+    }
+
+    /// Returns whether the complete body fits into the first [`MAX_BUFFERED_BYTES`], as far as is known.
+    pub fn may_be_short(&self) -> bool {
+        self.length.unwrap_or(0).max(self.received_bytes) <= MAX_BUFFERED_BYTES
+    }
+
+    /// Appends received data.
+    pub fn add(&mut self, data: &[u8]) {
+        let mut rest = data;
+        while !rest.is_empty() {
+            let room = self.block_with_room(rest.len());
+            let (now, later) = rest.split_at(rest.len().min(room.capacity() - room.len()));
+            room.extend_from_slice(now);
+            rest = later;
+        }
+        self.received_bytes += data.len();
+    }
+
+    /// Returns the last block, or a new one if that is full. Only behind a long head a read brings more than is
+    /// reserved.
+    fn block_with_room(&mut self, needed_bytes: usize) -> &mut Vec<u8> {
+        let is_full = |block: &Vec<u8>| block.len() == block.capacity();
+        if self.blocks.last().is_none_or(is_full) {
+            let step = if self.allocated_bytes < MAX_BUFFERED_BYTES {
+                ARRIVAL_STEP_BYTES
+            } else {
+                SPOOL_STEP_BYTES
+            };
+            let reserved = self
+                .reservation
+                .bytes()
+                .saturating_sub(self.allocated_bytes);
+            let size = match reserved.min(step) {
+                0 => needed_bytes,
+                size => size,
+            };
+            self.allocated_bytes += size;
+            self.blocks.push(Vec::with_capacity(size));
+        }
+        let last = self.blocks.len() - 1;
+        &mut self.blocks[last]
+    }
+
+    /// Returns the number of received bytes.
+    pub fn received_bytes(&self) -> usize {
+        self.received_bytes
+    }
+
+    /// Returns the received data, whose blocks hold their reservations.
+    pub fn into_body(mut self) -> BufferedBody {
+        let mut blocks = std::mem::take(&mut self.blocks).into_iter().map(|block| {
+            let data = block.into_boxed_slice();
+            let reservation = self.reservation.split(data.len());
+            Bytes::from_owner(ReservedBlock {
+                data,
+                _reservation: reservation,
+            })
+        });
+        let first = blocks.next().unwrap_or_default();
+        let others: Vec<Bytes> = blocks.collect();
+        BufferedBody {
+            first,
+            others: (!others.is_empty()).then(|| others.into()),
+            position: 0,
+        }
+    }
+}
+
+/// Data with the reservation of its memory.
+struct ReservedBlock {
+    data: Box<[u8]>,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for ReservedBlock {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
+
+/// A body in memory, or the beginning of one. A clone shares its blocks.
+#[derive(Clone, Default)]
+pub struct BufferedBody {
+    /// Most bodies have one block, or none.
+    first: Bytes,
+    others: Option<Rc<[Bytes]>>,
+    /// The number of blocks that have been passed on.
+    position: usize,
+}
+
+impl BufferedBody {
+    /// Returns the number of bytes that have not been passed on.
+    pub fn remaining_bytes(&self) -> usize {
+        let others = self.others().iter().skip(self.position.saturating_sub(1));
+        let first = if self.position == 0 {
+            self.first.len()
+        } else {
+            0
+        };
+        first + others.map(Bytes::len).sum::<usize>()
+    }
+
+    fn others(&self) -> &[Bytes] {
+        self.others.as_deref().unwrap_or_default()
+    }
+
+    /// Takes the next block.
+    pub fn next_block(&mut self) -> Option<Bytes> {
+        let block = match self.position {
+            0 => std::mem::take(&mut self.first),
+            position => self.others().get(position - 1)?.clone(),
+        };
+        self.position += 1;
+        Some(block).filter(|block| !block.is_empty())
+    }
+}
+
+impl From<Bytes> for BufferedBody {
+    fn from(first: Bytes) -> Self {
+        BufferedBody {
+            first,
+            ..BufferedBody::default()
+        }
+    }
+}
+
+impl Body for BufferedBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Poll::Ready(self.next_block().map(|block| Ok(Frame::data(block))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.remaining_bytes() == 0
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.remaining_bytes() as u64)
+    }
+}
--- a/crates/proxy-core/src/body_memory.rs
+++ b/crates/proxy-core/src/body_memory.rs
@@ -2,24 +2,17 @@
 //! to it, so that clients and endpoints together can't exceed the memory limit of the process. Other input that is kept
 //! is covered as well.
 //!
-//! [`BodyMemory`] is the budget, [`BodyBuffer`] the received part of one body. What passes through without being
-//! buffered takes a [`StreamSlot`]. Does no I/O.
+//! [`BodyMemory`] is the budget, and a [`Reservation`] a part of it. What passes through without being buffered takes a
+//! [`StreamSlot`]. Does no I/O.
 
 use std::rc::Rc;
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// The size up to which a body is buffered if there is memory: a response up to it is forwarded whole, and a request up
 /// to it is always read before it is forwarded.
 pub const MAX_BUFFERED_BYTES: usize = 64 << 10;
-/// The largest request body that is read completely before it is forwarded.
-const MAX_SPOOLED_BYTES: usize = 2 << 20;
-/// The unit in which a body reserves memory as it arrives: at least what one read brings.
-const ARRIVAL_STEP_BYTES: usize = 8 << 10;
-/// The same for a body of more than [`MAX_BUFFERED_BYTES`].
-const SPOOL_STEP_BYTES: usize = 64 << 10;
 /// The unit in which other input than bodies reserves memory.
 const INPUT_STEP_BYTES: usize = 4 << 10;
 /// The memory for one streamed body: the buffers at both ends and the piece between them.
@@ -36,8 +29,7 @@
     buffers: Arc<Semaphore>,
     /// The number of bytes of all buffers.
     buffer_bytes: usize,
-    /// The number of bytes in use up to which bodies reserve memory as they arrive. Beyond it, a body that begins to
-    /// wait for memory could wait for others that wait as well, so each reserves all of its rest at once.
+    /// The number of bytes in use up to which bodies reserve memory as they arrive.
     max_arrival_use_bytes: usize,
     /// The number of bytes in use up to which bodies of more than [`MAX_BUFFERED_BYTES`] are buffered.
     max_spooled_use_bytes: usize,
@@ -92,6 +84,31 @@
         more == 0 || self.try_extend(reservation, more.next_multiple_of(INPUT_STEP_BYTES))
     }
 
+    /// Extends a reservation by `bytes` as its body arrives while enough memory is free, and by `rest_bytes` beyond; a
+    /// body that begins to wait for memory could otherwise wait for others that wait as well.
+    pub fn try_arrival(
+        &self,
+        reservation: &mut Reservation,
+        bytes: usize,
+        rest_bytes: usize,
+    ) -> bool {
+        let arrives = self.bytes_in_use() + bytes <= self.max_arrival_use_bytes;
+        self.try_extend(reservation, if arrives { bytes } else { rest_bytes })
+    }
+
+    /// Extends the reservation of a body of more than [`MAX_BUFFERED_BYTES`], which leaves memory to others.
+    pub fn try_spool(&self, reservation: &mut Reservation, bytes: usize) -> bool {
+        self.bytes_in_use() + bytes <= self.max_spooled_use_bytes
+            && self.try_extend(reservation, bytes)
+    }
+
+    /// Extends a reservation once its turn has come and there is memory.
+    pub async fn extend(&self, reservation: &mut Reservation, bytes: usize) {
+        if let Ok(permit) = self.buffers.clone().acquire_many_owned(bytes as u32).await {
+            reservation.add(permit);
+        }
+    }
+
     fn try_extend(&self, reservation: &mut Reservation, bytes: usize) -> bool {
         let permit = self.buffers.clone().try_acquire_many_owned(bytes as u32);
         permit.is_ok_and(|permit| {
@@ -112,7 +129,8 @@
 }
 
 impl Reservation {
-    fn bytes(&self) -> usize {
+    /// Returns the number of reserved bytes.
+    pub fn bytes(&self) -> usize {
         self.0.as_ref().map_or(0, OwnedSemaphorePermit::num_permits)
     }
 
@@ -123,129 +141,9 @@
         }
     }
 
-    /// Releases what exceeds `size`.
-    fn shrink_to(&mut self, size: usize) {
-        let surplus = self.bytes().saturating_sub(size);
-        drop(self.0.as_mut().and_then(|permit| permit.split(surplus)));
-    }
-}
-
-/// The received part of a body in one buffer; separate pieces would keep the whole buffers into which they were read.
-pub struct BodyBuffer {
-    /// The announced length of the complete body.
-    length: Option<usize>,
-    reservation: Reservation,
-    single: Bytes,
-    joined: BytesMut,
-}
-
-impl BodyBuffer {
-    /// Creates an empty buffer for a body of this length.
-    pub fn new(length: Option<u64>) -> Self {
-        BodyBuffer {
-            length: length.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX)),
-            reservation: Reservation::default(),
-            single: Bytes::new(),
-            joined: BytesMut::new(),
-        }
-    }
-
-    /// Reserves memory for what the next read brings, if there is any now.
-    pub fn try_reserve_next(&mut self, memory: &BodyMemory) -> bool {
-        let size = self.len();
-        let needed = self.length.map_or(ARRIVAL_STEP_BYTES, |length| {
-            length.saturating_sub(size).min(ARRIVAL_STEP_BYTES)
-        });
-        let more = (size + needed).saturating_sub(self.reservation.bytes());
-        if more == 0 {
-            return true;
-        }
-        if size >= MAX_BUFFERED_BYTES {
-            return size < MAX_SPOOLED_BYTES
-                && memory.bytes_in_use() + SPOOL_STEP_BYTES <= memory.max_spooled_use_bytes
-                && memory.try_extend(&mut self.reservation, SPOOL_STEP_BYTES);
-        }
-        let arrives = memory.bytes_in_use() + more <= memory.max_arrival_use_bytes;
-        let more = if arrives { more } else { self.missing_bytes() };
-        memory.try_extend(&mut self.reservation, more)
-    }
-
-    /// Waits in turn for memory for the rest of the first [`MAX_BUFFERED_BYTES`].
-    pub async fn reserve_rest(&mut self, memory: &BodyMemory) {
-        let missing = self.missing_bytes() as u32;
-        if let Ok(permit) = memory.buffers.clone().acquire_many_owned(missing).await {
-            self.reservation.add(permit);
-        }
-    }
-
-    /// Returns the part of the first [`MAX_BUFFERED_BYTES`] for which no memory is reserved.
-    fn missing_bytes(&self) -> usize {
-        let first = self.length.unwrap_or(usize::MAX).min(MAX_BUFFERED_BYTES);
-        first.saturating_sub(self.reservation.bytes())
-    }
-
-    /// Returns whether the complete body fits into the first [`MAX_BUFFERED_BYTES`], as far as is known.
-    pub fn may_be_short(&self) -> bool {
-        self.length.unwrap_or(0).max(self.len()) <= MAX_BUFFERED_BYTES
-    }
-
-    /// Appends received data.
-    pub fn add(&mut self, data: Bytes) {
-        if self.is_empty() {
-            self.single = data; // most bodies arrive in one piece
-            return;
-        }
-        if self.joined.is_empty() {
-            self.joined
-                .reserve(self.expected_bytes().max(self.single.len() + data.len()));
-            self.joined
-                .extend_from_slice(&std::mem::take(&mut self.single));
-        }
-        self.joined.extend_from_slice(&data);
-    }
-
-    /// Returns the number of bytes to make room for when a second piece arrives.
-    fn expected_bytes(&self) -> usize {
-        self.length
-            .map_or(MAX_BUFFERED_BYTES, |length| length.min(MAX_SPOOLED_BYTES))
-    }
-
-    /// Returns whether nothing has been received.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
-    /// Returns the number of received bytes.
-    pub fn len(&self) -> usize {
-        self.single.len() + self.joined.len()
-    }
-
-    /// Returns the buffered data, which holds its reservation.
-    pub fn into_bytes(mut self) -> Bytes {
-        if self.is_empty() {
-            return Bytes::new();
-        }
-        self.reservation.shrink_to(self.len());
-        let data = if self.joined.is_empty() {
-            self.single
-        } else {
-            self.joined.freeze()
-        };
-        Bytes::from_owner(ReservedBytes {
-            data,
-            _reservation: self.reservation,
-        })
-    }
-}
-
-/// Data with the reservation of its memory.
-struct ReservedBytes {
-    data: Bytes,
-    _reservation: Reservation,
-}
-
-impl AsRef<[u8]> for ReservedBytes {
-    fn as_ref(&self) -> &[u8] {
-        &self.data
+    /// Takes up to this many bytes out of the reservation.
+    pub fn split(&mut self, bytes: usize) -> Self {
+        let bytes = bytes.min(self.bytes());
+        Reservation(self.0.as_mut().and_then(|permit| permit.split(bytes)))
     }
 }
--- a/crates/proxy-core/src/exchange.rs
+++ b/crates/proxy-core/src/exchange.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use balancer::Outcome;
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::SendRequest;
@@ -13,7 +12,8 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use crate::body_memory::{BodyBuffer, BodyMemory, MAX_BUFFERED_BYTES};
+use crate::body_buffer::{BodyBuffer, BufferedBody};
+use crate::body_memory::{BodyMemory, MAX_BUFFERED_BYTES};
 use crate::message::{EndpointResponse, ResponseContent, strip_hop_by_hop};
 use crate::stream::{self, RequestBody, ResponsePiece};
 
@@ -32,7 +32,7 @@
     pub headers: HeaderMap,
     pub length: Option<u64>,
     /// The part that has been received.
-    pub first_part: Bytes,
+    pub first_part: BufferedBody,
     pub remaining_body: Incoming,
 }
 
@@ -82,11 +82,11 @@
         if let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() {
             size += data.len();
             if let Some(buffer) = &mut buffer {
-                buffer.add(data);
+                buffer.add(&data);
             }
         }
     };
-    let received = buffer.map_or_else(Bytes::new, BodyBuffer::into_bytes);
+    let received = buffer.map_or_else(BufferedBody::default, BodyBuffer::into_body);
     let not_processed = head
         .headers
         .get("x-not-processed")
@@ -128,7 +128,7 @@
 
 /// Forwards a large response as it arrives, no faster than the client reads.
 pub async fn stream_response(
-    first_part: Bytes,
+    mut first_part: BufferedBody,
     mut remaining_body: Incoming,
     length: Option<u64>,
     body_memory: &BodyMemory,
@@ -136,10 +136,9 @@
 ) -> Outcome {
     let _slot = body_memory.stream_slot().await;
     let mut passed = 0;
-    let mut first_part = Some(first_part).filter(|part| !part.is_empty());
     let is_whole = |passed| length == Some(passed);
     loop {
-        let data = match first_part.take() {
+        let data = match first_part.next_block() {
             Some(data) => data,
             None => tokio::select! {
                 frame = timeout(RESPONSE_IDLE_TIMEOUT, remaining_body.frame()) => match frame {
--- a/crates/proxy-core/src/frontend.rs
+++ b/crates/proxy-core/src/frontend.rs
@@ -12,8 +12,6 @@
 use std::time::Duration;
 
 use balancer::RequestId;
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
@@ -27,6 +25,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::account::{self, TenantAccount};
+use crate::body_buffer::BufferedBody;
 use crate::body_memory::{BodyMemory, MAX_BUFFERED_BYTES};
 use crate::connection::{
     ClientConnection, ClientSocket, Delivery, IDLE_TIMEOUT, MAX_READS_PER_POLL,
@@ -511,7 +510,7 @@
         }
     }
 
-    fn up_response(&self) -> Response<Full<Bytes>> {
+    fn up_response(&self) -> Response<BufferedBody> {
         let up = self.router.is_up() && self.lifecycle.is_up();
         text_response(
             if up {
@@ -782,7 +781,7 @@
 }
 
 /// Rejects a request on a connection over the limit, without the balancer.
-fn reject_over_limit(pool: &Pool, request: Request<Incoming>) -> Response<Full<Bytes>> {
+fn reject_over_limit(pool: &Pool, request: Request<Incoming>) -> Response<BufferedBody> {
     let (head, _) = request.into_parts();
     let parsed = pool.parse_head(&head.method, &head.uri, &head.headers).ok();
     if let Some(parsed) = &parsed {
--- a/crates/proxy-core/src/lib.rs
+++ b/crates/proxy-core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod account;
 pub mod backoff;
+pub mod body_buffer;
 pub mod body_memory;
 mod bounded_read;
 mod capture;
--- a/crates/proxy-core/src/message.rs
+++ b/crates/proxy-core/src/message.rs
@@ -1,11 +1,11 @@
 //! Requests and responses as they are passed between clients and endpoints, and the protocol's rules for them.
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use tokio::time::Instant;
 
+use crate::body_buffer::BufferedBody;
 use crate::stream::{RequestBody, RequestContent, ResponseStream};
 
 /// A client's request in the form in which it is forwarded.
@@ -24,7 +24,7 @@
 
 /// The body of an endpoint's response.
 pub enum ResponseContent {
-    Buffered(Bytes),
+    Buffered(BufferedBody),
     /// The body is still being received.
     Streamed(ResponseStream),
 }
@@ -112,8 +112,8 @@
 }
 
 /// Creates a response of the proxy itself.
-pub fn text_response(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+pub fn text_response(status: StatusCode, text: &'static str) -> Response<BufferedBody> {
+    let mut response = Response::new(Bytes::from_static(text.as_bytes()).into());
     *response.status_mut() = status;
     response
 }
--- a/crates/proxy-core/src/ops.rs
+++ b/crates/proxy-core/src/ops.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
@@ -22,6 +22,7 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
+use crate::body_buffer::BufferedBody;
 use crate::inbox::{Inbox, Input};
 use crate::lifecycle::{Phase, SharedLifecycle};
 use crate::message::text_response;
@@ -86,7 +87,7 @@
         let _ = timeout(2 * STAGE_TIMEOUT, connection).await;
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn respond(&self, request: Request<Incoming>) -> Response<BufferedBody> {
         let (head, body) = request.into_parts();
         let allowed_method = match head.uri.path() {
             "/_ready" | "/_vars" => Method::GET,
@@ -123,7 +124,7 @@
         }
     }
 
-    fn ready(&self) -> Response<Full<Bytes>> {
+    fn ready(&self) -> Response<BufferedBody> {
         let (code, text) = match self.lifecycle.read(|lifecycle, _| lifecycle.phase()) {
             Phase::Serving => (StatusCode::OK, "serving\n"),
             Phase::Starting => (
@@ -139,7 +140,7 @@
         text_response(code, text)
     }
 
-    fn lame_duck(&self, on: bool) -> Response<Full<Bytes>> {
+    fn lame_duck(&self, on: bool) -> Response<BufferedBody> {
         if !self
             .lifecycle
             .update(|lifecycle, now| lifecycle.set_lame_duck(now, on))
@@ -153,13 +154,13 @@
         text_response(StatusCode::OK, if on { "on\n" } else { "off\n" })
     }
 
-    async fn vars(&self) -> Response<Full<Bytes>> {
+    async fn vars(&self) -> Response<BufferedBody> {
         let (sender, receiver) = oneshot::channel::<Gauges>();
         self.inbox.send(Input::ActiveCounts(sender));
         let Ok(gauges) = receiver.await else {
             return text_response(StatusCode::INTERNAL_SERVER_ERROR, "the driver has ended\n");
         };
-        let mut response = Response::new(Full::new(self.counts.prometheus_text(gauges).into()));
+        let mut response = Response::new(Bytes::from(self.counts.prometheus_text(gauges)).into());
         let content_type = HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8");
         response
             .headers_mut()
--- a/crates/proxy-core/src/request_body.rs
+++ b/crates/proxy-core/src/request_body.rs
@@ -9,7 +9,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::body_memory::{BodyBuffer, BodyMemory};
+use crate::body_buffer::BodyBuffer;
+use crate::body_memory::BodyMemory;
 use crate::message::text_response;
 use crate::stream::{self, MAX_BODY_BYTES, RequestContent, ResponseBody, Upload};
 
@@ -62,18 +63,18 @@
         // A slow body would occupy an endpoint's slot while it is received, so it is buffered as long as there is memory.
         if !buffer.try_reserve_next(body_memory) {
             if !buffer.may_be_short() {
-                let upload = Upload::new(buffer.into_bytes(), length, body, *timeout);
+                let upload = Upload::new(buffer.into_body(), length, body, *timeout);
                 return Ok(RequestContent::Streamed(upload));
             }
             if !wait_for_memory(&mut buffer, timeout, body_memory).await {
                 return Err(BodyError::NoMemory(body));
             }
         }
-        let deadline = receive_deadline + stream::transfer_time(buffer.len());
+        let deadline = receive_deadline + stream::transfer_time(buffer.received_bytes());
         match timeout_at(deadline, body.frame()).await {
             // Trailers are dropped.
-            Ok(Some(Ok(frame))) => frame.into_data().into_iter().for_each(|d| buffer.add(d)),
-            Ok(None) => return Ok(RequestContent::Buffered(buffer.into_bytes())),
+            Ok(Some(Ok(frame))) => frame.into_data().into_iter().for_each(|d| buffer.add(&d)),
+            Ok(None) => return Ok(RequestContent::Buffered(buffer.into_body())),
             Ok(Some(Err(_))) => return Err(BodyError::Malformed),
             Err(_) => return Err(BodyError::TooLate),
         }
--- a/crates/proxy-core/src/stream.rs
+++ b/crates/proxy-core/src/stream.rs
@@ -9,11 +9,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 
+use crate::body_buffer::BufferedBody;
+
 /// The largest body of a request or a response.
 pub const MAX_BODY_BYTES: u64 = 32 << 20;
 /// The time without progress after which a body is aborted.
@@ -32,8 +33,8 @@
 
 /// A request body that is received while it is sent.
 pub struct Upload {
-    /// The buffered beginning, which each attempt sends first.
-    prefix: Bytes,
+    /// The buffered beginning, which each attempt sends first. It is released once it can't be sent again.
+    prefix: RefCell<BufferedBody>,
     /// The length of the complete body, if the client has announced it.
     length: Option<u64>,
     rest: RefCell<Option<Incoming>>,
@@ -51,10 +52,15 @@
 }
 
 impl Upload {
-    pub fn new(prefix: Bytes, length: Option<u64>, rest: Incoming, timeout: Duration) -> Rc<Self> {
+    pub fn new(
+        prefix: BufferedBody,
+        length: Option<u64>,
+        rest: Incoming,
+        timeout: Duration,
+    ) -> Rc<Self> {
         Rc::new(Upload {
-            received: Cell::new(prefix.len() as u64),
-            prefix,
+            received: Cell::new(prefix.remaining_bytes() as u64),
+            prefix: RefCell::new(prefix),
             length,
             rest: RefCell::new(Some(rest)),
             partly_sent: Cell::new(false),
@@ -131,6 +137,7 @@
                         continue;
                     }; // trailers are dropped
                     self.partly_sent.set(true);
+                    self.prefix.take();
                     self.received.set(self.received.get() + data.len() as u64);
                     if self.received.get() > MAX_BODY_BYTES {
                         *rest = None;
@@ -157,24 +164,24 @@
 #[derive(Clone)]
 pub enum RequestContent {
     /// The complete body is buffered.
-    Buffered(Bytes),
+    Buffered(BufferedBody),
     Streamed(Rc<Upload>),
 }
 
 impl RequestContent {
     /// Returns an empty body.
-    pub const fn empty() -> Self {
-        RequestContent::Buffered(Bytes::new())
+    pub fn empty() -> Self {
+        RequestContent::Buffered(BufferedBody::default())
     }
 
     /// Returns the body for one attempt.
     pub fn outbound(&self) -> RequestBody {
         match self {
-            RequestContent::Buffered(body) => RequestBody::Buffered(Full::new(body.clone())),
+            RequestContent::Buffered(body) => RequestBody::Buffered(body.clone()),
             RequestContent::Streamed(upload) => {
                 upload.attempt_started();
                 RequestBody::Streamed {
-                    prefix: Some(upload.prefix.clone()),
+                    prefix: upload.prefix.borrow().clone(),
                     upload: upload.clone(),
                 }
             }
@@ -191,9 +198,9 @@
 
 /// A request body on its way to an endpoint.
 pub enum RequestBody {
-    Buffered(Full<Bytes>),
+    Buffered(BufferedBody),
     Streamed {
-        prefix: Option<Bytes>,
+        prefix: BufferedBody,
         upload: Rc<Upload>,
     },
 }
@@ -210,9 +217,12 @@
             RequestBody::Buffered(body) => Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
-            RequestBody::Streamed { prefix, upload } => match prefix.take() {
+            RequestBody::Streamed { prefix, upload } => match prefix.next_block() {
                 Some(prefix) => Poll::Ready(Some(Ok(Frame::data(prefix)))),
-                None => upload.poll_rest(cx),
+                None => {
+                    *prefix = BufferedBody::default(); // releases blocks that the upload no longer holds
+                    upload.poll_rest(cx)
+                }
             },
         }
     }
@@ -265,21 +275,15 @@
 
 /// A response body on its way to a client.
 pub enum ResponseBody {
-    Buffered(Full<Bytes>),
+    Buffered(BufferedBody),
     Streamed(ResponseStream, OnDone),
 }
 
 /// A callback for when a response body has been sent or dropped.
 pub type OnDone = Option<Box<dyn FnOnce()>>;
 
-impl From<Bytes> for ResponseBody {
-    fn from(body: Bytes) -> Self {
-        ResponseBody::Buffered(Full::new(body))
-    }
-}
-
-impl From<Full<Bytes>> for ResponseBody {
-    fn from(body: Full<Bytes>) -> Self {
+impl From<BufferedBody> for ResponseBody {
+    fn from(body: BufferedBody) -> Self {
         ResponseBody::Buffered(body)
     }
 }
--- a/crates/proxy-core/tests/layers.rs
+++ b/crates/proxy-core/tests/layers.rs
@@ -2,9 +2,10 @@
 use std::path::Path;
 
 /// The modules, from the lowest layer up.
-const LAYERS: [&str; 34] = [
+const LAYERS: [&str; 35] = [
     "backoff",
     "body_memory",
+    "body_buffer",
     "bounded_read",
     "json_stream",
     "line_writer",
--- /dev/null
+++ b/crates/proxy/tests/long_bodies/mod.rs
@@ -0,0 +1,268 @@
+//! Clients and endpoints of long bodies, which are written and read at a steady rate and never kept whole.
+#![allow(dead_code)] // each test binary uses its part
+
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::sockets::{Proxy, Setup, read_message};
+
+/// The size of the pieces that clients and endpoints write.
+pub const PIECE_BYTES: usize = 16_000;
+/// The time that a client waits for its answer after the last byte of its request.
+const CLIENT_PATIENCE: Duration = Duration::from_secs(8);
+const THREAD_STACK_BYTES: usize = 128 << 10;
+
+/// The limits of a process. The platform kills it above its memory limit.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub memory_mb: u32,
+    pub sockets: usize,
+}
+
+impl Limits {
+    /// Clients hold a third of the descriptors for their requests.
+    pub fn clients(&self) -> usize {
+        self.sockets / 3
+    }
+
+    pub fn setup(&self) -> Setup {
+        Setup {
+            memory_mb: self.memory_mb,
+            sockets: self.sockets,
+            operations_enabled: true,
+            ..Setup::default()
+        }
+    }
+
+    /// Checks the limit in its smaller reading, a million bytes a MB.
+    pub fn check(&self, proxy: &Proxy) {
+        let peak_mb = proxy.memory_peak_mb() * 1.024;
+        assert!(
+            peak_mb <= f64::from(self.memory_mb),
+            "{peak_mb:.1} MB of {}",
+            self.memory_mb
+        );
+    }
+}
+
+/// A body and the way in which it is written.
+#[derive(Clone, Copy, Debug)]
+pub struct Body {
+    pub bytes: usize,
+    pub chunked: bool,
+    /// `None` if it is written as fast as the peer takes it.
+    pub bytes_per_second: Option<f64>,
+}
+
+impl Body {
+    /// Returns the line of the head that announces the body.
+    pub fn framing(&self) -> String {
+        if self.chunked {
+            "Transfer-Encoding: chunked".into()
+        } else {
+            format!("Content-Length: {}", self.bytes)
+        }
+    }
+
+    /// Writes the body in pieces of up to `piece_bytes`.
+    pub fn write(&self, stream: &mut TcpStream, piece_bytes: usize) -> io::Result<()> {
+        let begun = Instant::now();
+        let data = vec![b'x'; piece_bytes];
+        let mut sent = 0;
+        while sent < self.bytes {
+            let piece = &data[..piece_bytes.min(self.bytes - sent)];
+            if self.chunked {
+                let size = format!("{:x}\r\n", piece.len());
+                stream.write_all(&[size.as_bytes(), piece, b"\r\n"].concat())?;
+            } else {
+                stream.write_all(piece)?;
+            }
+            sent += piece.len();
+            if let Some(rate) = self.bytes_per_second {
+                pace(begun, sent, rate);
+            }
+        }
+        if self.chunked {
+            stream.write_all(b"0\r\n\r\n")?;
+        }
+        Ok(())
+    }
+}
+
+/// Waits until this many bytes are due at a rate.
+pub fn pace(begun: Instant, bytes: usize, bytes_per_second: f64) {
+    let due = begun + Duration::from_secs_f64(bytes as f64 / bytes_per_second);
+    thread::sleep(due.saturating_duration_since(Instant::now()));
+}
+
+/// Starts an endpoint that reads each request, drops its body and calls a function with its id and the connection.
+pub fn start_endpoint(
+    answer: impl Fn(&str, &mut TcpStream) -> io::Result<()> + Send + Sync + 'static,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let answer = Arc::new(answer);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, answer) = (stream.expect("a connection"), answer.clone());
+            let serve = move || {
+                let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+                while let Some(id) = read_request(&mut reader) {
+                    if answer(&id, &mut stream).is_err() {
+                        return; // the proxy has closed the connection
+                    }
+                }
+            };
+            let thread = thread::Builder::new().stack_size(THREAD_STACK_BYTES);
+            thread.spawn(serve).expect("a thread starts");
+        }
+    });
+    address
+}
+
+/// Reads a request and returns its id; `None` if the connection ends before its last byte.
+fn read_request(reader: &mut impl BufRead) -> Option<String> {
+    let (mut id, mut length, mut chunked) = (String::new(), 0, false);
+    loop {
+        let line = read_line(reader)?;
+        let Some((name, value)) = line.split_once(':') else {
+            if line.is_empty() {
+                break;
+            }
+            continue;
+        };
+        match name.to_ascii_lowercase().as_str() {
+            "x-request-id" => id = value.trim().to_owned(),
+            "content-length" => length = value.trim().parse().ok()?,
+            "transfer-encoding" => chunked = true,
+            _ => {}
+        }
+    }
+    if !chunked {
+        return skip(reader, length).then_some(id);
+    }
+    loop {
+        let size = u64::from_str_radix(&read_line(reader)?, 16).ok()?;
+        if !skip(reader, size) || !read_line(reader)?.is_empty() {
+            return None;
+        }
+        if size == 0 {
+            return Some(id);
+        }
+    }
+}
+
+fn read_line(reader: &mut impl BufRead) -> Option<String> {
+    let mut line = String::new();
+    (reader.read_line(&mut line).ok()? > 0).then(|| line.trim_end().to_owned())
+}
+
+/// Reads and drops this many bytes; returns false if the connection ends before.
+fn skip(reader: &mut impl BufRead, bytes: u64) -> bool {
+    io::copy(&mut reader.take(bytes), &mut io::sink()).is_ok_and(|read| read == bytes)
+}
+
+/// The ends of the requests of a load.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Ends {
+    pub served: usize,
+    pub refused: usize,
+    pub failed: usize,
+    /// Requests that got no answer.
+    pub unanswered: usize,
+}
+
+impl Ends {
+    fn count(&mut self, status: Option<u16>) {
+        match status {
+            Some(200) => self.served += 1,
+            Some(429 | 503) => self.refused += 1,
+            Some(_) => self.failed += 1,
+            None => self.unanswered += 1,
+        }
+    }
+
+    fn add(&mut self, others: Ends) {
+        self.served += others.served;
+        self.refused += others.refused;
+        self.failed += others.failed;
+        self.unanswered += others.unanswered;
+    }
+}
+
+/// Sends requests with bodies from as many clients as the limits allow, one after another from each, and returns how
+/// they ended. A client begins no new request after `duration`.
+pub fn upload_from_all_clients(
+    address: SocketAddr,
+    limits: &Limits,
+    body: Body,
+    duration: Duration,
+) -> Ends {
+    let end = Instant::now() + duration;
+    let clients: Vec<_> = (0..limits.clients())
+        .map(|number| {
+            let run = move || upload_until(address, number, body, end);
+            let thread = thread::Builder::new().stack_size(THREAD_STACK_BYTES);
+            thread.spawn(run).expect("a thread starts")
+        })
+        .collect();
+    let mut ends = Ends::default();
+    for client in clients {
+        ends.add(client.join().expect("no panic"));
+    }
+    ends
+}
+
+fn upload_until(address: SocketAddr, number: usize, body: Body, end: Instant) -> Ends {
+    let mut ends = Ends::default();
+    let mut connection = None;
+    let mut request = 0;
+    while Instant::now() < end {
+        let mut stream = connection.take().unwrap_or_else(|| connect(address));
+        let answer = upload(&mut stream, &format!("r-{number}-{request}"), body);
+        ends.count(answer.as_ref().map(|answer| answer.status));
+        connection = answer.filter(|answer| !answer.closes).map(|_| stream);
+        request += 1;
+        if connection.is_none() {
+            thread::sleep(Duration::from_millis(100));
+        }
+    }
+    ends
+}
+
+pub fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("the proxy accepts");
+    let limit = Some(CLIENT_PATIENCE);
+    stream.set_read_timeout(limit).expect("the timeout is set");
+    stream.set_write_timeout(limit).expect("the timeout is set");
+    stream
+}
+
+struct UploadAnswer {
+    status: u16,
+    closes: bool,
+}
+
+/// Sends a request with a body and reads the answer, which may come before the last byte is written.
+fn upload(stream: &mut TcpStream, id: &str, body: Body) -> Option<UploadAnswer> {
+    let head = upload_head(id, &body);
+    let written = stream
+        .write_all(head.as_bytes())
+        .and_then(|()| body.write(stream, PIECE_BYTES));
+    let answer = read_message(&mut BufReader::new(&*stream))?;
+    Some(UploadAnswer {
+        status: answer.status(),
+        closes: written.is_err() || answer.header("connection") == Some("close"),
+    })
+}
+
+/// Returns the head of a request that may run once only.
+pub fn upload_head(id: &str, body: &Body) -> String {
+    format!(
+        "POST /submit?sid=7f HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nX-Tenant-Id: acme\r\nX-Timeout: 3\r\n{}\r\n\r\n",
+        body.framing()
+    )
+}
--- a/crates/proxy/tests/memory.rs
+++ b/crates/proxy/tests/memory.rs
@@ -1,5 +1,6 @@
 //! Memory of a proxy whose clients and endpoints keep as many bytes in it as they can. The platform kills a process that
 //! exceeds its memory limit.
+mod long_bodies;
 mod scripted_peer;
 #[path = "../../proxy-core/tests/sockets/mod.rs"]
 mod sockets;
@@ -9,6 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use long_bodies::Limits;
 use scripted_peer::{ReceivedRequest, ScriptedPeer};
 use sockets::*;
 
@@ -21,37 +23,6 @@
 };
 const CLIENT_STACK_BYTES: usize = 128 << 10;
 
-struct Limits {
-    memory_mb: u32,
-    sockets: usize,
-}
-
-impl Limits {
-    /// Clients hold a third of the descriptors for their requests.
-    fn clients(&self) -> usize {
-        self.sockets / 3
-    }
-
-    fn setup(&self) -> Setup {
-        Setup {
-            memory_mb: self.memory_mb,
-            sockets: self.sockets,
-            operations_enabled: true,
-            ..Setup::default()
-        }
-    }
-
-    /// Checks the limit in its smaller reading, a million bytes a MB.
-    fn check(&self, proxy: &Proxy) {
-        let peak_mb = proxy.memory_peak_mb() * 1.024;
-        assert!(
-            peak_mb <= f64::from(self.memory_mb),
-            "{peak_mb:.1} MB of {}",
-            self.memory_mb
-        );
-    }
-}
-
 /// Starts endpoints that answer each request after a while.
 fn slow_backends(answer_bytes: usize) -> Vec<Backend> {
     let answer = ok(&"y".repeat(answer_bytes));
