Receive the rest of a long body while its request waits, so that a disconnect is seen

Cause: the rest of such a body was not read until an attempt began. Evidence: the end was behind 520 to 830 KB in the client's send queue (FIN_WAIT1) while the proxy's socket was open and unread, so that reading on is the only way to see it. The rest is now received while the request waits; without memory for 80 ms the module rejects it.

--- a/crates/balancer/src/final_answer.rs
+++ b/crates/balancer/src/final_answer.rs
@@ -10,6 +10,7 @@
 //! | the request is queued, and it is too late for a response by `answer_by` | `admission`, in each tick | `reject_or_fail` |
 //! | an attempt has failed and no retry is allowed | `attempts`, at the end of the attempt | `reject_or_fail` |
 //! | the request is in flight until shortly before `answer_by` | `stall_detection`, by a timer | `reject_or_fail` |
+//! | the request is queued, and there is no memory to receive its body | the front end | `reject_or_fail` |
 //! | the front end rejects the request: it exceeds the tenant's share of the process | the front end | `reject_over_process_share` |
 
 use crate::action::Action;
--- a/crates/balancer/tests/final_answer.rs
+++ b/crates/balancer/tests/final_answer.rs
@@ -104,3 +104,15 @@
     );
     assert_eq!(retry_afters(None), [None; 50]);
 }
+
+/// Guards against a queued request that waits on although nobody would notice that its client has left.
+#[test]
+fn a_queued_request_without_memory_for_its_body_is_rejected_once() {
+    let mut harness = Harness::new(settings(1), vec![]);
+    harness.handle(request(1, 1, 3000.0));
+    let out = harness.handle(Event::MemoryExhausted(RequestId(1)));
+    assert!(matches!(out[..], [Action::Reject { request, .. }] if request == RequestId(1)));
+    let mut later = harness.handle(Event::MemoryExhausted(RequestId(1)));
+    later.extend(harness.advance(4000.0));
+    assert_eq!(final_answers(&later), 0);
+}
--- a/crates/proxy-core/src/body_buffer.rs
+++ b/crates/proxy-core/src/body_buffer.rs
@@ -19,14 +19,14 @@
 const ARRIVAL_STEP_BYTES: usize = 8 << 10;
 /// The same for the part of a body beyond [`MAX_BUFFERED_BYTES`].
 const SPOOL_STEP_BYTES: usize = 64 << 10;
-/// The largest request body that is read completely before it is forwarded.
-const MAX_SPOOLED_BYTES: usize = 2 << 20;
-
 /// The part of a body that has been received.
 pub struct BodyBuffer {
     /// The announced length of the complete body.
     length: Option<usize>,
+    /// The memory of what is not taken yet.
     reservation: Reservation,
+    /// The number of bytes that have been taken with their reservations.
+    taken_bytes: usize,
     blocks: Vec<Vec<u8>>,
     /// The capacity of all blocks.
     allocated_bytes: usize,
@@ -39,6 +39,7 @@
         BodyBuffer {
             length: length.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX)),
             reservation: Reservation::default(),
+            taken_bytes: 0,
             blocks: Vec::new(),
             allocated_bytes: 0,
             received_bytes: 0,
@@ -51,14 +52,14 @@
             length.saturating_sub(self.received_bytes)
         });
         let needed = self.received_bytes + rest.min(ARRIVAL_STEP_BYTES);
-        let more = needed.saturating_sub(self.reservation.bytes());
+        let more = needed.saturating_sub(self.reserved_bytes());
         if more == 0 {
             return true;
         }
         if self.received_bytes >= MAX_BUFFERED_BYTES {
-            let unreserved = (self.received_bytes.saturating_add(rest)) - self.reservation.bytes();
-            return self.received_bytes < MAX_SPOOLED_BYTES
-                && memory.try_spool(&mut self.reservation, unreserved.min(SPOOL_STEP_BYTES));
+            let unreserved = self.received_bytes.saturating_add(rest) - self.reserved_bytes();
+            let step = unreserved.min(SPOOL_STEP_BYTES);
+            return memory.try_spool(&mut self.reservation, step);
         }
         let missing = self.missing_bytes();
         memory.try_arrival(&mut self.reservation, more, missing)
@@ -70,10 +71,15 @@
         memory.extend(&mut self.reservation, missing).await;
     }
 
+    /// Returns the number of bytes for which memory has been reserved.
+    fn reserved_bytes(&self) -> usize {
+        self.taken_bytes + self.reservation.bytes()
+    }
+
     /// Returns the part of the first [`MAX_BUFFERED_BYTES`] for which no memory is reserved.
     fn missing_bytes(&self) -> usize {
         let first = self.length.unwrap_or(usize::MAX).min(MAX_BUFFERED_BYTES);
-        first.saturating_sub(self.reservation.bytes())
+        first.saturating_sub(self.reserved_bytes())
     }
 
     /// Returns whether the complete body fits into the first [`MAX_BUFFERED_BYTES`], as far as is known.
@@ -103,10 +109,7 @@
             } else {
                 SPOOL_STEP_BYTES
             };
-            let reserved = self
-                .reservation
-                .bytes()
-                .saturating_sub(self.allocated_bytes);
+            let reserved = self.reserved_bytes().saturating_sub(self.allocated_bytes);
             let size = match reserved.min(step) {
                 0 => needed_bytes,
                 size => size,
@@ -123,9 +126,11 @@
         self.received_bytes
     }
 
-    /// Returns the received data, whose blocks hold their reservations.
-    pub fn into_body(mut self) -> BufferedBody {
-        let mut blocks = std::mem::take(&mut self.blocks).into_iter().map(|block| {
+    /// Takes the data that has been received since the latest call. Its blocks hold their reservations.
+    pub fn take_body(&mut self) -> BufferedBody {
+        self.allocated_bytes = self.received_bytes;
+        self.taken_bytes = self.received_bytes;
+        let blocks = std::mem::take(&mut self.blocks).into_iter().map(|block| {
             let data = block.into_boxed_slice();
             let reservation = self.reservation.split(data.len());
             Bytes::from_owner(ReservedBlock {
@@ -133,13 +138,12 @@
                 _reservation: reservation,
             })
         });
-        let first = blocks.next().unwrap_or_default();
-        let others: Vec<Bytes> = blocks.collect();
-        BufferedBody {
-            first,
-            others: (!others.is_empty()).then(|| others.into()),
-            position: 0,
-        }
+        BufferedBody::from_blocks(blocks)
+    }
+
+    /// Returns the received data and releases what is reserved beyond it.
+    pub fn into_body(mut self) -> BufferedBody {
+        self.take_body()
     }
 }
 
@@ -181,6 +185,26 @@
         self.others.as_deref().unwrap_or_default()
     }
 
+    fn from_blocks(mut blocks: impl Iterator<Item = Bytes>) -> Self {
+        let first = blocks.next().unwrap_or_default();
+        let others: Vec<Bytes> = blocks.collect();
+        BufferedBody {
+            first,
+            others: (!others.is_empty()).then(|| others.into()),
+            position: 0,
+        }
+    }
+
+    /// Appends the blocks of another body.
+    pub fn append(&mut self, mut other: Self) {
+        if other.is_end_stream() {
+            return;
+        }
+        let mut own = std::mem::take(self);
+        let own_blocks = std::iter::from_fn(|| own.next_block());
+        *self = Self::from_blocks(own_blocks.chain(std::iter::from_fn(|| other.next_block())));
+    }
+
     /// Takes the next block.
     pub fn next_block(&mut self) -> Option<Bytes> {
         let block = match self.position {
--- a/crates/proxy-core/src/driver.rs
+++ b/crates/proxy-core/src/driver.rs
@@ -254,6 +254,7 @@
                 self.attempt_ended(request, attempt, latency, outcome, response);
             }
             Input::BodyComplete(id) => self.body_complete(id),
+            Input::MemoryExhausted(id) => self.reject_without_memory(id),
             Input::ResponseStarted {
                 request,
                 attempt,
@@ -385,6 +386,17 @@
         }
     }
 
+    /// Rejects a request that waits for an endpoint while its client can't be read from.
+    fn reject_without_memory(&mut self, id: RequestId) {
+        let is_waiting = |active: &ActiveRequest| {
+            let upload = active.outbound.body.upload();
+            active.response_sender.is_some() && upload.is_some_and(|u| !u.is_being_sent())
+        };
+        if self.requests.get(&id).is_some_and(is_waiting) {
+            self.handle(Event::MemoryExhausted(id));
+        }
+    }
+
     /// Starts the timeout of a request whose streamed body has been sent completely.
     fn body_complete(&mut self, id: RequestId) {
         let Some(active) = self.requests.get_mut(&id) else {
@@ -393,7 +405,7 @@
         let Some(upload) = active.outbound.body.upload() else {
             return;
         };
-        active.deadline = Instant::now() + upload.timeout;
+        active.deadline = upload.client_deadline();
         let answer_deadline = active.deadline - ANSWER_MARGIN;
         let remaining = answer_deadline
             .saturating_duration_since(Instant::now())
--- a/crates/proxy-core/src/exchange.rs
+++ b/crates/proxy-core/src/exchange.rs
@@ -15,7 +15,8 @@
 use crate::body_buffer::{BodyBuffer, BufferedBody};
 use crate::body_memory::{BodyMemory, MAX_BUFFERED_BYTES};
 use crate::message::{EndpointResponse, ResponseContent, strip_hop_by_hop};
-use crate::stream::{self, RequestBody, ResponsePiece};
+use crate::stream::{RequestBody, ResponsePiece};
+use crate::upload::MAX_BODY_BYTES;
 
 /// The time without data after which a response that has begun is aborted.
 const RESPONSE_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -153,7 +154,7 @@
             },
         };
         passed += data.len() as u64;
-        if passed > stream::MAX_BODY_BYTES {
+        if passed > MAX_BODY_BYTES {
             return Outcome::Reset; // over the size limit
         }
         if pieces.send(ResponsePiece::Data(data)).await.is_err() && !is_whole(passed) {
--- a/crates/proxy-core/src/frontend.rs
+++ b/crates/proxy-core/src/frontend.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::future::poll_fn;
+use std::future::{pending, poll_fn};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -41,7 +41,8 @@
 use crate::note;
 use crate::pool::{Pool, RequestHead};
 use crate::request_body::{self, BodyError};
-use crate::stream::{self, MAX_BODY_BYTES, RequestContent, ResponseBody, Upload};
+use crate::stream::{RequestContent, ResponseBody};
+use crate::upload::{self, MAX_BODY_BYTES, Upload};
 use crate::upstream::{Upstreams, has_no_unread_input};
 use crate::vars::RequestEnd;
 
@@ -220,7 +221,7 @@
         while self.has_active_connections() && Instant::now() < end {
             let _ = timeout(IDLE_CHECK_INTERVAL, self.connection_closed.notified()).await;
         }
-        let end = end + stream::transfer_time(MAX_BODY_BYTES as usize);
+        let end = end + upload::transfer_time(MAX_BODY_BYTES as usize);
         while self.has_undelivered_answers() && Instant::now() < end {
             let _ = timeout(IDLE_CHECK_INTERVAL, self.connection_closed.notified()).await;
         }
@@ -653,7 +654,8 @@
         drills.apply(&hit, response).await
     }
 
-    /// Waits for the driver's answer, and asks for one when the process is about to exit.
+    /// Waits for the driver's answer, and asks for one when the process is about to exit. Meanwhile the rest of the
+    /// body is received, so that hyper notices when the client disconnects.
     async fn answer(
         &self,
         pool: &Pool,
@@ -662,12 +664,21 @@
         upload: Option<&Upload>,
     ) -> Result<Answer, oneshot::error::RecvError> {
         let is_complete = || upload.is_none_or(Upload::is_complete);
-        tokio::select! {
-            biased;
-            answer = &mut receiver => answer,
-            () = self.lifecycle.answer_due(|| self.router.max_deadline(), is_complete) => {
-                pool.inbox.send(Input::AnswerDue(id));
-                receiver.await
+        let answer_due = self
+            .lifecycle
+            .answer_due(|| self.router.max_deadline(), is_complete);
+        tokio::pin!(answer_due);
+        loop {
+            tokio::select! {
+                biased;
+                answer = &mut receiver => return answer,
+                () = &mut answer_due => {
+                    pool.inbox.send(Input::AnswerDue(id));
+                    return receiver.await;
+                }
+                () = receive_rest(upload, &pool.body_memory) => {
+                    pool.inbox.send(Input::MemoryExhausted(id));
+                }
             }
         }
     }
@@ -760,6 +771,14 @@
     }
 }
 
+/// Receives the rest of an upload while it waits, until there is no memory.
+async fn receive_rest(upload: Option<&Upload>, memory: &BodyMemory) {
+    match upload {
+        Some(upload) => upload.receive_while_waiting(memory).await,
+        None => pending().await,
+    }
+}
+
 /// Reads what a client still sends after the proxy has shut down its sending side, until the end or for at most
 /// [`CLOSE_TIMEOUT`]. Closing a socket with unread input resets the connection, which would discard an answer in
 /// transit.
--- a/crates/proxy-core/src/inbox.rs
+++ b/crates/proxy-core/src/inbox.rs
@@ -38,6 +38,8 @@
     AnswerDue(RequestId),
     /// The last byte of a request body that is streamed has been sent.
     BodyComplete(RequestId),
+    /// There is no memory to receive the body of a request that waits for an endpoint.
+    MemoryExhausted(RequestId),
     /// A response too large to be buffered has begun.
     ResponseStarted {
         request: RequestId,
--- a/crates/proxy-core/src/lib.rs
+++ b/crates/proxy-core/src/lib.rs
@@ -38,6 +38,7 @@
 mod request_body;
 pub mod service;
 mod stream;
+mod upload;
 mod upstream;
 mod vars;
 
--- a/crates/proxy-core/src/request_body.rs
+++ b/crates/proxy-core/src/request_body.rs
@@ -12,10 +12,13 @@
 use crate::body_buffer::BodyBuffer;
 use crate::body_memory::BodyMemory;
 use crate::message::text_response;
-use crate::stream::{self, MAX_BODY_BYTES, RequestContent, ResponseBody, Upload};
+use crate::stream::{RequestContent, ResponseBody};
+use crate::upload::{self, MAX_BODY_BYTES, Upload};
 
 /// The time limit for reading the rest of an unneeded request body, so that the client does not miss the answer.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(3);
+/// The largest body that is read completely before it is forwarded.
+const MAX_SPOOLED_BYTES: usize = 2 << 20;
 /// The fraction of a client's timeout for which its request waits for memory for its body before it is rejected.
 const MAX_MEMORY_WAIT: f64 = 0.4;
 
@@ -61,16 +64,17 @@
     let mut buffer = BodyBuffer::new(length);
     loop {
         // A slow body would occupy an endpoint's slot while it is received, so it is buffered as long as there is memory.
-        if !buffer.try_reserve_next(body_memory) {
+        let is_spooled = buffer.received_bytes() < MAX_SPOOLED_BYTES;
+        if !is_spooled || !buffer.try_reserve_next(body_memory) {
             if !buffer.may_be_short() {
-                let upload = Upload::new(buffer.into_body(), length, body, *timeout);
+                let upload = Upload::new(buffer, length, body, *timeout);
                 return Ok(RequestContent::Streamed(upload));
             }
             if !wait_for_memory(&mut buffer, timeout, body_memory).await {
                 return Err(BodyError::NoMemory(body));
             }
         }
-        let deadline = receive_deadline + stream::transfer_time(buffer.received_bytes());
+        let deadline = receive_deadline + upload::transfer_time(buffer.received_bytes());
         match timeout_at(deadline, body.frame()).await {
             // Trailers are dropped.
             Ok(Some(Ok(frame))) => frame.into_data().into_iter().for_each(|d| buffer.add(&d)),
--- /dev/null
+++ b/crates/proxy-core/src/upload.rs
@@ -0,0 +1,276 @@
+//! A request body that is sent while it is received. Its beginning is buffered and can be sent again.
+//!
+//! While no attempt sends it, the rest is received as far as there is memory: only the end of what a client has sent
+//! shows that the client has left.
+
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep};
+
+use crate::body_buffer::{BodyBuffer, BufferedBody};
+use crate::body_memory::BodyMemory;
+
+/// The largest body of a request or a response.
+pub const MAX_BODY_BYTES: u64 = 32 << 20;
+/// The time without progress after which a body is aborted.
+const STALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The lowest mean rate at which a body must arrive since its first byte; clients send twice as fast.
+const MIN_BYTES_PER_SECOND: f64 = 32e3;
+/// The longest time for which a client is not read from while its request waits: no attempt may begin over 0.1 s after
+/// the client has left.
+const MAX_UNREAD_TIME: Duration = Duration::from_millis(80);
+/// The interval of attempts to reserve memory while there is none.
+const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Returns the longest time that this many bytes of a body may take to arrive.
+pub fn transfer_time(received: usize) -> Duration {
+    Duration::from_secs_f64(received as f64 / MIN_BYTES_PER_SECOND)
+}
+
+/// Creates the error of a body that can't be passed on.
+pub fn invalid_data(message: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, message)
+}
+
+/// A request body that is received while it is sent.
+pub struct Upload {
+    /// The buffered beginning, which each attempt sends first. It is released once it can't be sent again.
+    prefix: RefCell<BufferedBody>,
+    /// What follows the prefix and has been received since the latest attempt began.
+    buffer: RefCell<BodyBuffer>,
+    /// The length of the complete body, if the client has announced it.
+    length: Option<u64>,
+    rest: RefCell<Option<Incoming>>,
+    received: Cell<u64>,
+    /// The time at which the last byte arrived.
+    received_at: Cell<Option<Instant>>,
+    /// The number of attempts that are sending the body.
+    senders: Cell<usize>,
+    /// Notified when an attempt stops sending the body.
+    sender_ended: Notify,
+    /// Part of the rest has been sent, so the request can't be sent again.
+    partly_sent: Cell<bool>,
+    /// The client has disconnected or sent an invalid body.
+    client_lost: Cell<bool>,
+    /// The last byte has been passed on, so the request may be executed.
+    complete: Cell<bool>,
+    last_progress: Cell<Instant>,
+    completed: Notify,
+    /// The time that the client waits after its last byte.
+    timeout: Duration,
+}
+
+impl Upload {
+    /// Creates the body from its beginning and the rest.
+    pub fn new(
+        mut beginning: BodyBuffer,
+        length: Option<u64>,
+        rest: Incoming,
+        timeout: Duration,
+    ) -> Rc<Self> {
+        Rc::new(Upload {
+            received: Cell::new(beginning.received_bytes() as u64),
+            prefix: RefCell::new(beginning.take_body()),
+            buffer: RefCell::new(beginning),
+            length,
+            rest: RefCell::new(Some(rest)),
+            received_at: Cell::new(None),
+            senders: Cell::new(0),
+            sender_ended: Notify::new(),
+            partly_sent: Cell::new(false),
+            client_lost: Cell::new(false),
+            complete: Cell::new(false),
+            last_progress: Cell::new(Instant::now()),
+            completed: Notify::new(),
+            timeout,
+        })
+    }
+
+    /// Returns whether part of the rest has been sent, so that the request can't be sent again.
+    pub fn is_partly_sent(&self) -> bool {
+        self.partly_sent.get()
+    }
+
+    /// Returns whether an attempt is sending the body.
+    pub fn is_being_sent(&self) -> bool {
+        self.senders.get() > 0
+    }
+
+    /// Returns whether the client failed to send the complete body.
+    pub fn is_client_lost(&self) -> bool {
+        self.client_lost.get()
+    }
+
+    /// Returns whether the last byte has been passed on.
+    pub fn is_complete(&self) -> bool {
+        self.complete.get()
+    }
+
+    /// Waits until the last byte has been passed on.
+    pub async fn wait_until_complete(&self) {
+        while !self.complete.get() {
+            self.completed.notified().await;
+        }
+    }
+
+    /// Returns the time at which the client gives up, if its last byte has arrived by now.
+    pub fn client_deadline(&self) -> Instant {
+        self.received_at.get().unwrap_or_else(Instant::now) + self.timeout
+    }
+
+    /// Takes the part that has not been received, once the request is answered.
+    pub fn take_rest(&self) -> Option<Incoming> {
+        self.rest.take()
+    }
+
+    /// Returns the time at which the body is aborted unless there is progress.
+    pub fn stalls_at(&self) -> Instant {
+        self.last_progress.get() + STALL_TIMEOUT
+    }
+
+    /// Begins to send the body with an attempt; returns its buffered beginning and the sender of the rest.
+    pub fn begin_sending(self: &Rc<Self>) -> (BufferedBody, Sender) {
+        self.last_progress.set(Instant::now());
+        self.senders.set(self.senders.get() + 1);
+        let received = self.buffer.borrow_mut().take_body();
+        let mut prefix = self.prefix.borrow_mut();
+        prefix.append(received);
+        (prefix.clone(), Sender(self.clone()))
+    }
+
+    /// Receives the rest while no attempt sends it. Returns if the client could not be read from for
+    /// [`MAX_UNREAD_TIME`] because there was no memory.
+    pub async fn receive_while_waiting(&self, memory: &BodyMemory) {
+        let mut blocked_since: Option<Instant> = None;
+        loop {
+            if self.is_being_sent() || self.rest.borrow().is_none() {
+                self.sender_ended.notified().await;
+                blocked_since = None;
+            } else if self.buffer.borrow_mut().try_reserve_next(memory) {
+                blocked_since = None;
+                tokio::select! {
+                    () = self.sender_ended.notified() => {}
+                    () = poll_fn(|cx| self.poll_receive(cx)) => {}
+                }
+            } else if blocked_since.get_or_insert_with(Instant::now).elapsed() >= MAX_UNREAD_TIME {
+                return;
+            } else {
+                sleep(MEMORY_CHECK_INTERVAL).await;
+            }
+        }
+    }
+
+    /// Receives the next piece into the buffer, unless an attempt has begun to send the body.
+    fn poll_receive(&self, cx: &mut Context) -> Poll<()> {
+        if self.is_being_sent() {
+            return Poll::Pending; // the end of the attempt wakes the task
+        }
+        if let Some(Ok(data)) = ready!(self.poll_data(cx)) {
+            self.buffer.borrow_mut().add(&data);
+        }
+        Poll::Ready(())
+    }
+
+    /// Polls the next piece of the rest; `None` after the last.
+    fn poll_data(&self, cx: &mut Context) -> Poll<Option<io::Result<Bytes>>> {
+        let mut rest = self.rest.borrow_mut();
+        loop {
+            let Some(body) = rest.as_mut() else {
+                let dropped = self.received_at.get().is_none();
+                return Poll::Ready(
+                    dropped.then(|| Err(invalid_data("the rest of the request body was dropped"))),
+                );
+            };
+            let frame = ready!(Pin::new(body).poll_frame(cx));
+            self.last_progress.set(Instant::now());
+            match frame {
+                None => {
+                    *rest = None;
+                    self.record_end();
+                    return Poll::Ready(None);
+                }
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue; // trailers are dropped
+                    };
+                    self.received.set(self.received.get() + data.len() as u64);
+                    if self.received.get() > MAX_BODY_BYTES {
+                        *rest = None;
+                        let error = invalid_data("the request body is too large");
+                        return Poll::Ready(Some(Err(error)));
+                    }
+                    if self.length == Some(self.received.get()) {
+                        self.record_end();
+                    }
+                    return Poll::Ready(Some(Ok(data)));
+                }
+                Some(Err(error)) => {
+                    *rest = None;
+                    self.client_lost.set(true);
+                    return Poll::Ready(Some(Err(io::Error::other(error))));
+                }
+            }
+        }
+    }
+
+    fn record_end(&self) {
+        let received_at = self.received_at.get().unwrap_or_else(Instant::now);
+        self.received_at.set(Some(received_at));
+    }
+
+    /// Records that all that has been received is passed on.
+    fn record_passed_on(&self) {
+        if self.received_at.get().is_some() {
+            self.complete.set(true);
+            self.completed.notify_waiters();
+        }
+    }
+}
+
+/// Sends the rest of an upload with one attempt.
+pub struct Sender(Rc<Upload>);
+
+impl Sender {
+    /// Returns the announced length of the complete body.
+    pub fn body_length(&self) -> Option<u64> {
+        self.0.length
+    }
+
+    /// Records that the buffered beginning has been passed on.
+    pub fn prefix_passed_on(&self) {
+        self.0.record_passed_on();
+    }
+
+    /// Passes on the next piece of the rest.
+    pub fn poll_rest(&self, cx: &mut Context) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let upload = &self.0;
+        let data = match ready!(upload.poll_data(cx)) {
+            Some(Ok(data)) => data,
+            Some(Err(error)) => return Poll::Ready(Some(Err(error))),
+            None => {
+                upload.record_passed_on();
+                return Poll::Ready(None);
+            }
+        };
+        upload.partly_sent.set(true);
+        upload.prefix.take();
+        upload.record_passed_on();
+        Poll::Ready(Some(Ok(Frame::data(data))))
+    }
+}
+
+impl Drop for Sender {
+    fn drop(&mut self) {
+        self.0.senders.set(self.0.senders.get() - 1);
+        self.0.sender_ended.notify_one();
+    }
+}
--- a/crates/proxy-core/src/upstream.rs
+++ b/crates/proxy-core/src/upstream.rs
@@ -26,7 +26,8 @@
 use crate::bounded_read::poll_read_part;
 use crate::exchange::{ExchangeResult, exchange, stream_response};
 use crate::message::{EndpointResponse, OutboundRequest, ResponseContent};
-use crate::stream::{RequestBody, ResponseStream, Upload};
+use crate::stream::{RequestBody, ResponseStream};
+use crate::upload::Upload;
 use crate::vars::Counters;
 
 /// The fraction of an endpoint's idle timeout after which a pooled connection is closed.
@@ -550,7 +551,7 @@
                     biased;
                     result = &mut exchange => break Some(result),
                     () = body_complete => {
-                        deadline.set(Instant::now() + upload.as_ref().map_or(Duration::ZERO, |u| u.timeout));
+                        deadline.set(upload.as_ref().map_or_else(Instant::now, |u| u.client_deadline()));
                         report(AttemptEvent::BodyComplete);
                     }
                     () = sleep_until(end) => {
--- a/crates/proxy-core/tests/layers.rs
+++ b/crates/proxy-core/tests/layers.rs
@@ -2,7 +2,7 @@
 use std::path::Path;
 
 /// The modules, from the lowest layer up.
-const LAYERS: [&str; 35] = [
+const LAYERS: [&str; 36] = [
     "backoff",
     "body_memory",
     "body_buffer",
@@ -18,6 +18,7 @@
     "inherited",
     "config",
     "hosts",
+    "upload",
     "stream",
     "message",
     "exchange",
--- a/crates/proxy/tests/long_bodies/mod.rs
+++ b/crates/proxy/tests/long_bodies/mod.rs
@@ -1,9 +1,10 @@
 //! Clients and endpoints of long bodies, which are written and read at a steady rate and never kept whole.
 #![allow(dead_code)] // each test binary uses its part
 
+use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -98,19 +99,32 @@
     thread::sleep(due.saturating_duration_since(Instant::now()));
 }
 
+/// The times at which requests began to arrive at endpoints.
+pub type Begins = Arc<Mutex<HashMap<String, Instant>>>;
+
 /// Starts an endpoint that reads each request, drops its body and calls a function with its id and the connection.
 pub fn start_endpoint(
     answer: impl Fn(&str, &mut TcpStream) -> io::Result<()> + Send + Sync + 'static,
 ) -> SocketAddr {
+    start_recording_endpoint(&Begins::default(), answer)
+}
+
+/// Starts an endpoint that also records when each request begins.
+pub fn start_recording_endpoint(
+    begins: &Begins,
+    answer: impl Fn(&str, &mut TcpStream) -> io::Result<()> + Send + Sync + 'static,
+) -> SocketAddr {
+    let begins = begins.clone();
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
     let answer = Arc::new(answer);
     thread::spawn(move || {
         for stream in listener.incoming() {
             let (mut stream, answer) = (stream.expect("a connection"), answer.clone());
+            let begins = begins.clone();
             let serve = move || {
                 let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
-                while let Some(id) = read_request(&mut reader) {
+                while let Some(id) = read_request(&mut reader, &begins) {
                     if answer(&id, &mut stream).is_err() {
                         return; // the proxy has closed the connection
                     }
@@ -124,10 +138,12 @@
 }
 
 /// Reads a request and returns its id; `None` if the connection ends before its last byte.
-fn read_request(reader: &mut impl BufRead) -> Option<String> {
+fn read_request(reader: &mut impl BufRead, begins: &Begins) -> Option<String> {
     let (mut id, mut length, mut chunked) = (String::new(), 0, false);
+    let mut begun = None;
     loop {
         let line = read_line(reader)?;
+        begun.get_or_insert_with(Instant::now);
         let Some((name, value)) = line.split_once(':') else {
             if line.is_empty() {
                 break;
@@ -141,6 +157,9 @@
             _ => {}
         }
     }
+    let mut begins = begins.lock().expect("no panic");
+    begins.entry(id.clone()).or_insert(begun?);
+    drop(begins);
     if !chunked {
         return skip(reader, length).then_some(id);
     }
@@ -185,7 +204,7 @@
         }
     }
 
-    fn add(&mut self, others: Ends) {
+    pub fn add(&mut self, others: Ends) {
         self.served += others.served;
         self.refused += others.refused;
         self.failed += others.failed;
@@ -216,7 +235,8 @@
     ends
 }
 
-fn upload_until(address: SocketAddr, number: usize, body: Body, end: Instant) -> Ends {
+/// Sends requests one after another until a time.
+pub fn upload_until(address: SocketAddr, number: usize, body: Body, end: Instant) -> Ends {
     let mut ends = Ends::default();
     let mut connection = None;
     let mut request = 0;
--- a/crates/proxy/tests/long_uploads.rs
+++ b/crates/proxy/tests/long_uploads.rs
@@ -5,8 +5,10 @@
 
 use std::io::Write;
 use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use long_bodies::*;
 use sockets::*;
@@ -97,3 +99,100 @@
         }
     }
 }
+
+/// Clients that leave a short while after the last byte of their bodies.
+const LEAVING_CLIENTS: usize = 4;
+const PATIENCE: Duration = Duration::from_millis(100);
+/// No attempt begins later than this after its client has left: 0.1 s, and 50 ms of slack on sockets.
+const LAST_BEGIN: Duration = Duration::from_millis(150);
+/// Clients whose short requests keep the endpoints busy.
+const BUSY_CLIENTS: usize = 60;
+
+/// Starts endpoints that work on two requests at a time, for 120 ms each.
+fn start_busy_endpoints(begins: &Begins) -> Vec<SocketAddr> {
+    let start = |_| {
+        let cores = [Mutex::new(()), Mutex::new(())];
+        let turn = AtomicUsize::new(0);
+        start_recording_endpoint(begins, move |_, stream| {
+            let core = turn.fetch_add(1, Ordering::Relaxed) % cores.len();
+            let working = cores[core].lock().expect("no panic");
+            thread::sleep(Duration::from_millis(120));
+            drop(working);
+            stream.write_all(ok("done").as_bytes())
+        })
+    };
+    (0..9).map(start).collect()
+}
+
+/// Sends bodies from clients that leave while their requests wait for busy endpoints, and checks that no attempt begins
+/// for a client that has left.
+fn check_leaving_clients(limits: Limits, body: Body, duration: Duration) {
+    let begins = Begins::default();
+    let endpoints = start_busy_endpoints(&begins);
+    let (_discovery, proxy) = start_proxy_for(&endpoints, &limits.setup());
+    let (address, end) = (proxy.address, Instant::now() + duration);
+    let short = steady(10, false, 1e9);
+    let busy: Vec<_> = (0..BUSY_CLIENTS)
+        .map(|number| thread::spawn(move || upload_until(address, number, short, end)))
+        .collect();
+    let leaving: Vec<_> = (0..LEAVING_CLIENTS)
+        .map(|number| {
+            thread::spawn(move || {
+                let mut closed = Vec::new();
+                while Instant::now() < end {
+                    let id = format!("leaving-{number}-{}", closed.len());
+                    let mut stream = connect(address);
+                    let head = upload_head(&id, &body);
+                    let written = stream
+                        .write_all(head.as_bytes())
+                        .and_then(|()| body.write(&mut stream, PIECE_BYTES));
+                    thread::sleep(PATIENCE);
+                    drop(stream);
+                    closed.push((id, Instant::now(), written.is_ok()));
+                    thread::sleep(2 * PATIENCE);
+                }
+                closed
+            })
+        })
+        .collect();
+    let closed: Vec<_> = leaving
+        .into_iter()
+        .flat_map(|client| client.join().expect("no panic"))
+        .collect();
+    let mut ends = Ends::default();
+    for client in busy {
+        ends.add(client.join().expect("no panic"));
+    }
+    thread::sleep(Duration::from_secs(2)); // late attempts
+    let begins = begins.lock().expect("no panic");
+    let is_late = |(id, closed_at, _): &&(String, Instant, bool)| {
+        begins
+            .get(id)
+            .is_some_and(|at| *at > *closed_at + LAST_BEGIN)
+    };
+    let late = closed.iter().filter(is_late).count();
+    let begun = closed.iter().filter(|(id, ..)| begins.contains_key(id));
+    println!(
+        "{limits:?} {body:?}: {} clients left, {} wrote all, {} attempts, {late} late; short: {ends:?}, peak {:.1} MB",
+        closed.len(),
+        closed.iter().filter(|(_, _, written)| *written).count(),
+        begun.count(),
+        proxy.memory_peak_mb() * 1.024
+    );
+    limits.check(&proxy);
+    assert_eq!(late, 0);
+    assert!(closed.len() > LEAVING_CLIENTS, "clients leave");
+}
+
+/// Guards against long bodies whose rest is not read while they wait: nobody saw that the client had left, and its
+/// request ran.
+#[test]
+fn no_attempt_begins_for_a_client_that_left_while_its_long_body_waited() {
+    let body = Body {
+        bytes: 3_000_000,
+        chunked: false,
+        bytes_per_second: None,
+    };
+    check_leaving_clients(limits(128, 1024), body, Duration::from_secs(5));
+    check_leaving_clients(limits(32, 256), body, Duration::from_secs(5));
+}
