See that slow peers progress, and keep answers and bodies for them

Cause: progress was the last write, and the system takes bytes into a full send buffer only once a third of it is free: 3.7 MB stood in the send queue and fell by 60 kB/s while nothing was written, so that 10 s and the deadline passed. At the end of an answer the limits of idle and closing connections counted. The same cause cut bodies to slow endpoints after 2 s.

--- a/crates/proxy-core/src/connection.rs
+++ b/crates/proxy-core/src/connection.rs
@@ -103,10 +103,15 @@
         self.overflowed.get()
     }
 
+    /// Returns whether the connection has a request, or an answer that the socket has not taken whole.
+    pub fn is_occupied(&self) -> bool {
+        self.active.get() || self.delivery.get() != Delivery::Done
+    }
+
     /// Returns when the connection has to be checked again if nothing happens before.
     pub fn next_check(&self) -> Instant {
         match self.head_started.get() {
-            _ if self.active.get() => Instant::now() + IDLE_TIMEOUT,
+            _ if self.is_occupied() => Instant::now() + IDLE_TIMEOUT,
             Some(head_started) => self.receive_deadline(head_started),
             None => self.idle_since.get().max(self.last_io.get()) + IDLE_TIMEOUT,
         }
--- a/crates/proxy-core/src/driver.rs
+++ b/crates/proxy-core/src/driver.rs
@@ -32,6 +32,7 @@
 use crate::message::{EndpointResponse, OutboundRequest};
 use crate::note;
 use crate::peers::Peers;
+use crate::upload::Upload;
 use crate::upstream::{Attempt, AttemptEvent, CancelSignal, Endpoint, Upstreams};
 use crate::vars::{Counters, Gauges, RequestEnd};
 
@@ -362,20 +363,24 @@
 
     /// Fails a request that has no answer in time.
     fn fail_at_deadline(&mut self, id: RequestId) {
-        let body_incomplete = |active: &ActiveRequest| {
-            active
-                .outbound
-                .body
-                .upload()
-                .is_some_and(|upload| upload.is_partly_sent() && !upload.is_complete())
+        let Some(active) = self.requests.get(&id) else {
+            return;
         };
-        if self.requests.get(&id).is_some_and(|active| {
-            body_incomplete(active) && active.attempts_in_flight > 0
-                || active.deadline > Instant::now() + 2 * ANSWER_MARGIN
-        }) {
-            return; // its timeout has not started or was started again
+        // The timeout may not have started, or have been started again.
+        let is_sent = |upload: &&Rc<Upload>| upload.is_being_sent() || upload.is_complete();
+        let deadline = match active.outbound.body.upload().filter(is_sent) {
+            Some(upload) => match upload.client_deadline_if_received() {
+                Some(deadline) => deadline.max(active.deadline),
+                None => return, // the timer is set again once the body is complete
+            },
+            None => active.deadline,
+        };
+        if deadline <= Instant::now() + 2 * ANSWER_MARGIN {
+            self.fail(id);
+        } else if deadline > active.deadline {
+            let timer = Timer::AnswerDeadline(id);
+            self.timers.push(Reverse((deadline - ANSWER_MARGIN, timer)));
         }
-        self.fail(id);
     }
 
     /// Fails a request that has no answer yet. It may have been executed, so it is not rejected.
--- a/crates/proxy-core/src/frontend.rs
+++ b/crates/proxy-core/src/frontend.rs
@@ -41,13 +41,14 @@
 use crate::note;
 use crate::pool::{Pool, RequestHead};
 use crate::request_body::{self, BodyError};
+use crate::socket_options;
 use crate::stream::{RequestContent, ResponseBody};
 use crate::upload::{self, MAX_BODY_BYTES, Upload};
 use crate::upstream::{Upstreams, has_no_unread_input};
 use crate::vars::RequestEnd;
 
-/// The time without I/O after which a connection with an active request is closed, in addition to the longest
-/// deadline.
+/// The time without I/O after which a connection with an active request or an undelivered answer is closed, in addition
+/// to the longest deadline.
 const STALLED_CLIENT_TIMEOUT: Duration = Duration::from_secs(10);
 const MAX_HEAD_BYTES: usize = 64 << 10;
 const LISTEN_BACKLOG: u32 = 1024;
@@ -305,7 +306,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let _ = stream.set_nodelay(true); // without it the connection is only slower
+                socket_options::set(&stream);
                 if self.clients.borrow().len() >= self.max_connections * 7 / 8 {
                     self.close_idle(1, FIRST_REQUEST_WAIT);
                 }
@@ -453,13 +454,13 @@
                     () = sleep_until(wake_at) => {
                         let (now, last_io) = (Instant::now(), client.last_io.get());
                         if let Some(at) = close_deadline {
-                            // An answer that the client does not read would keep the socket open for ever.
-                            if !client.active.get() && last_io + CLOSE_TIMEOUT <= now {
+                            if !client.is_occupied() && last_io + CLOSE_TIMEOUT <= now {
                                 break false;
                             }
                             close_deadline = Some((last_io + CLOSE_TIMEOUT).max(at + IDLE_CHECK_INTERVAL));
                         }
-                        if client.active.get() && last_io + STALLED_CLIENT_TIMEOUT + self.router.max_deadline() <= now {
+                        // An answer that the client does not read would keep the socket open for ever.
+                        if client.is_occupied() && last_io + STALLED_CLIENT_TIMEOUT + self.router.max_deadline() <= now {
                             break false;
                         }
                         let timed_out = close_deadline.is_none() && client.next_check() <= now;
--- a/crates/proxy-core/src/lib.rs
+++ b/crates/proxy-core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod process;
 mod request_body;
 pub mod service;
+mod socket_options;
 mod stream;
 mod upload;
 mod upstream;
--- a/crates/proxy-core/src/stream.rs
+++ b/crates/proxy-core/src/stream.rs
@@ -73,9 +73,7 @@
                     *prefix = BufferedBody::default(); // releases blocks that the upload no longer holds
                     return sender.poll_rest(cx);
                 };
-                if prefix.is_end_stream() {
-                    sender.prefix_passed_on();
-                }
+                sender.record_prefix(prefix.is_end_stream());
                 Poll::Ready(Some(Ok(Frame::data(block))))
             }
         }
--- a/crates/proxy-core/src/upload.rs
+++ b/crates/proxy-core/src/upload.rs
@@ -21,8 +21,10 @@
 
 /// The largest body of a request or a response.
 pub const MAX_BODY_BYTES: u64 = 32 << 20;
-/// The time without progress after which a body is aborted.
-const STALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The time without data from the client after which a body is aborted.
+const CLIENT_STALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The time for which an endpoint may take nothing of a body that has arrived.
+const ENDPOINT_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// The lowest mean rate at which a body must arrive since its first byte; clients send twice as fast.
 const MIN_BYTES_PER_SECOND: f64 = 32e3;
 /// The longest time for which a client is not read from while its request waits: no attempt may begin over 0.1 s after
@@ -64,6 +66,8 @@
     /// The last byte has been passed on, so the request may be executed.
     complete: Cell<bool>,
     last_progress: Cell<Instant>,
+    /// All that the client has sent so far has been passed on.
+    waits_for_client: Cell<bool>,
     completed: Notify,
     /// The time that the client waits after its last byte.
     timeout: Duration,
@@ -90,6 +94,7 @@
             client_lost: Cell::new(false),
             complete: Cell::new(false),
             last_progress: Cell::new(Instant::now()),
+            waits_for_client: Cell::new(false),
             completed: Notify::new(),
             timeout,
         })
@@ -124,7 +129,14 @@
 
     /// Returns the time at which the client gives up, if its last byte has arrived by now.
     pub fn client_deadline(&self) -> Instant {
-        self.received_at.get().unwrap_or_else(Instant::now) + self.timeout
+        self.client_deadline_if_received()
+            .unwrap_or_else(|| Instant::now() + self.timeout)
+    }
+
+    /// Returns the time at which the client gives up; `None` before its last byte has arrived.
+    pub fn client_deadline_if_received(&self) -> Option<Instant> {
+        let received_at = self.received_at.get()?;
+        Some(received_at + self.timeout)
     }
 
     /// Takes the part that has not been received, once the request is answered.
@@ -134,12 +146,17 @@
 
     /// Returns the time at which the body is aborted unless there is progress.
     pub fn stalls_at(&self) -> Instant {
-        self.last_progress.get() + STALL_TIMEOUT
+        let timeout = if self.waits_for_client.get() {
+            CLIENT_STALL_TIMEOUT
+        } else {
+            ENDPOINT_STALL_TIMEOUT
+        };
+        self.last_progress.get() + timeout
     }
 
     /// Begins to send the body with an attempt; returns its buffered beginning and the sender of the rest.
     pub fn begin_sending(self: &Rc<Self>) -> (BufferedBody, Sender) {
-        self.last_progress.set(Instant::now());
+        self.record_progress();
         self.senders.set(self.senders.get() + 1);
         let received = self.buffer.borrow_mut().take_body();
         let mut prefix = self.prefix.borrow_mut();
@@ -190,8 +207,11 @@
                     dropped.then(|| Err(invalid_data("the rest of the request body was dropped"))),
                 );
             };
-            let frame = ready!(Pin::new(body).poll_frame(cx));
-            self.last_progress.set(Instant::now());
+            let Poll::Ready(frame) = Pin::new(body).poll_frame(cx) else {
+                self.waits_for_client.set(true);
+                return Poll::Pending;
+            };
+            self.record_progress();
             match frame {
                 None => {
                     *rest = None;
@@ -222,6 +242,11 @@
         }
     }
 
+    fn record_progress(&self) {
+        self.last_progress.set(Instant::now());
+        self.waits_for_client.set(false);
+    }
+
     fn record_end(&self) {
         let received_at = self.received_at.get().unwrap_or_else(Instant::now);
         self.received_at.set(Some(received_at));
@@ -245,9 +270,12 @@
         self.0.length
     }
 
-    /// Records that the buffered beginning has been passed on.
-    pub fn prefix_passed_on(&self) {
-        self.0.record_passed_on();
+    /// Records that a part of the buffered beginning has been passed on, and whether it was the last.
+    pub fn record_prefix(&self, is_last: bool) {
+        self.0.record_progress();
+        if is_last {
+            self.0.record_passed_on();
+        }
     }
 
     /// Passes on the next piece of the rest.
--- a/crates/proxy-core/src/upstream.rs
+++ b/crates/proxy-core/src/upstream.rs
@@ -26,6 +26,7 @@
 use crate::bounded_read::poll_read_part;
 use crate::exchange::{ExchangeResult, exchange, stream_response};
 use crate::message::{EndpointResponse, OutboundRequest, ResponseContent};
+use crate::socket_options;
 use crate::stream::{RequestBody, ResponseStream};
 use crate::upload::Upload;
 use crate::vars::Counters;
@@ -447,7 +448,7 @@
         let stream = TcpStream::connect(address)
             .await
             .inspect_err(|e| connect_attempted.set(!is_resource_shortage(e)))?;
-        stream.set_nodelay(true)?;
+        socket_options::set(&stream);
         let stream = Rc::new(RefCell::new(stream));
         let tracker = Rc::new(WriteTracker {
             counts: self.counts.clone(),
--- a/crates/proxy-core/tests/layers.rs
+++ b/crates/proxy-core/tests/layers.rs
@@ -2,11 +2,12 @@
 use std::path::Path;
 
 /// The modules, from the lowest layer up.
-const LAYERS: [&str; 36] = [
+const LAYERS: [&str; 37] = [
     "backoff",
     "body_memory",
     "body_buffer",
     "bounded_read",
+    "socket_options",
     "json_stream",
     "line_writer",
     "log",
--- /dev/null
+++ b/crates/proxy/tests/long_answers.rs
@@ -0,0 +1,153 @@
+//! Long answers from slow endpoints and to slow clients, at every limit that the platform sets.
+mod long_bodies;
+#[path = "../../proxy-core/tests/sockets/mod.rs"]
+mod sockets;
+
+use std::io::{self, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use long_bodies::*;
+use sockets::*;
+
+/// The lowest rate at which a sound peer reads or writes.
+const LOWEST_RATE: f64 = 64e3;
+/// The number of bytes that a client reads at a time.
+const READ_BYTES: usize = 4000;
+
+/// Starts endpoints that write an answer with this body in pieces.
+fn start_answering_endpoints(body: Body, piece_bytes: usize) -> Vec<SocketAddr> {
+    let start = |_| start_endpoint(move |_, stream| write_answer(body, piece_bytes, stream));
+    (0..9).map(start).collect()
+}
+
+fn write_answer(body: Body, piece_bytes: usize, stream: &mut TcpStream) -> io::Result<()> {
+    let head = format!("HTTP/1.1 200 OK\r\n{}\r\n\r\n", body.framing());
+    stream.write_all(head.as_bytes())?;
+    body.write(stream, piece_bytes)
+}
+
+/// A client that has asked for an answer and reads its body.
+struct SlowReader {
+    reader: BufReader<TcpStream>,
+    begun: Instant,
+    received: usize,
+}
+
+impl SlowReader {
+    /// Asks for an answer and reads its head.
+    fn start(address: SocketAddr, id: &str) -> Self {
+        let mut stream = connect(address);
+        let request = page(id);
+        stream
+            .write_all(request.as_bytes())
+            .expect("the request is written");
+        let mut reader = BufReader::new(stream);
+        assert_eq!(read_status(&mut reader), Some(200));
+        SlowReader {
+            reader,
+            begun: Instant::now(),
+            received: 0,
+        }
+    }
+
+    /// Reads at a steady rate until the end of the body, or for a time; returns false at the end of the connection.
+    fn read_steadily(&mut self, body_bytes: usize, duration: Duration) -> bool {
+        let mut piece = [0; READ_BYTES];
+        while self.received < body_bytes && self.begun.elapsed() < duration {
+            match self.reader.read(&mut piece) {
+                Ok(read @ 1..) => self.received += read,
+                _ => return false,
+            }
+            pace(self.begun, self.received, LOWEST_RATE);
+        }
+        true
+    }
+
+    /// Reads the rest at once and returns the number of bytes of the whole body.
+    fn read_rest(&mut self, body_bytes: usize) -> usize {
+        let mut piece = [0; READ_BYTES];
+        while self.received < body_bytes {
+            match self.reader.read(&mut piece) {
+                Ok(read @ 1..) => self.received += read,
+                _ => break,
+            }
+        }
+        self.received
+    }
+}
+
+const fn at_once(bytes: usize) -> Body {
+    Body {
+        bytes,
+        chunked: false,
+        bytes_per_second: None,
+    }
+}
+
+/// Guards against a steady reader that is taken for a stalled one, because the system's buffer stays full for longer
+/// than the proxy waits: its answer was cut off.
+#[test]
+fn a_long_answer_reaches_a_client_that_reads_slowly() {
+    const BODY_BYTES: usize = 5 << 20;
+    let endpoints = start_answering_endpoints(at_once(BODY_BYTES), PIECE_BYTES);
+    let (_discovery, proxy) = start_proxy_for(&endpoints, &short_deadline());
+    let address = proxy.address;
+    let clients: Vec<_> = (0..4)
+        .map(|number| {
+            thread::spawn(move || {
+                let mut reader = SlowReader::start(address, &format!("r-{number}"));
+                // The time after which a client without progress is cut off, with the longest deadline.
+                reader.read_steadily(BODY_BYTES, Duration::from_secs(17));
+                reader.read_rest(BODY_BYTES)
+            })
+        })
+        .collect();
+    for client in clients {
+        assert_eq!(client.join().expect("no panic"), BODY_BYTES);
+    }
+}
+
+/// Guards against limits for idle connections that count while the end of an answer waits for the socket. The answers
+/// have many lengths, as it depends on the system's buffers which of them end there.
+#[test]
+fn the_end_of_an_answer_reaches_a_slow_client_after_a_shutdown() {
+    const STEP_BYTES: usize = 100_000;
+    let endpoints: Vec<SocketAddr> = (0..9)
+        .map(|_| {
+            start_endpoint(|id, stream| {
+                let steps: usize = id.trim_start_matches("r-").parse().expect("a number");
+                write_answer(at_once(steps * STEP_BYTES), PIECE_BYTES, stream)
+            })
+        })
+        .collect();
+    let (_discovery, proxy) = start_proxy_for(&endpoints, &short_deadline());
+    let address = proxy.address;
+    let clients: Vec<_> = (1..=48)
+        .map(|steps| {
+            thread::spawn(move || {
+                let body_bytes = steps * STEP_BYTES;
+                let mut reader = SlowReader::start(address, &format!("r-{steps}"));
+                reader.read_steadily(body_bytes, Duration::from_secs(7));
+                (body_bytes, reader.read_rest(body_bytes))
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(1));
+    proxy.terminate();
+    let ends: Vec<_> = clients
+        .into_iter()
+        .map(|client| client.join().expect("no panic"))
+        .collect();
+    let cut: Vec<_> = ends.iter().filter(|(bytes, got)| bytes != got).collect();
+    assert!(cut.is_empty(), "{cut:?}");
+}
+
+/// Returns a setup in which a client without progress is given up early.
+fn short_deadline() -> Setup {
+    Setup {
+        deadline: 1000,
+        ..Setup::default()
+    }
+}
--- a/crates/proxy/tests/long_bodies/mod.rs
+++ b/crates/proxy/tests/long_bodies/mod.rs
@@ -286,3 +286,10 @@
         body.framing()
     )
 }
+
+/// Reads the head of an answer and returns its status; `None` if there is none.
+pub fn read_status(reader: &mut impl BufRead) -> Option<u16> {
+    let status = read_line(reader)?.split(' ').nth(1)?.parse().ok()?;
+    while !read_line(reader)?.is_empty() {}
+    Some(status)
+}
--- a/crates/proxy/tests/long_uploads.rs
+++ b/crates/proxy/tests/long_uploads.rs
@@ -3,8 +3,8 @@
 #[path = "../../proxy-core/tests/sockets/mod.rs"]
 mod sockets;
 
-use std::io::Write;
-use std::net::SocketAddr;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
@@ -196,3 +196,50 @@
     check_leaving_clients(limits(128, 1024), body, Duration::from_secs(5));
     check_leaving_clients(limits(32, 256), body, Duration::from_secs(5));
 }
+
+/// Guards against an endpoint that reads slowly and is taken for a stalled one, because the system's buffer stays full
+/// for longer than the proxy waits.
+#[test]
+fn a_long_body_reaches_an_endpoint_that_reads_slowly() {
+    const BODY_BYTES: usize = 7_000_000;
+    const SLOW_TIME: Duration = Duration::from_secs(6);
+    let endpoint = start_slow_endpoint(SLOW_TIME);
+    let (_discovery, proxy) = start_proxy_for(&[endpoint], &limits(32, 256).setup());
+    let mut stream = connect(proxy.address);
+    stream
+        .set_read_timeout(Some(LIMIT))
+        .expect("the timeout is set");
+    let body = steady(BODY_BYTES, false, 4e6);
+    let head = upload_head("r-1", &body);
+    stream
+        .write_all(head.as_bytes())
+        .expect("the head is written");
+    body.write(&mut stream, PIECE_BYTES)
+        .expect("the body is written");
+    let answer = read_message(&mut BufReader::new(&stream)).expect("an answer");
+    assert_eq!(answer.status(), 200);
+}
+
+/// Starts an endpoint that reads at 64 kB/s for a time and then at once.
+fn start_slow_endpoint(slow_time: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            thread::spawn(move || {
+                let (begun, mut received) = (Instant::now(), 0);
+                let mut piece = [0; 4000];
+                while begun.elapsed() < slow_time {
+                    received += stream.read(&mut piece).unwrap_or(0);
+                    pace(begun, received, 64e3);
+                }
+                // The head is shorter than what it has read; the end of the body is seen as a pause.
+                let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
+                while stream.read(&mut piece).is_ok_and(|read| read > 0) {}
+                let _ = stream.write_all(ok("done").as_bytes());
+            });
+        }
+    });
+    address
+}
