Stream long answers without waiting for memory, in a bounded window for each connection

Cause: stream_response waited for one of 40 slots of 192 KiB. A streamed body now keeps 8 to 16 KiB for its socket, short pieces are copied out of their buffers, and the number of streams follows from the connections, so that nothing waits and the slots are gone. The budget of bodies is what connections leave of the memory, in blocks of one size.

A client is now confirmed before an attempt begins, from memory kept for that.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -71,7 +71,7 @@
             }
             Event::BodyComplete { id, timeout } => state.complete_body(id, timeout, now),
             Event::BodyDiscarded(id) => state.discard_body(id),
-            Event::MemoryExhausted(id) => state.reject_or_fail(id, out),
+            Event::MemoryExhausted(id) => state.reject_without_memory(id, out),
             Event::ClientDisconnected(id) => state.finish(id),
             Event::Timer(TICK_TOKEN) => state.tick(now, out),
             Event::Timer(token) => state.reject_or_fail(answer_timer_request(token), out),
--- a/crates/balancer/src/final_answer.rs
+++ b/crates/balancer/src/final_answer.rs
@@ -10,11 +10,11 @@
 //! | the request is queued, and it is too late for a response by `answer_by` | `admission`, in each tick | `reject_or_fail` |
 //! | an attempt has failed and no retry is allowed | `attempts`, at the end of the attempt | `reject_or_fail` |
 //! | the request is in flight until shortly before `answer_by` | `stall_detection`, by a timer | `reject_or_fail` |
-//! | the request is queued, and there is no memory to receive its body | the front end | `reject_or_fail` |
+//! | the request is queued, and there is no memory to receive its body | the front end | `reject_without_memory` |
 //! | the front end rejects the request: it exceeds the tenant's share of the process | the front end | `reject_over_process_share` |
 
 use crate::action::Action;
-use crate::request::Request;
+use crate::request::{Attempt, AttemptState, Request};
 use crate::state::State;
 use crate::types::{DeduplicationScope, Idempotency, Millis, RequestId};
 
@@ -58,6 +58,18 @@
         self.finish(id);
     }
 
+    /// Gives the final answer of a request whose body can't be received. Its attempts in flight have sent nothing and
+    /// will send nothing, as the front end calls them off with the answer.
+    pub fn reject_without_memory(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            let in_flight = |attempt: &&mut Attempt| attempt.state != AttemptState::Ended;
+            for attempt in request.attempts.iter_mut().filter(in_flight) {
+                attempt.may_have_run = false;
+            }
+        }
+        self.reject_or_fail(id, out);
+    }
+
     /// Rejects a request whose tenant exceeds its share of the process. The Retry-After is randomized, so that clients
     /// that are rejected together retry at different times.
     pub fn reject_over_process_share(
--- a/crates/balancer/tests/final_answer.rs
+++ b/crates/balancer/tests/final_answer.rs
@@ -116,3 +116,12 @@
     later.extend(harness.advance(4000.0));
     assert_eq!(final_answers(&later), 0);
 }
+
+/// Guards against a refusal that is called a failure, although no attempt has sent a part of the request.
+#[test]
+fn a_request_without_memory_for_its_body_is_rejected_while_its_attempt_has_sent_nothing() {
+    let mut harness = Harness::new(settings(1), vec![endpoint(1)]);
+    assert_eq!(burst(&mut harness, 1, 1).len(), 1);
+    let out = harness.handle(Event::MemoryExhausted(RequestId(1)));
+    assert!(matches!(out[..], [Action::Reject { request, .. }] if request == RequestId(1)));
+}
--- a/crates/proxy-core/src/body_buffer.rs
+++ b/crates/proxy-core/src/body_buffer.rs
@@ -15,9 +15,11 @@
 
 use crate::body_memory::{BodyMemory, MAX_BUFFERED_BYTES, Reservation};
 
-/// The unit in which a body of up to [`MAX_BUFFERED_BYTES`] is reserved and allocated: at least what one read brings.
+/// The size of a block, which is also that of most other buffers of the process, so that freed ones fit again.
+const BLOCK_BYTES: usize = 8 << 10;
+/// The unit in which a body of up to [`MAX_BUFFERED_BYTES`] is reserved: at least what one read brings.
 const ARRIVAL_STEP_BYTES: usize = 8 << 10;
-/// The same for the part of a body beyond [`MAX_BUFFERED_BYTES`].
+/// The unit in which the part of a body beyond [`MAX_BUFFERED_BYTES`] is reserved.
 const SPOOL_STEP_BYTES: usize = 64 << 10;
 /// The part of a body that has been received.
 pub struct BodyBuffer {
@@ -46,8 +48,24 @@
         }
     }
 
-    /// Reserves memory for what the next read brings, if there is any now.
+    /// Reserves memory for what the next read brings, if there is any now. The part beyond [`MAX_BUFFERED_BYTES`] leaves
+    /// some to others.
     pub fn try_reserve_next(&mut self, memory: &BodyMemory) -> bool {
+        self.try_reserve(memory, BodyMemory::try_spool)
+    }
+
+    /// Reserves memory for what the next read brings, if there is any at all now.
+    pub fn try_reserve_next_urgently(&mut self, memory: &BodyMemory) -> bool {
+        self.try_reserve(memory, BodyMemory::try_urgent)
+    }
+
+    /// Reserves memory for what the next read brings. `extend` extends the reservation of the part beyond
+    /// [`MAX_BUFFERED_BYTES`].
+    fn try_reserve(
+        &mut self,
+        memory: &BodyMemory,
+        extend: impl FnOnce(&BodyMemory, &mut Reservation, usize) -> bool,
+    ) -> bool {
         let rest = self.length.map_or(usize::MAX, |length| {
             length.saturating_sub(self.received_bytes)
         });
@@ -59,7 +77,7 @@
         if self.received_bytes >= MAX_BUFFERED_BYTES {
             let unreserved = self.received_bytes.saturating_add(rest) - self.reserved_bytes();
             let step = unreserved.min(SPOOL_STEP_BYTES);
-            return memory.try_spool(&mut self.reservation, step);
+            return extend(memory, &mut self.reservation, step);
         }
         let missing = self.missing_bytes();
         memory.try_arrival(&mut self.reservation, more, missing)
@@ -104,13 +122,8 @@
     fn block_with_room(&mut self, needed_bytes: usize) -> &mut Vec<u8> {
         let is_full = |block: &Vec<u8>| block.len() == block.capacity();
         if self.blocks.last().is_none_or(is_full) {
-            let step = if self.allocated_bytes < MAX_BUFFERED_BYTES {
-                ARRIVAL_STEP_BYTES
-            } else {
-                SPOOL_STEP_BYTES
-            };
             let reserved = self.reserved_bytes().saturating_sub(self.allocated_bytes);
-            let size = match reserved.min(step) {
+            let size = match reserved.min(BLOCK_BYTES) {
                 0 => needed_bytes,
                 size => size,
             };
@@ -167,18 +180,13 @@
     others: Option<Rc<[Bytes]>>,
     /// The number of blocks that have been passed on.
     position: usize,
+    remaining_bytes: usize,
 }
 
 impl BufferedBody {
     /// Returns the number of bytes that have not been passed on.
     pub fn remaining_bytes(&self) -> usize {
-        let others = self.others().iter().skip(self.position.saturating_sub(1));
-        let first = if self.position == 0 {
-            self.first.len()
-        } else {
-            0
-        };
-        first + others.map(Bytes::len).sum::<usize>()
+        self.remaining_bytes
     }
 
     fn others(&self) -> &[Bytes] {
@@ -189,6 +197,7 @@
         let first = blocks.next().unwrap_or_default();
         let others: Vec<Bytes> = blocks.collect();
         BufferedBody {
+            remaining_bytes: first.len() + others.iter().map(Bytes::len).sum::<usize>(),
             first,
             others: (!others.is_empty()).then(|| others.into()),
             position: 0,
@@ -212,6 +221,7 @@
             position => self.others().get(position - 1)?.clone(),
         };
         self.position += 1;
+        self.remaining_bytes -= block.len();
         Some(block).filter(|block| !block.is_empty())
     }
 }
@@ -219,6 +229,7 @@
 impl From<Bytes> for BufferedBody {
     fn from(first: Bytes) -> Self {
         BufferedBody {
+            remaining_bytes: first.len(),
             first,
             ..BufferedBody::default()
         }
--- a/crates/proxy-core/src/body_memory.rs
+++ b/crates/proxy-core/src/body_memory.rs
@@ -2,8 +2,9 @@
 //! to it, so that clients and endpoints together can't exceed the memory limit of the process. Other input that is kept
 //! is covered as well.
 //!
-//! [`BodyMemory`] is the budget, and a [`Reservation`] a part of it. What passes through without being buffered takes a
-//! [`StreamSlot`]. Does no I/O.
+//! [`BodyMemory`] is the budget, and a [`Reservation`] a part of it. What passes through without being buffered is not
+//! reserved: its window (`write_window`) bounds it for each connection, and the descriptors bound the connections. Does no
+//! I/O.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,18 +16,22 @@
 pub const MAX_BUFFERED_BYTES: usize = 64 << 10;
 /// The unit in which other input than bodies reserves memory.
 const INPUT_STEP_BYTES: usize = 4 << 10;
-/// The memory for one streamed body: the buffers at both ends and the piece between them.
-const STREAM_SLOT_BYTES: usize = 192 << 10;
+/// The memory of a process without connections and bodies.
+const PROCESS_BYTES: usize = 8 << 20;
+/// The memory of a connection: its buffers, and what it keeps of a streamed body.
+const CONNECTION_BYTES: usize = 24 << 10;
 /// The smallest number of bodies of [`MAX_BUFFERED_BYTES`] that a budget has room for.
 const MIN_BUFFERED_BODIES: usize = 16;
-/// The smallest number of streamed bodies that a budget has room for.
-const MIN_STREAMED_BODIES: usize = 8;
 
-/// The memory budget of all buffered and streamed bodies.
+/// The least memory for attempts that are about to begin.
+const MIN_URGENT_BYTES: usize = 256 << 10;
+
+/// The memory budget of all buffered bodies.
 pub struct BodyMemory {
-    stream_slots: Arc<Semaphore>,
     /// A permit for each byte.
     buffers: Arc<Semaphore>,
+    /// The same, for attempts that are about to begin.
+    urgent: Arc<Semaphore>,
     /// The number of bytes of all buffers.
     buffer_bytes: usize,
     /// The number of bytes in use up to which bodies reserve memory as they arrive.
@@ -35,21 +40,26 @@
     max_spooled_use_bytes: usize,
 }
 
-/// A reserved part of the memory for streamed bodies, released when dropped; `None` if there was none.
-pub type StreamSlot = Option<OwnedSemaphorePermit>;
-
 /// Reserved bytes of the memory for buffered bodies, released when dropped.
 #[derive(Debug, Default)]
-pub struct Reservation(Option<OwnedSemaphorePermit>);
+pub struct Reservation {
+    buffers: Option<OwnedSemaphorePermit>,
+    /// The part that was taken for an attempt that is about to begin.
+    urgent: Option<OwnedSemaphorePermit>,
+}
 
 impl BodyMemory {
-    /// Divides the memory of a process: a quarter for buffered bodies, a quarter for streamed ones, and the rest for
-    /// everything else. Bodies of more than [`MAX_BUFFERED_BYTES`] leave a quarter of the buffers to others.
-    pub fn new(memory_bytes: usize) -> Rc<Self> {
-        let buffer_bytes = (memory_bytes / 4).max(MIN_BUFFERED_BODIES * MAX_BUFFERED_BYTES);
+    /// Takes most of what a process with this many connections leaves of its memory, at least a quarter of it all.
+    /// Bodies of more than [`MAX_BUFFERED_BYTES`] leave a quarter of that to others.
+    pub fn new(memory_bytes: usize, connections: usize) -> Rc<Self> {
+        let others = PROCESS_BYTES + connections * CONNECTION_BYTES;
+        let left = memory_bytes.saturating_sub(others);
+        let bytes = (left / 10 * 9).max(memory_bytes / 4);
+        let urgent_bytes = bytes / 8;
+        let buffer_bytes = (bytes - urgent_bytes).max(MIN_BUFFERED_BODIES * MAX_BUFFERED_BYTES);
         Rc::new(BodyMemory {
-            stream_slots: stream_slots(memory_bytes),
             buffers: Arc::new(Semaphore::new(buffer_bytes)),
+            urgent: Arc::new(Semaphore::new(urgent_bytes.max(MIN_URGENT_BYTES))),
             buffer_bytes,
             max_arrival_use_bytes: buffer_bytes / 2,
             max_spooled_use_bytes: buffer_bytes / 4 * 3,
@@ -60,24 +70,14 @@
     /// they are read. `memory_bytes` limits the others.
     pub fn with_accounts(memory_bytes: usize) -> Rc<Self> {
         Rc::new(BodyMemory {
-            stream_slots: stream_slots(memory_bytes),
             buffers: Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)),
+            urgent: Arc::new(Semaphore::new(memory_bytes / 8)),
             buffer_bytes: Semaphore::MAX_PERMITS,
             max_arrival_use_bytes: Semaphore::MAX_PERMITS,
             max_spooled_use_bytes: memory_bytes / 8,
         })
     }
 
-    /// Reserves memory for a streamed body, if there is any now.
-    pub fn try_stream_slot(&self) -> StreamSlot {
-        self.stream_slots.clone().try_acquire_owned().ok()
-    }
-
-    /// Waits in turn for memory for a streamed body: a response that has begun can't be rejected any more.
-    pub async fn stream_slot(&self) -> StreamSlot {
-        self.stream_slots.clone().acquire_owned().await.ok()
-    }
-
     /// Extends a reservation to at least this many bytes, if there is memory now.
     pub fn try_cover(&self, reservation: &mut Reservation, bytes: usize) -> bool {
         let more = bytes.saturating_sub(reservation.bytes());
@@ -96,6 +96,18 @@
         self.try_extend(reservation, if arrives { bytes } else { rest_bytes })
     }
 
+    /// Extends the reservation of a body that has to be received before its attempt begins.
+    pub fn try_urgent(&self, reservation: &mut Reservation, bytes: usize) -> bool {
+        if self.try_spool(reservation, bytes) {
+            return true;
+        }
+        let permit = self.urgent.clone().try_acquire_many_owned(bytes as u32);
+        permit.is_ok_and(|permit| {
+            merge(&mut reservation.urgent, permit);
+            true
+        })
+    }
+
     /// Extends the reservation of a body of more than [`MAX_BUFFERED_BYTES`], which leaves memory to others.
     pub fn try_spool(&self, reservation: &mut Reservation, bytes: usize) -> bool {
         self.bytes_in_use() + bytes <= self.max_spooled_use_bytes
@@ -105,14 +117,14 @@
     /// Extends a reservation once its turn has come and there is memory.
     pub async fn extend(&self, reservation: &mut Reservation, bytes: usize) {
         if let Ok(permit) = self.buffers.clone().acquire_many_owned(bytes as u32).await {
-            reservation.add(permit);
+            merge(&mut reservation.buffers, permit);
         }
     }
 
     fn try_extend(&self, reservation: &mut Reservation, bytes: usize) -> bool {
         let permit = self.buffers.clone().try_acquire_many_owned(bytes as u32);
         permit.is_ok_and(|permit| {
-            reservation.add(permit);
+            merge(&mut reservation.buffers, permit);
             true
         })
     }
@@ -123,27 +135,33 @@
     }
 }
 
-fn stream_slots(memory_bytes: usize) -> Arc<Semaphore> {
-    let slots = memory_bytes / 4 / STREAM_SLOT_BYTES;
-    Arc::new(Semaphore::new(slots.max(MIN_STREAMED_BODIES)))
-}
-
 impl Reservation {
     /// Returns the number of reserved bytes.
     pub fn bytes(&self) -> usize {
-        self.0.as_ref().map_or(0, OwnedSemaphorePermit::num_permits)
-    }
-
-    fn add(&mut self, more: OwnedSemaphorePermit) {
-        match &mut self.0 {
-            Some(permit) => permit.merge(more),
-            None => self.0 = Some(more),
-        }
+        let parts = self.buffers.iter().chain(&self.urgent);
+        parts.map(OwnedSemaphorePermit::num_permits).sum()
     }
 
     /// Takes up to this many bytes out of the reservation.
     pub fn split(&mut self, bytes: usize) -> Self {
-        let bytes = bytes.min(self.bytes());
-        Reservation(self.0.as_mut().and_then(|permit| permit.split(bytes)))
+        let buffers = split(&mut self.buffers, bytes);
+        let taken = buffers
+            .as_ref()
+            .map_or(0, OwnedSemaphorePermit::num_permits);
+        let urgent = split(&mut self.urgent, bytes - taken);
+        Reservation { buffers, urgent }
     }
 }
+
+fn merge(permit: &mut Option<OwnedSemaphorePermit>, more: OwnedSemaphorePermit) {
+    match permit {
+        Some(permit) => permit.merge(more),
+        None => *permit = Some(more),
+    }
+}
+
+/// Takes up to this many bytes out of a permit.
+fn split(permit: &mut Option<OwnedSemaphorePermit>, bytes: usize) -> Option<OwnedSemaphorePermit> {
+    let permit = permit.as_mut()?;
+    permit.split(bytes.min(permit.num_permits()))
+}
--- a/crates/proxy-core/src/connection.rs
+++ b/crates/proxy-core/src/connection.rs
@@ -5,7 +5,7 @@
 use std::future::poll_fn;
 use std::io::{self, IoSlice};
 use std::pin::{Pin, pin};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
@@ -18,6 +18,7 @@
 use crate::body_memory::{BodyMemory, Reservation};
 use crate::bounded_read::{MAX_READ_BYTES, poll_read_part};
 use crate::framing::FramingValidator;
+use crate::write_window::WriteWindow;
 
 /// The time from the first byte of a request to its last, plus the transfer time of its body. A client may take 2 s
 /// for the head.
@@ -51,6 +52,10 @@
     /// The time of the last read or write.
     pub last_io: Cell<Instant>,
     pub close_requested: Notify,
+    /// The socket, as long as the connection lasts.
+    pub socket: RefCell<Weak<RefCell<TcpStream>>>,
+    /// The bytes of a streamed answer that wait for the socket.
+    pub write_window: Rc<WriteWindow>,
     /// The tenant account of the connection, in a process of many tenants.
     pub account: RefCell<Option<Rc<dyn TenantAccount>>>,
     /// True if the latest request was rejected; further work on the connection is charged as rejecting.
@@ -82,6 +87,8 @@
             head_started: Cell::new(None),
             last_io: Cell::new(Instant::now()),
             close_requested: Notify::new(),
+            socket: RefCell::default(),
+            write_window: Rc::default(),
             account: RefCell::new(account),
             rejecting: Cell::new(false),
             requests_read: Cell::new(0),
@@ -136,8 +143,9 @@
     }
 
     fn record_write(&self, written: &Poll<io::Result<usize>>) {
-        if matches!(written, Poll::Ready(Ok(1..))) {
+        if let Poll::Ready(Ok(bytes @ 1..)) = written {
             self.last_io.set(Instant::now());
+            self.write_window.record_write(*bytes);
         }
     }
 
--- a/crates/proxy-core/src/driver.rs
+++ b/crates/proxy-core/src/driver.rs
@@ -395,7 +395,8 @@
     fn reject_without_memory(&mut self, id: RequestId) {
         let is_waiting = |active: &ActiveRequest| {
             let upload = active.outbound.body.upload();
-            active.response_sender.is_some() && upload.is_some_and(|u| !u.is_being_sent())
+            let has_sent = |u: &Rc<Upload>| u.is_being_sent() || u.is_complete();
+            active.response_sender.is_some() && upload.is_some_and(|u| !has_sent(u))
         };
         if self.requests.get(&id).is_some_and(is_waiting) {
             self.handle(Event::MemoryExhausted(id));
@@ -804,6 +805,7 @@
     fn handle_event(&mut self, event: AttemptEvent) {
         let (request, attempt) = (self.request, self.attempt);
         match event {
+            AttemptEvent::MemoryExhausted => self.inbox.send(Input::MemoryExhausted(request)),
             AttemptEvent::BodyComplete => {
                 self.started_at = Instant::now();
                 self.inbox.send(Input::BodyComplete(request));
--- a/crates/proxy-core/src/exchange.rs
+++ b/crates/proxy-core/src/exchange.rs
@@ -17,6 +17,7 @@
 use crate::message::{EndpointResponse, ResponseContent, strip_hop_by_hop};
 use crate::stream::{RequestBody, ResponsePiece};
 use crate::upload::MAX_BODY_BYTES;
+use crate::write_window;
 
 /// The time without data after which a response that has begun is aborted.
 const RESPONSE_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -127,27 +128,37 @@
     })
 }
 
-/// Forwards a large response as it arrives, no faster than the client reads.
+/// Forwards a large response as it arrives, no faster than the client reads. It takes its memory without waiting for it:
+/// a response that has begun can't be rejected any more. The connections to endpoints limit the number of responses.
 pub async fn stream_response(
     mut first_part: BufferedBody,
     mut remaining_body: Incoming,
     length: Option<u64>,
-    body_memory: &BodyMemory,
     pieces: mpsc::Sender<ResponsePiece>,
 ) -> Outcome {
-    let _slot = body_memory.stream_slot().await;
     let mut passed = 0;
     let is_whole = |passed| length == Some(passed);
     loop {
+        // The next piece is read once there is room for it.
+        let Ok(room) = pieces.reserve().await else {
+            return if is_whole(passed) {
+                Outcome::Served
+            } else {
+                Outcome::Cancelled // the client has disconnected
+            };
+        };
         let data = match first_part.next_block() {
             Some(data) => data,
             None => tokio::select! {
                 frame = timeout(RESPONSE_IDLE_TIMEOUT, remaining_body.frame()) => match frame {
                     Ok(Some(Ok(frame))) => match frame.into_data() {
-                        Ok(data) => data,
+                        Ok(data) => write_window::compact(data),
                         Err(_) => continue, // trailers are dropped
                     },
-                    Ok(None) => break,
+                    Ok(None) => {
+                        room.send(ResponsePiece::End);
+                        return Outcome::Served;
+                    }
                     Ok(Some(Err(_))) | Err(_) => return Outcome::Reset,
                 },
                 () = pieces.closed(), if !is_whole(passed) => return Outcome::Cancelled,
@@ -157,14 +168,6 @@
         if passed > MAX_BODY_BYTES {
             return Outcome::Reset; // over the size limit
         }
-        if pieces.send(ResponsePiece::Data(data)).await.is_err() && !is_whole(passed) {
-            return Outcome::Cancelled; // the client has disconnected
-        }
-    }
-    // With an announced length the receiver needs no end marker.
-    if pieces.send(ResponsePiece::End).await.is_ok() || is_whole(passed) {
-        Outcome::Served
-    } else {
-        Outcome::Cancelled
+        room.send(ResponsePiece::Data(data));
     }
 }
--- a/crates/proxy-core/src/frontend.rs
+++ b/crates/proxy-core/src/frontend.rs
@@ -41,10 +41,10 @@
 use crate::note;
 use crate::pool::{Pool, RequestHead};
 use crate::request_body::{self, BodyError};
-use crate::socket_options;
+use crate::socket_options::{self, UnreadInput, unread_input};
 use crate::stream::{RequestContent, ResponseBody};
 use crate::upload::{self, MAX_BODY_BYTES, Upload};
-use crate::upstream::{Upstreams, has_no_unread_input};
+use crate::upstream::Upstreams;
 use crate::vars::RequestEnd;
 
 /// The time without I/O after which a connection with an active request or an undelivered answer is closed, in addition
@@ -351,6 +351,7 @@
     async fn connection(self: &Rc<Self>, stream: TcpStream, client: &Rc<ClientConnection>) {
         let over_limit = self.clients.borrow().len() > self.max_connections;
         let stream = Rc::new(RefCell::new(stream));
+        client.socket.replace(Rc::downgrade(&stream));
         let service = service_fn(|request| {
             let (frontend, client) = (self.clone(), client.clone());
             async move {
@@ -406,7 +407,8 @@
                 let code = response.status().as_u16();
                 let end = move || flight.into_iter().for_each(|f| f.end(code));
                 match response.body_mut() {
-                    ResponseBody::Streamed(_, on_done) => {
+                    ResponseBody::Streamed(stream, on_done) => {
+                        stream.set_window(client.write_window.clone());
                         client.delivery.set(Delivery::Streaming);
                         *on_done = Some(Box::new(move || {
                             end();
@@ -476,7 +478,8 @@
                 // Closing now would lose a request that has arrived but has not been read. It is read next, unless
                 // the tenant's account defers reading: then closing is tried again later, and forced after a while.
                 let now = Instant::now();
-                if client.pipelined_is_empty() && has_no_unread_input(&stream.borrow())
+                if client.pipelined_is_empty()
+                    && unread_input(&stream.borrow()) == UnreadInput::None
                     || client.next_check() + IDLE_TIMEOUT <= now
                 {
                     connection.as_mut().graceful_shutdown();
@@ -541,9 +544,10 @@
             Ok(admitted) => admitted,
             Err(delay) => return self.reject(pool, delay).await,
         };
+        let socket = client.socket.borrow().clone();
         let received = tokio::select! {
             biased;
-            received = request_body::read_body(body, &mut parsed.timeout, receive_deadline, &pool.body_memory) => received,
+            received = request_body::read_body(body, &mut parsed.timeout, receive_deadline, &pool.body_memory, &socket) => received,
             () = self.lifecycle.answer_due(|| self.router.max_deadline(), || false) => {
                 Err(BodyError::TooLate)
             }
@@ -557,12 +561,6 @@
             Err(error) => return error.into_response(),
         };
         let upload = body.upload().cloned();
-        // A streamed body reserves memory for as long as it is sent.
-        let slot = upload.as_ref().map(|_| pool.body_memory.try_stream_slot());
-        if matches!(slot, Some(None)) {
-            upload.into_iter().for_each(request_body::drain_upload);
-            return self.reject_without_memory(pool, &parsed).await;
-        }
         // The input for routing the request again, if that may be needed.
         let routing_input = self
             .router
@@ -665,22 +663,14 @@
         upload: Option<&Upload>,
     ) -> Result<Answer, oneshot::error::RecvError> {
         let is_complete = || upload.is_none_or(Upload::is_complete);
-        let answer_due = self
-            .lifecycle
-            .answer_due(|| self.router.max_deadline(), is_complete);
-        tokio::pin!(answer_due);
-        loop {
-            tokio::select! {
-                biased;
-                answer = &mut receiver => return answer,
-                () = &mut answer_due => {
-                    pool.inbox.send(Input::AnswerDue(id));
-                    return receiver.await;
-                }
-                () = receive_rest(upload, &pool.body_memory) => {
-                    pool.inbox.send(Input::MemoryExhausted(id));
-                }
+        tokio::select! {
+            biased;
+            answer = &mut receiver => answer,
+            () = self.lifecycle.answer_due(|| self.router.max_deadline(), is_complete) => {
+                pool.inbox.send(Input::AnswerDue(id));
+                receiver.await
             }
+            () = receive_rest(upload, &pool.body_memory) => receiver.await,
         }
     }
 
@@ -772,7 +762,7 @@
     }
 }
 
-/// Receives the rest of an upload while it waits, until there is no memory.
+/// Receives the rest of an upload while its request waits.
 async fn receive_rest(upload: Option<&Upload>, memory: &BodyMemory) {
     match upload {
         Some(upload) => upload.receive_while_waiting(memory).await,
--- a/crates/proxy-core/src/inbox.rs
+++ b/crates/proxy-core/src/inbox.rs
@@ -38,7 +38,7 @@
     AnswerDue(RequestId),
     /// The last byte of a request body that is streamed has been sent.
     BodyComplete(RequestId),
-    /// There is no memory to receive the body of a request that waits for an endpoint.
+    /// There is no memory to receive the body of a request, of which nothing has been sent.
     MemoryExhausted(RequestId),
     /// A response too large to be buffered has begun.
     ResponseStarted {
--- a/crates/proxy-core/src/lib.rs
+++ b/crates/proxy-core/src/lib.rs
@@ -42,5 +42,6 @@
 mod upload;
 mod upstream;
 mod vars;
+mod write_window;
 
 use log::note;
--- a/crates/proxy-core/src/process.rs
+++ b/crates/proxy-core/src/process.rs
@@ -183,7 +183,7 @@
         .saturating_sub(reserved)
         .max(MIN_DESCRIPTORS);
     let sockets = Arc::new(Semaphore::new(budget / 4));
-    let body_memory = BodyMemory::new(config.memory);
+    let body_memory = BodyMemory::new(config.memory, budget);
     let upstreams = Rc::new(upstream::Upstreams::new(
         &config.connections,
         sockets,
--- a/crates/proxy-core/src/request_body.rs
+++ b/crates/proxy-core/src/request_body.rs
@@ -1,11 +1,13 @@
 //! Receives the bodies of requests: buffered while there is memory, streamed beyond, or read and dropped.
 
-use std::rc::Rc;
+use std::cell::RefCell;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::{Response, StatusCode};
+use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -47,12 +49,13 @@
 
 /// Reads a body as far as it is buffered; the rest is streamed. It must be complete by the deadline plus the transfer
 /// time of its size. The wait for memory is taken off the client's timeout, as the client may have sent its last byte
-/// before.
+/// before. `socket` is the client's.
 pub async fn read_body(
     mut body: Incoming,
     timeout: &mut Duration,
     receive_deadline: Instant,
     body_memory: &BodyMemory,
+    socket: &Weak<RefCell<TcpStream>>,
 ) -> Result<RequestContent, BodyError> {
     let length = body.size_hint().exact();
     if body.is_end_stream() {
@@ -67,7 +70,7 @@
         let is_spooled = buffer.received_bytes() < MAX_SPOOLED_BYTES;
         if !is_spooled || !buffer.try_reserve_next(body_memory) {
             if !buffer.may_be_short() {
-                let upload = Upload::new(buffer, length, body, *timeout);
+                let upload = Upload::new(buffer, length, body, *timeout, socket.clone());
                 return Ok(RequestContent::Streamed(upload));
             }
             if !wait_for_memory(&mut buffer, timeout, body_memory).await {
--- a/crates/proxy-core/src/socket_options.rs
+++ b/crates/proxy-core/src/socket_options.rs
@@ -1,4 +1,7 @@
-//! Options of the sockets to clients and endpoints.
+//! Options and state of the sockets to clients and endpoints.
+
+use std::io;
+use std::mem::MaybeUninit;
 
 use tokio::net::TcpStream;
 
@@ -13,3 +16,21 @@
     let _ = socket.set_tcp_nodelay(true);
     let _ = socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
 }
+
+/// What a peer has sent and nobody has read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnreadInput {
+    None,
+    Bytes,
+    /// The peer has closed the connection, or it has failed.
+    End,
+}
+
+/// Returns what can be read from a connection. The runtime may not have noticed it yet, so the socket itself is asked.
+pub fn unread_input(stream: &TcpStream) -> UnreadInput {
+    match socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => UnreadInput::None,
+        Ok(1..) => UnreadInput::Bytes,
+        Ok(_) | Err(_) => UnreadInput::End,
+    }
+}
--- a/crates/proxy-core/src/stream.rs
+++ b/crates/proxy-core/src/stream.rs
@@ -12,6 +12,7 @@
 
 use crate::body_buffer::BufferedBody;
 use crate::upload::{Sender, Upload, invalid_data};
+use crate::write_window::WriteWindow;
 
 /// The body of a request that is forwarded.
 #[derive(Clone)]
@@ -69,11 +70,12 @@
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
             RequestBody::Streamed { prefix, sender } => {
+                ready!(sender.window().poll_room(cx));
                 let Some(block) = prefix.next_block() else {
                     *prefix = BufferedBody::default(); // releases blocks that the upload no longer holds
                     return sender.poll_rest(cx);
                 };
-                sender.record_prefix(prefix.is_end_stream());
+                sender.record_prefix(block.len(), prefix.is_end_stream());
                 Poll::Ready(Some(Ok(Frame::data(block))))
             }
         }
@@ -108,6 +110,8 @@
     length: Option<u64>,
     receiver: mpsc::Receiver<ResponsePiece>,
     ended: bool,
+    /// The window of the client's connection, once that is known.
+    window: Option<Rc<WriteWindow>>,
 }
 
 impl ResponseStream {
@@ -120,9 +124,35 @@
                 length,
                 receiver,
                 ended: false,
+                window: None,
             },
         )
     }
+
+    /// Sets the window of the client's connection.
+    pub fn set_window(&mut self, window: Rc<WriteWindow>) {
+        window.reset();
+        self.window = Some(window);
+    }
+
+    fn poll_piece(&mut self, cx: &mut Context) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        if let Some(window) = &self.window {
+            ready!(window.poll_room(cx));
+        }
+        Poll::Ready(match ready!(self.receiver.poll_recv(cx)) {
+            Some(ResponsePiece::Data(data)) => {
+                self.window
+                    .iter()
+                    .for_each(|window| window.record_piece(data.len()));
+                Some(Ok(Frame::data(data)))
+            }
+            Some(ResponsePiece::End) => {
+                self.ended = true;
+                None
+            }
+            None => Some(Err(invalid_data("the endpoint cut off its response"))),
+        })
+    }
 }
 
 /// A response body on its way to a client.
@@ -163,16 +193,7 @@
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
             ResponseBody::Streamed(stream, _) if stream.ended => Poll::Ready(None),
-            ResponseBody::Streamed(stream, _) => {
-                Poll::Ready(match ready!(stream.receiver.poll_recv(cx)) {
-                    Some(ResponsePiece::Data(data)) => Some(Ok(Frame::data(data))),
-                    Some(ResponsePiece::End) => {
-                        stream.ended = true;
-                        None
-                    }
-                    None => Some(Err(invalid_data("the endpoint cut off its response"))),
-                })
-            }
+            ResponseBody::Streamed(stream, _) => stream.poll_piece(cx),
         }
     }
 
--- a/crates/proxy-core/src/upload.rs
+++ b/crates/proxy-core/src/upload.rs
@@ -1,23 +1,26 @@
 //! A request body that is sent while it is received. Its beginning is buffered and can be sent again.
 //!
 //! While no attempt sends it, the rest is received as far as there is memory: only the end of what a client has sent
-//! shows that the client has left.
+//! shows that the client has left. Where memory did not suffice, the rest is received before an attempt begins.
 
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::body_buffer::{BodyBuffer, BufferedBody};
 use crate::body_memory::BodyMemory;
+use crate::socket_options::{UnreadInput, unread_input};
+use crate::write_window::{self, WriteWindow};
 
 /// The largest body of a request or a response.
 pub const MAX_BODY_BYTES: u64 = 32 << 20;
@@ -27,9 +30,12 @@
 const ENDPOINT_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// The lowest mean rate at which a body must arrive since its first byte; clients send twice as fast.
 const MIN_BYTES_PER_SECOND: f64 = 32e3;
-/// The longest time for which a client is not read from while its request waits: no attempt may begin over 0.1 s after
-/// the client has left.
-const MAX_UNREAD_TIME: Duration = Duration::from_millis(80);
+/// The age at which it has to be confirmed anew that a client has not left: no attempt may begin over 0.1 s after.
+const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(80);
+/// The interval of checks whether a client has not left.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(2);
+/// The longest time for a confirmation.
+const MAX_CONFIRMATION_TIME: Duration = Duration::from_millis(300);
 /// The interval of attempts to reserve memory while there is none.
 const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -43,6 +49,15 @@
     io::Error::new(io::ErrorKind::InvalidData, message)
 }
 
+/// The reason why an attempt can't begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unconfirmed {
+    /// There is no memory to receive what the client has sent, which may hide that it has left.
+    NoMemory,
+    /// The client has left, or is about to be found to have left.
+    ClientLeft,
+}
+
 /// A request body that is received while it is sent.
 pub struct Upload {
     /// The buffered beginning, which each attempt sends first. It is released once it can't be sent again.
@@ -57,8 +72,14 @@
     received_at: Cell<Option<Instant>>,
     /// The number of attempts that are sending the body.
     senders: Cell<usize>,
-    /// Notified when an attempt stops sending the body.
-    sender_ended: Notify,
+    /// Notified when an attempt stops sending the body, or waits for it to be received.
+    sender_changed: Notify,
+    /// The client's socket, as long as its connection lasts.
+    socket: Weak<RefCell<TcpStream>>,
+    /// The time at which the client was last known not to have left.
+    confirmed_at: Cell<Instant>,
+    /// An attempt waits for the rest to be received.
+    is_urgent: Cell<bool>,
     /// Part of the rest has been sent, so the request can't be sent again.
     partly_sent: Cell<bool>,
     /// The client has disconnected or sent an invalid body.
@@ -69,6 +90,8 @@
     /// All that the client has sent so far has been passed on.
     waits_for_client: Cell<bool>,
     completed: Notify,
+    /// The window of the connection that sends the body.
+    window: WriteWindow,
     /// The time that the client waits after its last byte.
     timeout: Duration,
 }
@@ -79,7 +102,8 @@
         mut beginning: BodyBuffer,
         length: Option<u64>,
         rest: Incoming,
-        timeout: Duration,
+        client_timeout: Duration,
+        socket: Weak<RefCell<TcpStream>>,
     ) -> Rc<Self> {
         Rc::new(Upload {
             received: Cell::new(beginning.received_bytes() as u64),
@@ -89,14 +113,18 @@
             rest: RefCell::new(Some(rest)),
             received_at: Cell::new(None),
             senders: Cell::new(0),
-            sender_ended: Notify::new(),
+            sender_changed: Notify::new(),
+            socket,
+            confirmed_at: Cell::new(Instant::now()),
+            is_urgent: Cell::new(false),
             partly_sent: Cell::new(false),
             client_lost: Cell::new(false),
             complete: Cell::new(false),
             last_progress: Cell::new(Instant::now()),
             waits_for_client: Cell::new(false),
             completed: Notify::new(),
-            timeout,
+            window: WriteWindow::default(),
+            timeout: client_timeout,
         })
     }
 
@@ -139,6 +167,11 @@
         Some(received_at + self.timeout)
     }
 
+    /// Returns the window of the connection that sends the body.
+    pub fn window(&self) -> &WriteWindow {
+        &self.window
+    }
+
     /// Takes the part that has not been received, once the request is answered.
     pub fn take_rest(&self) -> Option<Incoming> {
         self.rest.take()
@@ -157,6 +190,7 @@
     /// Begins to send the body with an attempt; returns its buffered beginning and the sender of the rest.
     pub fn begin_sending(self: &Rc<Self>) -> (BufferedBody, Sender) {
         self.record_progress();
+        self.window.reset();
         self.senders.set(self.senders.get() + 1);
         let received = self.buffer.borrow_mut().take_body();
         let mut prefix = self.prefix.borrow_mut();
@@ -164,26 +198,62 @@
         (prefix.clone(), Sender(self.clone()))
     }
 
-    /// Receives the rest while no attempt sends it. Returns if the client could not be read from for
-    /// [`MAX_UNREAD_TIME`] because there was no memory.
+    /// Receives the rest while no attempt sends it, as far as there is memory.
     pub async fn receive_while_waiting(&self, memory: &BodyMemory) {
-        let mut blocked_since: Option<Instant> = None;
         loop {
             if self.is_being_sent() || self.rest.borrow().is_none() {
-                self.sender_ended.notified().await;
-                blocked_since = None;
-            } else if self.buffer.borrow_mut().try_reserve_next(memory) {
-                blocked_since = None;
+                self.sender_changed.notified().await;
+            } else if self.try_reserve_next(memory) {
                 tokio::select! {
-                    () = self.sender_ended.notified() => {}
+                    () = self.sender_changed.notified() => {}
                     () = poll_fn(|cx| self.poll_receive(cx)) => {}
                 }
-            } else if blocked_since.get_or_insert_with(Instant::now).elapsed() >= MAX_UNREAD_TIME {
-                return;
             } else {
-                sleep(MEMORY_CHECK_INTERVAL).await;
+                let _ = timeout(MEMORY_CHECK_INTERVAL, self.sender_changed.notified()).await;
+            }
+        }
+    }
+
+    fn try_reserve_next(&self, memory: &BodyMemory) -> bool {
+        let mut buffer = self.buffer.borrow_mut();
+        if self.is_urgent.get() {
+            buffer.try_reserve_next_urgently(memory)
+        } else {
+            buffer.try_reserve_next(memory)
+        }
+    }
+
+    /// Makes sure before an attempt begins that the client has not left. What it has sent is received first, unless
+    /// the latest confirmation is recent.
+    ///
+    /// # Errors
+    /// The client has left, or there is no memory to find out.
+    pub async fn confirm_client(&self) -> Result<(), Unconfirmed> {
+        if self.confirmed_at.get().elapsed() < MAX_CONFIRMATION_AGE {
+            return Ok(());
+        }
+        self.is_urgent.set(true);
+        let result = timeout(MAX_CONFIRMATION_TIME, self.wait_for_confirmation()).await;
+        self.is_urgent.set(false);
+        result.unwrap_or(Err(Unconfirmed::NoMemory))
+    }
+
+    async fn wait_for_confirmation(&self) -> Result<(), Unconfirmed> {
+        loop {
+            let input = self
+                .socket
+                .upgrade()
+                .map(|socket| unread_input(&socket.borrow()));
+            match input {
+                Some(UnreadInput::None) => break,
+                Some(UnreadInput::Bytes) if self.rest.borrow().is_none() => break,
+                Some(UnreadInput::Bytes) => self.sender_changed.notify_one(),
+                Some(UnreadInput::End) | None => return Err(Unconfirmed::ClientLeft),
             }
+            sleep(CONFIRMATION_INTERVAL).await;
         }
+        self.confirmed_at.set(Instant::now());
+        Ok(())
     }
 
     /// Receives the next piece into the buffer, unless an attempt has begun to send the body.
@@ -270,8 +340,14 @@
         self.0.length
     }
 
+    /// Returns the window of the connection that sends the body.
+    pub fn window(&self) -> &WriteWindow {
+        &self.0.window
+    }
+
     /// Records that a part of the buffered beginning has been passed on, and whether it was the last.
-    pub fn record_prefix(&self, is_last: bool) {
+    pub fn record_prefix(&self, bytes: usize, is_last: bool) {
+        self.0.window.record_piece(bytes);
         self.0.record_progress();
         if is_last {
             self.0.record_passed_on();
@@ -282,13 +358,14 @@
     pub fn poll_rest(&self, cx: &mut Context) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         let upload = &self.0;
         let data = match ready!(upload.poll_data(cx)) {
-            Some(Ok(data)) => data,
+            Some(Ok(data)) => write_window::compact(data),
             Some(Err(error)) => return Poll::Ready(Some(Err(error))),
             None => {
                 upload.record_passed_on();
                 return Poll::Ready(None);
             }
         };
+        upload.window.record_piece(data.len());
         upload.partly_sent.set(true);
         upload.prefix.take();
         upload.record_passed_on();
@@ -299,6 +376,6 @@
 impl Drop for Sender {
     fn drop(&mut self) {
         self.0.senders.set(self.0.senders.get() - 1);
-        self.0.sender_ended.notify_one();
+        self.0.sender_changed.notify_one();
     }
 }
--- a/crates/proxy-core/src/upstream.rs
+++ b/crates/proxy-core/src/upstream.rs
@@ -3,7 +3,6 @@
 use std::cell::{Cell, RefCell};
 use std::future::pending;
 use std::io::{self, IoSlice};
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -26,9 +25,9 @@
 use crate::bounded_read::poll_read_part;
 use crate::exchange::{ExchangeResult, exchange, stream_response};
 use crate::message::{EndpointResponse, OutboundRequest, ResponseContent};
-use crate::socket_options;
+use crate::socket_options::{self, UnreadInput, unread_input};
 use crate::stream::{RequestBody, ResponseStream};
-use crate::upload::Upload;
+use crate::upload::{Unconfirmed, Upload};
 use crate::vars::Counters;
 
 /// The fraction of an endpoint's idle timeout after which a pooled connection is closed.
@@ -118,15 +117,7 @@
     /// Returns whether a request may be written: the endpoint has neither closed the connection nor sent unsolicited
     /// data. The runtime may not have noticed this yet, so the socket itself is checked.
     fn is_alive(&self) -> bool {
-        has_no_unread_input(&self.stream.borrow()) && self.sender.is_ready()
-    }
-}
-
-/// Returns whether the peer has neither closed the connection nor sent data that has not been read.
-pub fn has_no_unread_input(stream: &TcpStream) -> bool {
-    match socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
-        Err(e) => e.kind() == io::ErrorKind::WouldBlock,
-        Ok(_) => false,
+        unread_input(&self.stream.borrow()) == UnreadInput::None && self.sender.is_ready()
     }
 }
 
@@ -250,6 +241,9 @@
         }
         self.remaining_body_bytes
             .set(self.remaining_body_bytes.get().saturating_sub(rest.len()));
+        if let Some(upload) = &*self.upload.borrow() {
+            upload.window().record_write(rest.len());
+        }
     }
 
     /// Returns whether the request's last byte has been written: from then on it may have been executed. The last
@@ -517,6 +511,15 @@
                 }
             }
         };
+        if let Some(upload) = outbound.body.upload()
+            && let Err(reason) = upload.confirm_client().await
+        {
+            if reason == Unconfirmed::NoMemory {
+                report(AttemptEvent::MemoryExhausted);
+            }
+            report(AttemptEvent::Ended(Outcome::NotSent, None));
+            return endpoint.keep_idle(connection);
+        }
         let condition = SendCondition {
             endpoint: endpoint.clone(),
             cancel,
@@ -574,14 +577,9 @@
                     headers: large.headers,
                     body: ResponseContent::Streamed(response_stream),
                 }));
-                let outcome = stream_response(
-                    large.first_part,
-                    large.remaining_body,
-                    large.length,
-                    &self.body_memory,
-                    sender,
-                )
-                .await;
+                let outcome =
+                    stream_response(large.first_part, large.remaining_body, large.length, sender)
+                        .await;
                 report(AttemptEvent::Ended(outcome, None));
                 outcome == Outcome::Served && tracker.is_complete()
             }
@@ -635,6 +633,8 @@
 
 /// Progress of an attempt.
 pub enum AttemptEvent {
+    /// There is no memory to receive the request's body; nothing has been sent.
+    MemoryExhausted,
     /// The last byte of a streamed request body has been sent.
     BodyComplete,
     /// A response too large to be buffered has begun.
--- a/crates/proxy-core/tests/layers.rs
+++ b/crates/proxy-core/tests/layers.rs
@@ -2,12 +2,13 @@
 use std::path::Path;
 
 /// The modules, from the lowest layer up.
-const LAYERS: [&str; 37] = [
+const LAYERS: [&str; 38] = [
     "backoff",
     "body_memory",
     "body_buffer",
     "bounded_read",
     "socket_options",
+    "write_window",
     "json_stream",
     "line_writer",
     "log",
--- a/crates/proxy-core/tests/unit/frontend.rs
+++ b/crates/proxy-core/tests/unit/frontend.rs
@@ -67,7 +67,7 @@
             10,
             Rc::default(),
             lifecycle,
-            BodyMemory::new(0),
+            BodyMemory::new(0, 0),
         );
         spawn_local(frontend.serve(listener, std::future::pending()));
         let client = TcpStream::connect(address)
--- a/crates/proxy/tests/long_answers.rs
+++ b/crates/proxy/tests/long_answers.rs
@@ -3,8 +3,10 @@
 #[path = "../../proxy-core/tests/sockets/mod.rs"]
 mod sockets;
 
+use std::collections::HashMap;
 use std::io::{self, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -151,3 +153,136 @@
         ..Setup::default()
     }
 }
+
+/// No part of an answer may be held back for longer: 2 s, and 50 ms of slack on sockets.
+const MAX_HELD_BACK: Duration = Duration::from_millis(2050);
+
+/// The number of bytes of a body that had been written or read at a time.
+type Progress = Vec<(Instant, usize)>;
+
+/// What endpoints have written, by the ids of the requests.
+type Written = Arc<Mutex<HashMap<String, Progress>>>;
+
+/// An answer as a client got it.
+struct Received {
+    id: String,
+    status: u16,
+    progress: Progress,
+}
+
+/// Reads a whole answer as it arrives. A body with a length only.
+fn read_at_once(address: SocketAddr, id: String, body_bytes: usize) -> Received {
+    let mut stream = connect(address);
+    stream
+        .write_all(page(&id).as_bytes())
+        .expect("the request is written");
+    let mut reader = BufReader::new(stream);
+    let status = read_status(&mut reader).unwrap_or(0);
+    let mut progress = Vec::new();
+    let (mut piece, mut received) = ([0; 16 << 10], 0);
+    while status == 200 && received < body_bytes {
+        match reader.read(&mut piece) {
+            Ok(read @ 1..) => received += read,
+            _ => break,
+        }
+        progress.push((Instant::now(), received));
+    }
+    Received {
+        id,
+        status,
+        progress,
+    }
+}
+
+/// Returns the longest time between the write of a byte and its arrival.
+fn longest_held_back(written: &Progress, received: &Progress) -> Duration {
+    let arrival = |bytes: usize| received.iter().find(|(_, got)| *got >= bytes);
+    let times = written.iter().map(|(at, bytes)| match arrival(*bytes) {
+        Some((arrived_at, _)) => *arrived_at - *at,
+        None => Duration::MAX,
+    });
+    times.max().unwrap_or_default()
+}
+
+/// Asks for long answers from slow endpoints with all clients at a time, and checks that none is cut off or held back,
+/// and the memory limit.
+fn check_answers(limits: Limits, body: Body, piece_bytes: usize) {
+    let written = Written::default();
+    let endpoints: Vec<SocketAddr> = (0..9)
+        .map(|_| {
+            let written = written.clone();
+            start_endpoint(move |id, stream| {
+                let head = format!("HTTP/1.1 200 OK\r\n{}\r\n\r\n", body.framing());
+                stream.write_all(head.as_bytes())?;
+                body.write_and_report(stream, piece_bytes, |sent| {
+                    let mut written = written.lock().expect("no panic");
+                    let progress = written.entry(id.to_owned()).or_default();
+                    progress.push((Instant::now(), sent));
+                })
+            })
+        })
+        .collect();
+    let (_discovery, mut proxy) = start_proxy_for(&endpoints, &limits.setup());
+    let address = proxy.address;
+    let clients: Vec<_> = (0..limits.clients())
+        .map(|number| {
+            thread::sleep(Duration::from_millis(2));
+            let run = move || read_at_once(address, format!("r-{number}"), body.bytes);
+            let thread = thread::Builder::new().stack_size(256 << 10);
+            thread.spawn(run).expect("a thread starts")
+        })
+        .collect();
+    let answers: Vec<_> = clients
+        .into_iter()
+        .map(|client| client.join().expect("no panic"))
+        .collect();
+    let written = written.lock().expect("no panic");
+    let served: Vec<_> = answers.iter().filter(|a| a.status == 200).collect();
+    let refused = answers.iter().filter(|a| a.status == 503).count();
+    let whole = |a: &&&Received| a.progress.last().is_some_and(|(_, got)| *got == body.bytes);
+    let held_back = served
+        .iter()
+        .map(|answer| longest_held_back(&written[&answer.id], &answer.progress))
+        .max()
+        .unwrap_or_default();
+    println!(
+        "{limits:?} {body:?}: {} served, {} of these whole, {refused} refused, held back for up to {held_back:?}, peak {:.1} MB",
+        served.len(),
+        served.iter().filter(whole).count(),
+        proxy.memory_peak_mb() * 1.024
+    );
+    assert!(proxy.is_running());
+    limits.check(&proxy);
+    assert_eq!(served.len() + refused, answers.len());
+    assert!(served.iter().all(|answer| whole(&answer)));
+    assert!(held_back <= MAX_HELD_BACK, "{held_back:?}");
+}
+
+const fn slow_answer(bytes: usize) -> Body {
+    Body {
+        bytes,
+        chunked: false,
+        bytes_per_second: Some(LOWEST_RATE),
+    }
+}
+
+/// Guards against long answers that wait for memory after they have begun.
+#[test]
+fn long_answers_from_slow_endpoints_are_not_held_back() {
+    let limits = Limits {
+        memory_mb: 32,
+        sockets: 256,
+    };
+    check_answers(limits, slow_answer(256 << 10), 4 << 10);
+}
+
+/// Guards against the same, and against more memory than there is, with as many clients as there may be and in small
+/// pieces.
+#[test]
+fn long_answers_to_the_most_clients_stay_within_the_smallest_limit() {
+    let limits = Limits {
+        memory_mb: 32,
+        sockets: 1024,
+    };
+    check_answers(limits, slow_answer(256 << 10), 1000);
+}
--- a/crates/proxy/tests/long_bodies/mod.rs
+++ b/crates/proxy/tests/long_bodies/mod.rs
@@ -70,6 +70,16 @@
 
     /// Writes the body in pieces of up to `piece_bytes`.
     pub fn write(&self, stream: &mut TcpStream, piece_bytes: usize) -> io::Result<()> {
+        self.write_and_report(stream, piece_bytes, |_| {})
+    }
+
+    /// Writes the body and calls a function with the number of bytes after each piece.
+    pub fn write_and_report(
+        &self,
+        stream: &mut TcpStream,
+        piece_bytes: usize,
+        report: impl Fn(usize),
+    ) -> io::Result<()> {
         let begun = Instant::now();
         let data = vec![b'x'; piece_bytes];
         let mut sent = 0;
@@ -82,6 +92,7 @@
                 stream.write_all(piece)?;
             }
             sent += piece.len();
+            report(sent);
             if let Some(rate) = self.bytes_per_second {
                 pace(begun, sent, rate);
             }
@@ -199,7 +210,10 @@
         match status {
             Some(200) => self.served += 1,
             Some(429 | 503) => self.refused += 1,
-            Some(_) => self.failed += 1,
+            Some(status) => {
+                println!("failed: {status}");
+                self.failed += 1;
+            }
             None => self.unanswered += 1,
         }
     }
