Give each attempt of a streamed body its own window, and confirm short beginnings too

Found by reading again: two attempts that send one body shared a window and its one waker, so that one could wait for the other's write; and a long body of which under 64 KiB had arrived could not use the memory kept for attempts about to begin.

--- a/crates/proxy-core/src/body_buffer.rs
+++ b/crates/proxy-core/src/body_buffer.rs
@@ -59,8 +59,7 @@
         self.try_reserve(memory, BodyMemory::try_urgent)
     }
 
-    /// Reserves memory for what the next read brings. `extend` extends the reservation of the part beyond
-    /// [`MAX_BUFFERED_BYTES`].
+    /// Reserves memory for what the next read brings. `extend` extends the reservation of a body that is not short.
     fn try_reserve(
         &mut self,
         memory: &BodyMemory,
@@ -81,6 +80,7 @@
         }
         let missing = self.missing_bytes();
         memory.try_arrival(&mut self.reservation, more, missing)
+            || (!self.may_be_short() && extend(memory, &mut self.reservation, more))
     }
 
     /// Waits in turn for memory for the rest of the first [`MAX_BUFFERED_BYTES`].
--- a/crates/proxy-core/src/stream.rs
+++ b/crates/proxy-core/src/stream.rs
@@ -57,6 +57,16 @@
     },
 }
 
+impl RequestBody {
+    /// Returns the window of a streamed body.
+    pub fn window(&self) -> Option<Rc<WriteWindow>> {
+        match self {
+            RequestBody::Buffered(_) => None,
+            RequestBody::Streamed { sender, .. } => Some(sender.window().clone()),
+        }
+    }
+}
+
 impl Body for RequestBody {
     type Data = Bytes;
     type Error = io::Error;
--- a/crates/proxy-core/src/upload.rs
+++ b/crates/proxy-core/src/upload.rs
@@ -90,8 +90,6 @@
     /// All that the client has sent so far has been passed on.
     waits_for_client: Cell<bool>,
     completed: Notify,
-    /// The window of the connection that sends the body.
-    window: WriteWindow,
     /// The time that the client waits after its last byte.
     timeout: Duration,
 }
@@ -123,7 +121,6 @@
             last_progress: Cell::new(Instant::now()),
             waits_for_client: Cell::new(false),
             completed: Notify::new(),
-            window: WriteWindow::default(),
             timeout: client_timeout,
         })
     }
@@ -167,11 +164,6 @@
         Some(received_at + self.timeout)
     }
 
-    /// Returns the window of the connection that sends the body.
-    pub fn window(&self) -> &WriteWindow {
-        &self.window
-    }
-
     /// Takes the part that has not been received, once the request is answered.
     pub fn take_rest(&self) -> Option<Incoming> {
         self.rest.take()
@@ -190,12 +182,15 @@
     /// Begins to send the body with an attempt; returns its buffered beginning and the sender of the rest.
     pub fn begin_sending(self: &Rc<Self>) -> (BufferedBody, Sender) {
         self.record_progress();
-        self.window.reset();
         self.senders.set(self.senders.get() + 1);
         let received = self.buffer.borrow_mut().take_body();
         let mut prefix = self.prefix.borrow_mut();
         prefix.append(received);
-        (prefix.clone(), Sender(self.clone()))
+        let sender = Sender {
+            upload: self.clone(),
+            window: Rc::default(),
+        };
+        (prefix.clone(), sender)
     }
 
     /// Receives the rest while no attempt sends it, as far as there is memory.
@@ -332,31 +327,35 @@
 }
 
 /// Sends the rest of an upload with one attempt.
-pub struct Sender(Rc<Upload>);
+pub struct Sender {
+    upload: Rc<Upload>,
+    /// The window of the connection that sends the body.
+    window: Rc<WriteWindow>,
+}
 
 impl Sender {
     /// Returns the announced length of the complete body.
     pub fn body_length(&self) -> Option<u64> {
-        self.0.length
+        self.upload.length
     }
 
     /// Returns the window of the connection that sends the body.
-    pub fn window(&self) -> &WriteWindow {
-        &self.0.window
+    pub fn window(&self) -> &Rc<WriteWindow> {
+        &self.window
     }
 
     /// Records that a part of the buffered beginning has been passed on, and whether it was the last.
     pub fn record_prefix(&self, bytes: usize, is_last: bool) {
-        self.0.window.record_piece(bytes);
-        self.0.record_progress();
+        self.window.record_piece(bytes);
+        self.upload.record_progress();
         if is_last {
-            self.0.record_passed_on();
+            self.upload.record_passed_on();
         }
     }
 
     /// Passes on the next piece of the rest.
     pub fn poll_rest(&self, cx: &mut Context) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        let upload = &self.0;
+        let upload = &self.upload;
         let data = match ready!(upload.poll_data(cx)) {
             Some(Ok(data)) => write_window::compact(data),
             Some(Err(error)) => return Poll::Ready(Some(Err(error))),
@@ -365,7 +364,7 @@
                 return Poll::Ready(None);
             }
         };
-        upload.window.record_piece(data.len());
+        self.window.record_piece(data.len());
         upload.partly_sent.set(true);
         upload.prefix.take();
         upload.record_passed_on();
@@ -375,7 +374,7 @@
 
 impl Drop for Sender {
     fn drop(&mut self) {
-        self.0.senders.set(self.0.senders.get() - 1);
-        self.0.sender_changed.notify_one();
+        self.upload.senders.set(self.upload.senders.get() - 1);
+        self.upload.sender_changed.notify_one();
     }
 }
--- a/crates/proxy-core/src/upstream.rs
+++ b/crates/proxy-core/src/upstream.rs
@@ -29,6 +29,7 @@
 use crate::stream::{RequestBody, ResponseStream};
 use crate::upload::{Unconfirmed, Upload};
 use crate::vars::Counters;
+use crate::write_window::WriteWindow;
 
 /// The fraction of an endpoint's idle timeout after which a pooled connection is closed.
 const IDLE_FRACTION: f64 = 0.7;
@@ -137,6 +138,8 @@
     remaining_body_bytes: Cell<usize>,
     /// A streamed body.
     upload: RefCell<Option<Rc<Upload>>>,
+    /// The window of a streamed body.
+    window: RefCell<Option<Rc<WriteWindow>>>,
     counted: Cell<bool>,
 }
 
@@ -241,8 +244,8 @@
         }
         self.remaining_body_bytes
             .set(self.remaining_body_bytes.get().saturating_sub(rest.len()));
-        if let Some(upload) = &*self.upload.borrow() {
-            upload.window().record_write(rest.len());
+        if let Some(window) = &*self.window.borrow() {
+            window.record_write(rest.len());
         }
     }
 
@@ -538,6 +541,7 @@
         } else {
             request.body().size_hint().exact().unwrap_or(0) as usize
         };
+        tracker.window.replace(request.body().window());
         tracker.start(condition, remaining_body_bytes, upload.clone());
         let deadline = Cell::new(deadline);
         let result = {
--- a/crates/proxy/tests/long_answers.rs
+++ b/crates/proxy/tests/long_answers.rs
@@ -40,18 +40,24 @@
 impl SlowReader {
     /// Asks for an answer and reads its head.
     fn start(address: SocketAddr, id: &str) -> Self {
+        Self::try_start(address, id).expect("the request is served")
+    }
+
+    /// Asks for an answer and reads its head; `None` if the request is refused.
+    fn try_start(address: SocketAddr, id: &str) -> Option<Self> {
         let mut stream = connect(address);
         let request = page(id);
         stream
             .write_all(request.as_bytes())
             .expect("the request is written");
         let mut reader = BufReader::new(stream);
-        assert_eq!(read_status(&mut reader), Some(200));
-        SlowReader {
+        let status = read_status(&mut reader);
+        assert!([Some(200), Some(503)].contains(&status), "{status:?}");
+        (status == Some(200)).then(|| SlowReader {
             reader,
             begun: Instant::now(),
             received: 0,
-        }
+        })
     }
 
     /// Reads at a steady rate until the end of the body, or for a time; returns false at the end of the connection.
@@ -286,3 +292,41 @@
     };
     check_answers(limits, slow_answer(256 << 10), 1000);
 }
+
+/// Guards against answers that are kept for many slow clients at a time.
+#[test]
+fn long_answers_to_slow_clients_stay_within_the_smallest_limit() {
+    const BODY_BYTES: usize = 5 << 20;
+    let limits = Limits {
+        memory_mb: 32,
+        sockets: 1024,
+    };
+    let endpoints = start_answering_endpoints(at_once(BODY_BYTES), 1000);
+    let (_discovery, mut proxy) = start_proxy_for(&endpoints, &limits.setup());
+    let address = proxy.address;
+    let clients: Vec<_> = (0..limits.clients())
+        .map(|number| {
+            let run = move || {
+                let mut reader = SlowReader::try_start(address, &format!("r-{number}"))?;
+                reader.read_steadily(BODY_BYTES, Duration::from_secs(5));
+                Some(reader.read_rest(BODY_BYTES))
+            };
+            let thread = thread::Builder::new().stack_size(256 << 10);
+            thread.spawn(run).expect("a thread starts")
+        })
+        .collect();
+    let received: Vec<usize> = clients
+        .into_iter()
+        .filter_map(|client| client.join().expect("no panic"))
+        .collect();
+    println!(
+        "{} served of {}, peak {:.1} MB",
+        received.len(),
+        limits.clients(),
+        proxy.memory_peak_mb() * 1.024
+    );
+    assert!(proxy.is_running());
+    limits.check(&proxy);
+    assert!(!received.is_empty());
+    assert!(received.iter().all(|bytes| *bytes == BODY_BYTES));
+}
