Keep the budget of short bodies at a quarter of the memory, beside one for long bodies

Memory was not what refused: with all bodies admitted at once more requests waited for servers, and the queue refused more. Bodies of up to 64 KiB have their quarter again, and what connections leave goes to the parts beyond 64 KiB and to attempts about to begin.

--- a/crates/proxy-core/src/body_memory.rs
+++ b/crates/proxy-core/src/body_memory.rs
@@ -22,21 +22,22 @@
 const CONNECTION_BYTES: usize = 24 << 10;
 /// The smallest number of bodies of [`MAX_BUFFERED_BYTES`] that a budget has room for.
 const MIN_BUFFERED_BODIES: usize = 16;
-
 /// The least memory for attempts that are about to begin.
-const MIN_URGENT_BYTES: usize = 256 << 10;
+const MIN_URGENT_BYTES: usize = 512 << 10;
 
 /// The memory budget of all buffered bodies.
 pub struct BodyMemory {
     /// A permit for each byte.
     buffers: Arc<Semaphore>,
-    /// The same, for attempts that are about to begin.
-    urgent: Arc<Semaphore>,
+    /// The same, for the parts of bodies beyond [`MAX_BUFFERED_BYTES`] only.
+    long_bodies: Arc<Semaphore>,
+    /// The part of that for attempts that are about to begin.
+    urgent_bytes: usize,
     /// The number of bytes of all buffers.
     buffer_bytes: usize,
     /// The number of bytes in use up to which bodies reserve memory as they arrive.
     max_arrival_use_bytes: usize,
-    /// The number of bytes in use up to which bodies of more than [`MAX_BUFFERED_BYTES`] are buffered.
+    /// The number of bytes in use up to which bodies of more than [`MAX_BUFFERED_BYTES`] take the memory of all.
     max_spooled_use_bytes: usize,
 }
 
@@ -44,22 +45,22 @@
 #[derive(Debug, Default)]
 pub struct Reservation {
     buffers: Option<OwnedSemaphorePermit>,
-    /// The part that was taken for an attempt that is about to begin.
-    urgent: Option<OwnedSemaphorePermit>,
+    long_bodies: Option<OwnedSemaphorePermit>,
 }
 
 impl BodyMemory {
-    /// Takes most of what a process with this many connections leaves of its memory, at least a quarter of it all.
-    /// Bodies of more than [`MAX_BUFFERED_BYTES`] leave a quarter of that to others.
+    /// Takes a quarter of a process's memory for all bodies, and for long ones most of what this many connections leave of
+    /// the rest. Long bodies leave a quarter of the first to others.
     pub fn new(memory_bytes: usize, connections: usize) -> Rc<Self> {
+        let buffer_bytes = (memory_bytes / 4).max(MIN_BUFFERED_BODIES * MAX_BUFFERED_BYTES);
         let others = PROCESS_BYTES + connections * CONNECTION_BYTES;
-        let left = memory_bytes.saturating_sub(others);
-        let bytes = (left / 10 * 9).max(memory_bytes / 4);
-        let urgent_bytes = bytes / 8;
-        let buffer_bytes = (bytes - urgent_bytes).max(MIN_BUFFERED_BODIES * MAX_BUFFERED_BYTES);
+        let left = memory_bytes.saturating_sub(others) / 10 * 9;
+        let spare_bytes = left.saturating_sub(buffer_bytes);
+        let urgent_bytes = (spare_bytes / 8).max(MIN_URGENT_BYTES);
         Rc::new(BodyMemory {
             buffers: Arc::new(Semaphore::new(buffer_bytes)),
-            urgent: Arc::new(Semaphore::new(urgent_bytes.max(MIN_URGENT_BYTES))),
+            long_bodies: Arc::new(Semaphore::new(spare_bytes.max(urgent_bytes))),
+            urgent_bytes,
             buffer_bytes,
             max_arrival_use_bytes: buffer_bytes / 2,
             max_spooled_use_bytes: buffer_bytes / 4 * 3,
@@ -71,7 +72,8 @@
     pub fn with_accounts(memory_bytes: usize) -> Rc<Self> {
         Rc::new(BodyMemory {
             buffers: Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)),
-            urgent: Arc::new(Semaphore::new(memory_bytes / 8)),
+            long_bodies: Arc::new(Semaphore::new(memory_bytes / 8)),
+            urgent_bytes: memory_bytes / 8,
             buffer_bytes: Semaphore::MAX_PERMITS,
             max_arrival_use_bytes: Semaphore::MAX_PERMITS,
             max_spooled_use_bytes: memory_bytes / 8,
@@ -98,20 +100,27 @@
 
     /// Extends the reservation of a body that has to be received before its attempt begins.
     pub fn try_urgent(&self, reservation: &mut Reservation, bytes: usize) -> bool {
-        if self.try_spool(reservation, bytes) {
-            return true;
-        }
-        let permit = self.urgent.clone().try_acquire_many_owned(bytes as u32);
-        permit.is_ok_and(|permit| {
-            merge(&mut reservation.urgent, permit);
-            true
-        })
+        self.try_spool(reservation, bytes) || self.try_extend_long(reservation, bytes)
     }
 
     /// Extends the reservation of a body of more than [`MAX_BUFFERED_BYTES`], which leaves memory to others.
     pub fn try_spool(&self, reservation: &mut Reservation, bytes: usize) -> bool {
-        self.bytes_in_use() + bytes <= self.max_spooled_use_bytes
-            && self.try_extend(reservation, bytes)
+        if self.bytes_in_use() + bytes <= self.max_spooled_use_bytes {
+            return self.try_extend(reservation, bytes);
+        }
+        self.long_bodies.available_permits() >= self.urgent_bytes + bytes
+            && self.try_extend_long(reservation, bytes)
+    }
+
+    fn try_extend_long(&self, reservation: &mut Reservation, bytes: usize) -> bool {
+        let permit = self
+            .long_bodies
+            .clone()
+            .try_acquire_many_owned(bytes as u32);
+        permit.is_ok_and(|permit| {
+            merge(&mut reservation.long_bodies, permit);
+            true
+        })
     }
 
     /// Extends a reservation once its turn has come and there is memory.
@@ -138,7 +147,7 @@
 impl Reservation {
     /// Returns the number of reserved bytes.
     pub fn bytes(&self) -> usize {
-        let parts = self.buffers.iter().chain(&self.urgent);
+        let parts = self.buffers.iter().chain(&self.long_bodies);
         parts.map(OwnedSemaphorePermit::num_permits).sum()
     }
 
@@ -148,8 +157,11 @@
         let taken = buffers
             .as_ref()
             .map_or(0, OwnedSemaphorePermit::num_permits);
-        let urgent = split(&mut self.urgent, bytes - taken);
-        Reservation { buffers, urgent }
+        let long_bodies = split(&mut self.long_bodies, bytes - taken);
+        Reservation {
+            buffers,
+            long_bodies,
+        }
     }
 }
 
