Release a request's body with its answer, not with the connection's next request

Callers were refused with 503 for want of memory that answered requests still held.

Cause: the write tracker of an idle connection kept the upload of its latest request; one that was received whole before its attempt began keeps its whole body for a retry, up to 32 MB for each connection.

The test fails before (2 references to the upload in place of 1) and passes after.

--- /dev/null
+++ b/crates/proxy-core/src/memory_queue.rs
@@ -0,0 +1,164 @@
+//! The order in which the long bodies of waiting requests get memory that is short: the oldest first. Shared evenly, the
+//! memory would complete none of them.
+//!
+//! A [`Place`] belongs to one body. It waits in the queue from the time when there was no memory for the body until all
+//! that its client has sent is received. Does no I/O.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use tokio::sync::Notify;
+
+/// The long bodies of a process, and those of them that wait for memory.
+#[derive(Default)]
+pub struct MemoryQueue {
+    next_number: Cell<u64>,
+    /// The number of all bodies.
+    bodies: Cell<usize>,
+    /// The waiting bodies by age.
+    waiters: RefCell<BTreeMap<u64, Rc<Waiter>>>,
+    /// The body that may use the reserve.
+    reserve_holder: Cell<Option<u64>>,
+}
+
+#[derive(Default)]
+struct Waiter {
+    /// Notified when the body becomes the first one or is evicted.
+    changed: Notify,
+    evicted: Cell<bool>,
+}
+
+impl MemoryQueue {
+    /// Creates the place of a body that does not wait yet; later ones rank behind it.
+    pub fn place(self: &Rc<Self>) -> Place {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        self.bodies.set(self.bodies.get() + 1);
+        Place {
+            queue: self.clone(),
+            number,
+            is_waiting: Cell::new(false),
+            waiter: Rc::default(),
+        }
+    }
+
+    /// Returns whether no body waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiters.borrow().is_empty()
+    }
+
+    fn first(&self) -> Option<u64> {
+        let waiters = self.waiters.borrow();
+        waiters.first_key_value().map(|(number, _)| *number)
+    }
+
+    fn notify_first(&self) {
+        if let Some((_, first)) = self.waiters.borrow().first_key_value() {
+            first.changed.notify_one();
+        }
+    }
+}
+
+/// The place of one body. Dropping it leaves the queue.
+pub struct Place {
+    queue: Rc<MemoryQueue>,
+    number: u64,
+    is_waiting: Cell<bool>,
+    waiter: Rc<Waiter>,
+}
+
+impl Place {
+    /// Begins to wait, unless the body waits already.
+    pub fn join(&self) {
+        self.is_waiting.set(true);
+        let mut waiters = self.queue.waiters.borrow_mut();
+        waiters.insert(self.number, self.waiter.clone());
+    }
+
+    /// Stops waiting, so that the next body is the first one.
+    pub fn leave(&self) {
+        if !self.is_waiting.take() {
+            return;
+        }
+        let was_first = self.is_first();
+        self.queue.waiters.borrow_mut().remove(&self.number);
+        if was_first {
+            self.queue.notify_first();
+        }
+    }
+
+    /// Returns whether the body waits.
+    pub fn is_waiting(&self) -> bool {
+        self.is_waiting.get()
+    }
+
+    /// Stops waiting for good, because the body is complete, is sent, or is not needed any more.
+    pub fn finish(&self) {
+        self.leave();
+        if self.queue.reserve_holder.get() == Some(self.number) {
+            self.queue.reserve_holder.set(None);
+        }
+    }
+
+    /// Returns whether the body waits and no older one does.
+    pub fn is_first(&self) -> bool {
+        self.queue.first() == Some(self.number)
+    }
+
+    /// Returns whether the body may use the reserve. One body does until it is finished, so that at least this one is
+    /// completed.
+    pub fn may_use_reserve(&self) -> bool {
+        if self.is_first() && self.queue.reserve_holder.get().is_none() {
+            self.queue.reserve_holder.set(Some(self.number));
+        }
+        self.queue.reserve_holder.get() == Some(self.number)
+    }
+
+    /// Returns whether no older body waits.
+    pub fn has_turn(&self) -> bool {
+        self.queue
+            .first()
+            .is_none_or(|number| self.number <= number)
+    }
+
+    /// Returns whether all long bodies wait, so that none of them will release memory.
+    pub fn all_wait(&self) -> bool {
+        self.queue.bodies.get() == self.queue.waiters.borrow().len()
+    }
+
+    /// Waits until the body may have become the first one, or is evicted.
+    pub async fn changed(&self) {
+        self.waiter.changed.notified().await;
+    }
+
+    /// Evicts a waiting body from the queue: this one, or the youngest.
+    pub fn evict(&self, this: bool) {
+        let mut waiters = self.queue.waiters.borrow_mut();
+        let evicted = if this {
+            waiters.remove(&self.number)
+        } else {
+            waiters.pop_last().map(|(_, waiter)| waiter)
+        };
+        if let Some(waiter) = evicted {
+            waiter.evicted.set(true);
+            waiter.changed.notify_one();
+        }
+    }
+
+    /// Returns whether the body has been evicted since the latest call.
+    pub fn take_eviction(&self) -> bool {
+        let evicted = self.waiter.evicted.take();
+        if evicted {
+            self.is_waiting.set(false);
+        }
+        evicted
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.finish();
+        self.queue.bodies.set(self.queue.bodies.get() - 1);
+    }
+}
--- a/crates/proxy-core/src/upstream.rs
+++ b/crates/proxy-core/src/upstream.rs
@@ -198,6 +198,13 @@
         self.remaining_body_bytes.set(body);
     }
 
+    /// Ends a request that is answered. Releases its body, which an idle connection would keep otherwise.
+    fn end(&self) {
+        self.condition.replace(None);
+        self.upload.replace(None);
+        self.window.replace(None);
+    }
+
     /// Returns whether a write is permitted.
     fn may_write(&self) -> bool {
         let allowed = self.started.get()
@@ -597,7 +604,7 @@
             // The connection is dropped and never reused.
             None => return report(AttemptEvent::Ended(Outcome::TimedOut, None)),
         };
-        tracker.condition.replace(None);
+        tracker.end();
         let ready = reusable
             && matches!(
                 timeout(READY_TIMEOUT, connection.sender.ready()).await,
--- a/crates/proxy-core/tests/unit/upstream.rs
+++ b/crates/proxy-core/tests/unit/upstream.rs
@@ -1,7 +1,24 @@
 //! Unit tests of the write tracker.
+use std::convert::Infallible;
+use std::io::Write;
+use std::rc::Weak;
+
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use tokio::sync::mpsc;
+
 use super::*;
+use crate::body_buffer::BodyBuffer;
 
 fn started_tracker(body: usize) -> (WriteTracker, Rc<Endpoint>, Rc<CancelSignal>) {
+    start_tracker(body, None)
+}
+
+fn start_tracker(
+    body: usize,
+    upload: Option<Rc<Upload>>,
+) -> (WriteTracker, Rc<Endpoint>, Rc<CancelSignal>) {
     let endpoint = Endpoint::new("127.0.0.1:1".parse().expect("valid address"), 0.0);
     let cancel = Rc::new(CancelSignal::default());
     let tracker = WriteTracker::default();
@@ -12,11 +29,43 @@
             start_by: None,
         },
         body,
-        None,
+        upload,
     );
     (tracker, endpoint, cancel)
 }
 
+/// Receives the head of a request and returns its body.
+async fn incoming_body() -> Incoming {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let mut client = std::net::TcpStream::connect(address).expect("a connection");
+    let (server, _) = listener.accept().await.expect("a connection");
+    let (sender, mut bodies) = mpsc::unbounded_channel();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let _ = sender.send(request.into_body());
+        pending::<Result<Response<String>, Infallible>>()
+    });
+    let connection =
+        hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(server), service);
+    tokio::task::spawn_local(connection);
+    let head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n";
+    client.write_all(head).expect("the head is written");
+    bodies.recv().await.expect("a request")
+}
+
+/// Guards against idle connections that keep the memory of bodies that were sent on them.
+#[tokio::test(flavor = "local")]
+async fn a_connection_releases_the_body_of_an_answered_request() {
+    let timeout = Duration::from_secs(1);
+    let beginning = BodyBuffer::new(Some(9));
+    let body = incoming_body().await;
+    let upload = Upload::new(beginning, Some(9), body, timeout, Weak::new());
+    let (tracker, ..) = start_tracker(0, Some(upload.clone()));
+    tracker.end();
+    assert_eq!(Rc::strong_count(&upload), 1);
+}
+
 #[test]
 fn a_request_is_complete_with_its_last_byte_for_any_chunking() {
     let text = b"POST /x HTTP/1.1\r\nA: b\r\n\r\n\r\n\r\nbody";
