Confirm a client whose body waited for memory from its beginning

Callers saw a checkout run for a client that had left while its body of unknown length waited for its first memory.

A client now counts as confirmed from the beginning of the wait, so that what it has sent is received before an attempt.

--- a/crates/proxy-core/src/request_body.rs
+++ b/crates/proxy-core/src/request_body.rs
@@ -65,14 +65,23 @@
         return Err(BodyError::TooLarge);
     }
     let mut buffer = BodyBuffer::new(length);
+    let mut waited_since = None;
     loop {
         // A slow body would occupy an endpoint's slot while it is received, so it is buffered as long as there is memory.
         let is_spooled = buffer.received_bytes() < MAX_SPOOLED_BYTES;
         if !is_spooled || !buffer.try_reserve_next(body_memory) {
             if !buffer.may_be_short() {
-                let upload = Upload::new(buffer, length, body, *timeout, socket.clone());
+                let upload = Upload::new(
+                    buffer,
+                    length,
+                    body,
+                    *timeout,
+                    socket.clone(),
+                    waited_since.unwrap_or_else(Instant::now),
+                );
                 return Ok(RequestContent::Streamed(upload));
             }
+            waited_since = Some(Instant::now());
             if !wait_for_memory(&mut buffer, timeout, body_memory).await {
                 return Err(BodyError::NoMemory(body));
             }
--- a/crates/proxy-core/src/upload.rs
+++ b/crates/proxy-core/src/upload.rs
@@ -95,13 +95,15 @@
 }
 
 impl Upload {
-    /// Creates the body from its beginning and the rest.
+    /// Creates the body from its beginning and the rest. `confirmed_at` is the time at which the client was last known not
+    /// to have left.
     pub fn new(
         mut beginning: BodyBuffer,
         length: Option<u64>,
         rest: Incoming,
         client_timeout: Duration,
         socket: Weak<RefCell<TcpStream>>,
+        confirmed_at: Instant,
     ) -> Rc<Self> {
         Rc::new(Upload {
             received: Cell::new(beginning.received_bytes() as u64),
@@ -113,7 +115,7 @@
             senders: Cell::new(0),
             sender_changed: Notify::new(),
             socket,
-            confirmed_at: Cell::new(Instant::now()),
+            confirmed_at: Cell::new(confirmed_at),
             is_urgent: Cell::new(false),
             partly_sent: Cell::new(false),
             client_lost: Cell::new(false),
--- a/crates/proxy-core/tests/unit/upstream.rs
+++ b/crates/proxy-core/tests/unit/upstream.rs
@@ -60,7 +60,8 @@
     let timeout = Duration::from_secs(1);
     let beginning = BodyBuffer::new(Some(9));
     let body = incoming_body().await;
-    let upload = Upload::new(beginning, Some(9), body, timeout, Weak::new());
+    let now = Instant::now();
+    let upload = Upload::new(beginning, Some(9), body, timeout, Weak::new(), now);
     let (tracker, ..) = start_tracker(0, Some(upload.clone()));
     tracker.end();
     assert_eq!(Rc::strong_count(&upload), 1);
--- a/crates/proxy/tests/long_uploads.rs
+++ b/crates/proxy/tests/long_uploads.rs
@@ -4,7 +4,7 @@
 mod sockets;
 
 use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
@@ -197,6 +197,71 @@
     check_leaving_clients(limits(32, 256), body, Duration::from_secs(5));
 }
 
+/// Guards against a body that waited for memory from its beginning: an attempt began as soon as there was some, although
+/// the client had left meanwhile.
+#[test]
+fn no_attempt_begins_for_a_client_that_left_while_its_body_waited_for_memory() {
+    let leaving = |bytes, chunked| Body {
+        bytes,
+        chunked,
+        bytes_per_second: None,
+    };
+    check_leaving_clients_without_memory(leaving(300_000, true));
+    check_leaving_clients_without_memory(leaving(60_000, false));
+}
+
+/// Sends bodies from clients that leave while they wait for memory that other bodies hold, then releases it, and checks
+/// that no attempt begins for a client that has left.
+fn check_leaving_clients_without_memory(body: Body) {
+    const HOLDERS: usize = 125;
+    const LEAVING: usize = 10;
+    let begins = Begins::default();
+    let endpoint =
+        start_recording_endpoint(&begins, |_, stream| stream.write_all(ok("done").as_bytes()));
+    let (_discovery, proxy) = start_proxy_for(&[endpoint], &limits(32, 1024).setup());
+    // These hold the memory for short bodies until they send their last bytes.
+    let held = steady(65_000, false, 1e9);
+    let begin = |number| {
+        let mut stream = connect(proxy.address);
+        let head = upload_head(&format!("holding-{number}"), &held);
+        let begun = [head.into_bytes(), vec![b'x'; 60_000]].concat();
+        stream.write_all(&begun).expect("the beginning is written");
+        stream
+    };
+    let mut holders: Vec<TcpStream> = (0..HOLDERS).map(begin).collect();
+    thread::sleep(PATIENCE);
+    let leave = |number| {
+        let id = format!("leaving-{number}");
+        let mut stream = connect(proxy.address);
+        let head = upload_head(&id, &body);
+        stream.write_all(head.as_bytes()).expect("a head");
+        body.write(&mut stream, PIECE_BYTES).expect("a body");
+        (id, stream)
+    };
+    let leaving: Vec<_> = (0..LEAVING).map(leave).collect();
+    thread::sleep(PATIENCE);
+    let ids: Vec<String> = leaving.into_iter().map(|(id, _)| id).collect();
+    thread::sleep(2 * PATIENCE);
+    let closed_at = Instant::now() - 2 * PATIENCE;
+    for holder in &mut holders {
+        holder
+            .write_all(&[b'x'; 5_000])
+            .expect("the end is written");
+        thread::sleep(Duration::from_millis(4));
+    }
+    thread::sleep(Duration::from_secs(1)); // late attempts
+    let begins = begins.lock().expect("no panic");
+    let is_late = |id: &&String| {
+        begins
+            .get(*id)
+            .is_some_and(|at| *at > closed_at + LAST_BEGIN)
+    };
+    let late = ids.iter().filter(is_late).count();
+    println!("{body:?}: {} attempts, {late} late", begins.len());
+    assert!(begins.len() >= HOLDERS, "the memory is used again");
+    assert_eq!(late, 0);
+}
+
 /// Guards against an endpoint that reads slowly and is taken for a stalled one, because the system's buffer stays full
 /// for longer than the proxy waits.
 #[test]
