Receive waiting long bodies one after another where memory is short

Cause: waiting bodies shared the memory evenly, so that none could be received up to what its client had sent, which an attempt needs; and attempts took endpoints first and waited for memory then. Evidence: a trace of 85 bodies with 1.5 MB each, 20 attempts, and 27 that waited for 0.3 s at an endpoint and were refused.

Where nothing releases memory, the youngest is refused.

--- a/crates/balancer/src/admission.rs
+++ b/crates/balancer/src/admission.rs
@@ -79,6 +79,7 @@
             body: Body {
                 complete: arrival.body_complete,
                 replayable: true,
+                paused: false,
             },
             attempts: Vec::new(),
             status: Status::default(),
--- a/crates/balancer/src/attempts.rs
+++ b/crates/balancer/src/attempts.rs
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Records whether a body is paused, so that no attempt may begin.
+    pub fn pause_body(&mut self, id: RequestId, paused: bool) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.body.paused = paused;
+        }
+    }
+
     /// Records that a body can't be sent again.
     pub fn discard_body(&mut self, id: RequestId) {
         if let Some(request) = self.requests.get_mut(&id) {
--- a/crates/balancer/src/event.rs
+++ b/crates/balancer/src/event.rs
@@ -53,8 +53,12 @@
     },
     /// The part of a streamed body that was already sent is no longer buffered: the request can't be replayed.
     BodyDiscarded(RequestId),
-    /// The front end has no memory to receive the body of a waiting request, so that it would not notice the client's
-    /// disconnect. No attempt in flight has sent a part of the request.
+    /// The front end has no memory now to receive more of the body of a waiting request, so that it would not notice the
+    /// client's disconnect. No attempt begins before [`Event::BodyResumed`].
+    BodyPaused(RequestId),
+    /// The front end has received all that the client of a waiting request has sent so far.
+    BodyResumed(RequestId),
+    /// The front end has no memory to receive the body of a waiting request, also not in turn. No attempt in flight has sent a part of the request.
     MemoryExhausted(RequestId),
     /// The client has received the beginning of a streamed response: no other answer is possible.
     ResponseStarted {
--- a/crates/balancer/src/forwarding.rs
+++ b/crates/balancer/src/forwarding.rs
@@ -34,7 +34,7 @@
             if window_full && self.open_while_warming == 0 {
                 return;
             }
-            let Some(next) = self.next_queued(&positions, now) else {
+            let Some(next) = self.next_queued(&mut positions, now) else {
                 return;
             };
             let position = &mut positions[next.lane];
@@ -55,11 +55,12 @@
         }
     }
 
-    /// Returns the request with the highest priority among those at the given indices of the lanes.
-    fn next_queued(&mut self, positions: &[usize], now: Millis) -> Option<NextRequest> {
+    /// Returns the request with the highest priority among those at the given indices of the lanes. Advances the indices
+    /// past requests whose bodies are paused.
+    fn next_queued(&mut self, positions: &mut [usize], now: Millis) -> Option<NextRequest> {
         let mut best: Option<NextRequest> = None;
-        for (lane, &position) in positions.iter().enumerate() {
-            let Some(id) = self.queue.request_at(lane, position, &self.requests) else {
+        for (lane, position) in positions.iter_mut().enumerate() {
+            let Some(id) = self.next_unpaused(lane, position) else {
                 continue;
             };
             let priority = self.priority_of(&self.requests[&id], now);
@@ -70,6 +71,16 @@
         best
     }
 
+    fn next_unpaused(&mut self, lane: usize, position: &mut usize) -> Option<RequestId> {
+        loop {
+            let id = self.queue.request_at(lane, *position, &self.requests)?;
+            if !self.requests[&id].body.paused {
+                return Some(id);
+            }
+            *position += 1;
+        }
+    }
+
     fn priority_of(&self, request: &Request, now: Millis) -> f64 {
         let class_latency = self.latency.of_class(request.class);
         priority(request, class_latency, now, &self.settings)
@@ -99,8 +110,11 @@
         };
         let queue = &mut self.endpoints[endpoint].affinity_queue.requests;
         queue.retain(is_queued);
-        let may_receive =
-            |request: &Request| !request.may_have_run() && self.may_receive(endpoint, request, now);
+        let may_receive = |request: &Request| {
+            !request.body.paused
+                && !request.may_have_run()
+                && self.may_receive(endpoint, request, now)
+        };
         let priority = |id: &RequestId| self.priority_of(&self.requests[id], now);
         self.endpoints[endpoint]
             .affinity_queue
--- a/crates/balancer/src/request.rs
+++ b/crates/balancer/src/request.rs
@@ -36,6 +36,8 @@
     pub complete: bool,
     /// True if the complete body can be sent again.
     pub replayable: bool,
+    /// True if the front end does not receive the body, so that no attempt may begin.
+    pub paused: bool,
 }
 
 /// Progress of a request. The flags are independent: a request with a final answer may still have an attempt whose
--- a/crates/balancer/tests/final_answer.rs
+++ b/crates/balancer/tests/final_answer.rs
@@ -125,3 +125,28 @@
     let out = harness.handle(Event::MemoryExhausted(RequestId(1)));
     assert!(matches!(out[..], [Action::Reject { request, .. }] if request == RequestId(1)));
 }
+
+/// Guards against an attempt for a client that has left unseen, because its body is not received.
+#[test]
+fn no_attempt_begins_while_a_body_is_paused() {
+    let mut harness = Harness::new(settings(1), vec![]);
+    for id in 1..=3 {
+        harness.handle(request(id, 1, 3000.0));
+    }
+    harness.handle(Event::BodyPaused(RequestId(1)));
+    harness.handle(Event::BodyPaused(RequestId(2)));
+    let mut out = harness.handle(full_update(vec![endpoint(1), endpoint(2)]));
+    out.extend(harness.advance(50.0));
+    let requests = |out: &[Action]| -> Vec<u64> { forwarded(out).iter().map(|f| f.0).collect() };
+    assert_eq!(requests(&out), [3], "later requests are not delayed");
+    let out = harness.handle(Event::BodyResumed(RequestId(1)));
+    assert_eq!(requests(&out), [1]);
+    let out = harness.advance(4000.0);
+    assert!(
+        out.iter().any(|action| matches!(
+            action,
+            Action::Reject { request, .. } if *request == RequestId(2)
+        )),
+        "a request whose body stays paused is rejected in time"
+    );
+}
--- a/crates/proxy-core/src/body_buffer.rs
+++ b/crates/proxy-core/src/body_buffer.rs
@@ -14,6 +14,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 
 use crate::body_memory::{BodyMemory, MAX_BUFFERED_BYTES, Reservation};
+use crate::memory_queue::Place;
 
 /// The size of a block, which is also that of most other buffers of the process, so that freed ones fit again.
 const BLOCK_BYTES: usize = 8 << 10;
@@ -21,6 +22,7 @@
 const ARRIVAL_STEP_BYTES: usize = 8 << 10;
 /// The unit in which the part of a body beyond [`MAX_BUFFERED_BYTES`] is reserved.
 const SPOOL_STEP_BYTES: usize = 64 << 10;
+
 /// The part of a body that has been received.
 pub struct BodyBuffer {
     /// The announced length of the complete body.
@@ -54,9 +56,11 @@
         self.try_reserve(memory, BodyMemory::try_spool)
     }
 
-    /// Reserves memory for what the next read brings, if there is any at all now.
-    pub fn try_reserve_next_urgently(&mut self, memory: &BodyMemory) -> bool {
-        self.try_reserve(memory, BodyMemory::try_urgent)
+    /// Does the same for the body of a waiting request, in its turn.
+    pub fn try_reserve_next_in_turn(&mut self, memory: &BodyMemory, place: &Place) -> bool {
+        self.try_reserve(memory, |memory, reservation, bytes| {
+            memory.try_in_turn(reservation, bytes, place)
+        })
     }
 
     /// Reserves memory for what the next read brings. `extend` extends the reservation of a body that is not short.
@@ -90,7 +94,7 @@
     }
 
     /// Returns the number of bytes for which memory has been reserved.
-    fn reserved_bytes(&self) -> usize {
+    pub fn reserved_bytes(&self) -> usize {
         self.taken_bytes + self.reservation.bytes()
     }
 
@@ -154,6 +158,11 @@
         BufferedBody::from_blocks(blocks)
     }
 
+    /// Releases what is reserved beyond the received data, once that is taken.
+    pub fn release_unused(&mut self) {
+        self.reservation = Reservation::default();
+    }
+
     /// Returns the received data and releases what is reserved beyond it.
     pub fn into_body(mut self) -> BufferedBody {
         self.take_body()
--- a/crates/proxy-core/src/body_memory.rs
+++ b/crates/proxy-core/src/body_memory.rs
@@ -11,6 +11,8 @@
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+use crate::memory_queue::{MemoryQueue, Place};
+
 /// The size up to which a body is buffered if there is memory: a response up to it is forwarded whole, and a request up
 /// to it is always read before it is forwarded.
 pub const MAX_BUFFERED_BYTES: usize = 64 << 10;
@@ -22,8 +24,8 @@
 const CONNECTION_BYTES: usize = 24 << 10;
 /// The smallest number of bodies of [`MAX_BUFFERED_BYTES`] that a budget has room for.
 const MIN_BUFFERED_BODIES: usize = 16;
-/// The least memory for attempts that are about to begin.
-const MIN_URGENT_BYTES: usize = 512 << 10;
+/// The smallest reserve for long bodies that wait for memory.
+const MIN_RESERVE_BYTES: usize = 512 << 10;
 
 /// The memory budget of all buffered bodies.
 pub struct BodyMemory {
@@ -31,14 +33,18 @@
     buffers: Arc<Semaphore>,
     /// The same, for the parts of bodies beyond [`MAX_BUFFERED_BYTES`] only.
     long_bodies: Arc<Semaphore>,
-    /// The part of that for attempts that are about to begin.
-    urgent_bytes: usize,
+    /// The number of bytes of those.
+    long_body_bytes: usize,
+    /// The part of them for one body at a time that waits for memory.
+    reserve_bytes: usize,
     /// The number of bytes of all buffers.
     buffer_bytes: usize,
     /// The number of bytes in use up to which bodies reserve memory as they arrive.
     max_arrival_use_bytes: usize,
     /// The number of bytes in use up to which bodies of more than [`MAX_BUFFERED_BYTES`] take the memory of all.
     max_spooled_use_bytes: usize,
+    /// The long bodies that wait for memory.
+    queue: Rc<MemoryQueue>,
 }
 
 /// Reserved bytes of the memory for buffered bodies, released when dropped.
@@ -56,14 +62,17 @@
         let others = PROCESS_BYTES + connections * CONNECTION_BYTES;
         let left = memory_bytes.saturating_sub(others) / 10 * 9;
         let spare_bytes = left.saturating_sub(buffer_bytes);
-        let urgent_bytes = (spare_bytes / 8).max(MIN_URGENT_BYTES);
+        let reserve_bytes = (spare_bytes / 2).max(MIN_RESERVE_BYTES);
+        let long_body_bytes = spare_bytes.max(reserve_bytes);
         Rc::new(BodyMemory {
             buffers: Arc::new(Semaphore::new(buffer_bytes)),
-            long_bodies: Arc::new(Semaphore::new(spare_bytes.max(urgent_bytes))),
-            urgent_bytes,
+            long_bodies: Arc::new(Semaphore::new(long_body_bytes)),
+            long_body_bytes,
+            reserve_bytes,
             buffer_bytes,
             max_arrival_use_bytes: buffer_bytes / 2,
             max_spooled_use_bytes: buffer_bytes / 4 * 3,
+            queue: Rc::default(),
         })
     }
 
@@ -73,10 +82,12 @@
         Rc::new(BodyMemory {
             buffers: Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)),
             long_bodies: Arc::new(Semaphore::new(memory_bytes / 8)),
-            urgent_bytes: memory_bytes / 8,
+            long_body_bytes: memory_bytes / 8,
+            reserve_bytes: memory_bytes / 8,
             buffer_bytes: Semaphore::MAX_PERMITS,
             max_arrival_use_bytes: Semaphore::MAX_PERMITS,
             max_spooled_use_bytes: memory_bytes / 8,
+            queue: Rc::default(),
         })
     }
 
@@ -98,17 +109,35 @@
         self.try_extend(reservation, if arrives { bytes } else { rest_bytes })
     }
 
-    /// Extends the reservation of a body that has to be received before its attempt begins.
-    pub fn try_urgent(&self, reservation: &mut Reservation, bytes: usize) -> bool {
-        self.try_spool(reservation, bytes) || self.try_extend_long(reservation, bytes)
+    /// Returns the place of a new long body among those that wait for memory.
+    pub fn place(&self) -> Place {
+        self.queue.place()
     }
 
-    /// Extends the reservation of a body of more than [`MAX_BUFFERED_BYTES`], which leaves memory to others.
+    /// Extends the reservation of a long body whose request waits, in its turn.
+    pub fn try_in_turn(&self, reservation: &mut Reservation, bytes: usize, place: &Place) -> bool {
+        place.has_turn()
+            && (self.try_extend_spooled(reservation, bytes)
+                || (place.may_use_reserve() && self.try_extend_long(reservation, bytes)))
+    }
+
+    /// Returns whether a long body with this many reserved bytes has so much of the memory for long bodies that others
+    /// should not give up theirs for it.
+    pub fn is_large_share(&self, bytes: usize) -> bool {
+        bytes > (self.max_spooled_use_bytes + self.long_body_bytes) / 4 * 3
+    }
+
+    /// Extends the reservation of a body of more than [`MAX_BUFFERED_BYTES`] while none waits for memory.
     pub fn try_spool(&self, reservation: &mut Reservation, bytes: usize) -> bool {
+        self.queue.is_empty() && self.try_extend_spooled(reservation, bytes)
+    }
+
+    /// Extends the reservation of a body of more than [`MAX_BUFFERED_BYTES`], which leaves memory to others.
+    fn try_extend_spooled(&self, reservation: &mut Reservation, bytes: usize) -> bool {
         if self.bytes_in_use() + bytes <= self.max_spooled_use_bytes {
             return self.try_extend(reservation, bytes);
         }
-        self.long_bodies.available_permits() >= self.urgent_bytes + bytes
+        self.long_bodies.available_permits() >= self.reserve_bytes + bytes
             && self.try_extend_long(reservation, bytes)
     }
 
--- a/crates/proxy-core/src/driver.rs
+++ b/crates/proxy-core/src/driver.rs
@@ -32,7 +32,7 @@
 use crate::message::{EndpointResponse, OutboundRequest};
 use crate::note;
 use crate::peers::Peers;
-use crate::upload::Upload;
+use crate::upload::{ReceiveChange, Upload};
 use crate::upstream::{Attempt, AttemptEvent, CancelSignal, Endpoint, Upstreams};
 use crate::vars::{Counters, Gauges, RequestEnd};
 
@@ -255,7 +255,15 @@
                 self.attempt_ended(request, attempt, latency, outcome, response);
             }
             Input::BodyComplete(id) => self.body_complete(id),
-            Input::MemoryExhausted(id) => self.reject_without_memory(id),
+            Input::MemoryExhausted(id) | Input::ReceiveChanged(id, ReceiveChange::Evicted) => {
+                self.reject_without_memory(id);
+            }
+            Input::ReceiveChanged(id, ReceiveChange::Paused) => {
+                self.handle(Event::BodyPaused(id));
+            }
+            Input::ReceiveChanged(id, ReceiveChange::Resumed) => {
+                self.handle(Event::BodyResumed(id));
+            }
             Input::ResponseStarted {
                 request,
                 attempt,
--- a/crates/proxy-core/src/frontend.rs
+++ b/crates/proxy-core/src/frontend.rs
@@ -43,7 +43,7 @@
 use crate::request_body::{self, BodyError};
 use crate::socket_options::{self, UnreadInput, unread_input};
 use crate::stream::{RequestContent, ResponseBody};
-use crate::upload::{self, MAX_BODY_BYTES, Upload};
+use crate::upload::{self, MAX_BODY_BYTES, ReceiveChange, Upload};
 use crate::upstream::Upstreams;
 use crate::vars::RequestEnd;
 
@@ -663,14 +663,19 @@
         upload: Option<&Upload>,
     ) -> Result<Answer, oneshot::error::RecvError> {
         let is_complete = || upload.is_none_or(Upload::is_complete);
-        tokio::select! {
-            biased;
-            answer = &mut receiver => answer,
-            () = self.lifecycle.answer_due(|| self.router.max_deadline(), is_complete) => {
-                pool.inbox.send(Input::AnswerDue(id));
-                receiver.await
+        let _receiving = upload.map(Upload::receiving);
+        loop {
+            tokio::select! {
+                biased;
+                answer = &mut receiver => return answer,
+                () = self.lifecycle.answer_due(|| self.router.max_deadline(), is_complete) => {
+                    pool.inbox.send(Input::AnswerDue(id));
+                    return receiver.await;
+                }
+                change = receive_rest(upload, &pool.body_memory) => {
+                    pool.inbox.send(Input::ReceiveChanged(id, change));
+                }
             }
-            () = receive_rest(upload, &pool.body_memory) => receiver.await,
         }
     }
 
@@ -762,8 +767,8 @@
     }
 }
 
-/// Receives the rest of an upload while its request waits.
-async fn receive_rest(upload: Option<&Upload>, memory: &BodyMemory) {
+/// Receives the rest of an upload while its request waits, until there is a change to report.
+async fn receive_rest(upload: Option<&Upload>, memory: &BodyMemory) -> ReceiveChange {
     match upload {
         Some(upload) => upload.receive_while_waiting(memory).await,
         None => pending().await,
--- a/crates/proxy-core/src/inbox.rs
+++ b/crates/proxy-core/src/inbox.rs
@@ -13,6 +13,7 @@
 use crate::gate::DecisionStamp;
 use crate::hosts::Host;
 use crate::message::{EndpointResponse, OutboundRequest};
+use crate::upload::ReceiveChange;
 use crate::vars::Gauges;
 
 /// Status codes of the final answers.
@@ -40,6 +41,8 @@
     BodyComplete(RequestId),
     /// There is no memory to receive the body of a request, of which nothing has been sent.
     MemoryExhausted(RequestId),
+    /// The body of a request that waits is received in another way than before.
+    ReceiveChanged(RequestId, ReceiveChange),
     /// A response too large to be buffered has begun.
     ResponseStarted {
         request: RequestId,
--- a/crates/proxy-core/src/lib.rs
+++ b/crates/proxy-core/src/lib.rs
@@ -30,6 +30,7 @@
 mod line_writer;
 pub mod load_report;
 mod log;
+pub mod memory_queue;
 mod message;
 mod ops;
 mod peers;
--- a/crates/proxy-core/src/memory_queue.rs
+++ b/crates/proxy-core/src/memory_queue.rs
@@ -106,10 +106,11 @@
         self.queue.first() == Some(self.number)
     }
 
-    /// Returns whether the body may use the reserve. One body does until it is finished, so that at least this one is
-    /// completed.
+    /// Returns whether the body may use the reserve. One body does until it is finished or an older one needs it, so that
+    /// at least one is completed.
     pub fn may_use_reserve(&self) -> bool {
-        if self.is_first() && self.queue.reserve_holder.get().is_none() {
+        let holder = self.queue.reserve_holder.get();
+        if self.is_first() && holder.is_none_or(|holder| self.number < holder) {
             self.queue.reserve_holder.set(Some(self.number));
         }
         self.queue.reserve_holder.get() == Some(self.number)
--- a/crates/proxy-core/src/request_body.rs
+++ b/crates/proxy-core/src/request_body.rs
@@ -15,14 +15,12 @@
 use crate::body_memory::BodyMemory;
 use crate::message::text_response;
 use crate::stream::{RequestContent, ResponseBody};
-use crate::upload::{self, MAX_BODY_BYTES, Upload};
+use crate::upload::{self, MAX_BODY_BYTES, MAX_MEMORY_WAIT, Upload};
 
 /// The time limit for reading the rest of an unneeded request body, so that the client does not miss the answer.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(3);
 /// The largest body that is read completely before it is forwarded.
 const MAX_SPOOLED_BYTES: usize = 2 << 20;
-/// The fraction of a client's timeout for which its request waits for memory for its body before it is rejected.
-const MAX_MEMORY_WAIT: f64 = 0.4;
 
 /// The reason why a request's body was not read.
 pub enum BodyError {
@@ -77,6 +75,7 @@
                     body,
                     *timeout,
                     socket.clone(),
+                    body_memory.place(),
                     waited_since.unwrap_or_else(Instant::now),
                 );
                 return Ok(RequestContent::Streamed(upload));
--- a/crates/proxy-core/src/upload.rs
+++ b/crates/proxy-core/src/upload.rs
@@ -1,7 +1,8 @@
 //! A request body that is sent while it is received. Its beginning is buffered and can be sent again.
 //!
 //! While no attempt sends it, the rest is received as far as there is memory: only the end of what a client has sent
-//! shows that the client has left. Where memory did not suffice, the rest is received before an attempt begins.
+//! shows that the client has left. Where memory did not suffice, the rest is received in turn (`memory_queue`), and an
+//! attempt does not begin before.
 
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
@@ -15,11 +16,12 @@
 use hyper::body::{Body, Frame, Incoming};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::body_buffer::{BodyBuffer, BufferedBody};
 use crate::body_memory::BodyMemory;
-use crate::socket_options::{UnreadInput, unread_input};
+use crate::memory_queue::Place;
+use crate::socket_options::{self, UnreadInput};
 use crate::write_window::{self, WriteWindow};
 
 /// The largest body of a request or a response.
@@ -34,10 +36,15 @@
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(80);
 /// The interval of checks whether a client has not left.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(2);
-/// The longest time for a confirmation.
+/// The longest time for a confirmation, during which the attempt occupies its endpoint.
 const MAX_CONFIRMATION_TIME: Duration = Duration::from_millis(300);
 /// The interval of attempts to reserve memory while there is none.
-const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// The fraction of a client's timeout for which its request waits for memory for its body before another gives up its
+/// own, or it is rejected.
+pub const MAX_MEMORY_WAIT: f64 = 0.4;
+/// The longest wait for memory while all long bodies wait, so that none of them releases any.
+const MAX_MEMORY_DEADLOCK: Duration = Duration::from_millis(100);
 
 /// Returns the longest time that this many bytes of a body may take to arrive.
 pub fn transfer_time(received: usize) -> Duration {
@@ -58,6 +65,17 @@
     ClientLeft,
 }
 
+/// A change in how a body is received while its request waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReceiveChange {
+    /// There is no memory, so that the client's disconnect would not be noticed.
+    Paused,
+    /// All that the client has sent is received.
+    Resumed,
+    /// The body has to give up its memory to an older one.
+    Evicted,
+}
+
 /// A request body that is received while it is sent.
 pub struct Upload {
     /// The buffered beginning, which each attempt sends first. It is released once it can't be sent again.
@@ -78,8 +96,16 @@
     socket: Weak<RefCell<TcpStream>>,
     /// The time at which the client was last known not to have left.
     confirmed_at: Cell<Instant>,
-    /// An attempt waits for the rest to be received.
-    is_urgent: Cell<bool>,
+    /// The body's place among those that wait for memory.
+    place: Place,
+    /// The time since which the client may have sent what is not received for want of memory.
+    held_since: Cell<Option<Instant>>,
+    /// The body waits for memory, as was last returned.
+    is_paused: Cell<bool>,
+    /// The body has given up its memory, so that its request is about to be rejected unless an attempt has just begun.
+    is_evicted: Cell<bool>,
+    /// The time since which there is no memory for the body although it is the first one that waits.
+    stalled_since: Cell<Option<Instant>>,
     /// Part of the rest has been sent, so the request can't be sent again.
     partly_sent: Cell<bool>,
     /// The client has disconnected or sent an invalid body.
@@ -103,6 +129,7 @@
         rest: Incoming,
         client_timeout: Duration,
         socket: Weak<RefCell<TcpStream>>,
+        place: Place,
         confirmed_at: Instant,
     ) -> Rc<Self> {
         Rc::new(Upload {
@@ -116,7 +143,11 @@
             sender_changed: Notify::new(),
             socket,
             confirmed_at: Cell::new(confirmed_at),
-            is_urgent: Cell::new(false),
+            place,
+            held_since: Cell::new(None),
+            is_paused: Cell::new(false),
+            is_evicted: Cell::new(false),
+            stalled_since: Cell::new(None),
             partly_sent: Cell::new(false),
             client_lost: Cell::new(false),
             complete: Cell::new(false),
@@ -184,8 +215,13 @@
     /// Begins to send the body with an attempt; returns its buffered beginning and the sender of the rest.
     pub fn begin_sending(self: &Rc<Self>) -> (BufferedBody, Sender) {
         self.record_progress();
+        self.place.finish();
+        self.is_evicted.set(false);
         self.senders.set(self.senders.get() + 1);
-        let received = self.buffer.borrow_mut().take_body();
+        self.sender_changed.notify_one();
+        let mut buffer = self.buffer.borrow_mut();
+        let received = buffer.take_body();
+        buffer.release_unused();
         let mut prefix = self.prefix.borrow_mut();
         prefix.append(received);
         let sender = Sender {
@@ -195,57 +231,107 @@
         (prefix.clone(), sender)
     }
 
-    /// Receives the rest while no attempt sends it, as far as there is memory.
-    pub async fn receive_while_waiting(&self, memory: &BodyMemory) {
+    /// Returns a guard of the task that receives the rest while the request waits: without it the body does not wait for
+    /// memory.
+    pub fn receiving(&self) -> Receiving<'_> {
+        Receiving(self)
+    }
+
+    /// Receives the rest while no attempt sends it, as far as there is memory, until that changes.
+    pub async fn receive_while_waiting(&self, memory: &BodyMemory) -> ReceiveChange {
         loop {
+            if self.place.take_eviction() {
+                self.is_evicted.set(true);
+                return ReceiveChange::Evicted;
+            }
             if self.is_being_sent() || self.rest.borrow().is_none() {
-                self.sender_changed.notified().await;
-            } else if self.try_reserve_next(memory) {
-                tokio::select! {
-                    () = self.sender_changed.notified() => {}
-                    () = poll_fn(|cx| self.poll_receive(cx)) => {}
-                }
-            } else {
-                let _ = timeout(MEMORY_CHECK_INTERVAL, self.sender_changed.notified()).await;
+                self.place.finish();
+            }
+            let is_paused = self.place.is_waiting();
+            if self.is_paused.replace(is_paused) != is_paused {
+                return if is_paused {
+                    ReceiveChange::Paused
+                } else {
+                    ReceiveChange::Resumed
+                };
             }
+            self.receive_next(memory).await;
+        }
+    }
+
+    async fn receive_next(&self, memory: &BodyMemory) {
+        if self.is_being_sent() || self.is_evicted.get() || self.rest.borrow().is_none() {
+            self.sender_changed.notified().await;
+        } else if self.try_reserve_next(memory) {
+            tokio::select! {
+                () = self.sender_changed.notified() => {}
+                () = self.place.changed() => {}
+                () = poll_fn(|cx| self.poll_receive(cx)) => {}
+            }
+        } else if self.place.is_waiting() {
+            self.wait_for_memory(memory).await;
+        } else {
+            self.held_since.set(Some(Instant::now()));
+            self.place.join();
         }
     }
 
     fn try_reserve_next(&self, memory: &BodyMemory) -> bool {
         let mut buffer = self.buffer.borrow_mut();
-        if self.is_urgent.get() {
-            buffer.try_reserve_next_urgently(memory)
+        buffer.try_reserve_next_in_turn(memory, &self.place)
+    }
+
+    /// Waits until there may be memory. If that lasts for long, the youngest of the waiting requests give up theirs, one
+    /// after another until the first one has enough.
+    async fn wait_for_memory(&self, memory: &BodyMemory) {
+        if !self.place.is_first() {
+            self.stalled_since.set(None);
+            tokio::select! {
+                () = self.sender_changed.notified() => {}
+                () = self.place.changed() => {}
+            }
+            return;
+        }
+        let now = Instant::now();
+        let stalled_since = self.stalled_since.get().unwrap_or(now);
+        self.stalled_since.set(Some(stalled_since));
+        let max_stall = if self.place.all_wait() {
+            MAX_MEMORY_DEADLOCK
         } else {
-            buffer.try_reserve_next(memory)
+            self.timeout.mul_f64(MAX_MEMORY_WAIT)
+        };
+        if now - stalled_since >= max_stall {
+            let is_too_large = memory.is_large_share(self.buffer.borrow().reserved_bytes());
+            self.place.evict(is_too_large);
+        }
+        tokio::select! {
+            () = self.sender_changed.notified() => {}
+            () = self.place.changed() => {}
+            () = sleep(MEMORY_CHECK_INTERVAL) => {}
         }
     }
 
     /// Makes sure before an attempt begins that the client has not left. What it has sent is received first, unless
-    /// the latest confirmation is recent.
+    /// the latest confirmation is recent; this takes no longer than until `deadline`.
     ///
     /// # Errors
     /// The client has left, or there is no memory to find out.
-    pub async fn confirm_client(&self) -> Result<(), Unconfirmed> {
+    pub async fn confirm_client(&self, deadline: Instant) -> Result<(), Unconfirmed> {
         if self.confirmed_at.get().elapsed() < MAX_CONFIRMATION_AGE {
             return Ok(());
         }
-        self.is_urgent.set(true);
-        let result = timeout(MAX_CONFIRMATION_TIME, self.wait_for_confirmation()).await;
-        self.is_urgent.set(false);
+        let end = deadline.min(Instant::now() + MAX_CONFIRMATION_TIME);
+        let result = timeout_at(end, self.wait_for_confirmation()).await;
         result.unwrap_or(Err(Unconfirmed::NoMemory))
     }
 
     async fn wait_for_confirmation(&self) -> Result<(), Unconfirmed> {
         loop {
-            let input = self
-                .socket
-                .upgrade()
-                .map(|socket| unread_input(&socket.borrow()));
-            match input {
-                Some(UnreadInput::None) => break,
-                Some(UnreadInput::Bytes) if self.rest.borrow().is_none() => break,
-                Some(UnreadInput::Bytes) => self.sender_changed.notify_one(),
-                Some(UnreadInput::End) | None => return Err(Unconfirmed::ClientLeft),
+            match self.unread_input() {
+                UnreadInput::None => break,
+                UnreadInput::Bytes if self.rest.borrow().is_none() => break,
+                UnreadInput::Bytes => {}
+                UnreadInput::End => return Err(Unconfirmed::ClientLeft),
             }
             sleep(CONFIRMATION_INTERVAL).await;
         }
@@ -253,13 +339,32 @@
         Ok(())
     }
 
+    fn unread_input(&self) -> UnreadInput {
+        self.socket.upgrade().map_or(UnreadInput::End, |socket| {
+            socket_options::unread_input(&socket.borrow())
+        })
+    }
+
+    /// Records that all that the client has sent is received, if that is so.
+    fn record_if_caught_up(&self) {
+        if self.held_since.get().is_some() && self.unread_input() != UnreadInput::Bytes {
+            self.held_since.set(None);
+            self.stalled_since.set(None);
+            self.place.leave();
+        }
+    }
+
     /// Receives the next piece into the buffer, unless an attempt has begun to send the body.
     fn poll_receive(&self, cx: &mut Context) -> Poll<()> {
         if self.is_being_sent() {
             return Poll::Pending; // the end of the attempt wakes the task
         }
-        if let Some(Ok(data)) = ready!(self.poll_data(cx)) {
-            self.buffer.borrow_mut().add(&data);
+        match self.poll_data(cx) {
+            Poll::Ready(Some(Ok(data))) => self.buffer.borrow_mut().add(&data),
+            Poll::Pending if self.place.is_waiting() == self.is_paused.get() => {
+                return Poll::Pending;
+            }
+            Poll::Ready(_) | Poll::Pending => {}
         }
         Poll::Ready(())
     }
@@ -276,6 +381,7 @@
             };
             let Poll::Ready(frame) = Pin::new(body).poll_frame(cx) else {
                 self.waits_for_client.set(true);
+                self.record_if_caught_up();
                 return Poll::Pending;
             };
             self.record_progress();
@@ -315,8 +421,9 @@
     }
 
     fn record_end(&self) {
-        let received_at = self.received_at.get().unwrap_or_else(Instant::now);
-        self.received_at.set(Some(received_at));
+        let received_at = self.received_at.get().or(self.held_since.get());
+        self.received_at
+            .set(Some(received_at.unwrap_or_else(Instant::now)));
     }
 
     /// Records that all that has been received is passed on.
@@ -328,6 +435,15 @@
     }
 }
 
+/// Ends the wait for memory when dropped.
+pub struct Receiving<'a>(&'a Upload);
+
+impl Drop for Receiving<'_> {
+    fn drop(&mut self) {
+        self.0.place.finish();
+    }
+}
+
 /// Sends the rest of an upload with one attempt.
 pub struct Sender {
     upload: Rc<Upload>,
--- a/crates/proxy-core/src/upstream.rs
+++ b/crates/proxy-core/src/upstream.rs
@@ -36,6 +36,8 @@
 /// The time within which a surplus second response is expected. A later one is detected only if no request has been
 /// sent before it.
 const SETTLE_TIME: Duration = Duration::from_millis(20);
+/// The time before an attempt's deadline at which the client must be confirmed, so that the request can be rejected in time.
+const CONFIRMATION_MARGIN: Duration = Duration::from_millis(20);
 /// The longest wait for a connection to become ready for its next request.
 const READY_TIMEOUT: Duration = Duration::from_secs(1);
 /// The buffer size of a connection, which also limits the head of a response.
@@ -522,7 +524,7 @@
             }
         };
         if let Some(upload) = outbound.body.upload()
-            && let Err(reason) = upload.confirm_client().await
+            && let Err(reason) = upload.confirm_client(deadline - CONFIRMATION_MARGIN).await
         {
             if reason == Unconfirmed::NoMemory {
                 report(AttemptEvent::MemoryExhausted);
--- a/crates/proxy-core/tests/layers.rs
+++ b/crates/proxy-core/tests/layers.rs
@@ -2,8 +2,9 @@
 use std::path::Path;
 
 /// The modules, from the lowest layer up.
-const LAYERS: [&str; 38] = [
+const LAYERS: [&str; 39] = [
     "backoff",
+    "memory_queue",
     "body_memory",
     "body_buffer",
     "bounded_read",
--- a/crates/proxy-core/tests/unit/upstream.rs
+++ b/crates/proxy-core/tests/unit/upstream.rs
@@ -61,7 +61,8 @@
     let beginning = BodyBuffer::new(Some(9));
     let body = incoming_body().await;
     let now = Instant::now();
-    let upload = Upload::new(beginning, Some(9), body, timeout, Weak::new(), now);
+    let place = BodyMemory::new(0, 0).place();
+    let upload = Upload::new(beginning, Some(9), body, timeout, Weak::new(), place, now);
     let (tracker, ..) = start_tracker(0, Some(upload.clone()));
     tracker.end();
     assert_eq!(Rc::strong_count(&upload), 1);
--- a/crates/proxy/tests/long_answers.rs
+++ b/crates/proxy/tests/long_answers.rs
@@ -91,6 +91,7 @@
         bytes,
         chunked: false,
         bytes_per_second: None,
+        client_timeout_seconds: CLIENT_TIMEOUT_SECONDS,
     }
 }
 
@@ -269,6 +270,7 @@
         bytes,
         chunked: false,
         bytes_per_second: Some(LOWEST_RATE),
+        client_timeout_seconds: CLIENT_TIMEOUT_SECONDS,
     }
 }
 
--- a/crates/proxy/tests/long_bodies/mod.rs
+++ b/crates/proxy/tests/long_bodies/mod.rs
@@ -56,8 +56,13 @@
     pub chunked: bool,
     /// `None` if it is written as fast as the peer takes it.
     pub bytes_per_second: Option<f64>,
+    /// The time for which the client waits for an answer.
+    pub client_timeout_seconds: u32,
 }
 
+/// The time for which most clients wait.
+pub const CLIENT_TIMEOUT_SECONDS: u32 = 3;
+
 impl Body {
     /// Returns the line of the head that announces the body.
     pub fn framing(&self) -> String {
@@ -296,7 +301,8 @@
 /// Returns the head of a request that may run once only.
 pub fn upload_head(id: &str, body: &Body) -> String {
     format!(
-        "POST /submit?sid=7f HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nX-Tenant-Id: acme\r\nX-Timeout: 3\r\n{}\r\n\r\n",
+        "POST /submit?sid=7f HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nX-Tenant-Id: acme\r\nX-Timeout: {}\r\n{}\r\n\r\n",
+        body.client_timeout_seconds,
         body.framing()
     )
 }
--- a/crates/proxy/tests/long_uploads.rs
+++ b/crates/proxy/tests/long_uploads.rs
@@ -30,6 +30,7 @@
         bytes,
         chunked,
         bytes_per_second: Some(bytes_per_second),
+        client_timeout_seconds: CLIENT_TIMEOUT_SECONDS,
     }
 }
 
@@ -73,6 +74,20 @@
     check_uploads(limits(32, 1024), body, Duration::from_secs(6));
 }
 
+/// Guards against memory that is shared evenly among bodies which together exceed it: none was complete, and those whose
+/// attempt was about to begin were refused.
+#[test]
+fn long_bodies_that_exceed_the_memory_together_are_served_one_after_another() {
+    let body = Body {
+        client_timeout_seconds: 5,
+        ..steady(4_000_000, true, 4e6)
+    };
+    for limits in [limits(192, 256), limits(32, 256)] {
+        let ends = check_uploads(limits, body, Duration::from_secs(1));
+        assert_eq!(ends.refused, 0, "{ends:?}");
+    }
+}
+
 /// Plays the corners of the limits with bodies of all sizes and rates. `UPLOAD_SWEEP_SECONDS=20` sets how long clients
 /// begin requests in each case; without it, one body of each framing is played for a short while.
 #[test]
@@ -192,6 +207,7 @@
         bytes: 3_000_000,
         chunked: false,
         bytes_per_second: None,
+        client_timeout_seconds: CLIENT_TIMEOUT_SECONDS,
     };
     check_leaving_clients(limits(128, 1024), body, Duration::from_secs(5));
     check_leaving_clients(limits(32, 256), body, Duration::from_secs(5));
@@ -205,6 +221,7 @@
         bytes,
         chunked,
         bytes_per_second: None,
+        client_timeout_seconds: CLIENT_TIMEOUT_SECONDS,
     };
     check_leaving_clients_without_memory(leaving(300_000, true));
     check_leaving_clients_without_memory(leaving(60_000, false));
