Read the whole log of a service before a test looks at its end

Cause: ServiceProcess::wait returned when the process had exited, while the thread that reads its log may have had lines to read. It now waits for that thread, which ends with the log.

--- a/crates/canvascart/tests/hosted/mod.rs
+++ b/crates/canvascart/tests/hosted/mod.rs
@@ -9,7 +9,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex};
-use std::thread;
+use std::thread::{self, JoinHandle};
 
 use sockets::{Backend, BackendAction, LIMIT, Message, ok, read_message, wait_for};
 
@@ -49,6 +49,8 @@
     pub child: Child,
     pub file: PathBuf,
     log: Arc<Mutex<Vec<serde_json::Value>>>,
+    /// Reads the log until the process closes it.
+    log_reader: Option<JoinHandle<()>>,
 }
 
 impl ServiceProcess {
@@ -87,13 +89,18 @@
             BufReader::new(child.stderr.take().unwrap()).lines(),
             log.clone(),
         );
-        thread::spawn(move || {
+        let log_reader = thread::spawn(move || {
             for line in lines.map_while(Result::ok) {
                 let value = serde_json::from_str(&line).unwrap_or(serde_json::Value::String(line));
                 sink.lock().unwrap().push(value);
             }
         });
-        ServiceProcess { child, file, log }
+        ServiceProcess {
+            child,
+            file,
+            log,
+            log_reader: Some(log_reader),
+        }
     }
 
     pub fn logged(&self, message: &str) -> Vec<serde_json::Value> {
@@ -138,12 +145,16 @@
         );
     }
 
+    /// Waits until the service exits and its whole log is read.
     pub fn wait(&mut self) -> ExitStatus {
         let mut status = None;
         wait_for("the service to exit", || {
             status = self.child.try_wait().unwrap();
             status.is_some()
         });
+        if let Some(log_reader) = self.log_reader.take() {
+            log_reader.join().expect("the log is read");
+        }
         status.unwrap()
     }
 }
