Read the rest of an answered request as long as it is sent, or announce the close

Callers who kept sending a long body after an early answer (503) lost their next request on that connection: the answer spoke of no close, and the connection ended.

Cause: the rest was read for 3 s in all and then dropped, upon which the HTTP library closes the connection.

The rest is now read while the client sends it (something in 2 s, 32 kB/s on the whole beyond 3 s). On a related path, answers before the body is read (4xx, no room), the answer says Connection: close; connections with such a rest are not closed as idle.

Both tests fail before (broken pipe while the rest is written; no header) and pass after.

--- a/crates/proxy-core/src/connection.rs
+++ b/crates/proxy-core/src/connection.rs
@@ -63,6 +63,8 @@
     /// Requests that have been read completely, and requests that have been answered.
     requests_read: Cell<u64>,
     requests_answered: Cell<u64>,
+    /// The rest of the current request is read to its end, also after the answer.
+    reads_rest: Cell<bool>,
     /// Memory for what the connection keeps of its input.
     memory: Rc<BodyMemory>,
     /// Bytes received after a request that has no answer yet.
@@ -93,6 +95,7 @@
             rejecting: Cell::new(false),
             requests_read: Cell::new(0),
             requests_answered: Cell::new(0),
+            reads_rest: Cell::new(false),
             pipelined: RefCell::default(),
             head_reservation: RefCell::default(),
             read_waker: RefCell::default(),
@@ -110,6 +113,28 @@
         self.overflowed.get()
     }
 
+    /// Records that a request begins.
+    pub fn request_started(&self) {
+        self.active.set(true);
+        self.reads_rest.set(false);
+    }
+
+    /// Records that the rest of the current request is read to its end, also after the answer.
+    pub fn read_rest(&self) {
+        self.reads_rest.set(true);
+    }
+
+    /// Returns whether a part of the current request, which is being answered, will not be read.
+    pub fn leaves_rest_unread(&self) -> bool {
+        let is_receiving = self.requests_read.get() <= self.requests_answered.get();
+        is_receiving && !self.reads_rest.get()
+    }
+
+    /// Returns whether the rest of a request is still arriving after its answer.
+    pub fn is_receiving_rest(&self) -> bool {
+        self.requests_read.get() < self.requests_answered.get()
+    }
+
     /// Returns whether the connection has a request, or an answer that the socket has not taken whole.
     pub fn is_occupied(&self) -> bool {
         self.active.get() || self.delivery.get() != Delivery::Done
--- a/crates/proxy-core/src/frontend.rs
+++ b/crates/proxy-core/src/frontend.rs
@@ -339,6 +339,7 @@
         let clients = self.clients.borrow();
         let idle = |c: &&Rc<ClientConnection>| {
             !c.active.get()
+                && !c.is_receiving_rest()
                 && (c.answered_before.get() || c.idle_since.get().elapsed() >= first_request_wait)
         };
         let mut idle: Vec<&Rc<ClientConnection>> = clients.values().filter(idle).collect();
@@ -355,7 +356,7 @@
         let service = service_fn(|request| {
             let (frontend, client) = (self.clone(), client.clone());
             async move {
-                client.active.set(true);
+                client.request_started();
                 let receive_deadline = client
                     .receive_deadline(client.head_started.take().unwrap_or_else(Instant::now));
                 let (pool, gate_delay) = frontend.find_pool(&request).await;
@@ -394,6 +395,7 @@
                 };
                 let close_after = over_limit
                     || client.has_overflowed()
+                    || client.leaves_rest_unread()
                     || !frontend
                         .lifecycle
                         .read(|lifecycle, _| lifecycle.keeps_connections_alive());
@@ -555,12 +557,14 @@
         let body = match received {
             Ok(body) => body,
             Err(BodyError::NoMemory(body)) => {
+                client.read_rest();
                 request_body::drain_body(body);
                 return self.reject_without_memory(pool, &parsed).await;
             }
             Err(error) => return error.into_response(),
         };
         let upload = body.upload().cloned();
+        client.read_rest();
         // The input for routing the request again, if that may be needed.
         let routing_input = self
             .router
--- a/crates/proxy-core/src/request_body.rs
+++ b/crates/proxy-core/src/request_body.rs
@@ -4,6 +4,7 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::{Response, StatusCode};
@@ -15,9 +16,9 @@
 use crate::body_memory::BodyMemory;
 use crate::message::text_response;
 use crate::stream::{RequestContent, ResponseBody};
-use crate::upload::{self, MAX_BODY_BYTES, MAX_MEMORY_WAIT, Upload};
+use crate::upload::{self, CLIENT_STALL_TIMEOUT, MAX_BODY_BYTES, MAX_MEMORY_WAIT, Upload};
 
-/// The time limit for reading the rest of an unneeded request body, so that the client does not miss the answer.
+/// The time limit for reading the rest of an unneeded request body, in addition to its transfer time.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(3);
 /// The largest body that is read completely before it is forwarded.
 const MAX_SPOOLED_BYTES: usize = 2 << 20;
@@ -109,16 +110,24 @@
     reserved.is_ok()
 }
 
-/// Reads the rest of the body of an answered request: a client that is still sending would miss the answer if the
-/// connection were closed.
+/// Reads the rest of the body of an answered request.
 pub fn drain_upload(upload: Rc<Upload>) {
     upload.take_rest().into_iter().for_each(drain_body);
 }
 
-/// Reads a body that is not needed.
+/// Reads a body that is not needed, as long as the client sends it. If the connection were closed before, the client
+/// could miss the answer, or its next request could be lost.
 pub fn drain_body(mut body: Incoming) {
+    let begun = Instant::now();
     spawn_local(async move {
-        let all = async { while let Some(Ok(_)) = body.frame().await {} };
-        let _ = timeout(DRAIN_TIMEOUT, all).await;
+        let mut received = 0;
+        while received <= MAX_BODY_BYTES as usize {
+            let end = begun + DRAIN_TIMEOUT + upload::transfer_time(received);
+            let deadline = end.min(Instant::now() + CLIENT_STALL_TIMEOUT);
+            let Ok(Some(Ok(frame))) = timeout_at(deadline, body.frame()).await else {
+                return;
+            };
+            received += frame.data_ref().map_or(0, Bytes::len);
+        }
     });
 }
--- a/crates/proxy-core/src/upload.rs
+++ b/crates/proxy-core/src/upload.rs
@@ -27,7 +27,7 @@
 /// The largest body of a request or a response.
 pub const MAX_BODY_BYTES: u64 = 32 << 20;
 /// The time without data from the client after which a body is aborted.
-const CLIENT_STALL_TIMEOUT: Duration = Duration::from_secs(2);
+pub const CLIENT_STALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// The time for which an endpoint may take nothing of a body that has arrived.
 const ENDPOINT_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// The lowest mean rate at which a body must arrive since its first byte; clients send twice as fast.
--- a/crates/proxy/tests/long_uploads.rs
+++ b/crates/proxy/tests/long_uploads.rs
@@ -309,6 +309,85 @@
     assert_eq!(late, 0);
 }
 
+/// The part of a body that is sent at once, which is more than is read before a request waits for an endpoint.
+const SENT_AT_ONCE_BYTES: usize = 2_500_000;
+
+/// Starts a request with a body of which `rest` has not been sent.
+fn begin_upload(proxy: &Proxy, rest: &Body) -> TcpStream {
+    let mut stream = connect(proxy.address);
+    stream
+        .set_read_timeout(Some(LIMIT))
+        .expect("the timeout is set");
+    let body = Body {
+        bytes: SENT_AT_ONCE_BYTES + rest.bytes,
+        ..*rest
+    };
+    let head = upload_head("r-1", &body).into_bytes();
+    let beginning = [head, vec![b'x'; SENT_AT_ONCE_BYTES]].concat();
+    stream
+        .write_all(&beginning)
+        .expect("the beginning is written");
+    stream
+}
+
+/// Guards against a connection that is closed a fixed time after an early answer, while the client still sends the rest
+/// of its body: the next request on it was lost.
+#[test]
+fn the_next_request_after_an_early_answer_to_a_slow_body_is_answered() {
+    let endpoint = start_refusing_endpoint();
+    let (_discovery, proxy) = start_proxy_for(&[endpoint], &limits(32, 256).setup());
+    let rest = steady(400_000, false, 64e3);
+    let mut stream = begin_upload(&proxy, &rest);
+    let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+    let answer = read_message(&mut reader).expect("an early answer");
+    assert_eq!(answer.status(), 502);
+    assert_ne!(answer.header("connection"), Some("close"));
+    rest.write(&mut stream, PIECE_BYTES)
+        .expect("the rest is written");
+    stream
+        .write_all(page("r-2").as_bytes())
+        .expect("a request is written");
+    assert!(read_message(&mut reader).is_some(), "the second answer");
+}
+
+/// Guards against an early answer without a word of the close that follows, as the body is not read: the client's next
+/// request was lost.
+#[test]
+fn an_early_answer_to_a_body_that_is_not_read_announces_the_close() {
+    let endpoints = start_endpoints();
+    let (_discovery, proxy) = start_proxy_for(&endpoints, &limits(32, 256).setup());
+    for head in [
+        "POST /unknown HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n".to_owned(),
+        upload_head("r-1", &steady(40_000_000, false, 1e6)),
+    ] {
+        let mut stream = connect(proxy.address);
+        stream
+            .write_all(head.as_bytes())
+            .and_then(|()| stream.write_all(&[b'x'; 1000]))
+            .expect("the beginning is written");
+        let answer = read_message(&mut BufReader::new(&stream)).expect("an answer");
+        assert!((400..500).contains(&answer.status()), "{}", answer.status());
+        assert_eq!(answer.header("connection"), Some("close"), "{head}");
+    }
+}
+
+/// Starts an endpoint that fails each request as soon as its head has arrived.
+fn start_refusing_endpoint() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            thread::spawn(move || {
+                let _ = stream.read(&mut [0; 4000]);
+                let _ = stream.write_all(empty("500 Internal Server Error").as_bytes());
+                while stream.read(&mut [0; 4000]).is_ok_and(|read| read > 0) {}
+            });
+        }
+    });
+    address
+}
+
 /// Guards against an endpoint that reads slowly and is taken for a stalled one, because the system's buffer stays full
 /// for longer than the proxy waits.
 #[test]
