Count the time of a request that waits for an endpoint from its last byte

Cause: the decision module counted a waiting request's time from its arrival; from the last byte only once an attempt sent the body. The front end now reports how the body is received (BodyReception: arriving, paused, received), with the time at which the client gives up; while it arrives the request neither expires nor grows more urgent. Attempts tell at most the client's time.

--- a/crates/balancer/src/admission.rs
+++ b/crates/balancer/src/admission.rs
@@ -6,7 +6,7 @@
 use crate::request::{Body, Request, Status};
 use crate::state::State;
 use crate::timing::DEADLINE_MARGIN;
-use crate::types::{ClassId, Idempotency, Key, Millis, RequestId, TenantId};
+use crate::types::{ClassId, Idempotency, Key, Millis, Reception, RequestId, TenantId};
 
 /// Maximum expected queueing delay of an idempotent request if proxies share slots, as a fraction of the latency
 /// objective. Behind a longer queue the request would be rejected anyway, only later.
@@ -66,20 +66,23 @@
         let affinity_key = arrival.key.filter(|_| self.settings.key_affinity);
         let home = affinity_key.and_then(|key| self.home_of(key, now));
         let demand = self.demand(arrival);
+        let latency_objective = demand.latency_objective.min(arrival.timeout);
         Request {
             class: arrival.class.0,
             idempotency: self.settings.classes[arrival.class.0].idempotency,
             max_attempts: self.settings.limits.max_attempts as usize,
             relative_work: demand.relative_work,
             over_quota: !within_quota,
-            objective_at: now + demand.latency_objective.min(arrival.timeout),
+            objective_at: now + latency_objective,
+            latency_objective,
+            timeout: arrival.timeout,
             deadline: now + arrival.timeout,
             key: arrival.key.map_or(0, |key| key.0),
             home,
             body: Body {
                 complete: arrival.body_complete,
                 replayable: true,
-                paused: false,
+                reception: Reception::Received,
             },
             attempts: Vec::new(),
             status: Status::default(),
--- a/crates/balancer/src/attempts.rs
+++ b/crates/balancer/src/attempts.rs
@@ -9,7 +9,7 @@
 use crate::retry::may_repeat;
 use crate::state::State;
 use crate::timing::DEADLINE_MARGIN;
-use crate::types::{LoadReport, Millis, Outcome, RequestId};
+use crate::types::{LoadReport, Millis, Outcome, Reception, RequestId};
 
 /// Time for which an abandoned attempt is assumed to occupy its slot, as a multiple of the class's mean latency.
 const ABANDONED_LATENCY_FACTOR: f64 = 2.0;
@@ -69,6 +69,7 @@
         }
         let objective = self.settings.classes[request.class].latency_objective;
         request.body.complete = true;
+        request.body.reception = Reception::Received;
         request.objective_at = now + objective.min(timeout);
         request.deadline = now + timeout;
         for attempt in &mut request.attempts {
@@ -78,10 +79,20 @@
         }
     }
 
-    /// Records whether a body is paused, so that no attempt may begin.
-    pub fn pause_body(&mut self, id: RequestId, paused: bool) {
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.body.paused = paused;
+    /// Records how a body is received, and when its client gives up.
+    pub fn change_reception(
+        &mut self,
+        id: RequestId,
+        reception: Reception,
+        timeout: Millis,
+        now: Millis,
+    ) {
+        if let Some(request) = self.requests.get_mut(&id)
+            && !request.body.complete
+        {
+            request.body.reception = reception;
+            request.deadline = now + timeout;
+            request.objective_at = request.deadline - (request.timeout - request.latency_objective);
         }
     }
 
--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -71,8 +71,11 @@
             }
             Event::BodyComplete { id, timeout } => state.complete_body(id, timeout, now),
             Event::BodyDiscarded(id) => state.discard_body(id),
-            Event::BodyPaused(id) => state.pause_body(id, true),
-            Event::BodyResumed(id) => state.pause_body(id, false),
+            Event::BodyReception {
+                id,
+                reception,
+                timeout,
+            } => state.change_reception(id, reception, timeout, now),
             Event::MemoryExhausted(id) => state.reject_without_memory(id, out),
             Event::ClientDisconnected(id) => state.finish(id),
             Event::Timer(TICK_TOKEN) => state.tick(now, out),
--- a/crates/balancer/src/endpoint_selection.rs
+++ b/crates/balancer/src/endpoint_selection.rs
@@ -139,7 +139,7 @@
             now,
             warming_only,
             may_probe: idempotent || idempotent_missing,
-            urgent: request.objective_at - now < lead,
+            urgent: request.earliest_objective_at(now) - now < lead,
             home: request.home.filter(|&home| !request.was_sent_to(home)),
         }
     }
--- a/crates/balancer/src/event.rs
+++ b/crates/balancer/src/event.rs
@@ -3,7 +3,8 @@
 use crate::health_snapshot::HealthSnapshot;
 use crate::settings::Settings;
 use crate::types::{
-    ClassId, Endpoint, Key, LoadReport, Millis, Outcome, RequestId, TenantId, UpdateScope,
+    ClassId, Endpoint, Key, LoadReport, Millis, Outcome, Reception, RequestId, TenantId,
+    UpdateScope,
 };
 
 /// Input of the decision module.
@@ -53,11 +54,16 @@
     },
     /// The part of a streamed body that was already sent is no longer buffered: the request can't be replayed.
     BodyDiscarded(RequestId),
-    /// The front end has no memory now to receive more of the body of a waiting request, so that it would not notice the
-    /// client's disconnect. No attempt begins before [`Event::BodyResumed`].
-    BodyPaused(RequestId),
-    /// The front end has received all that the client of a waiting request has sent so far.
-    BodyResumed(RequestId),
+    /// How the body of a request that waits for an attempt is received has changed.
+    BodyReception {
+        /// Identifies the request.
+        id: RequestId,
+        /// State of the body.
+        reception: Reception,
+        /// Time for which the client waits, counted from this event. For a body that is still arriving it includes the
+        /// time that the rest may take.
+        timeout: Millis,
+    },
     /// The front end has no memory to receive the body of a waiting request, also not in turn. No attempt in flight has sent a part of the request.
     MemoryExhausted(RequestId),
     /// The client has received the beginning of a streamed response: no other answer is possible.
--- a/crates/balancer/src/final_answer.rs
+++ b/crates/balancer/src/final_answer.rs
@@ -16,7 +16,7 @@
 use crate::action::Action;
 use crate::request::{Attempt, AttemptState, Request};
 use crate::state::State;
-use crate::types::{DeduplicationScope, Idempotency, Millis, RequestId};
+use crate::types::{DeduplicationScope, Idempotency, Millis, Reception, RequestId};
 
 /// Maximum Retry-After of a rejection beyond the process share before random spreading, as a fraction of the maximum
 /// Retry-After in the settings.
@@ -91,8 +91,11 @@
 
     /// Returns the time by which a request must have its final answer. This is the deadline, or the end of the latency
     /// objective if that is earlier and a late response has no benefit: if late responses earn no priority weight, and
-    /// for queued requests while more requests are queued than in flight.
+    /// for queued requests while more requests are queued than in flight. The objective counts once the body has arrived.
     pub fn answer_by(&self, request: &Request) -> Millis {
+        if request.body.reception == Reception::Arriving {
+            return request.deadline;
+        }
         let class = &self.settings.classes[request.class];
         let overloaded =
             request.status.queued && self.queue.len() > self.in_flight.counted_in_window();
--- a/crates/balancer/src/forwarding.rs
+++ b/crates/balancer/src/forwarding.rs
@@ -7,7 +7,7 @@
 use crate::retry::deduplication;
 use crate::state::State;
 use crate::timing::{DEADLINE_MARGIN, TICK};
-use crate::types::{Idempotency, LoadReport, Millis, RequestId};
+use crate::types::{Idempotency, LoadReport, Millis, Reception, RequestId};
 
 /// Number of queued requests for which no endpoint could be selected after which forwarding stops for the current
 /// event.
@@ -74,7 +74,7 @@
     fn next_unpaused(&mut self, lane: usize, position: &mut usize) -> Option<RequestId> {
         loop {
             let id = self.queue.request_at(lane, *position, &self.requests)?;
-            if !self.requests[&id].body.paused {
+            if self.requests[&id].body.reception != Reception::Paused {
                 return Some(id);
             }
             *position += 1;
@@ -111,7 +111,7 @@
         let queue = &mut self.endpoints[endpoint].affinity_queue.requests;
         queue.retain(is_queued);
         let may_receive = |request: &Request| {
-            !request.body.paused
+            request.body.reception != Reception::Paused
                 && !request.may_have_run()
                 && self.may_receive(endpoint, request, now)
         };
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -98,5 +98,6 @@
 pub use threshold::threshold;
 pub use types::{
     CellId, ClassId, DeduplicationScope, Endpoint, EndpointId, EndpointState, Idempotency, Key,
-    LoadReport, MachineTypeId, Millis, Outcome, RequestId, TenantId, UpdateScope, ZoneId,
+    LoadReport, MachineTypeId, Millis, Outcome, Reception, RequestId, TenantId, UpdateScope,
+    ZoneId,
 };
--- a/crates/balancer/src/queue.rs
+++ b/crates/balancer/src/queue.rs
@@ -121,7 +121,7 @@
 ) -> f64 {
     let class = &settings.classes[request.class];
     let latency = class_latency.max(MIN_LATENCY) * request.relative_work;
-    let slack = request.objective_at - now - latency;
+    let slack = request.earliest_objective_at(now) - now - latency;
     let scale = SLACK_SCALE * class.latency_objective.max(1.0);
     let urgency = (-slack.max(0.0) / scale).exp();
     let weight = if settings.weight_by_work {
--- a/crates/balancer/src/request.rs
+++ b/crates/balancer/src/request.rs
@@ -1,6 +1,6 @@
 //! Records of requests in progress and of their attempts. Makes no decisions.
 
-use crate::types::{Idempotency, LoadReport, Millis};
+use crate::types::{Idempotency, LoadReport, Millis, Reception};
 
 /// Request that has no final answer yet or has attempts in flight.
 pub(crate) struct Request {
@@ -14,8 +14,12 @@
     pub relative_work: f64,
     /// True if the request exceeds its tenant's quota.
     pub over_quota: bool,
-    /// Time until which a response earns the full priority weight.
+    /// Time until which a response earns the full priority weight, unless the body is still arriving.
     pub objective_at: Millis,
+    /// Time between the last byte of the request and `objective_at`.
+    pub latency_objective: Millis,
+    /// Time between the last byte of the request and `deadline`, as of the request's arrival.
+    pub timeout: Millis,
     /// Time at which the client stops waiting.
     pub deadline: Millis,
     /// Affinity key; 0 if the request has none.
@@ -30,14 +34,26 @@
     pub status: Status,
 }
 
+impl Request {
+    /// Returns the time until which a response earns the full priority weight. It is not known while the body arrives,
+    /// as the client's time has not begun: then it is the earliest one.
+    pub fn earliest_objective_at(&self, now: Millis) -> Millis {
+        if self.body.reception == Reception::Arriving {
+            now + self.latency_objective
+        } else {
+            self.objective_at
+        }
+    }
+}
+
 /// State of a request's body.
 pub(crate) struct Body {
     /// True if the complete body arrived with the request, or its last byte has been sent to an endpoint.
     pub complete: bool,
     /// True if the complete body can be sent again.
     pub replayable: bool,
-    /// True if the front end does not receive the body, so that no attempt may begin.
-    pub paused: bool,
+    /// How the front end receives the body.
+    pub reception: Reception,
 }
 
 /// Progress of a request. The flags are independent: a request with a final answer may still have an attempt whose
--- a/crates/balancer/src/types.rs
+++ b/crates/balancer/src/types.rs
@@ -109,6 +109,18 @@
     Failed,
 }
 
+/// How the front end receives the body of a request that waits for an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reception {
+    /// All that the client has sent so far is received. It has not sent the last byte.
+    Arriving,
+    /// The client may have sent what is not received, because there is no memory. A disconnect would not be noticed, so
+    /// that no attempt may begin.
+    Paused,
+    /// The last byte has been received, or nothing is known about it.
+    Received,
+}
+
 /// Result of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -81,6 +81,23 @@
     }
 }
 
+/// Returns a request whose body has not been received completely.
+pub fn streamed_request(id: u64, class: usize, timeout: Millis) -> Event {
+    let mut event = request(id, class, timeout);
+    if let Event::Request { body_complete, .. } = &mut event {
+        *body_complete = false;
+    }
+    event
+}
+
+pub fn body_reception(id: u64, reception: Reception, timeout: Millis) -> Event {
+    Event::BodyReception {
+        id: RequestId(id),
+        reception,
+        timeout,
+    }
+}
+
 pub fn attempt_ended(id: u64, attempt: u32, latency: Millis, outcome: Outcome) -> Event {
     let request_finished = outcome == Outcome::Served;
     Event::AttemptEnded {
--- a/crates/proxy-core/src/driver.rs
+++ b/crates/proxy-core/src/driver.rs
@@ -10,7 +10,7 @@
 
 use balancer::{
     Action, Balancer, CellId, ClassId, EndpointId, EndpointState, Event, HealthSnapshot,
-    MachineTypeId, Millis, Outcome, RequestId, UpdateScope, ZoneId,
+    MachineTypeId, Millis, Outcome, Reception, RequestId, UpdateScope, ZoneId,
 };
 use rustc_hash::FxHashMap;
 use settings::{Names, intern, stable_hash};
@@ -61,6 +61,16 @@
     capture_entry: Option<PendingRecord>,
 }
 
+impl ActiveRequest {
+    /// Returns the time at which the client gives up, if it has sent its last byte by now.
+    fn client_deadline(&self) -> Instant {
+        let upload = self.outbound.body.upload();
+        upload.map_or(self.deadline, |upload| {
+            upload.client_deadline().min(self.deadline)
+        })
+    }
+}
+
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
     Balancer(u64),
@@ -255,14 +265,12 @@
                 self.attempt_ended(request, attempt, latency, outcome, response);
             }
             Input::BodyComplete(id) => self.body_complete(id),
-            Input::MemoryExhausted(id) | Input::ReceiveChanged(id, ReceiveChange::Evicted) => {
-                self.reject_without_memory(id);
-            }
-            Input::ReceiveChanged(id, ReceiveChange::Paused) => {
-                self.handle(Event::BodyPaused(id));
+            Input::MemoryExhausted(id)
+            | Input::ReceiveChanged(id, ReceiveChange::Evicted | ReceiveChange::Stalled) => {
+                self.reject_unreceived(id);
             }
-            Input::ReceiveChanged(id, ReceiveChange::Resumed) => {
-                self.handle(Event::BodyResumed(id));
+            Input::ReceiveChanged(id, ReceiveChange::Reception(reception, deadline)) => {
+                self.change_reception(id, reception, deadline);
             }
             Input::ResponseStarted {
                 request,
@@ -333,10 +341,7 @@
         }
         let answer_deadline = deadline - ANSWER_MARGIN;
         let is_complete = outbound.body.upload().is_none();
-        let remaining = answer_deadline
-            .saturating_duration_since(Instant::now())
-            .as_secs_f64()
-            * 1000.0;
+        let remaining = milliseconds_until(answer_deadline);
         self.requests.insert(
             id,
             ActiveRequest {
@@ -399,8 +404,8 @@
         }
     }
 
-    /// Rejects a request that waits for an endpoint while its client can't be read from.
-    fn reject_without_memory(&mut self, id: RequestId) {
+    /// Rejects a request that waits for an endpoint while nothing of its body can be received.
+    fn reject_unreceived(&mut self, id: RequestId) {
         let is_waiting = |active: &ActiveRequest| {
             let upload = active.outbound.body.upload();
             let has_sent = |u: &Rc<Upload>| u.is_being_sent() || u.is_complete();
@@ -411,6 +416,28 @@
         }
     }
 
+    /// Sets the deadline of a request that waits, by how its body is received.
+    fn change_reception(&mut self, id: RequestId, reception: Reception, deadline: Instant) {
+        let Some(active) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let upload = active.outbound.body.upload();
+        if upload.is_none_or(|upload| upload.is_being_sent()) {
+            return;
+        }
+        active.deadline = deadline;
+        let answer_deadline = deadline - ANSWER_MARGIN;
+        if reception != Reception::Arriving {
+            let timer = Timer::AnswerDeadline(id);
+            self.timers.push(Reverse((answer_deadline, timer)));
+        }
+        self.handle(Event::BodyReception {
+            id,
+            reception,
+            timeout: milliseconds_until(answer_deadline),
+        });
+    }
+
     /// Starts the timeout of a request whose streamed body has been sent completely.
     fn body_complete(&mut self, id: RequestId) {
         let Some(active) = self.requests.get_mut(&id) else {
@@ -421,15 +448,11 @@
         };
         active.deadline = upload.client_deadline();
         let answer_deadline = active.deadline - ANSWER_MARGIN;
-        let remaining = answer_deadline
-            .saturating_duration_since(Instant::now())
-            .as_secs_f64()
-            * 1000.0;
         self.timers
             .push(Reverse((answer_deadline, Timer::AnswerDeadline(id))));
         self.handle(Event::BodyComplete {
             id,
-            timeout: remaining,
+            timeout: milliseconds_until(answer_deadline),
         });
     }
 
@@ -732,9 +755,9 @@
         else {
             return report.finish(Outcome::NotSent, None);
         };
-        let deadline = timeout.map_or(active.deadline, |t| {
-            active
-                .deadline
+        let client_deadline = active.client_deadline();
+        let deadline = timeout.map_or(client_deadline, |t| {
+            client_deadline
                 .min(report.started_at + Duration::from_secs_f64(t.clamp(0.0, 1e9) / 1000.0))
         });
         let upstreams = self.parts.upstreams.clone();
@@ -771,6 +794,10 @@
     }
 }
 
+fn milliseconds_until(time: Instant) -> Millis {
+    time.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0
+}
+
 /// A connection reserved at an endpoint that other tenants also use; released when dropped.
 struct EndpointPermit {
     account: Rc<dyn TenantAccount>,
--- a/crates/proxy-core/src/upload.rs
+++ b/crates/proxy-core/src/upload.rs
@@ -12,6 +12,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use balancer::Reception;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
 use tokio::net::TcpStream;
@@ -68,12 +69,12 @@
 /// A change in how a body is received while its request waits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReceiveChange {
-    /// There is no memory, so that the client's disconnect would not be noticed.
-    Paused,
-    /// All that the client has sent is received.
-    Resumed,
+    /// The body is received in another way, and its client gives up at another time.
+    Reception(Reception, Instant),
     /// The body has to give up its memory to an older one.
     Evicted,
+    /// The client has stopped in the middle of the body.
+    Stalled,
 }
 
 /// A request body that is received while it is sent.
@@ -100,10 +101,10 @@
     place: Place,
     /// The time since which the client may have sent what is not received for want of memory.
     held_since: Cell<Option<Instant>>,
-    /// The body waits for memory, as was last returned.
-    is_paused: Cell<bool>,
-    /// The body has given up its memory, so that its request is about to be rejected unless an attempt has just begun.
-    is_evicted: Cell<bool>,
+    /// How the body is received, as was last returned.
+    reported: Cell<Reception>,
+    /// The body is not received any more, as its request is about to be rejected unless an attempt has just begun.
+    is_given_up: Cell<bool>,
     /// The time since which there is no memory for the body although it is the first one that waits.
     stalled_since: Cell<Option<Instant>>,
     /// Part of the rest has been sent, so the request can't be sent again.
@@ -145,8 +146,8 @@
             confirmed_at: Cell::new(confirmed_at),
             place,
             held_since: Cell::new(None),
-            is_paused: Cell::new(false),
-            is_evicted: Cell::new(false),
+            reported: Cell::new(Reception::Received),
+            is_given_up: Cell::new(false),
             stalled_since: Cell::new(None),
             partly_sent: Cell::new(false),
             client_lost: Cell::new(false),
@@ -216,7 +217,7 @@
     pub fn begin_sending(self: &Rc<Self>) -> (BufferedBody, Sender) {
         self.record_progress();
         self.place.finish();
-        self.is_evicted.set(false);
+        self.is_given_up.set(false);
         self.senders.set(self.senders.get() + 1);
         self.sender_changed.notify_one();
         let mut buffer = self.buffer.borrow_mut();
@@ -241,32 +242,60 @@
     pub async fn receive_while_waiting(&self, memory: &BodyMemory) -> ReceiveChange {
         loop {
             if self.place.take_eviction() {
-                self.is_evicted.set(true);
+                self.is_given_up.set(true);
                 return ReceiveChange::Evicted;
             }
             if self.is_being_sent() || self.rest.borrow().is_none() {
                 self.place.finish();
             }
-            let is_paused = self.place.is_waiting();
-            if self.is_paused.replace(is_paused) != is_paused {
-                return if is_paused {
-                    ReceiveChange::Paused
-                } else {
-                    ReceiveChange::Resumed
-                };
+            let reception = self.reception();
+            if self.is_client_stalled(reception) && !self.is_given_up.replace(true) {
+                return ReceiveChange::Stalled;
+            }
+            if !self.is_being_sent() && self.reported.replace(reception) != reception {
+                return ReceiveChange::Reception(reception, self.client_deadline_at_latest());
             }
             self.receive_next(memory).await;
         }
     }
 
+    /// Returns whether all that has come of the body is received, and nothing has come for too long.
+    fn is_client_stalled(&self, reception: Reception) -> bool {
+        let may_stall = reception == Reception::Arriving && self.waits_for_client.get();
+        may_stall && !self.is_being_sent() && self.stalls_at() <= Instant::now()
+    }
+
+    fn reception(&self) -> Reception {
+        if self.received_at.get().is_some() {
+            Reception::Received
+        } else if self.place.is_waiting() {
+            Reception::Paused
+        } else {
+            Reception::Arriving
+        }
+    }
+
+    /// Returns the latest time at which the client of a waiting request gives up.
+    fn client_deadline_at_latest(&self) -> Instant {
+        let received_at = self.received_at.get().or(self.held_since.get());
+        let latest_end = || {
+            let length = self.length.unwrap_or(MAX_BODY_BYTES);
+            let rest = length.saturating_sub(self.received.get());
+            Instant::now() + transfer_time(rest as usize)
+        };
+        received_at.unwrap_or_else(latest_end) + self.timeout
+    }
+
     async fn receive_next(&self, memory: &BodyMemory) {
-        if self.is_being_sent() || self.is_evicted.get() || self.rest.borrow().is_none() {
+        if self.is_being_sent() || self.is_given_up.get() || self.rest.borrow().is_none() {
             self.sender_changed.notified().await;
         } else if self.try_reserve_next(memory) {
             tokio::select! {
+                biased;
+                () = poll_fn(|cx| self.poll_receive(cx)) => {}
                 () = self.sender_changed.notified() => {}
                 () = self.place.changed() => {}
-                () = poll_fn(|cx| self.poll_receive(cx)) => {}
+                () = sleep(CLIENT_STALL_TIMEOUT) => {}
             }
         } else if self.place.is_waiting() {
             self.wait_for_memory(memory).await;
@@ -361,7 +390,7 @@
         }
         match self.poll_data(cx) {
             Poll::Ready(Some(Ok(data))) => self.buffer.borrow_mut().add(&data),
-            Poll::Pending if self.place.is_waiting() == self.is_paused.get() => {
+            Poll::Pending if self.reception() == self.reported.get() => {
                 return Poll::Pending;
             }
             Poll::Ready(_) | Poll::Pending => {}
--- a/crates/proxy/tests/long_uploads.rs
+++ b/crates/proxy/tests/long_uploads.rs
@@ -330,6 +330,43 @@
     stream
 }
 
+/// Starts a proxy whose only endpoint takes no requests, so that they wait.
+fn start_proxy_without_open_endpoint() -> (Discovery, Proxy, SocketAddr) {
+    let endpoint = start_endpoint(|_, stream| stream.write_all(ok("done").as_bytes()));
+    let discovery = Discovery::new();
+    discovery.publish(&list(1, true, &[host("s-0", endpoint, "draining", 0)]));
+    let proxy = Proxy::up(&discovery, &limits(32, 256).setup());
+    (discovery, proxy, endpoint)
+}
+
+/// Guards against a refusal of a request that waits for an endpoint while its client still sends the body: its time has
+/// not begun.
+#[test]
+fn a_request_waits_for_an_endpoint_while_its_slow_body_arrives() {
+    let (discovery, proxy, endpoint) = start_proxy_without_open_endpoint();
+    let rest = steady(320_000, false, 64e3);
+    let mut stream = begin_upload(&proxy, &rest);
+    rest.write(&mut stream, PIECE_BYTES)
+        .expect("the rest is written");
+    discovery.publish(&list(2, true, &[host("s-0", endpoint, "up", 0)]));
+    let answer = read_message(&mut BufReader::new(&stream)).expect("an answer");
+    assert_eq!(answer.status(), 200);
+}
+
+/// Guards against a client that stops in the middle of its body and is waited for as long as its body may take: it is
+/// owed an error within 3 s.
+#[test]
+fn a_client_that_stops_in_the_middle_of_a_body_that_waits_is_answered_soon() {
+    let (_discovery, proxy, _endpoint) = start_proxy_without_open_endpoint();
+    let mut rest = steady(320_000, false, 64e3);
+    rest.client_timeout_seconds = 20;
+    let stream = begin_upload(&proxy, &rest);
+    let stopped = Instant::now();
+    let answer = read_message(&mut BufReader::new(&stream)).expect("an answer");
+    assert_eq!(answer.status(), 503);
+    assert!(stopped.elapsed() < Duration::from_secs(3));
+}
+
 /// Guards against a connection that is closed a fixed time after an early answer, while the client still sends the rest
 /// of its body: the next request on it was lost.
 #[test]
