Let waiting bodies that fit into the reserve together use it together

Cause: the reserve was for one waiting body at a time, however little it needed and however long it took. Bodies now claim what they still need, as long as all claims fit, so that each can be completed; what is used of the reserve is not kept free once more.

The new test fails on the code before (it has no claims).

--- a/crates/proxy-core/src/body_buffer.rs
+++ b/crates/proxy-core/src/body_buffer.rs
@@ -58,8 +58,11 @@
 
     /// Does the same for the body of a waiting request, in its turn.
     pub fn try_reserve_next_in_turn(&mut self, memory: &BodyMemory, place: &Place) -> bool {
+        let needed_bytes = self.length.map_or(usize::MAX, |length| {
+            length.saturating_sub(self.reserved_bytes())
+        });
         self.try_reserve(memory, |memory, reservation, bytes| {
-            memory.try_in_turn(reservation, bytes, place)
+            memory.try_in_turn(reservation, bytes, needed_bytes, place)
         })
     }
 
--- a/crates/proxy-core/src/body_memory.rs
+++ b/crates/proxy-core/src/body_memory.rs
@@ -35,7 +35,7 @@
     long_bodies: Arc<Semaphore>,
     /// The number of bytes of those.
     long_body_bytes: usize,
-    /// The part of them for one body at a time that waits for memory.
+    /// The part of them for waiting bodies that fit into it together.
     reserve_bytes: usize,
     /// The number of bytes of all buffers.
     buffer_bytes: usize,
@@ -114,11 +114,26 @@
         self.queue.place()
     }
 
-    /// Extends the reservation of a long body whose request waits, in its turn.
-    pub fn try_in_turn(&self, reservation: &mut Reservation, bytes: usize, place: &Place) -> bool {
-        place.has_turn()
-            && (self.try_extend_spooled(reservation, bytes)
-                || (place.may_use_reserve() && self.try_extend_long(reservation, bytes)))
+    /// Extends the reservation of a long body whose request waits, in its turn. The body needs `needed_bytes` in all.
+    pub fn try_in_turn(
+        &self,
+        reservation: &mut Reservation,
+        bytes: usize,
+        needed_bytes: usize,
+        place: &Place,
+    ) -> bool {
+        if !place.has_turn() {
+            return false;
+        }
+        if self.try_extend_spooled(reservation, bytes) {
+            return true;
+        }
+        let extended = place.may_use_reserve(needed_bytes, self.reserve_bytes)
+            && self.try_extend_long(reservation, bytes);
+        if extended {
+            place.record_reserve_use(bytes);
+        }
+        extended
     }
 
     /// Returns whether a long body with this many reserved bytes has so much of the memory for long bodies that others
@@ -137,7 +152,10 @@
         if self.bytes_in_use() + bytes <= self.max_spooled_use_bytes {
             return self.try_extend(reservation, bytes);
         }
-        self.long_bodies.available_permits() >= self.reserve_bytes + bytes
+        let kept_free = self
+            .reserve_bytes
+            .saturating_sub(self.queue.reserve_used_bytes());
+        self.long_bodies.available_permits() >= kept_free + bytes
             && self.try_extend_long(reservation, bytes)
     }
 
--- a/crates/proxy-core/src/memory_queue.rs
+++ b/crates/proxy-core/src/memory_queue.rs
@@ -18,8 +18,14 @@
     bodies: Cell<usize>,
     /// The waiting bodies by age.
     waiters: RefCell<BTreeMap<u64, Rc<Waiter>>>,
-    /// The body that may use the reserve.
-    reserve_holder: Cell<Option<u64>>,
+    /// The claims of bodies to the reserve, by age.
+    reserve_claims: RefCell<BTreeMap<u64, ReserveClaim>>,
+}
+
+/// What a body may use of the reserve.
+struct ReserveClaim {
+    needed_bytes: usize,
+    used_bytes: usize,
 }
 
 #[derive(Default)]
@@ -48,6 +54,12 @@
         self.waiters.borrow().is_empty()
     }
 
+    /// Returns how much of the reserve is in use.
+    pub fn reserve_used_bytes(&self) -> usize {
+        let claims = self.reserve_claims.borrow();
+        claims.values().map(|claim| claim.used_bytes).sum()
+    }
+
     fn first(&self) -> Option<u64> {
         let waiters = self.waiters.borrow();
         waiters.first_key_value().map(|(number, _)| *number)
@@ -96,9 +108,7 @@
     /// Stops waiting for good, because the body is complete, is sent, or is not needed any more.
     pub fn finish(&self) {
         self.leave();
-        if self.queue.reserve_holder.get() == Some(self.number) {
-            self.queue.reserve_holder.set(None);
-        }
+        self.queue.reserve_claims.borrow_mut().remove(&self.number);
     }
 
     /// Returns whether the body waits and no older one does.
@@ -106,14 +116,40 @@
         self.queue.first() == Some(self.number)
     }
 
-    /// Returns whether the body may use the reserve. One body does until it is finished or an older one needs it, so that
-    /// at least one is completed.
-    pub fn may_use_reserve(&self) -> bool {
-        let holder = self.queue.reserve_holder.get();
-        if self.is_first() && holder.is_none_or(|holder| self.number < holder) {
-            self.queue.reserve_holder.set(Some(self.number));
+    /// Returns whether the body, which needs `needed_bytes` more, may use the reserve. Only bodies that fit into it
+    /// together do, so that each of them is completed; a body does until it is finished or an older one needs its part.
+    pub fn may_use_reserve(&self, needed_bytes: usize, reserve_bytes: usize) -> bool {
+        let mut claims = self.queue.reserve_claims.borrow_mut();
+        if claims.contains_key(&self.number) || !self.is_first() {
+            return claims.contains_key(&self.number);
+        }
+        let needed_bytes = needed_bytes.min(reserve_bytes);
+        let fits = |claims: &BTreeMap<u64, ReserveClaim>| {
+            let claimed_bytes: usize = claims.values().map(|claim| claim.needed_bytes).sum();
+            claimed_bytes + needed_bytes <= reserve_bytes
+        };
+        while !fits(&claims) {
+            if claims
+                .last_key_value()
+                .is_none_or(|(youngest, _)| *youngest < self.number)
+            {
+                return false;
+            }
+            claims.pop_last();
+        }
+        let claim = ReserveClaim {
+            needed_bytes,
+            used_bytes: 0,
+        };
+        claims.insert(self.number, claim);
+        true
+    }
+
+    /// Records that the body has used a part of the reserve.
+    pub fn record_reserve_use(&self, bytes: usize) {
+        if let Some(claim) = self.queue.reserve_claims.borrow_mut().get_mut(&self.number) {
+            claim.used_bytes += bytes;
         }
-        self.queue.reserve_holder.get() == Some(self.number)
     }
 
     /// Returns whether no older body waits.
--- a/crates/proxy-core/tests/memory_queue.rs
+++ b/crates/proxy-core/tests/memory_queue.rs
@@ -30,19 +30,47 @@
 
 /// Guards against a reserve that several bodies use up, so that none of them is completed.
 #[test]
-fn one_body_has_the_reserve_until_it_is_finished() {
+fn one_body_of_unknown_length_has_the_reserve_until_it_is_finished() {
+    const RESERVE: usize = 1000;
     let (_queue, [first, second]) = places();
+    let may_use_reserve = |place: &Place| place.may_use_reserve(usize::MAX, RESERVE);
     second.join();
-    assert!(second.may_use_reserve());
+    assert!(may_use_reserve(&second));
     first.join();
-    assert!(first.may_use_reserve(), "it is older");
-    assert!(!second.may_use_reserve(), "it is not first");
-    assert!(first.may_use_reserve());
+    assert!(may_use_reserve(&first), "it is older");
+    assert!(!may_use_reserve(&second), "it is not first");
+    assert!(may_use_reserve(&first));
     first.leave();
-    assert!(second.is_first() && !second.may_use_reserve());
-    assert!(first.may_use_reserve(), "also when it does not wait");
+    assert!(second.is_first() && !may_use_reserve(&second));
+    assert!(may_use_reserve(&first), "also when it does not wait");
     first.finish();
-    assert!(second.may_use_reserve());
+    assert!(may_use_reserve(&second));
+}
+
+/// Guards against a reserve of which one body uses a small part while others, which would fit beside it, are refused.
+#[test]
+fn bodies_that_fit_into_the_reserve_together_share_it() {
+    const RESERVE: usize = 1000;
+    let (_queue, [first, second, third, fourth]) = places();
+    fourth.join();
+    assert!(fourth.may_use_reserve(300, RESERVE));
+    fourth.leave();
+    second.join();
+    assert!(second.may_use_reserve(400, RESERVE));
+    second.leave();
+    third.join();
+    assert!(
+        third.may_use_reserve(400, RESERVE),
+        "it is older than the fourth"
+    );
+    assert!(!fourth.may_use_reserve(300, RESERVE));
+    third.leave();
+    first.join();
+    assert!(first.may_use_reserve(2000, RESERVE), "it is the oldest");
+    assert!(!second.may_use_reserve(400, RESERVE) && !third.may_use_reserve(400, RESERVE));
+    first.finish();
+    fourth.join();
+    assert!(fourth.may_use_reserve(1000, RESERVE));
 }
 
 /// Guards against bodies that wait for each other.
