Refuse a request at its deadline if its attempt has sent nothing of its long body

Cause: the driver failed whatever had no answer at its deadline. A trace of each case shows an attempt in flight for 135 to 350 ms that had not begun to send the body (it waited for a connection). The decision module now gets such requests as unsent and rejects them.

The event MemoryExhausted is now called Unsent.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -76,7 +76,7 @@
                 reception,
                 timeout,
             } => state.change_reception(id, reception, timeout, now),
-            Event::MemoryExhausted(id) => state.reject_without_memory(id, out),
+            Event::Unsent(id) => state.reject_unsent(id, out),
             Event::ClientDisconnected(id) => state.finish(id),
             Event::Timer(TICK_TOKEN) => state.tick(now, out),
             Event::Timer(token) => state.reject_or_fail(answer_timer_request(token), out),
--- a/crates/balancer/src/event.rs
+++ b/crates/balancer/src/event.rs
@@ -64,8 +64,9 @@
         /// time that the rest may take.
         timeout: Millis,
     },
-    /// The front end has no memory to receive the body of a waiting request, also not in turn. No attempt in flight has sent a part of the request.
-    MemoryExhausted(RequestId),
+    /// A request can't be served: there is no memory to receive its body, its client has stopped sending, or its time is
+    /// over. No attempt in flight has sent a part of it, nor will.
+    Unsent(RequestId),
     /// The client has received the beginning of a streamed response: no other answer is possible.
     ResponseStarted {
         /// Identifies the request.
--- a/crates/balancer/src/final_answer.rs
+++ b/crates/balancer/src/final_answer.rs
@@ -10,7 +10,7 @@
 //! | the request is queued, and it is too late for a response by `answer_by` | `admission`, in each tick | `reject_or_fail` |
 //! | an attempt has failed and no retry is allowed | `attempts`, at the end of the attempt | `reject_or_fail` |
 //! | the request is in flight until shortly before `answer_by` | `stall_detection`, by a timer | `reject_or_fail` |
-//! | the request is queued, and there is no memory to receive its body | the front end | `reject_without_memory` |
+//! | the request can't be served, and no attempt in flight has sent a part of it | the front end | `reject_unsent` |
 //! | the front end rejects the request: it exceeds the tenant's share of the process | the front end | `reject_over_process_share` |
 
 use crate::action::Action;
@@ -58,9 +58,9 @@
         self.finish(id);
     }
 
-    /// Gives the final answer of a request whose body can't be received. Its attempts in flight have sent nothing and
-    /// will send nothing, as the front end calls them off with the answer.
-    pub fn reject_without_memory(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    /// Gives the final answer of a request whose attempts in flight have sent nothing and will send nothing, as the front
+    /// end calls them off with the answer.
+    pub fn reject_unsent(&mut self, id: RequestId, out: &mut Vec<Action>) {
         if let Some(request) = self.requests.get_mut(&id) {
             let in_flight = |attempt: &&mut Attempt| attempt.state != AttemptState::Ended;
             for attempt in request.attempts.iter_mut().filter(in_flight) {
--- a/crates/balancer/tests/final_answer.rs
+++ b/crates/balancer/tests/final_answer.rs
@@ -110,9 +110,9 @@
 fn a_queued_request_without_memory_for_its_body_is_rejected_once() {
     let mut harness = Harness::new(settings(1), vec![]);
     harness.handle(request(1, 1, 3000.0));
-    let out = harness.handle(Event::MemoryExhausted(RequestId(1)));
+    let out = harness.handle(Event::Unsent(RequestId(1)));
     assert!(matches!(out[..], [Action::Reject { request, .. }] if request == RequestId(1)));
-    let mut later = harness.handle(Event::MemoryExhausted(RequestId(1)));
+    let mut later = harness.handle(Event::Unsent(RequestId(1)));
     later.extend(harness.advance(4000.0));
     assert_eq!(final_answers(&later), 0);
 }
@@ -122,7 +122,7 @@
 fn a_request_without_memory_for_its_body_is_rejected_while_its_attempt_has_sent_nothing() {
     let mut harness = Harness::new(settings(1), vec![endpoint(1)]);
     assert_eq!(burst(&mut harness, 1, 1).len(), 1);
-    let out = harness.handle(Event::MemoryExhausted(RequestId(1)));
+    let out = harness.handle(Event::Unsent(RequestId(1)));
     assert!(matches!(out[..], [Action::Reject { request, .. }] if request == RequestId(1)));
 }
 
--- a/crates/proxy-core/src/driver.rs
+++ b/crates/proxy-core/src/driver.rs
@@ -267,7 +267,7 @@
             Input::BodyComplete(id) => self.body_complete(id),
             Input::MemoryExhausted(id)
             | Input::ReceiveChanged(id, ReceiveChange::Evicted | ReceiveChange::Stalled) => {
-                self.reject_unreceived(id);
+                self.reject_unsent(id);
             }
             Input::ReceiveChanged(id, ReceiveChange::Reception(reception, deadline)) => {
                 self.change_reception(id, reception, deadline);
@@ -396,23 +396,25 @@
         }
     }
 
-    /// Fails a request that has no answer yet. It may have been executed, so it is not rejected.
+    /// Ends a request that has no answer yet. It is only rejected if no attempt in flight has sent a part of it;
+    /// otherwise it may have been executed and fails.
     fn fail(&mut self, id: RequestId) {
+        self.reject_unsent(id);
         if let Some(response_sender) = self.close(id, STATUS_FAILED) {
             let _ = response_sender.send(Answer::Failed); // a client that has disconnected needs no answer
             self.handle(Event::ClientDisconnected(id));
         }
     }
 
-    /// Rejects a request that waits for an endpoint while nothing of its body can be received.
-    fn reject_unreceived(&mut self, id: RequestId) {
-        let is_waiting = |active: &ActiveRequest| {
+    /// Lets the balancer reject a request with a streamed body if no attempt in flight has sent a part of it.
+    fn reject_unsent(&mut self, id: RequestId) {
+        let is_unsent = |active: &ActiveRequest| {
             let upload = active.outbound.body.upload();
             let has_sent = |u: &Rc<Upload>| u.is_being_sent() || u.is_complete();
             active.response_sender.is_some() && upload.is_some_and(|u| !has_sent(u))
         };
-        if self.requests.get(&id).is_some_and(is_waiting) {
-            self.handle(Event::MemoryExhausted(id));
+        if self.requests.get(&id).is_some_and(is_unsent) {
+            self.handle(Event::Unsent(id));
         }
     }
 
--- a/crates/proxy/tests/long_answers.rs
+++ b/crates/proxy/tests/long_answers.rs
@@ -4,7 +4,7 @@
 mod sockets;
 
 use std::collections::HashMap;
-use std::io::{self, BufReader, Read, Write};
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -177,8 +177,8 @@
     progress: Progress,
 }
 
-/// Reads a whole answer as it arrives. A body with a length only.
-fn read_at_once(address: SocketAddr, id: String, body_bytes: usize) -> Received {
+/// Reads a whole answer as it arrives.
+fn read_at_once(address: SocketAddr, id: String, body: &Body) -> Received {
     let mut stream = connect(address);
     stream
         .write_all(page(&id).as_bytes())
@@ -186,13 +186,15 @@
     let mut reader = BufReader::new(stream);
     let status = read_status(&mut reader).unwrap_or(0);
     let mut progress = Vec::new();
-    let (mut piece, mut received) = ([0; 16 << 10], 0);
-    while status == 200 && received < body_bytes {
-        match reader.read(&mut piece) {
-            Ok(read @ 1..) => received += read,
-            _ => break,
+    if status == 200 && body.chunked {
+        while let Some(size @ 1..) = read_chunk_size(&mut reader) {
+            let is_whole = read_part(&mut reader, size, &mut progress);
+            if !is_whole || reader.read_line(&mut String::new()).is_err() {
+                break;
+            }
         }
-        progress.push((Instant::now(), received));
+    } else if status == 200 {
+        read_part(&mut reader, body.bytes, &mut progress);
     }
     Received {
         id,
@@ -201,16 +203,53 @@
     }
 }
 
+/// Reads a part of a body as it arrives; returns false if the connection ends before.
+fn read_part(reader: &mut impl Read, part_bytes: usize, progress: &mut Progress) -> bool {
+    let received_before = progress.last().map_or(0, |(_, received)| *received);
+    let (mut piece, mut received) = ([0; 16 << 10], 0);
+    while received < part_bytes {
+        let room = piece.len().min(part_bytes - received);
+        match reader.read(&mut piece[..room]) {
+            Ok(read @ 1..) => received += read,
+            _ => return false,
+        }
+        progress.push((Instant::now(), received_before + received));
+    }
+    true
+}
+
+fn read_chunk_size(reader: &mut impl BufRead) -> Option<usize> {
+    let mut line = String::new();
+    reader.read_line(&mut line).ok()?;
+    usize::from_str_radix(line.trim_end(), 16).ok()
+}
+
 /// Returns the longest time between the write of a byte and its arrival.
 fn longest_held_back(written: &Progress, received: &Progress) -> Duration {
-    let arrival = |bytes: usize| received.iter().find(|(_, got)| *got >= bytes);
-    let times = written.iter().map(|(at, bytes)| match arrival(*bytes) {
-        Some((arrived_at, _)) => *arrived_at - *at,
-        None => Duration::MAX,
+    let mut arrivals = received.iter();
+    let mut arrival = arrivals.next();
+    let times = written.iter().map(|(at, bytes)| {
+        while arrival.is_some_and(|(_, got)| got < bytes) {
+            arrival = arrivals.next();
+        }
+        arrival.map_or(Duration::MAX, |(arrived_at, _)| {
+            arrived_at.saturating_duration_since(*at)
+        })
     });
     times.max().unwrap_or_default()
 }
 
+/// The rate of all answers together that a process passes on with a part of its core.
+const MAX_TOTAL_BYTES_PER_SECOND: f64 = 100e6;
+
+/// Returns the number of clients that ask for answers at a time: all, unless their rates exceed what a core can do.
+fn answering_clients(limits: Limits, body: &Body) -> usize {
+    let rate = body.bytes_per_second.unwrap_or(MAX_TOTAL_BYTES_PER_SECOND);
+    limits
+        .clients()
+        .min((MAX_TOTAL_BYTES_PER_SECOND / rate) as usize)
+}
+
 /// Asks for long answers from slow endpoints with all clients at a time, and checks that none is cut off or held back,
 /// and the memory limit.
 fn check_answers(limits: Limits, body: Body, piece_bytes: usize) {
@@ -231,10 +270,10 @@
         .collect();
     let (_discovery, mut proxy) = start_proxy_for(&endpoints, &limits.setup());
     let address = proxy.address;
-    let clients: Vec<_> = (0..limits.clients())
+    let clients: Vec<_> = (0..answering_clients(limits, &body))
         .map(|number| {
             thread::sleep(Duration::from_millis(2));
-            let run = move || read_at_once(address, format!("r-{number}"), body.bytes);
+            let run = move || read_at_once(address, format!("r-{number}"), &body);
             let thread = thread::Builder::new().stack_size(256 << 10);
             thread.spawn(run).expect("a thread starts")
         })
@@ -295,6 +334,38 @@
     check_answers(limits, slow_answer(256 << 10), 1000);
 }
 
+/// Plays answers of all lengths and rates at a corner of the limits if `ANSWER_SWEEP` is set; without it, one in chunks.
+fn check_answers_of_any_length_and_rate(memory_mb: u32, sockets: usize) {
+    let limits = Limits { memory_mb, sockets };
+    let bodies = match std::env::var_os("ANSWER_SWEEP") {
+        Some(_) => sweep_bodies(),
+        None => vec![steady(300_000, true, 256e3)],
+    };
+    for body in bodies {
+        check_answers(limits, body, PIECE_BYTES);
+    }
+}
+
+#[test]
+fn answers_of_any_length_and_rate_pass_at_32_mb_with_256_descriptors() {
+    check_answers_of_any_length_and_rate(32, 256);
+}
+
+#[test]
+fn answers_of_any_length_and_rate_pass_at_32_mb_with_1024_descriptors() {
+    check_answers_of_any_length_and_rate(32, 1024);
+}
+
+#[test]
+fn answers_of_any_length_and_rate_pass_at_192_mb_with_256_descriptors() {
+    check_answers_of_any_length_and_rate(192, 256);
+}
+
+#[test]
+fn answers_of_any_length_and_rate_pass_at_192_mb_with_1024_descriptors() {
+    check_answers_of_any_length_and_rate(192, 1024);
+}
+
 /// Guards against answers that are kept for many slow clients at a time.
 #[test]
 fn long_answers_to_slow_clients_stay_within_the_smallest_limit() {
--- a/crates/proxy/tests/long_bodies/mod.rs
+++ b/crates/proxy/tests/long_bodies/mod.rs
@@ -119,6 +119,38 @@
     }
 }
 
+/// Returns a body that is written at a steady rate.
+pub const fn steady(bytes: usize, chunked: bool, bytes_per_second: f64) -> Body {
+    Body {
+        bytes,
+        chunked,
+        bytes_per_second: Some(bytes_per_second),
+        client_timeout_seconds: CLIENT_TIMEOUT_SECONDS,
+    }
+}
+
+/// Returns bodies of all lengths and rates that arrive within `MAX_SWEEP_TRANSFER_SECONDS`, or as the variable
+/// `SWEEP_BODY` says: `LENGTH,BYTES_PER_SECOND`.
+pub fn sweep_bodies() -> Vec<Body> {
+    const LENGTHS: [usize; 5] = [70_000, 300_000, 1_000_000, 5_000_000, 32_000_000];
+    const RATES: [f64; 4] = [64e3, 256e3, 1e6, 8e6];
+    const MAX_SWEEP_TRANSFER_SECONDS: f64 = 40.0;
+    let both_framings = |bytes, rate| [false, true].map(|chunked| steady(bytes, chunked, rate));
+    if let Ok(text) = std::env::var("SWEEP_BODY") {
+        let (bytes, rate) = text.split_once(',').expect("LENGTH,BYTES_PER_SECOND");
+        let bytes = bytes.parse().expect("a length");
+        return both_framings(bytes, rate.parse().expect("a rate")).into();
+    }
+    let pairs = LENGTHS.into_iter().flat_map(|bytes| {
+        let is_played = move |rate: &f64| bytes as f64 / rate <= MAX_SWEEP_TRANSFER_SECONDS;
+        let rates = RATES.into_iter().filter(is_played);
+        rates.map(move |rate| (bytes, rate))
+    });
+    pairs
+        .flat_map(|(bytes, rate)| both_framings(bytes, rate))
+        .collect()
+}
+
 /// Waits until this many bytes are due at a rate.
 pub fn pace(begun: Instant, bytes: usize, bytes_per_second: f64) {
     let due = begun + Duration::from_secs_f64(bytes as f64 / bytes_per_second);
--- a/crates/proxy/tests/long_uploads.rs
+++ b/crates/proxy/tests/long_uploads.rs
@@ -17,15 +17,6 @@
     Limits { memory_mb, sockets }
 }
 
-const fn steady(bytes: usize, chunked: bool, bytes_per_second: f64) -> Body {
-    Body {
-        bytes,
-        chunked,
-        bytes_per_second: Some(bytes_per_second),
-        client_timeout_seconds: CLIENT_TIMEOUT_SECONDS,
-    }
-}
-
 fn start_endpoints() -> Vec<SocketAddr> {
     let start = |_| {
         start_endpoint(|_, stream| {
@@ -86,7 +77,7 @@
 }
 
 /// Plays bodies of all lengths and rates at a corner of the limits. `UPLOAD_SWEEP_SECONDS=20` sets how long clients begin
-/// requests in each case; without it, one body of each framing is played for a short while.
+/// requests in each case, and `SWEEP_BODY` plays one body; without it, one body of each framing is played for a short while.
 fn check_bodies_of_any_length_and_rate(limits: Limits) {
     let seconds = std::env::var("UPLOAD_SWEEP_SECONDS").ok();
     let seconds = seconds.map(|text| text.parse::<u64>().expect("a number of seconds"));
@@ -103,28 +94,6 @@
     assert!(broken.is_empty(), "{limits:?}: {broken:?}");
 }
 
-/// Returns bodies of all lengths and rates that arrive within `MAX_SWEEP_TRANSFER_SECONDS`, or as the variable
-/// `UPLOAD_SWEEP_BODY` says: `LENGTH,BYTES_PER_SECOND`.
-fn sweep_bodies() -> Vec<Body> {
-    const LENGTHS: [usize; 5] = [70_000, 300_000, 1_000_000, 5_000_000, 32_000_000];
-    const RATES: [f64; 4] = [64e3, 256e3, 1e6, 8e6];
-    const MAX_SWEEP_TRANSFER_SECONDS: f64 = 40.0;
-    let both_framings = |bytes, rate| [false, true].map(|chunked| steady(bytes, chunked, rate));
-    if let Ok(text) = std::env::var("UPLOAD_SWEEP_BODY") {
-        let (bytes, rate) = text.split_once(',').expect("LENGTH,BYTES_PER_SECOND");
-        let bytes = bytes.parse().expect("a length");
-        return both_framings(bytes, rate.parse().expect("a rate")).into();
-    }
-    let pairs = LENGTHS.into_iter().flat_map(|bytes| {
-        let is_played = move |rate: &f64| bytes as f64 / rate <= MAX_SWEEP_TRANSFER_SECONDS;
-        let rates = RATES.into_iter().filter(is_played);
-        rates.map(move |rate| (bytes, rate))
-    });
-    pairs
-        .flat_map(|(bytes, rate)| both_framings(bytes, rate))
-        .collect()
-}
-
 #[test]
 fn bodies_of_any_length_and_rate_stay_within_32_mb_with_256_descriptors() {
     check_bodies_of_any_length_and_rate(limits(32, 256));
@@ -353,6 +322,30 @@
     assert_eq!(answer.status(), 200);
 }
 
+/// Guards against a request that is called failed at the end of its time although no attempt has sent a part of it: a
+/// refusal tells the client that it may send it again.
+#[test]
+fn a_request_whose_attempt_has_sent_nothing_is_refused_at_the_end_of_its_time() {
+    let (unresponsive, _full) = full_listener();
+    let address = unresponsive.local_addr().expect("an address");
+    let setup = Setup {
+        connect_timeout: 5000,
+        ..limits(32, 256).setup()
+    };
+    let discovery = Discovery::new();
+    discovery.publish(&list(1, true, &[host("s-0", address, "draining", 0)]));
+    let proxy = Proxy::up(&discovery, &setup);
+    let mut rest = steady(100_000, false, 8e6);
+    rest.client_timeout_seconds = 2;
+    let mut stream = begin_upload(&proxy, &rest);
+    rest.write(&mut stream, PIECE_BYTES)
+        .expect("the rest is written");
+    thread::sleep(Duration::from_millis(200)); // until the whole body is received
+    discovery.publish(&list(2, true, &[host("s-0", address, "up", 0)]));
+    let answer = read_message(&mut BufReader::new(&stream)).expect("an answer");
+    assert_eq!(answer.status(), 503);
+}
+
 /// Guards against a client that stops in the middle of its body and is waited for as long as its body may take: it is
 /// owed an error within 3 s.
 #[test]
