Say in comments what the shared reserve and the reading of a rest promise

Comments only, after reading the change again: the reserve does not ensure that each body completes once an older one has taken its part, and a rest is read only as long as its client sends it.

--- a/crates/proxy-core/src/body_memory.rs
+++ b/crates/proxy-core/src/body_memory.rs
@@ -114,7 +114,8 @@
         self.queue.place()
     }
 
-    /// Extends the reservation of a long body whose request waits, in its turn. The body needs `needed_bytes` in all.
+    /// Extends the reservation of a long body whose request waits, in its turn. The body needs `needed_bytes`
+    /// more to be complete, of which `bytes` now.
     pub fn try_in_turn(
         &self,
         reservation: &mut Reservation,
--- a/crates/proxy-core/src/connection.rs
+++ b/crates/proxy-core/src/connection.rs
@@ -63,7 +63,7 @@
     /// Requests that have been read completely, and requests that have been answered.
     requests_read: Cell<u64>,
     requests_answered: Cell<u64>,
-    /// The rest of the current request is read to its end, also after the answer.
+    /// The rest of the current request is read as long as the client sends it, also after the answer.
     reads_rest: Cell<bool>,
     /// Memory for what the connection keeps of its input.
     memory: Rc<BodyMemory>,
@@ -119,7 +119,7 @@
         self.reads_rest.set(false);
     }
 
-    /// Records that the rest of the current request is read to its end, also after the answer.
+    /// Records that the rest of the current request is read as long as the client sends it, also after the answer.
     pub fn read_rest(&self) {
         self.reads_rest.set(true);
     }
--- a/crates/proxy-core/src/memory_queue.rs
+++ b/crates/proxy-core/src/memory_queue.rs
@@ -117,7 +117,8 @@
     }
 
     /// Returns whether the body, which needs `needed_bytes` more, may use the reserve. Only bodies that fit into it
-    /// together do, so that each of them is completed; a body does until it is finished or an older one needs its part.
+    /// together do, so that they need not wait for each other. A body does until it is finished or an older one needs its
+    /// part; what it has used by then it keeps.
     pub fn may_use_reserve(&self, needed_bytes: usize, reserve_bytes: usize) -> bool {
         let mut claims = self.queue.reserve_claims.borrow_mut();
         if claims.contains_key(&self.number) || !self.is_first() {
