Log and count why a request or an attempt was not served, and why a connection was closed

Each request that ends without a whole answer and each attempt that is not served has a rate-limited line with the client's id, reason, attempts, the time left and the body's state; node_unserved and node_connections_closed count by reason. The writer thread now always runs, so that an unread log can't hold up requests.

--- a/crates/proxy-core/src/driver.rs
+++ b/crates/proxy-core/src/driver.rs
@@ -30,11 +30,12 @@
 use crate::lifecycle::SharedLifecycle;
 use crate::load_report;
 use crate::message::{EndpointResponse, OutboundRequest};
-use crate::note;
 use crate::peers::Peers;
+use crate::request_end::{EndReason, outcome_name};
 use crate::upload::{ReceiveChange, Upload};
 use crate::upstream::{Attempt, AttemptEvent, CancelSignal, Endpoint, Upstreams};
 use crate::vars::{Counters, Gauges, RequestEnd};
+use crate::{note, note_request};
 
 /// Every answer must be sent this long before the client's deadline.
 const ANSWER_MARGIN: Duration = Duration::from_millis(4);
@@ -139,6 +140,8 @@
     has_full_list: bool,
     /// A placeholder for requests that were not read.
     empty_request: Rc<OutboundRequest>,
+    /// The reason for which the event in progress may end a request.
+    reason: EndReason,
 }
 
 impl Driver {
@@ -154,6 +157,7 @@
             retired: false,
             has_full_list: false,
             empty_request: Rc::new(OutboundRequest::empty()),
+            reason: EndReason::Other,
         }
     }
 
@@ -250,11 +254,12 @@
                 response_sender,
             } => self.reject_not_admitted(id, delay, response_sender),
             Input::ClientDisconnected(id) => {
+                self.reason = EndReason::ClientLeft;
                 if self.close(id, STATUS_CLIENT_CLOSED).is_some() {
                     self.handle(Event::ClientDisconnected(id));
                 }
             }
-            Input::AnswerDue(id) => self.fail(id),
+            Input::AnswerDue(id) => self.fail(id, EndReason::ProcessExit),
             Input::AttemptEnded {
                 request,
                 attempt,
@@ -265,9 +270,12 @@
                 self.attempt_ended(request, attempt, latency, outcome, response);
             }
             Input::BodyComplete(id) => self.body_complete(id),
-            Input::MemoryExhausted(id)
-            | Input::ReceiveChanged(id, ReceiveChange::Evicted | ReceiveChange::Stalled) => {
-                self.reject_unsent(id);
+            Input::MemoryExhausted(id) => self.reject_unsent(id, EndReason::NoMemory),
+            Input::ReceiveChanged(id, ReceiveChange::Evicted) => {
+                self.reject_unsent(id, EndReason::Evicted);
+            }
+            Input::ReceiveChanged(id, ReceiveChange::Stalled) => {
+                self.reject_unsent(id, EndReason::ClientStalled);
             }
             Input::ReceiveChanged(id, ReceiveChange::Reception(reception, deadline)) => {
                 self.change_reception(id, reception, deadline);
@@ -389,7 +397,7 @@
             None => active.deadline,
         };
         if deadline <= Instant::now() + 2 * ANSWER_MARGIN {
-            self.fail(id);
+            self.fail(id, EndReason::Deadline);
         } else if deadline > active.deadline {
             let timer = Timer::AnswerDeadline(id);
             self.timers.push(Reverse((deadline - ANSWER_MARGIN, timer)));
@@ -398,8 +406,9 @@
 
     /// Ends a request that has no answer yet. It is only rejected if no attempt in flight has sent a part of it;
     /// otherwise it may have been executed and fails.
-    fn fail(&mut self, id: RequestId) {
-        self.reject_unsent(id);
+    fn fail(&mut self, id: RequestId, reason: EndReason) {
+        self.reject_unsent(id, reason);
+        self.reason = reason;
         if let Some(response_sender) = self.close(id, STATUS_FAILED) {
             let _ = response_sender.send(Answer::Failed); // a client that has disconnected needs no answer
             self.handle(Event::ClientDisconnected(id));
@@ -407,14 +416,14 @@
     }
 
     /// Lets the balancer reject a request with a streamed body if no attempt in flight has sent a part of it.
-    fn reject_unsent(&mut self, id: RequestId) {
+    fn reject_unsent(&mut self, id: RequestId, reason: EndReason) {
         let is_unsent = |active: &ActiveRequest| {
             let upload = active.outbound.body.upload();
             let has_sent = |u: &Rc<Upload>| u.is_being_sent() || u.is_complete();
             active.response_sender.is_some() && upload.is_some_and(|u| !has_sent(u))
         };
         if self.requests.get(&id).is_some_and(is_unsent) {
-            self.handle(Event::Unsent(id));
+            self.handle_for(Event::Unsent(id), reason);
         }
     }
 
@@ -488,6 +497,9 @@
             return;
         };
         active.attempts_in_flight -= 1;
+        if outcome != Outcome::Served {
+            log_attempt(&active.outbound, attempt, outcome, latency);
+        }
         if let Some(capture_entry) = &mut active.capture_entry {
             capture_entry.attempt_ended(attempt, outcome);
         }
@@ -506,6 +518,7 @@
                 load,
             });
         }
+        self.reason = EndReason::ClientLeft;
         if upload.is_some_and(|u| u.is_client_lost())
             && self.close(request, STATUS_CLIENT_CLOSED).is_some()
         {
@@ -517,6 +530,7 @@
                 Outcome::Cancelled => STATUS_CLIENT_CLOSED,
                 _ => STATUS_FAILED,
             };
+            self.reason = EndReason::ResponseEnded(outcome);
             self.close(request, code);
             return self.handle(Event::AttemptEnded {
                 request,
@@ -556,6 +570,10 @@
                 _ => RequestEnd::Errored,
             };
             self.parts.counts.request_ended(class.0, end);
+            if code != STATUS_SERVED {
+                self.parts.counts.request_unserved(self.reason);
+                log_end(active, code, self.reason);
+            }
         }
         if let (Some(capture), Some(capture_entry)) =
             (&self.parts.capture, active.capture_entry.take())
@@ -668,6 +686,19 @@
     }
 
     fn handle(&mut self, event: Event) {
+        let reason = match &event {
+            Event::Request { .. } => EndReason::Arrival,
+            Event::Timer(_) => EndReason::AnswerDue,
+            Event::AttemptEnded { outcome, .. } => EndReason::AttemptEnded(*outcome),
+            Event::ProcessShareExceeded { .. } => EndReason::ProcessShare,
+            _ => EndReason::Other,
+        };
+        self.handle_for(event, reason);
+    }
+
+    /// Passes an event to the balancer. `reason` is that of requests which end by it.
+    fn handle_for(&mut self, event: Event, reason: EndReason) {
+        self.reason = reason;
         let now = self.parts.clock.now();
         let mut actions = std::mem::take(&mut self.actions);
         self.state
@@ -796,6 +827,37 @@
     }
 }
 
+/// Returns the id that the client gave a request.
+fn client_id(outbound: &OutboundRequest) -> &str {
+    let id = outbound.headers.get("x-request-id");
+    id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+}
+
+/// Logs the end of a request that was not served.
+fn log_end(active: &ActiveRequest, code: u16, reason: EndReason) {
+    note_request!(
+        "request ended id={} code={code} reason={} attempts={} left_ms={:.0} body={}",
+        client_id(&active.outbound),
+        reason.name(),
+        active.attempts,
+        milliseconds_until(active.deadline),
+        active
+            .outbound
+            .body
+            .upload()
+            .map_or("read", |u| u.state_name()),
+    );
+}
+
+/// Logs the end of an attempt that was not served.
+fn log_attempt(outbound: &OutboundRequest, attempt: u32, outcome: Outcome, latency: Millis) {
+    note_request!(
+        "attempt ended id={} attempt={attempt} outcome={} after_ms={latency:.0}",
+        client_id(outbound),
+        outcome_name(outcome),
+    );
+}
+
 fn milliseconds_until(time: Instant) -> Millis {
     time.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0
 }
--- a/crates/proxy-core/src/frontend.rs
+++ b/crates/proxy-core/src/frontend.rs
@@ -38,14 +38,14 @@
 use crate::message::{
     OutboundRequest, ResponseContent, origin_form, strip_hop_by_hop, text_response,
 };
-use crate::note;
 use crate::pool::{Pool, RequestHead};
 use crate::request_body::{self, BodyError};
 use crate::socket_options::{self, UnreadInput, unread_input};
 use crate::stream::{RequestContent, ResponseBody};
 use crate::upload::{self, MAX_BODY_BYTES, ReceiveChange, Upload};
 use crate::upstream::Upstreams;
-use crate::vars::RequestEnd;
+use crate::vars::{CloseReason, RequestEnd};
+use crate::{note, note_request};
 
 /// The time without I/O after which a connection with an active request or an undelivered answer is closed, in addition
 /// to the longest deadline.
@@ -111,6 +111,9 @@
 
     /// Closes idle connections to endpoints, because the process has run out of descriptors.
     fn close_idle_connections(&self);
+
+    /// Counts a client's connection that the proxy closes.
+    fn connection_closed(&self, _reason: CloseReason) {}
 }
 
 impl RouteError {
@@ -149,6 +152,10 @@
     fn close_idle_connections(&self) {
         self.upstreams.close_longest_idle();
     }
+
+    fn connection_closed(&self, reason: CloseReason) {
+        self.pool.counts.connection_closed(reason);
+    }
 }
 
 /// State shared by all connections of one listener.
@@ -465,10 +472,12 @@
                         }
                         // An answer that the client does not read would keep the socket open for ever.
                         if client.is_occupied() && last_io + STALLED_CLIENT_TIMEOUT + self.router.max_deadline() <= now {
+                            self.connection_closes(CloseReason::Stalled);
                             break false;
                         }
                         let timed_out = close_deadline.is_none() && client.next_check() <= now;
                         if timed_out && client.head_started.get().is_some() {
+                            self.connection_closes(CloseReason::HeadLate);
                             break false; // the head is late
                         }
                         timed_out
@@ -485,6 +494,7 @@
                     || client.next_check() + IDLE_TIMEOUT <= now
                 {
                     connection.as_mut().graceful_shutdown();
+                    self.connection_closes(CloseReason::Idle);
                     close_deadline = Some(now + CLOSE_TIMEOUT);
                 } else {
                     next_close_attempt = now + IDLE_CHECK_INTERVAL;
@@ -496,6 +506,14 @@
         }
     }
 
+    /// Counts and logs that the proxy closes a connection.
+    fn connection_closes(&self, reason: CloseReason) {
+        self.router.connection_closed(reason);
+        if reason != CloseReason::Idle {
+            note_request!("connection closed reason={}", reason.name());
+        }
+    }
+
     /// Finds a request's pool after it has passed the gate; also returns the retry delay in ms if the gate is closed.
     async fn find_pool<B>(
         &self,
--- a/crates/proxy-core/src/lib.rs
+++ b/crates/proxy-core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod pool;
 pub mod process;
 mod request_body;
+mod request_end;
 pub mod service;
 mod socket_options;
 mod stream;
@@ -45,4 +46,4 @@
 mod vars;
 mod write_window;
 
-use log::note;
+use log::{note, note_request};
--- a/crates/proxy-core/src/log.rs
+++ b/crates/proxy-core/src/log.rs
@@ -36,14 +36,28 @@
 
 const MAX_LINES_PER_SECOND: u32 = 20; // further lines are counted and left out
 
+/// The start of the present second and the lines in it.
+type Window = Cell<(Option<Instant>, u32)>;
+
 thread_local! {
-    static WINDOW: Cell<(Option<Instant>, u32)> = const { Cell::new((None, 0)) };
+    static WINDOW: Window = const { Cell::new((None, 0)) };
+    /// Lines on single requests have a limit of their own, so that a flood of them leaves the others.
+    static REQUEST_WINDOW: Window = const { Cell::new((None, 0)) };
 }
 
 /// Writes a line unless the limit of this second is reached.
 pub fn line(text: Arguments) {
+    WINDOW.with(|window| limited_line(window, text));
+}
+
+/// Writes a line on a request unless the limit of such lines is reached in this second.
+pub fn request_line(text: Arguments) {
+    REQUEST_WINDOW.with(|window| limited_line(window, text));
+}
+
+fn limited_line(window: &Window, text: Arguments) {
     let now = Instant::now();
-    let (since, count) = WINDOW.get();
+    let (since, count) = window.get();
     let (since, count) = match since {
         Some(since) if now - since < Duration::from_secs(1) => (since, count + 1),
         _ => {
@@ -56,7 +70,7 @@
             (now, 1)
         }
     };
-    WINDOW.set((Some(since), count));
+    window.set((Some(since), count));
     if count <= MAX_LINES_PER_SECOND {
         write(text);
     }
@@ -112,3 +126,9 @@
     ($($part:tt)*) => { $crate::log::line(format_args!($($part)*)) };
 }
 pub(crate) use note;
+
+/// Writes a formatted log line on a request, with the rate limit of such lines.
+macro_rules! note_request {
+    ($($part:tt)*) => { $crate::log::request_line(format_args!($($part)*)) };
+}
+pub(crate) use note_request;
--- a/crates/proxy-core/src/process.rs
+++ b/crates/proxy-core/src/process.rs
@@ -127,6 +127,8 @@
         let what = what.to_owned();
         move |e: io::Error| format!("{what}: {e}")
     };
+    // No reader of the log may hold up requests.
+    log::start_writer_thread().map_err(at("log"))?;
     let mut term = signal(SignalKind::terminate()).map_err(at("SIGTERM"))?;
     let mut hup = signal(SignalKind::hangup()).map_err(at("SIGHUP"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(at("SIGINT"))?;
--- a/crates/proxy-core/src/upload.rs
+++ b/crates/proxy-core/src/upload.rs
@@ -179,6 +179,21 @@
         self.complete.get()
     }
 
+    /// Returns the name of the body's state for the log.
+    pub fn state_name(&self) -> &'static str {
+        if self.complete.get() {
+            "sent"
+        } else if self.is_being_sent() {
+            "sending"
+        } else if self.received_at.get().is_some() {
+            "received"
+        } else if self.place.is_waiting() {
+            "paused"
+        } else {
+            "arriving"
+        }
+    }
+
     /// Waits until the last byte has been passed on.
     pub async fn wait_until_complete(&self) {
         while !self.complete.get() {
--- a/crates/proxy-core/src/vars.rs
+++ b/crates/proxy-core/src/vars.rs
@@ -2,8 +2,11 @@
 //! of the present state. Requests are counted by result when they end.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 
+use crate::request_end::EndReason;
+
 /// Result of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestEnd {
@@ -30,6 +33,38 @@
     attempts_sent: Cell<u64>,
     configurations_loaded: Cell<u64>,
     configurations_invalid: Cell<u64>,
+    /// Requests that ended without a whole response, by the name of the reason.
+    unserved: RefCell<BTreeMap<&'static str, u64>>,
+    /// Client connections that the proxy closed, by the name of the reason.
+    connections_closed: RefCell<BTreeMap<&'static str, u64>>,
+}
+
+/// The reason for which the proxy closes a client's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// The connection was idle, or the process ends or is short of descriptors.
+    Idle,
+    /// The head of a request is late.
+    HeadLate,
+    /// The client takes nothing of its answer, or sends nothing.
+    Stalled,
+}
+
+impl CloseReason {
+    const ALL: [CloseReason; 3] = [
+        CloseReason::Idle,
+        CloseReason::HeadLate,
+        CloseReason::Stalled,
+    ];
+
+    /// Returns the name in the log and in the metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            CloseReason::Idle => "idle",
+            CloseReason::HeadLate => "head-late",
+            CloseReason::Stalled => "stalled",
+        }
+    }
 }
 
 /// Gauges of the present state.
@@ -69,6 +104,17 @@
         }
     }
 
+    /// Counts a request that ended without a whole response.
+    pub fn request_unserved(&self, reason: EndReason) {
+        *self.unserved.borrow_mut().entry(reason.name()).or_default() += 1;
+    }
+
+    /// Counts a client connection that the proxy closes.
+    pub fn connection_closed(&self, reason: CloseReason) {
+        let mut closed = self.connections_closed.borrow_mut();
+        *closed.entry(reason.name()).or_default() += 1;
+    }
+
     /// Counts an attempt that has been written completely.
     pub fn attempt_sent(&self) {
         self.attempts_sent.set(self.attempts_sent.get() + 1);
@@ -134,10 +180,37 @@
         ] {
             let _ = write!(text, "# TYPE {name} {kind}\n{name} {value}\n");
         }
+        let close_names = CloseReason::ALL.map(CloseReason::name);
+        write_reasons(
+            &mut text,
+            "node_unserved",
+            &EndReason::NAMES,
+            &self.unserved.borrow(),
+        );
+        write_reasons(
+            &mut text,
+            "node_connections_closed",
+            &close_names,
+            &self.connections_closed.borrow(),
+        );
         text
     }
 }
 
+/// Appends a counter for each reason.
+fn write_reasons(
+    text: &mut String,
+    name: &str,
+    reasons: &[&str],
+    counts: &BTreeMap<&'static str, u64>,
+) {
+    let _ = writeln!(text, "# TYPE {name} counter");
+    for reason in reasons {
+        let count = counts.get(reason).copied().unwrap_or_default();
+        let _ = writeln!(text, "{name}{{reason=\"{reason}\"}} {count}");
+    }
+}
+
 /// Escapes a label value for the Prometheus text format.
 fn escape_label(value: &str) -> String {
     value
--- a/crates/proxy-core/tests/layers.rs
+++ b/crates/proxy-core/tests/layers.rs
@@ -2,7 +2,7 @@
 use std::path::Path;
 
 /// The modules, from the lowest layer up.
-const LAYERS: [&str; 39] = [
+const LAYERS: [&str; 40] = [
     "backoff",
     "memory_queue",
     "body_memory",
@@ -26,6 +26,7 @@
     "message",
     "exchange",
     "request_body",
+    "request_end",
     "vars",
     "inbox",
     "load_report",
