Look at the client's socket before an attempt begins

Cause: only the connection's own task noticed the end of the client's stream, when it next read; an attempt over a kept connection is written in the same turn, or while unread bytes stand before the end.

Before its first byte an attempt asks the client's socket. poll shows an end behind unread bytes; where the system has not received the end yet, the bytes are received first.

--- a/crates/proxy-core/src/connection.rs
+++ b/crates/proxy-core/src/connection.rs
@@ -75,6 +75,8 @@
     read_waker: RefCell<Option<Waker>>,
     /// More bytes followed than are buffered, so the connection is closed after the answer.
     overflowed: Cell<bool>,
+    /// The client has left; what it has sent behind the current request is not read.
+    departed: Cell<bool>,
 }
 
 impl ClientConnection {
@@ -100,6 +102,7 @@
             head_reservation: RefCell::default(),
             read_waker: RefCell::default(),
             overflowed: Cell::new(false),
+            departed: Cell::new(false),
         }
     }
 
@@ -113,6 +116,16 @@
         self.overflowed.get()
     }
 
+    /// Records that the client has left.
+    pub fn record_departure(&self) {
+        self.departed.set(true);
+    }
+
+    /// Returns whether the client is known to have left.
+    pub fn has_departed(&self) -> bool {
+        self.departed.get()
+    }
+
     /// Records that a request begins.
     pub fn request_started(&self) {
         self.active.set(true);
--- a/crates/proxy-core/src/driver.rs
+++ b/crates/proxy-core/src/driver.rs
@@ -19,6 +19,7 @@
 
 use crate::account::{self, TenantAccount};
 use crate::capture::{Capture, PendingRecord};
+use crate::client_presence::ClientPresence;
 use crate::clock::Clock;
 use crate::discovery::{self, DiscoveryAddress};
 use crate::gate::{PoolGate, insert_stamp};
@@ -53,6 +54,8 @@
     /// Permits attempts for the request.
     cancel: Rc<CancelSignal>,
     outbound: Rc<OutboundRequest>,
+    /// `None` for a request that was not read.
+    client: Option<ClientPresence>,
     deadline: Instant,
     attempts: u32,
     attempts_in_flight: u32,
@@ -311,6 +314,7 @@
             response_sender: Some(response_sender),
             cancel: Rc::default(),
             outbound: self.empty_request.clone(),
+            client: None,
             deadline: Instant::now(),
             attempts: 0,
             attempts_in_flight: 0,
@@ -334,6 +338,7 @@
             timeout,
             deadline,
             mut outbound,
+            client,
             response_sender,
             decision,
         } = incoming;
@@ -357,6 +362,7 @@
                 response_sender: Some(response_sender),
                 cancel: Rc::default(),
                 outbound: Rc::new(outbound),
+                client: Some(client),
                 deadline,
                 attempts: 0,
                 attempts_in_flight: 0,
@@ -800,6 +806,7 @@
             endpoint: endpoint.clone(),
             cancel,
             outbound,
+            client: active.client.clone(),
             deadline,
             start_by,
         };
@@ -905,6 +912,7 @@
         let (request, attempt) = (self.request, self.attempt);
         match event {
             AttemptEvent::MemoryExhausted => self.inbox.send(Input::MemoryExhausted(request)),
+            AttemptEvent::ClientLeft => self.inbox.send(Input::ClientDisconnected(request)),
             AttemptEvent::BodyComplete => {
                 self.started_at = Instant::now();
                 self.inbox.send(Input::BodyComplete(request));
--- a/crates/proxy-core/src/frontend.rs
+++ b/crates/proxy-core/src/frontend.rs
@@ -27,6 +27,7 @@
 use crate::account::{self, TenantAccount};
 use crate::body_buffer::BufferedBody;
 use crate::body_memory::{BodyMemory, MAX_BUFFERED_BYTES};
+use crate::client_presence::ClientPresence;
 use crate::connection::{
     ClientConnection, ClientSocket, Delivery, IDLE_TIMEOUT, MAX_READS_PER_POLL,
 };
@@ -402,6 +403,7 @@
                 };
                 let close_after = over_limit
                     || client.has_overflowed()
+                    || client.has_departed()
                     || client.leaves_rest_unread()
                     || !frontend
                         .lifecycle
@@ -564,10 +566,10 @@
             Ok(admitted) => admitted,
             Err(delay) => return self.reject(pool, delay).await,
         };
-        let socket = client.socket.borrow().clone();
+        let presence = ClientPresence::new(client.socket.borrow().clone());
         let received = tokio::select! {
             biased;
-            received = request_body::read_body(body, &mut parsed.timeout, receive_deadline, &pool.body_memory, &socket) => received,
+            received = request_body::read_body(body, &mut parsed.timeout, receive_deadline, &pool.body_memory, &presence) => received,
             () = self.lifecycle.answer_due(|| self.router.max_deadline(), || false) => {
                 Err(BodyError::TooLate)
             }
@@ -630,6 +632,7 @@
                 timeout,
                 deadline,
                 outbound,
+                client: presence.clone(),
                 response_sender,
                 decision: decision.clone(),
             })));
@@ -657,6 +660,9 @@
             }
         };
         upload.into_iter().for_each(request_body::drain_upload);
+        if answer.is_err() {
+            client.record_departure();
+        }
         let mut response = final_response(answer);
         if let (Some(decision), Some(gate)) = (decision.and_then(|d| d.get()), self.router.gate())
             && gate.send_stamps()
--- a/crates/proxy-core/src/inbox.rs
+++ b/crates/proxy-core/src/inbox.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
+use crate::client_presence::ClientPresence;
 use crate::gate::DecisionStamp;
 use crate::hosts::Host;
 use crate::message::{EndpointResponse, OutboundRequest};
@@ -100,6 +101,7 @@
     /// The time at which the client gives up.
     pub deadline: Instant,
     pub outbound: OutboundRequest,
+    pub client: ClientPresence,
     pub response_sender: oneshot::Sender<Answer>,
     /// Receives the stamp of the decision, where it is reported.
     pub decision: Option<Rc<Cell<Option<DecisionStamp>>>>,
--- a/crates/proxy-core/src/lib.rs
+++ b/crates/proxy-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod body_memory;
 mod bounded_read;
 mod capture;
+mod client_presence;
 pub mod clock;
 mod config;
 mod connection;
--- a/crates/proxy-core/src/request_body.rs
+++ b/crates/proxy-core/src/request_body.rs
@@ -1,19 +1,18 @@
 //! Receives the bodies of requests: buffered while there is memory, streamed beyond, or read and dropped.
 
-use std::cell::RefCell;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::{Response, StatusCode};
-use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::body_buffer::BodyBuffer;
 use crate::body_memory::BodyMemory;
+use crate::client_presence::ClientPresence;
 use crate::message::text_response;
 use crate::stream::{RequestContent, ResponseBody};
 use crate::upload::{self, CLIENT_STALL_TIMEOUT, MAX_BODY_BYTES, MAX_MEMORY_WAIT, Upload};
@@ -48,13 +47,13 @@
 
 /// Reads a body as far as it is buffered; the rest is streamed. It must be complete by the deadline plus the transfer
 /// time of its size. The wait for memory is taken off the client's timeout, as the client may have sent its last byte
-/// before. `socket` is the client's.
+/// before.
 pub async fn read_body(
     mut body: Incoming,
     timeout: &mut Duration,
     receive_deadline: Instant,
     body_memory: &BodyMemory,
-    socket: &Weak<RefCell<TcpStream>>,
+    client: &ClientPresence,
 ) -> Result<RequestContent, BodyError> {
     let length = body.size_hint().exact();
     if body.is_end_stream() {
@@ -75,7 +74,7 @@
                     length,
                     body,
                     *timeout,
-                    socket.clone(),
+                    client.clone(),
                     body_memory.place(),
                     waited_since.unwrap_or_else(Instant::now),
                 );
--- a/crates/proxy-core/src/socket_options.rs
+++ b/crates/proxy-core/src/socket_options.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 
+use rustix::event::{PollFd, PollFlags, Timespec};
 use tokio::net::TcpStream;
 
 /// The bytes that the system keeps before it sends them. With more, a peer that reads at 64 kB/s would leave no room for
@@ -34,3 +35,12 @@
         Ok(_) | Err(_) => UnreadInput::End,
     }
 }
+
+/// Returns whether a peer has ended its side of the connection, or the connection has failed, also if bytes before the
+/// end are unread. The end is only seen once the system has received it.
+pub fn has_ended(stream: &TcpStream) -> bool {
+    let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
+    let result = rustix::event::poll(&mut polled, Some(&Timespec::default()));
+    result.is_ok() && polled[0].revents().intersects(ended)
+}
--- a/crates/proxy-core/src/upload.rs
+++ b/crates/proxy-core/src/upload.rs
@@ -8,21 +8,20 @@
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use balancer::Reception;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep};
 
 use crate::body_buffer::{BodyBuffer, BufferedBody};
 use crate::body_memory::BodyMemory;
+use crate::client_presence::{Absence, ClientPresence};
 use crate::memory_queue::Place;
-use crate::socket_options::{self, UnreadInput};
 use crate::write_window::{self, WriteWindow};
 
 /// The largest body of a request or a response.
@@ -35,10 +34,6 @@
 const MIN_BYTES_PER_SECOND: f64 = 32e3;
 /// The age at which it has to be confirmed anew that a client has not left: no attempt may begin over 0.1 s after.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(80);
-/// The interval of checks whether a client has not left.
-const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(2);
-/// The longest time for a confirmation, during which the attempt occupies its endpoint.
-const MAX_CONFIRMATION_TIME: Duration = Duration::from_millis(300);
 /// The interval of attempts to reserve memory while there is none.
 const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// The fraction of a client's timeout for which its request waits for memory for its body before another gives up its
@@ -57,15 +52,6 @@
     io::Error::new(io::ErrorKind::InvalidData, message)
 }
 
-/// The reason why an attempt can't begin.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Unconfirmed {
-    /// There is no memory to receive what the client has sent, which may hide that it has left.
-    NoMemory,
-    /// The client has left, or is about to be found to have left.
-    ClientLeft,
-}
-
 /// A change in how a body is received while its request waits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReceiveChange {
@@ -93,8 +79,7 @@
     senders: Cell<usize>,
     /// Notified when an attempt stops sending the body, or waits for it to be received.
     sender_changed: Notify,
-    /// The client's socket, as long as its connection lasts.
-    socket: Weak<RefCell<TcpStream>>,
+    client: ClientPresence,
     /// The time at which the client was last known not to have left.
     confirmed_at: Cell<Instant>,
     /// The body's place among those that wait for memory.
@@ -129,7 +114,7 @@
         length: Option<u64>,
         rest: Incoming,
         client_timeout: Duration,
-        socket: Weak<RefCell<TcpStream>>,
+        client: ClientPresence,
         place: Place,
         confirmed_at: Instant,
     ) -> Rc<Self> {
@@ -142,7 +127,7 @@
             received_at: Cell::new(None),
             senders: Cell::new(0),
             sender_changed: Notify::new(),
-            socket,
+            client,
             confirmed_at: Cell::new(confirmed_at),
             place,
             held_since: Cell::new(None),
@@ -360,38 +345,22 @@
     ///
     /// # Errors
     /// The client has left, or there is no memory to find out.
-    pub async fn confirm_client(&self, deadline: Instant) -> Result<(), Unconfirmed> {
+    pub async fn confirm_client(&self, deadline: Instant) -> Result<(), Absence> {
         if self.confirmed_at.get().elapsed() < MAX_CONFIRMATION_AGE {
             return Ok(());
         }
-        let end = deadline.min(Instant::now() + MAX_CONFIRMATION_TIME);
-        let result = timeout_at(end, self.wait_for_confirmation()).await;
-        result.unwrap_or(Err(Unconfirmed::NoMemory))
-    }
-
-    async fn wait_for_confirmation(&self) -> Result<(), Unconfirmed> {
-        loop {
-            match self.unread_input() {
-                UnreadInput::None => break,
-                UnreadInput::Bytes if self.rest.borrow().is_none() => break,
-                UnreadInput::Bytes => {}
-                UnreadInput::End => return Err(Unconfirmed::ClientLeft),
-            }
-            sleep(CONFIRMATION_INTERVAL).await;
+        match self.client.confirm(deadline).await {
+            // What is unread stands behind the body.
+            Err(Absence::Unknown) if self.rest.borrow().is_none() => {}
+            result => result?,
         }
         self.confirmed_at.set(Instant::now());
         Ok(())
     }
 
-    fn unread_input(&self) -> UnreadInput {
-        self.socket.upgrade().map_or(UnreadInput::End, |socket| {
-            socket_options::unread_input(&socket.borrow())
-        })
-    }
-
     /// Records that all that the client has sent is received, if that is so.
     fn record_if_caught_up(&self) {
-        if self.held_since.get().is_some() && self.unread_input() != UnreadInput::Bytes {
+        if self.held_since.get().is_some() && self.client.check() != Err(Absence::Unknown) {
             self.held_since.set(None);
             self.stalled_since.set(None);
             self.place.leave();
--- a/crates/proxy-core/src/upstream.rs
+++ b/crates/proxy-core/src/upstream.rs
@@ -23,11 +23,12 @@
 use crate::account::{self, TenantAccount};
 use crate::body_memory::BodyMemory;
 use crate::bounded_read::poll_read_part;
+use crate::client_presence::{Absence, ClientPresence};
 use crate::exchange::{ExchangeResult, exchange, stream_response};
 use crate::message::{EndpointResponse, OutboundRequest, ResponseContent};
 use crate::socket_options::{self, UnreadInput, unread_input};
 use crate::stream::{RequestBody, ResponseStream};
-use crate::upload::{Unconfirmed, Upload};
+use crate::upload::Upload;
 use crate::vars::Counters;
 use crate::write_window::WriteWindow;
 
@@ -494,6 +495,7 @@
             endpoint,
             cancel,
             outbound,
+            client,
             deadline,
             start_by,
         } = attempt;
@@ -523,11 +525,16 @@
                 }
             }
         };
-        if let Some(upload) = outbound.body.upload()
-            && let Err(reason) = upload.confirm_client(deadline - CONFIRMATION_MARGIN).await
-        {
-            if reason == Unconfirmed::NoMemory {
-                report(AttemptEvent::MemoryExhausted);
+        let confirm_by = deadline - CONFIRMATION_MARGIN;
+        let confirmation = match (outbound.body.upload(), &client) {
+            (Some(upload), _) => upload.confirm_client(confirm_by).await,
+            (None, Some(client)) => client.confirm(confirm_by).await,
+            (None, None) => Ok(()),
+        };
+        if let Err(absence) = confirmation {
+            match absence {
+                Absence::Left => report(AttemptEvent::ClientLeft),
+                Absence::Unknown => report(AttemptEvent::MemoryExhausted),
             }
             report(AttemptEvent::Ended(Outcome::NotSent, None));
             return endpoint.keep_idle(connection);
@@ -638,6 +645,8 @@
     pub endpoint: Rc<Endpoint>,
     pub cancel: Rc<CancelSignal>,
     pub outbound: Rc<OutboundRequest>,
+    /// The request's client, if there is one.
+    pub client: Option<ClientPresence>,
     /// The time at which the attempt is abandoned.
     pub deadline: Instant,
     /// The time before which the attempt must begin.
@@ -648,6 +657,8 @@
 pub enum AttemptEvent {
     /// There is no memory to receive the request's body; nothing has been sent.
     MemoryExhausted,
+    /// The client has left; nothing has been sent.
+    ClientLeft,
     /// The last byte of a streamed request body has been sent.
     BodyComplete,
     /// A response too large to be buffered has begun.
--- a/crates/proxy-core/tests/layers.rs
+++ b/crates/proxy-core/tests/layers.rs
@@ -2,13 +2,14 @@
 use std::path::Path;
 
 /// The modules, from the lowest layer up.
-const LAYERS: [&str; 40] = [
+const LAYERS: [&str; 41] = [
     "backoff",
     "memory_queue",
     "body_memory",
     "body_buffer",
     "bounded_read",
     "socket_options",
+    "client_presence",
     "write_window",
     "json_stream",
     "line_writer",
