Pass on an answer without a length when it is due, in place of a refusal

Cause: a response is held back until it is whole or 64 KiB have come; the decision module did not know that one was arriving and its answer timer refused the request.

The attempt reports that a response is arriving, and the module has it passed on when its answer is due.

--- a/crates/balancer/src/action.rs
+++ b/crates/balancer/src/action.rs
@@ -28,6 +28,14 @@
     },
     /// Final answer: the request failed, and may have taken effect.
     Fail(RequestId),
+    /// Pass on the response to an attempt as it arrives, because the answer is due. The caller reports
+    /// [`Event::ResponseStarted`](crate::Event::ResponseStarted), or the end of the attempt if that was first.
+    StreamResponse {
+        /// Identifies the request.
+        request: RequestId,
+        /// Index of the attempt.
+        attempt: u32,
+    },
     /// Deliver [`Event::Timer`](crate::Event::Timer) at the given time.
     Timer {
         /// Token of the event.
--- a/crates/balancer/src/attempts.rs
+++ b/crates/balancer/src/attempts.rs
@@ -110,6 +110,13 @@
         }
     }
 
+    /// Records whether a response is arriving that can be passed on.
+    pub fn record_arrival(&mut self, id: AttemptId, progressing: bool) {
+        if let Some(attempt) = self.attempt_mut(id) {
+            attempt.response_arriving = progressing;
+        }
+    }
+
     /// Records that the client has received the beginning of a response. If the endpoint has finished processing, the
     /// attempt ends here: its slot is free, and the transfer to the client has no bearing on the endpoint's health.
     pub fn start_response(
--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -79,7 +79,15 @@
             Event::Unsent(id) => state.reject_unsent(id, out),
             Event::ClientDisconnected(id) => state.finish(id),
             Event::Timer(TICK_TOKEN) => state.tick(now, out),
-            Event::Timer(token) => state.reject_or_fail(answer_timer_request(token), out),
+            Event::Timer(token) => {
+                let id = answer_timer_request(token);
+                if !state.stream_arriving_response(id, out) {
+                    state.reject_or_fail(id, out);
+                }
+            }
+            Event::AnswerDue(id) => {
+                state.stream_arriving_response(id, out);
+            }
             Event::ProcessShareExceeded { id, retry_after } => {
                 state.reject_over_process_share(id, retry_after, out);
             }
@@ -91,6 +99,7 @@
             } => state.update_proxy_count(proxy_index, proxy_count, now),
             Event::HealthRestored(snapshot) => state.restore_health(&snapshot, now),
             Event::LoadReport { .. }
+            | Event::ResponseArriving { .. }
             | Event::ResponseStarted { .. }
             | Event::AttemptEnded { .. } => self.dispatch_attempt(now, event, out),
         }
@@ -107,6 +116,11 @@
                 attempt,
                 load,
             } => self.state.record_load(id(request, attempt), load),
+            Event::ResponseArriving {
+                request,
+                attempt,
+                progressing,
+            } => self.state.record_arrival(id(request, attempt), progressing),
             Event::ResponseStarted {
                 request,
                 attempt,
@@ -160,6 +174,10 @@
 fn affects_queue(event: &Event) -> bool {
     !matches!(
         event,
-        Event::ProcessShareExceeded { .. } | Event::LoadReport { .. } | Event::Gossip { .. }
+        Event::ProcessShareExceeded { .. }
+            | Event::LoadReport { .. }
+            | Event::ResponseArriving { .. }
+            | Event::AnswerDue(_)
+            | Event::Gossip { .. }
     )
 }
--- a/crates/balancer/src/event.rs
+++ b/crates/balancer/src/event.rs
@@ -67,6 +67,18 @@
     /// A request can't be served: there is no memory to receive its body, its client has stopped sending, or its time is
     /// over. No attempt in flight has sent a part of it, nor will.
     Unsent(RequestId),
+    /// The response to an attempt arrives and is held back, as it is not known to be long. It can be passed on as it
+    /// arrives.
+    ResponseArriving {
+        /// Identifies the request.
+        request: RequestId,
+        /// Index of the attempt.
+        attempt: u32,
+        /// False if the endpoint has stopped writing it, or writes too slowly to be waited for.
+        progressing: bool,
+    },
+    /// The answer to a request is due. It ends here only if a response is arriving that can be passed on.
+    AnswerDue(RequestId),
     /// The client has received the beginning of a streamed response: no other answer is possible.
     ResponseStarted {
         /// Identifies the request.
--- a/crates/balancer/src/final_answer.rs
+++ b/crates/balancer/src/final_answer.rs
@@ -10,6 +10,7 @@
 //! | the request is queued, and it is too late for a response by `answer_by` | `admission`, in each tick | `reject_or_fail` |
 //! | an attempt has failed and no retry is allowed | `attempts`, at the end of the attempt | `reject_or_fail` |
 //! | the request is in flight until shortly before `answer_by` | `stall_detection`, by a timer | `reject_or_fail` |
+//! | its answer is due, and a response is arriving that is held back | `stall_detection` or the front end, by a timer | that response, `stream_arriving_response` |
 //! | the request can't be served, and no attempt in flight has sent a part of it | the front end | `reject_unsent` |
 //! | the front end rejects the request: it exceeds the tenant's share of the process | the front end | `reject_over_process_share` |
 
@@ -58,6 +59,25 @@
         self.finish(id);
     }
 
+    /// Passes on a response that is arriving, whose request has no other answer; returns false if there is none. Its
+    /// endpoint is still writing it, and the client gets its beginning in time.
+    pub fn stream_arriving_response(&self, id: RequestId, out: &mut Vec<Action>) -> bool {
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
+        if request.status.finished || request.status.response_started {
+            return false;
+        }
+        let Some(attempt) = request.arriving_response() else {
+            return false;
+        };
+        out.push(Action::StreamResponse {
+            request: id,
+            attempt: attempt as u32,
+        });
+        true
+    }
+
     /// Gives the final answer of a request whose attempts in flight have sent nothing and will send nothing, as the front
     /// end calls them off with the answer.
     pub fn reject_unsent(&mut self, id: RequestId, out: &mut Vec<Action>) {
--- a/crates/balancer/src/forwarding.rs
+++ b/crates/balancer/src/forwarding.rs
@@ -159,6 +159,7 @@
             found_idle: idleness_known && endpoint.in_flight.total() == 0,
             load: LoadReport::default(),
             may_have_run: true,
+            response_arriving: false,
         };
         if endpoint.in_flight.own == 0 {
             endpoint.health.end_idleness(now);
--- a/crates/balancer/src/request.rs
+++ b/crates/balancer/src/request.rs
@@ -96,6 +96,8 @@
     pub load: LoadReport,
     /// True if the request may have taken effect through this attempt.
     pub may_have_run: bool,
+    /// True if the endpoint is writing a response that can be passed on as it arrives.
+    pub response_arriving: bool,
 }
 
 impl Request {
@@ -106,6 +108,13 @@
             .any(|attempt| attempt.state != AttemptState::Ended)
     }
 
+    /// Returns the index of an attempt whose response is arriving.
+    pub fn arriving_response(&self) -> Option<usize> {
+        let is_arriving =
+            |attempt: &Attempt| attempt.response_arriving && attempt.state != AttemptState::Ended;
+        self.attempts.iter().position(is_arriving)
+    }
+
     /// Returns true if the request may have taken effect.
     pub fn may_have_run(&self) -> bool {
         self.attempts.iter().any(|attempt| attempt.may_have_run)
--- a/crates/balancer/src/stall_detection.rs
+++ b/crates/balancer/src/stall_detection.rs
@@ -31,7 +31,9 @@
         }
         let is_silent = |attempt: &Attempt| {
             let silence = self.silence_limit(request, attempt, now);
-            attempt.state == AttemptState::InFlight && now - attempt.sent_at > silence
+            attempt.state == AttemptState::InFlight
+                && !attempt.response_arriving
+                && now - attempt.sent_at > silence
         };
         if let Some(attempt) = request.attempts.iter().position(is_silent) {
             self.record_silence(id, attempt, now);
--- a/crates/balancer/tests/decision_trace.rs
+++ b/crates/balancer/tests/decision_trace.rs
@@ -71,6 +71,7 @@
             }
             Action::Subscribe => self.byte(6),
             Action::FetchEndpoints => self.byte(7),
+            Action::StreamResponse { .. } => self.byte(8),
         }
     }
 
@@ -405,6 +406,7 @@
                     self.later(self.now + 2.0, other, Due::Event(message));
                 }
             }
+            Action::StreamResponse { .. } => unreachable!("no response is held back"),
             Action::Subscribe | Action::FetchEndpoints => {
                 let failed = self.rng.f64() < 0.2;
                 let scope = if failed {
--- a/crates/balancer/tests/final_answer.rs
+++ b/crates/balancer/tests/final_answer.rs
@@ -185,3 +185,36 @@
         assert_eq!(first, Some(1), "{reception:?}");
     }
 }
+
+/// Returns the actions up to the time of the answer to a request with an attempt, after these reports of its response.
+fn actions_for_arriving_response(reports: &[bool]) -> Vec<Action> {
+    let mut harness = Harness::new(settings(1), vec![endpoint(1)]);
+    assert_eq!(burst(&mut harness, 1, 1).len(), 1);
+    for progressing in reports {
+        harness.handle(Event::ResponseArriving {
+            request: RequestId(1),
+            attempt: 0,
+            progressing: *progressing,
+        });
+    }
+    harness.advance(1200.0)
+}
+
+/// Guards against an answer that cuts off a response which its endpoint is still writing.
+#[test]
+fn a_response_that_is_arriving_is_passed_on_when_its_answer_is_due() {
+    let out = actions_for_arriving_response(&[true]);
+    let stream = Action::StreamResponse {
+        request: RequestId(1),
+        attempt: 0,
+    };
+    assert!(out.contains(&stream), "{out:?}");
+    assert_eq!(final_answers(&out), 0);
+}
+
+/// Guards against a request without an answer in time, because its endpoint has stopped writing.
+#[test]
+fn a_response_that_has_stopped_is_replaced_by_an_answer() {
+    let out = actions_for_arriving_response(&[true, false]);
+    assert_eq!(final_answers(&out), 1);
+}
--- a/crates/balancer/tests/properties.rs
+++ b/crates/balancer/tests/properties.rs
@@ -65,6 +65,7 @@
                         self.due.push((self.now + 10.0, Due::Message(bytes))); // as if a peer had sent the same message
                     }
                 }
+                Action::StreamResponse { .. } => unreachable!("no response is held back"),
                 Action::Subscribe | Action::FetchEndpoints => {
                     let scope = if self.rng.bool() {
                         UpdateScope::Full
--- a/crates/canvascart/src/replay.rs
+++ b/crates/canvascart/src/replay.rs
@@ -247,7 +247,10 @@
                 Action::Timer { token, at } => {
                     self.due.push(Reverse(((at * 1000.0).ceil() as u64, token)))
                 }
-                Action::Broadcast(_) | Action::Subscribe | Action::FetchEndpoints => {} // there is no other proxy and no discovery
+                Action::Broadcast(_)
+                | Action::Subscribe
+                | Action::FetchEndpoints
+                | Action::StreamResponse { .. } => {} // there is no other proxy and no discovery
             }
         }
     }
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -522,7 +522,10 @@
                     );
                 }
                 // List updates are pushed, and gossip between proxies is not simulated.
-                Action::Broadcast(_) | Action::Subscribe | Action::FetchEndpoints => {}
+                Action::Broadcast(_)
+                | Action::Subscribe
+                | Action::FetchEndpoints
+                | Action::StreamResponse { .. } => {}
             }
         }
     }
--- a/crates/proxy-core/src/driver.rs
+++ b/crates/proxy-core/src/driver.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::account::{self, TenantAccount};
+use crate::attempt_control::AttemptControl;
 use crate::capture::{Capture, PendingRecord};
 use crate::client_presence::ClientPresence;
 use crate::clock::Clock;
@@ -30,13 +31,14 @@
 };
 use crate::lifecycle::SharedLifecycle;
 use crate::load_report;
+use crate::log::note_request;
 use crate::message::{EndpointResponse, OutboundRequest};
+use crate::note;
 use crate::peers::Peers;
 use crate::request_end::{EndReason, outcome_name};
 use crate::upload::{ReceiveChange, Upload};
-use crate::upstream::{Attempt, AttemptEvent, CancelSignal, Endpoint, Upstreams};
+use crate::upstream::{Attempt, AttemptEvent, Endpoint, Upstreams};
 use crate::vars::{Counters, Gauges, RequestEnd};
-use crate::{note, note_request};
 
 /// Every answer must be sent this long before the client's deadline.
 const ANSWER_MARGIN: Duration = Duration::from_millis(4);
@@ -52,7 +54,7 @@
     class: Option<ClassId>,
     response_sender: Option<oneshot::Sender<Answer>>,
     /// Permits attempts for the request.
-    cancel: Rc<CancelSignal>,
+    control: Rc<AttemptControl>,
     outbound: Rc<OutboundRequest>,
     /// `None` for a request that was not read.
     client: Option<ClientPresence>,
@@ -283,6 +285,15 @@
             Input::ReceiveChanged(id, ReceiveChange::Reception(reception, deadline)) => {
                 self.change_reception(id, reception, deadline);
             }
+            Input::ResponseArriving {
+                request,
+                attempt,
+                progressing,
+            } => self.handle(Event::ResponseArriving {
+                request,
+                attempt,
+                progressing,
+            }),
             Input::ResponseStarted {
                 request,
                 attempt,
@@ -312,7 +323,7 @@
         let active = ActiveRequest {
             class: None,
             response_sender: Some(response_sender),
-            cancel: Rc::default(),
+            control: Rc::default(),
             outbound: self.empty_request.clone(),
             client: None,
             deadline: Instant::now(),
@@ -360,7 +371,7 @@
             ActiveRequest {
                 class: Some(class),
                 response_sender: Some(response_sender),
-                cancel: Rc::default(),
+                control: Rc::default(),
                 outbound: Rc::new(outbound),
                 client: Some(client),
                 deadline,
@@ -403,6 +414,11 @@
             None => active.deadline,
         };
         if deadline <= Instant::now() + 2 * ANSWER_MARGIN {
+            self.handle(Event::AnswerDue(id));
+            let is_streaming = |active: &ActiveRequest| active.control.is_streaming_requested();
+            if self.requests.get(&id).is_some_and(is_streaming) {
+                return; // the response begins, or the attempt's end answers the request
+            }
             self.fail(id, EndReason::Deadline);
         } else if deadline > active.deadline {
             let timer = Timer::AnswerDeadline(id);
@@ -481,7 +497,7 @@
         let Some(response_sender) = active.response_sender.take() else {
             return;
         }; // the body's sender notices that it has no receiver
-        active.cancel.cancel();
+        active.control.cancel();
         active.streaming = true;
         let _ = response_sender.send(Answer::Served(response)); // the same if the client has just disconnected
         self.handle(Event::ResponseStarted {
@@ -565,7 +581,7 @@
     /// Takes the response sender of a request and records its status code; no further attempts begin.
     fn close(&mut self, id: RequestId, code: u16) -> Option<oneshot::Sender<Answer>> {
         let active = self.requests.get_mut(&id)?;
-        active.cancel.cancel();
+        active.control.cancel();
         let response_sender = active.response_sender.take();
         let open = std::mem::take(&mut active.streaming) || response_sender.is_some();
         if let (Some(class), true) = (active.class, open) {
@@ -740,6 +756,11 @@
                     let _ = response_sender.send(Answer::Failed);
                 }
             }
+            Action::StreamResponse { request, attempt } => {
+                if let Some(active) = self.requests.get(&request) {
+                    active.control.request_streaming(attempt);
+                }
+            }
             Action::Timer { token, at } => {
                 self.timers.push(Reverse((
                     self.parts.clock.instant_of(at),
@@ -790,7 +811,7 @@
         let Some(endpoint) = self
             .endpoints
             .get(&endpoint_id)
-            .filter(|e| active.cancel.allows_attempts() && e.is_open())
+            .filter(|e| active.control.allows_attempts() && e.is_open())
         else {
             return report.finish(Outcome::NotSent, None);
         };
@@ -800,11 +821,12 @@
                 .min(report.started_at + Duration::from_secs_f64(t.clamp(0.0, 1e9) / 1000.0))
         });
         let upstreams = self.parts.upstreams.clone();
-        let (cancel, outbound) = (active.cancel.clone(), active.outbound.clone());
+        let (control, outbound) = (active.control.clone(), active.outbound.clone());
         let start_by = latest_start.map(|at| self.parts.clock.instant_of(at));
         let attempt = Attempt {
             endpoint: endpoint.clone(),
-            cancel,
+            control,
+            number: report.attempt,
             outbound,
             client: active.client.clone(),
             deadline,
@@ -917,6 +939,13 @@
                 self.started_at = Instant::now();
                 self.inbox.send(Input::BodyComplete(request));
             }
+            AttemptEvent::ResponseArriving(progressing) => {
+                self.inbox.send(Input::ResponseArriving {
+                    request,
+                    attempt,
+                    progressing,
+                });
+            }
             AttemptEvent::ResponseStarted(response) => self.inbox.send(Input::ResponseStarted {
                 request,
                 attempt,
--- a/crates/proxy-core/src/exchange.rs
+++ b/crates/proxy-core/src/exchange.rs
@@ -1,20 +1,24 @@
 //! One exchange on a connection to an endpoint: sends a request, receives the response, and forwards a long one as it
 //! arrives.
 
+use std::future::pending;
+use std::pin::{Pin, pin};
 use std::time::Duration;
 
 use balancer::Outcome;
+use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::{Body as _, Frame, Incoming};
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Request, StatusCode, Version};
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::body_buffer::{BodyBuffer, BufferedBody};
 use crate::body_memory::{BodyMemory, MAX_BUFFERED_BYTES};
 use crate::message::{EndpointResponse, ResponseContent, strip_hop_by_hop};
+use crate::response_arrival::ResponseArrival;
 use crate::stream::{RequestBody, ResponsePiece};
 use crate::upload::MAX_BODY_BYTES;
 use crate::write_window;
@@ -38,11 +42,14 @@
     pub remaining_body: Incoming,
 }
 
-/// Sends a request and reads the complete response, or as much of it as is buffered.
+/// Sends a request and reads the complete response, or as much of it as is buffered. A response whose length is not
+/// announced is held back until `release` or for some time, and its progress is recorded in `arrival`.
 pub async fn exchange(
     sender: &mut SendRequest<RequestBody>,
     request: Request<RequestBody>,
     body_memory: &BodyMemory,
+    arrival: &ResponseArrival,
+    release: impl Future<Output = ()>,
 ) -> Result<ExchangeResult, String> {
     let response = sender
         .send_request(request)
@@ -72,17 +79,33 @@
     let is_long = length.is_some_and(|n| n > MAX_BUFFERED_BYTES as u64);
     let mut buffer = is_forwarded.then(|| BodyBuffer::new(length));
     let mut size = 0;
+    let is_held = is_forwarded && length.is_none();
+    if is_held {
+        arrival.begin(Instant::now());
+    }
+    let mut release = pin!(release);
     let large = loop {
         // Without memory a response is forwarded as it arrives.
         let has_memory = |buffer: &mut BodyBuffer| buffer.try_reserve_next(body_memory);
         if is_long || size > MAX_BUFFERED_BYTES || !buffer.as_mut().is_none_or(has_memory) {
             break true;
         }
-        let Some(frame) = body.frame().await else {
+        let next = if is_held {
+            next_held_frame(&mut body, arrival, release.as_mut()).await
+        } else {
+            Some(body.frame().await)
+        };
+        let Some(next) = next else {
+            break true;
+        };
+        let Some(frame) = next else {
             break false;
         };
         if let Ok(data) = frame.map_err(|e| e.to_string())?.into_data() {
             size += data.len();
+            if is_held {
+                arrival.record(data.len(), Instant::now());
+            }
             if let Some(buffer) = &mut buffer {
                 buffer.add(&data);
             }
@@ -128,6 +151,35 @@
     })
 }
 
+/// Returns the next frame of a response that is held back, or `None` once it has to be passed on.
+async fn next_held_frame(
+    body: &mut Incoming,
+    arrival: &ResponseArrival,
+    mut release: Pin<&mut impl Future<Output = ()>>,
+) -> Option<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    loop {
+        let next_check = arrival.next_check();
+        let check = async {
+            match next_check {
+                Some(at) => sleep_until(at).await,
+                None => pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            frame = body.frame() => return Some(frame),
+            () = release.as_mut() => return None,
+            () = check => {
+                let now = Instant::now();
+                arrival.record_pause(now);
+                if arrival.is_hold_over(now) {
+                    return None;
+                }
+            }
+        }
+    }
+}
+
 /// Forwards a large response as it arrives, no faster than the client reads. It takes its memory without waiting for it:
 /// a response that has begun can't be rejected any more. The connections to endpoints limit the number of responses.
 pub async fn stream_response(
--- a/crates/proxy-core/src/frontend.rs
+++ b/crates/proxy-core/src/frontend.rs
@@ -36,9 +36,11 @@
 use crate::gate::{Gate, insert_stamp};
 use crate::inbox::{Answer, Inbox, IncomingRequest, Input, STATUS_REJECTED};
 use crate::lifecycle::{IdleConnection, SharedLifecycle};
+use crate::log::note_request;
 use crate::message::{
     OutboundRequest, ResponseContent, origin_form, strip_hop_by_hop, text_response,
 };
+use crate::note;
 use crate::pool::{Pool, RequestHead};
 use crate::request_body::{self, BodyError};
 use crate::socket_options::{self, UnreadInput, unread_input};
@@ -46,7 +48,6 @@
 use crate::upload::{self, MAX_BODY_BYTES, ReceiveChange, Upload};
 use crate::upstream::Upstreams;
 use crate::vars::{CloseReason, RequestEnd};
-use crate::{note, note_request};
 
 /// The time without I/O after which a connection with an active request or an undelivered answer is closed, in addition
 /// to the longest deadline.
--- a/crates/proxy-core/src/inbox.rs
+++ b/crates/proxy-core/src/inbox.rs
@@ -44,6 +44,12 @@
     MemoryExhausted(RequestId),
     /// The body of a request that waits is received in another way than before.
     ReceiveChanged(RequestId, ReceiveChange),
+    /// A response is arriving and held back; `progressing` is false if its endpoint has stopped writing it.
+    ResponseArriving {
+        request: RequestId,
+        attempt: u32,
+        progressing: bool,
+    },
     /// A response too large to be buffered has begun.
     ResponseStarted {
         request: RequestId,
--- a/crates/proxy-core/src/lib.rs
+++ b/crates/proxy-core/src/lib.rs
@@ -6,6 +6,7 @@
 //! several pools in one process, each with its own balancer and driver.
 
 pub mod account;
+mod attempt_control;
 pub mod backoff;
 pub mod body_buffer;
 pub mod body_memory;
@@ -39,6 +40,7 @@
 pub mod process;
 mod request_body;
 mod request_end;
+mod response_arrival;
 pub mod service;
 mod socket_options;
 mod stream;
@@ -47,4 +49,4 @@
 mod vars;
 mod write_window;
 
-use log::{note, note_request};
+use log::note;
--- a/crates/proxy-core/src/upstream.rs
+++ b/crates/proxy-core/src/upstream.rs
@@ -16,16 +16,18 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use crate::account::{self, TenantAccount};
+use crate::attempt_control::AttemptControl;
 use crate::body_memory::BodyMemory;
 use crate::bounded_read::poll_read_part;
 use crate::client_presence::{Absence, ClientPresence};
 use crate::exchange::{ExchangeResult, exchange, stream_response};
 use crate::message::{EndpointResponse, OutboundRequest, ResponseContent};
+use crate::response_arrival::ResponseArrival;
 use crate::socket_options::{self, UnreadInput, unread_input};
 use crate::stream::{RequestBody, ResponseStream};
 use crate::upload::Upload;
@@ -150,7 +152,7 @@
 /// established.
 struct SendCondition {
     endpoint: Rc<Endpoint>,
-    cancel: Rc<CancelSignal>,
+    control: Rc<AttemptControl>,
     /// The first byte must be written before this time.
     start_by: Option<Instant>,
 }
@@ -158,36 +160,11 @@
 impl SendCondition {
     fn is_open(&self) -> bool {
         self.endpoint.is_open()
-            && self.cancel.allows_attempts()
+            && self.control.allows_attempts()
             && self.start_by.is_none_or(|b| Instant::now() < b)
     }
 }
 
-/// Permits attempts for a request until it is answered or its client disconnects.
-#[derive(Default)]
-pub struct CancelSignal {
-    cancelled: Cell<bool>,
-    notify: Notify,
-}
-
-impl CancelSignal {
-    pub fn allows_attempts(&self) -> bool {
-        !self.cancelled.get()
-    }
-
-    /// Prevents further attempts.
-    pub fn cancel(&self) {
-        self.cancelled.set(true);
-        self.notify.notify_waiters();
-    }
-
-    async fn cancelled(&self) {
-        while self.allows_attempts() {
-            self.notify.notified().await;
-        }
-    }
-}
-
 const BLANK_LINE: &[u8] = b"\r\n\r\n";
 
 impl WriteTracker {
@@ -493,7 +470,8 @@
     pub async fn attempt(&self, attempt: Attempt, mut report: impl FnMut(AttemptEvent)) {
         let Attempt {
             endpoint,
-            cancel,
+            control,
+            number,
             outbound,
             client,
             deadline,
@@ -516,7 +494,7 @@
                     Ok(Err(_)) | Err(_) => return report(AttemptEvent::Ended(Outcome::NotSent, None)),
                 },
                 // The slot is released at once. The connection being established is kept for other requests.
-                () = cancel.cancelled() => {
+                () = control.cancelled() => {
                     report(AttemptEvent::Ended(Outcome::NotSent, None));
                     if let Ok(Ok(connection)) = connecting.await {
                         endpoint.keep_idle(connection);
@@ -541,7 +519,7 @@
         }
         let condition = SendCondition {
             endpoint: endpoint.clone(),
-            cancel,
+            control: control.clone(),
             start_by,
         };
         if !condition.is_open() {
@@ -560,8 +538,16 @@
         tracker.window.replace(request.body().window());
         tracker.start(condition, remaining_body_bytes, upload.clone());
         let deadline = Cell::new(deadline);
+        let arrival = ResponseArrival::default();
         let result = {
-            let mut exchange = pin!(exchange(&mut connection.sender, request, &self.body_memory));
+            let release = control.streaming_requested(number);
+            let mut exchange = pin!(exchange(
+                &mut connection.sender,
+                request,
+                &self.body_memory,
+                &arrival,
+                release
+            ));
             loop {
                 let incomplete_upload = upload.as_ref().filter(|u| !u.is_complete());
                 let end = incomplete_upload.map_or(deadline.get(), |u| u.stalls_at());
@@ -574,11 +560,15 @@
                 tokio::select! {
                     biased;
                     result = &mut exchange => break Some(result),
+                    progressing = arrival.changed() => {
+                        report(AttemptEvent::ResponseArriving(progressing));
+                    }
                     () = body_complete => {
                         deadline.set(upload.as_ref().map_or_else(Instant::now, |u| u.client_deadline()));
                         report(AttemptEvent::BodyComplete);
                     }
-                    () = sleep_until(end) => {
+                    // The client's time is over, or that of a response which is thought to be lost.
+                    () = sleep_until(end), if !arrival.is_progressing() => {
                         if incomplete_upload.is_none_or(|u| u.stalls_at() <= Instant::now()) {
                             break None;
                         }
@@ -643,7 +633,9 @@
 /// Parameters of one attempt.
 pub struct Attempt {
     pub endpoint: Rc<Endpoint>,
-    pub cancel: Rc<CancelSignal>,
+    pub control: Rc<AttemptControl>,
+    /// The index among the attempts of the request.
+    pub number: u32,
     pub outbound: Rc<OutboundRequest>,
     /// The request's client, if there is one.
     pub client: Option<ClientPresence>,
@@ -661,6 +653,8 @@
     ClientLeft,
     /// The last byte of a streamed request body has been sent.
     BodyComplete,
+    /// A response is arriving and held back; false if its endpoint has stopped writing it.
+    ResponseArriving(bool),
     /// A response too large to be buffered has begun.
     ResponseStarted(EndpointResponse),
     /// The outcome, with the response if it is complete.
--- a/crates/proxy-core/tests/layers.rs
+++ b/crates/proxy-core/tests/layers.rs
@@ -2,7 +2,7 @@
 use std::path::Path;
 
 /// The modules, from the lowest layer up.
-const LAYERS: [&str; 41] = [
+const LAYERS: [&str; 43] = [
     "backoff",
     "memory_queue",
     "body_memory",
@@ -25,6 +25,7 @@
     "upload",
     "stream",
     "message",
+    "response_arrival",
     "exchange",
     "request_body",
     "request_end",
@@ -32,6 +33,7 @@
     "inbox",
     "load_report",
     "lifecycle",
+    "attempt_control",
     "upstream",
     "capture",
     "discovery",
--- a/crates/proxy-core/tests/unit/upstream.rs
+++ b/crates/proxy-core/tests/unit/upstream.rs
@@ -11,27 +11,27 @@
 use super::*;
 use crate::body_buffer::BodyBuffer;
 
-fn started_tracker(body: usize) -> (WriteTracker, Rc<Endpoint>, Rc<CancelSignal>) {
+fn started_tracker(body: usize) -> (WriteTracker, Rc<Endpoint>, Rc<AttemptControl>) {
     start_tracker(body, None)
 }
 
 fn start_tracker(
     body: usize,
     upload: Option<Rc<Upload>>,
-) -> (WriteTracker, Rc<Endpoint>, Rc<CancelSignal>) {
+) -> (WriteTracker, Rc<Endpoint>, Rc<AttemptControl>) {
     let endpoint = Endpoint::new("127.0.0.1:1".parse().expect("valid address"), 0.0);
-    let cancel = Rc::new(CancelSignal::default());
+    let control = Rc::new(AttemptControl::default());
     let tracker = WriteTracker::default();
     tracker.start(
         SendCondition {
             endpoint: endpoint.clone(),
-            cancel: cancel.clone(),
+            control: control.clone(),
             start_by: None,
         },
         body,
         upload,
     );
-    (tracker, endpoint, cancel)
+    (tracker, endpoint, control)
 }
 
 /// Receives the head of a request and returns its body.
@@ -62,7 +62,15 @@
     let body = incoming_body().await;
     let now = Instant::now();
     let place = BodyMemory::new(0, 0).place();
-    let upload = Upload::new(beginning, Some(9), body, timeout, Weak::new(), place, now);
+    let upload = Upload::new(
+        beginning,
+        Some(9),
+        body,
+        timeout,
+        ClientPresence::new(Weak::new()),
+        place,
+        now,
+    );
     let (tracker, ..) = start_tracker(0, Some(upload.clone()));
     tracker.end();
     assert_eq!(Rc::strong_count(&upload), 1);
--- a/crates/proxy/tests/slow_peers.rs
+++ b/crates/proxy/tests/slow_peers.rs
@@ -207,6 +207,46 @@
     check_answers(Writing::Lumps(0));
 }
 
+/// Guards against a short answer that is passed on without its end, in place of an answer in time.
+#[test]
+fn a_short_answer_that_stops_is_refused_in_time() {
+    for class in ["page", "submit"] {
+        let endpoint = start_endpoint(|_, stream| {
+            stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+            stream.write_all(format!("12c\r\n{}\r\n", "y".repeat(300)).as_bytes())?;
+            thread::sleep(LIMIT);
+            Ok(())
+        });
+        let (_discovery, proxy) = start_proxy_for(&[endpoint], &Setup::default());
+        let received = receive(proxy.address, class, "r-1");
+        assert!([502, 503].contains(&received.status), "{received:?}");
+        assert!(received.first_byte_after <= CLIENT_TIMEOUT + ANSWER_SLACK);
+    }
+}
+
+/// Guards against the beginning of a long answer that is held back for as long as its client waits.
+#[test]
+fn the_beginning_of_an_answer_without_a_length_is_not_held_back_for_long() {
+    const MAX_HELD_BACK: Duration = Duration::from_secs(2);
+    let answer = Answer {
+        bytes: 200_000,
+        chunked: true,
+        writing: Writing::Steady(40e3),
+    };
+    let endpoint = start_endpoint(move |_, stream| answer.write(stream));
+    let (_discovery, proxy) = start_proxy_for(&[endpoint], &Setup::default());
+    let mut stream = TcpStream::connect(proxy.address).expect("the proxy accepts");
+    stream
+        .set_read_timeout(Some(LIMIT))
+        .expect("the timeout is set");
+    stream
+        .write_all(page("r-1").as_bytes())
+        .expect("the request is written");
+    let begun = Instant::now();
+    assert!(stream.read(&mut [0; 1]).is_ok_and(|read| read == 1));
+    assert!(begun.elapsed() < MAX_HELD_BACK, "{:?}", begun.elapsed());
+}
+
 /// The rate at which an endpoint reads requests, and the bytes after which it stops.
 #[derive(Clone, Copy, Debug)]
 struct Reading {
--- a/crates/sim-adapter/src/simulated_proxy.rs
+++ b/crates/sim-adapter/src/simulated_proxy.rs
@@ -260,6 +260,7 @@
             Action::Broadcast(bytes) => reply.broadcast(&bytes),
             Action::Subscribe => reply.subscribe(),
             Action::FetchEndpoints => reply.fetch_endpoints(),
+            Action::StreamResponse { .. } => {} // the simulator holds no response back
         }
     }
 
