Count a long request's time from its last byte, also while its endpoint takes nothing

Cause: beyond 2 MiB, or without memory, a body is read only as fast as it is sent, and the time counted from the read of its last byte.

The last byte is now looked for while a body is sent: by what the system holds unread, or by receiving further within an even share of the memory; where neither shows it, the earliest possible time counts. A body that is not passed on whole when its answer is due is called off and refused.

--- a/crates/balancer/src/event.rs
+++ b/crates/balancer/src/event.rs
@@ -65,7 +65,7 @@
         timeout: Millis,
     },
     /// A request can't be served: there is no memory to receive its body, its client has stopped sending, or its time is
-    /// over. No attempt in flight has sent a part of it, nor will.
+    /// over. No attempt in flight has sent the last byte of it, nor will.
     Unsent(RequestId),
     /// The response to an attempt arrives and is held back, as it is not known to be long. It can be passed on as it
     /// arrives.
--- a/crates/proxy-core/src/body_buffer.rs
+++ b/crates/proxy-core/src/body_buffer.rs
@@ -56,6 +56,13 @@
         self.try_reserve(memory, BodyMemory::try_spool)
     }
 
+    /// Does the same for a body that is being sent. What has not been taken stays within the body's even share, as its
+    /// request needs it only to learn of the last byte.
+    pub fn try_reserve_ahead(&mut self, memory: &BodyMemory) -> bool {
+        let is_within_share = self.reservation.bytes() < memory.long_body_share();
+        is_within_share && self.try_reserve_next(memory)
+    }
+
     /// Does the same for the body of a waiting request, in its turn.
     pub fn try_reserve_next_in_turn(&mut self, memory: &BodyMemory, place: &Place) -> bool {
         let needed_bytes = self.length.map_or(usize::MAX, |length| {
@@ -146,6 +153,11 @@
         self.received_bytes
     }
 
+    /// Returns whether there is data that has not been taken.
+    pub fn has_data(&self) -> bool {
+        !self.blocks.is_empty()
+    }
+
     /// Takes the data that has been received since the latest call. Its blocks hold their reservations.
     pub fn take_body(&mut self) -> BufferedBody {
         self.allocated_bytes = self.received_bytes;
--- a/crates/proxy-core/src/body_memory.rs
+++ b/crates/proxy-core/src/body_memory.rs
@@ -143,6 +143,11 @@
         bytes > (self.max_spooled_use_bytes + self.long_body_bytes) / 4 * 3
     }
 
+    /// Returns the even share of each long body in the memory that they may use.
+    pub fn long_body_share(&self) -> usize {
+        (self.max_spooled_use_bytes + self.long_body_bytes) / self.queue.bodies().max(1)
+    }
+
     /// Extends the reservation of a body of more than [`MAX_BUFFERED_BYTES`] while none waits for memory.
     pub fn try_spool(&self, reservation: &mut Reservation, bytes: usize) -> bool {
         self.queue.is_empty() && self.try_extend_spooled(reservation, bytes)
--- a/crates/proxy-core/src/client_presence.rs
+++ b/crates/proxy-core/src/client_presence.rs
@@ -52,6 +52,12 @@
         }
     }
 
+    /// Returns the number of bytes that the system has received and nobody has read.
+    pub fn unread_bytes(&self) -> u64 {
+        let socket = self.socket();
+        socket.map_or(0, |socket| socket_options::unread_bytes(&socket.borrow()))
+    }
+
     /// Waits until it is certain that the client is there or has left. Unread bytes are received meanwhile by the task of
     /// the connection; this takes no longer than until `deadline`.
     ///
--- a/crates/proxy-core/src/driver.rs
+++ b/crates/proxy-core/src/driver.rs
@@ -282,6 +282,10 @@
             Input::ReceiveChanged(id, ReceiveChange::Stalled) => {
                 self.reject_unsent(id, EndReason::ClientStalled);
             }
+            Input::ReceiveChanged(id, ReceiveChange::Deadline(deadline)) => {
+                let timer = Timer::AnswerDeadline(id);
+                self.timers.push(Reverse((deadline - ANSWER_MARGIN, timer)));
+            }
             Input::ReceiveChanged(id, ReceiveChange::Reception(reception, deadline)) => {
                 self.change_reception(id, reception, deadline);
             }
@@ -407,9 +411,9 @@
         // The timeout may not have started, or have been started again.
         let is_sent = |upload: &&Rc<Upload>| upload.is_being_sent() || upload.is_complete();
         let deadline = match active.outbound.body.upload().filter(is_sent) {
-            Some(upload) => match upload.client_deadline_if_received() {
-                Some(deadline) => deadline.max(active.deadline),
-                None => return, // the timer is set again once the body is complete
+            Some(upload) => match upload.earliest_client_deadline() {
+                Some(deadline) => deadline,
+                None => return, // the timer is set again once the last byte may have arrived
             },
             None => active.deadline,
         };
@@ -420,7 +424,7 @@
                 return; // the response begins, or the attempt's end answers the request
             }
             self.fail(id, EndReason::Deadline);
-        } else if deadline > active.deadline {
+        } else {
             let timer = Timer::AnswerDeadline(id);
             self.timers.push(Reverse((deadline - ANSWER_MARGIN, timer)));
         }
@@ -429,7 +433,13 @@
     /// Ends a request that has no answer yet. It is only rejected if no attempt in flight has sent a part of it;
     /// otherwise it may have been executed and fails.
     fn fail(&mut self, id: RequestId, reason: EndReason) {
-        self.reject_unsent(id, reason);
+        let is_incomplete = |active: &ActiveRequest| {
+            let upload = active.outbound.body.upload();
+            active.response_sender.is_some() && upload.is_some_and(|u| !u.is_complete())
+        };
+        if self.requests.get(&id).is_some_and(is_incomplete) {
+            self.handle_for(Event::Unsent(id), reason);
+        }
         self.reason = reason;
         if let Some(response_sender) = self.close(id, STATUS_FAILED) {
             let _ = response_sender.send(Answer::Failed); // a client that has disconnected needs no answer
@@ -582,6 +592,9 @@
     fn close(&mut self, id: RequestId, code: u16) -> Option<oneshot::Sender<Answer>> {
         let active = self.requests.get_mut(&id)?;
         active.control.cancel();
+        if let Some(upload) = active.outbound.body.upload() {
+            upload.abort();
+        }
         let response_sender = active.response_sender.take();
         let open = std::mem::take(&mut active.streaming) || response_sender.is_some();
         if let (Some(class), true) = (active.class, open) {
--- a/crates/proxy-core/src/lib.rs
+++ b/crates/proxy-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod account;
 mod attempt_control;
 pub mod backoff;
+mod body_arrival;
 pub mod body_buffer;
 pub mod body_memory;
 mod bounded_read;
--- a/crates/proxy-core/src/memory_queue.rs
+++ b/crates/proxy-core/src/memory_queue.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Returns the number of all bodies.
+    pub fn bodies(&self) -> usize {
+        self.bodies.get()
+    }
+
     /// Returns whether no body waits.
     pub fn is_empty(&self) -> bool {
         self.waiters.borrow().is_empty()
--- a/crates/proxy-core/src/socket_options.rs
+++ b/crates/proxy-core/src/socket_options.rs
@@ -44,3 +44,8 @@
     let result = rustix::event::poll(&mut polled, Some(&Timespec::default()));
     result.is_ok() && polled[0].revents().intersects(ended)
 }
+
+/// Returns the number of bytes that the system has received and nobody has read.
+pub fn unread_bytes(stream: &TcpStream) -> u64 {
+    rustix::io::ioctl_fionread(stream).unwrap_or_default()
+}
--- a/crates/proxy-core/src/stream.rs
+++ b/crates/proxy-core/src/stream.rs
@@ -80,6 +80,7 @@
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
             RequestBody::Streamed { prefix, sender } => {
+                sender.check_aborted()?;
                 if !prefix.is_end_stream() {
                     ready!(sender.window().poll_reserved_room(cx));
                 }
--- a/crates/proxy-core/src/upload.rs
+++ b/crates/proxy-core/src/upload.rs
@@ -9,15 +9,17 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
 use balancer::Reception;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep};
+use tokio::task::yield_now;
+use tokio::time::{Instant, sleep, timeout};
 
+use crate::body_arrival::BodyArrival;
 use crate::body_buffer::{BodyBuffer, BufferedBody};
 use crate::body_memory::BodyMemory;
 use crate::client_presence::{Absence, ClientPresence};
@@ -34,6 +36,16 @@
 const MIN_BYTES_PER_SECOND: f64 = 32e3;
 /// The age at which it has to be confirmed anew that a client has not left: no attempt may begin over 0.1 s after.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(80);
+/// The interval in which a body that is being sent is received further if its endpoint does not keep up.
+const READ_AHEAD_INTERVAL: Duration = Duration::from_millis(50);
+/// The time after which a client that is ahead of the endpoint counts as such.
+const MIN_LAG: Duration = Duration::from_millis(150);
+/// The shortest interval of looks at what the system has received.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// The number of pieces that are received ahead before other tasks run.
+const MAX_PIECES_AHEAD_PER_POLL: usize = 32;
+/// The time for which an endpoint takes nothing of a body if it hangs.
+const MIN_ENDPOINT_PAUSE: Duration = Duration::from_millis(500);
 /// The interval of attempts to reserve memory while there is none.
 const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// The fraction of a client's timeout for which its request waits for memory for its body before another gives up its
@@ -61,6 +73,8 @@
     Evicted,
     /// The client has stopped in the middle of the body.
     Stalled,
+    /// The client gives up at this time, as its last byte has arrived or may have. An attempt is sending the body.
+    Deadline(Instant),
 }
 
 /// A request body that is received while it is sent.
@@ -69,12 +83,8 @@
     prefix: RefCell<BufferedBody>,
     /// What follows the prefix and has been received since the latest attempt began.
     buffer: RefCell<BodyBuffer>,
-    /// The length of the complete body, if the client has announced it.
-    length: Option<u64>,
     rest: RefCell<Option<Incoming>>,
-    received: Cell<u64>,
-    /// The time at which the last byte arrived.
-    received_at: Cell<Option<Instant>>,
+    arrival: BodyArrival,
     /// The number of attempts that are sending the body.
     senders: Cell<usize>,
     /// Notified when an attempt stops sending the body, or waits for it to be received.
@@ -84,8 +94,6 @@
     confirmed_at: Cell<Instant>,
     /// The body's place among those that wait for memory.
     place: Place,
-    /// The time since which the client may have sent what is not received for want of memory.
-    held_since: Cell<Option<Instant>>,
     /// How the body is received, as was last returned.
     reported: Cell<Reception>,
     /// The body is not received any more, as its request is about to be rejected unless an attempt has just begun.
@@ -98,12 +106,23 @@
     client_lost: Cell<bool>,
     /// The last byte has been passed on, so the request may be executed.
     complete: Cell<bool>,
-    last_progress: Cell<Instant>,
-    /// All that the client has sent so far has been passed on.
+    /// The request has its answer, so that no attempt may send the last byte.
+    aborted: Cell<bool>,
+    /// The time at which a piece was last received.
+    received_at: Cell<Instant>,
+    /// The time at which a piece was last passed on to an endpoint.
+    sent_at: Cell<Instant>,
+    /// All that the client has sent so far has been received.
     waits_for_client: Cell<bool>,
+    /// The time at which that was so last.
+    caught_up_at: Cell<Instant>,
+    /// The time at which that was last looked up.
+    checked_at: Cell<Instant>,
+    /// The time at which the client gives up, as was last returned for a body that is being sent.
+    reported_deadline: Cell<Option<Instant>>,
     completed: Notify,
-    /// The time that the client waits after its last byte.
-    timeout: Duration,
+    /// The attempt that waits for data.
+    sender_waker: RefCell<Option<Waker>>,
 }
 
 impl Upload {
@@ -119,28 +138,30 @@
         confirmed_at: Instant,
     ) -> Rc<Self> {
         Rc::new(Upload {
-            received: Cell::new(beginning.received_bytes() as u64),
+            arrival: BodyArrival::new(length, beginning.received_bytes() as u64, client_timeout),
             prefix: RefCell::new(beginning.take_body()),
             buffer: RefCell::new(beginning),
-            length,
             rest: RefCell::new(Some(rest)),
-            received_at: Cell::new(None),
             senders: Cell::new(0),
             sender_changed: Notify::new(),
             client,
             confirmed_at: Cell::new(confirmed_at),
             place,
-            held_since: Cell::new(None),
             reported: Cell::new(Reception::Received),
             is_given_up: Cell::new(false),
             stalled_since: Cell::new(None),
             partly_sent: Cell::new(false),
             client_lost: Cell::new(false),
             complete: Cell::new(false),
-            last_progress: Cell::new(Instant::now()),
+            aborted: Cell::new(false),
+            received_at: Cell::new(Instant::now()),
+            sent_at: Cell::new(Instant::now()),
             waits_for_client: Cell::new(false),
+            caught_up_at: Cell::new(confirmed_at),
+            checked_at: Cell::new(confirmed_at),
+            reported_deadline: Cell::new(None),
             completed: Notify::new(),
-            timeout: client_timeout,
+            sender_waker: RefCell::default(),
         })
     }
 
@@ -170,7 +191,7 @@
             "sent"
         } else if self.is_being_sent() {
             "sending"
-        } else if self.received_at.get().is_some() {
+        } else if self.arrival.is_whole() {
             "received"
         } else if self.place.is_waiting() {
             "paused"
@@ -188,14 +209,24 @@
 
     /// Returns the time at which the client gives up, if its last byte has arrived by now.
     pub fn client_deadline(&self) -> Instant {
-        self.client_deadline_if_received()
-            .unwrap_or_else(|| Instant::now() + self.timeout)
+        let deadline = self.arrival.client_deadline();
+        deadline.unwrap_or_else(|| Instant::now() + self.arrival.timeout())
     }
 
-    /// Returns the time at which the client gives up; `None` before its last byte has arrived.
-    pub fn client_deadline_if_received(&self) -> Option<Instant> {
-        let received_at = self.received_at.get()?;
-        Some(received_at + self.timeout)
+    /// Returns the time at which the client gives up, if its last byte has arrived or may have.
+    pub fn earliest_client_deadline(&self) -> Option<Instant> {
+        let unread_bytes = self.client.unread_bytes();
+        self.arrival.earliest_client_deadline(unread_bytes)
+    }
+
+    /// Keeps attempts from sending the last byte, as the request has its answer.
+    pub fn abort(&self) {
+        self.aborted.set(true);
+    }
+
+    /// Returns whether the endpoint of the attempt in progress has taken nothing for so long that it hangs.
+    pub fn is_endpoint_stuck(&self) -> bool {
+        self.sent_at.get().elapsed() >= MIN_ENDPOINT_PAUSE
     }
 
     /// Takes the part that has not been received, once the request is answered.
@@ -205,17 +236,16 @@
 
     /// Returns the time at which the body is aborted unless there is progress.
     pub fn stalls_at(&self) -> Instant {
-        let timeout = if self.waits_for_client.get() {
-            CLIENT_STALL_TIMEOUT
+        if self.waits_for_client.get() && !self.buffer.borrow().has_data() {
+            self.received_at.get().max(self.sent_at.get()) + CLIENT_STALL_TIMEOUT
         } else {
-            ENDPOINT_STALL_TIMEOUT
-        };
-        self.last_progress.get() + timeout
+            self.sent_at.get() + ENDPOINT_STALL_TIMEOUT
+        }
     }
 
     /// Begins to send the body with an attempt; returns its buffered beginning and the sender of the rest.
     pub fn begin_sending(self: &Rc<Self>) -> (BufferedBody, Sender) {
-        self.record_progress();
+        self.sent_at.set(Instant::now());
         self.place.finish();
         self.is_given_up.set(false);
         self.senders.set(self.senders.get() + 1);
@@ -228,6 +258,7 @@
         let sender = Sender {
             upload: self.clone(),
             window: Rc::default(),
+            ahead: RefCell::default(),
         };
         (prefix.clone(), sender)
     }
@@ -255,6 +286,9 @@
             if !self.is_being_sent() && self.reported.replace(reception) != reception {
                 return ReceiveChange::Reception(reception, self.client_deadline_at_latest());
             }
+            if let Some(deadline) = self.changed_deadline() {
+                return ReceiveChange::Deadline(deadline);
+            }
             self.receive_next(memory).await;
         }
     }
@@ -262,11 +296,22 @@
     /// Returns whether all that has come of the body is received, and nothing has come for too long.
     fn is_client_stalled(&self, reception: Reception) -> bool {
         let may_stall = reception == Reception::Arriving && self.waits_for_client.get();
-        may_stall && !self.is_being_sent() && self.stalls_at() <= Instant::now()
+        let stalls_at = self.received_at.get() + CLIENT_STALL_TIMEOUT;
+        may_stall && !self.is_being_sent() && stalls_at <= Instant::now()
+    }
+
+    /// Returns the time at which the client of a body that is being sent gives up, if that is not the one returned before.
+    fn changed_deadline(&self) -> Option<Instant> {
+        if !self.is_being_sent() || self.is_complete() {
+            return None;
+        }
+        let deadline = self.earliest_client_deadline();
+        let changed = self.reported_deadline.replace(deadline) != deadline;
+        deadline.filter(|_| changed)
     }
 
     fn reception(&self) -> Reception {
-        if self.received_at.get().is_some() {
+        if self.arrival.is_whole() {
             Reception::Received
         } else if self.place.is_waiting() {
             Reception::Paused
@@ -277,18 +322,23 @@
 
     /// Returns the latest time at which the client of a waiting request gives up.
     fn client_deadline_at_latest(&self) -> Instant {
-        let received_at = self.received_at.get().or(self.held_since.get());
-        let latest_end = || {
-            let length = self.length.unwrap_or(MAX_BODY_BYTES);
-            let rest = length.saturating_sub(self.received.get());
-            Instant::now() + transfer_time(rest as usize)
-        };
-        received_at.unwrap_or_else(latest_end) + self.timeout
+        let transfer_time = |bytes: u64| transfer_time(bytes as usize);
+        self.arrival
+            .latest_client_deadline(MAX_BODY_BYTES, transfer_time, Instant::now())
     }
 
     async fn receive_next(&self, memory: &BodyMemory) {
-        if self.is_being_sent() || self.is_given_up.get() || self.rest.borrow().is_none() {
+        if self.is_given_up.get() || self.rest.borrow().is_none() {
             self.sender_changed.notified().await;
+        } else if self.is_being_sent() {
+            let _ = timeout(READ_AHEAD_INTERVAL, self.sender_changed.notified()).await;
+            let shows_last_byte = || {
+                let unread_bytes = self.client.unread_bytes();
+                self.arrival.record_unread(unread_bytes, Instant::now())
+            };
+            if self.is_behind() && !shows_last_byte() {
+                self.receive_ahead(memory).await;
+            }
         } else if self.try_reserve_next(memory) {
             tokio::select! {
                 biased;
@@ -300,11 +350,59 @@
         } else if self.place.is_waiting() {
             self.wait_for_memory(memory).await;
         } else {
-            self.held_since.set(Some(Instant::now()));
+            self.arrival.hold(Instant::now());
             self.place.join();
         }
     }
 
+    /// Returns whether a body that is being sent is taken more slowly than its client sends it.
+    fn is_behind(&self) -> bool {
+        let is_behind =
+            !self.waits_for_client.get() && self.caught_up_at.get().elapsed() >= MIN_LAG;
+        is_behind && self.is_being_sent() && !self.is_complete()
+    }
+
+    /// Receives what the client has sent of a body that is being sent, as far as there is memory. Its last byte would not
+    /// be seen otherwise.
+    async fn receive_ahead(&self, memory: &BodyMemory) {
+        for piece in 1.. {
+            if !self.is_being_sent() || self.rest.borrow().is_none() {
+                break;
+            }
+            if !self.buffer.borrow_mut().try_reserve_ahead(memory) {
+                self.arrival.hold(Instant::now());
+                break;
+            }
+            // The HTTP library reads on once it is asked to.
+            let next = poll_fn(|cx| self.poll_ahead(cx));
+            if !timeout(READ_AHEAD_INTERVAL, next)
+                .await
+                .is_ok_and(|more| more)
+            {
+                break;
+            }
+            if piece % MAX_PIECES_AHEAD_PER_POLL == 0 {
+                yield_now().await;
+            }
+        }
+        self.wake_sender();
+    }
+
+    /// Receives the next piece ahead; returns false if none follows.
+    fn poll_ahead(&self, cx: &mut Context) -> Poll<bool> {
+        let Some(Ok(data)) = ready!(self.poll_data(cx)) else {
+            return Poll::Ready(false);
+        };
+        self.buffer.borrow_mut().add(&data);
+        self.wake_sender();
+        Poll::Ready(true)
+    }
+
+    /// Wakes the attempt that waits for data, as others have received some, or have waited in its place.
+    fn wake_sender(&self) {
+        self.sender_waker.take().into_iter().for_each(Waker::wake);
+    }
+
     fn try_reserve_next(&self, memory: &BodyMemory) -> bool {
         let mut buffer = self.buffer.borrow_mut();
         buffer.try_reserve_next_in_turn(memory, &self.place)
@@ -327,7 +425,7 @@
         let max_stall = if self.place.all_wait() {
             MAX_MEMORY_DEADLOCK
         } else {
-            self.timeout.mul_f64(MAX_MEMORY_WAIT)
+            self.arrival.timeout().mul_f64(MAX_MEMORY_WAIT)
         };
         if now - stalled_since >= max_stall {
             let is_too_large = memory.is_large_share(self.buffer.borrow().reserved_bytes());
@@ -358,10 +456,22 @@
         Ok(())
     }
 
-    /// Records that all that the client has sent is received, if that is so.
-    fn record_if_caught_up(&self) {
-        if self.held_since.get().is_some() && self.client.check() != Err(Absence::Unknown) {
-            self.held_since.set(None);
+    /// Records whether all that the client has sent is received. The HTTP library may not have read what the system has.
+    fn record_wait_for_data(&self) {
+        let now = Instant::now();
+        let next_check = self.checked_at.get() + MIN_CHECK_INTERVAL;
+        if now < next_check && !self.arrival.is_held() {
+            return;
+        }
+        self.checked_at.set(now);
+        let is_caught_up = self.client.check() != Err(Absence::Unknown);
+        self.waits_for_client.set(is_caught_up);
+        if !is_caught_up {
+            return;
+        }
+        self.caught_up_at.set(now);
+        if self.arrival.is_held() {
+            self.arrival.record_caught_up(now);
             self.stalled_since.set(None);
             self.place.leave();
         }
@@ -382,41 +492,48 @@
         Poll::Ready(())
     }
 
+    /// Polls the next piece for an attempt, which is also woken by what is received ahead.
+    fn poll_data_for_sender(&self, cx: &mut Context) -> Poll<Option<io::Result<Bytes>>> {
+        let data = self.poll_data(cx);
+        if data.is_pending() {
+            self.sender_waker.replace(Some(cx.waker().clone()));
+        }
+        data
+    }
+
     /// Polls the next piece of the rest; `None` after the last.
     fn poll_data(&self, cx: &mut Context) -> Poll<Option<io::Result<Bytes>>> {
         let mut rest = self.rest.borrow_mut();
         loop {
             let Some(body) = rest.as_mut() else {
-                let dropped = self.received_at.get().is_none();
+                let dropped = !self.arrival.is_whole();
                 return Poll::Ready(
                     dropped.then(|| Err(invalid_data("the rest of the request body was dropped"))),
                 );
             };
             let Poll::Ready(frame) = Pin::new(body).poll_frame(cx) else {
-                self.waits_for_client.set(true);
-                self.record_if_caught_up();
+                self.record_wait_for_data();
                 return Poll::Pending;
             };
-            self.record_progress();
+            let now = Instant::now();
+            self.received_at.set(now);
+            self.waits_for_client.set(false);
             match frame {
                 None => {
                     *rest = None;
-                    self.record_end();
+                    self.arrival.record_end(now);
                     return Poll::Ready(None);
                 }
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else {
                         continue; // trailers are dropped
                     };
-                    self.received.set(self.received.get() + data.len() as u64);
-                    if self.received.get() > MAX_BODY_BYTES {
+                    self.arrival.record(data.len() as u64, now);
+                    if self.arrival.received_bytes() > MAX_BODY_BYTES {
                         *rest = None;
                         let error = invalid_data("the request body is too large");
                         return Poll::Ready(Some(Err(error)));
                     }
-                    if self.length == Some(self.received.get()) {
-                        self.record_end();
-                    }
                     return Poll::Ready(Some(Ok(data)));
                 }
                 Some(Err(error)) => {
@@ -428,20 +545,9 @@
         }
     }
 
-    fn record_progress(&self) {
-        self.last_progress.set(Instant::now());
-        self.waits_for_client.set(false);
-    }
-
-    fn record_end(&self) {
-        let received_at = self.received_at.get().or(self.held_since.get());
-        self.received_at
-            .set(Some(received_at.unwrap_or_else(Instant::now)));
-    }
-
     /// Records that all that has been received is passed on.
     fn record_passed_on(&self) {
-        if self.received_at.get().is_some() {
+        if self.arrival.is_whole() && !self.buffer.borrow().has_data() {
             self.complete.set(true);
             self.completed.notify_waiters();
         }
@@ -462,12 +568,14 @@
     upload: Rc<Upload>,
     /// The window of the connection that sends the body.
     window: Rc<WriteWindow>,
+    /// What has been received before the endpoint took it.
+    ahead: RefCell<BufferedBody>,
 }
 
 impl Sender {
     /// Returns the announced length of the complete body.
     pub fn body_length(&self) -> Option<u64> {
-        self.upload.length
+        self.upload.arrival.length()
     }
 
     /// Returns the window of the connection that sends the body.
@@ -475,10 +583,18 @@
         &self.window
     }
 
+    /// Returns an error if the request has its answer.
+    pub fn check_aborted(&self) -> io::Result<()> {
+        if self.upload.aborted.get() {
+            return Err(invalid_data("the request is answered"));
+        }
+        Ok(())
+    }
+
     /// Records that a part of the buffered beginning has been passed on, and whether it was the last.
     pub fn record_prefix(&self, bytes: usize, is_last: bool) {
         self.window.record_piece(bytes);
-        self.upload.record_progress();
+        self.upload.sent_at.set(Instant::now());
         if is_last {
             self.upload.record_passed_on();
         }
@@ -487,20 +603,37 @@
     /// Passes on the next piece of the rest.
     pub fn poll_rest(&self, cx: &mut Context) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         let upload = &self.upload;
-        let data = match ready!(upload.poll_data(cx)) {
-            Some(Ok(data)) => write_window::compact(data),
-            Some(Err(error)) => return Poll::Ready(Some(Err(error))),
-            None => {
-                upload.record_passed_on();
-                return Poll::Ready(None);
-            }
+        let data = match self.next_ahead() {
+            Some(block) => block,
+            None => match ready!(upload.poll_data_for_sender(cx)) {
+                Some(Ok(data)) => write_window::compact(data),
+                Some(Err(error)) => return Poll::Ready(Some(Err(error))),
+                None => {
+                    upload.record_passed_on();
+                    return Poll::Ready(None);
+                }
+            },
         };
         self.window.record_piece(data.len());
+        upload.sent_at.set(Instant::now());
         upload.partly_sent.set(true);
         upload.prefix.take();
-        upload.record_passed_on();
+        if self.ahead.borrow().is_end_stream() {
+            upload.record_passed_on();
+        }
         Poll::Ready(Some(Ok(Frame::data(data))))
     }
+
+    /// Takes the next block of what has been received ahead.
+    fn next_ahead(&self) -> Option<Bytes> {
+        let mut ahead = self.ahead.borrow_mut();
+        if ahead.is_end_stream() {
+            let mut buffer = self.upload.buffer.borrow_mut();
+            *ahead = buffer.take_body();
+            buffer.release_unused();
+        }
+        ahead.next_block()
+    }
 }
 
 impl Drop for Sender {
--- a/crates/proxy-core/src/upstream.rs
+++ b/crates/proxy-core/src/upstream.rs
@@ -563,6 +563,8 @@
                     progressing = arrival.changed() => {
                         report(AttemptEvent::ResponseArriving(progressing));
                     }
+                    // The request has its answer; its last byte must not reach the endpoint.
+                    () = control.cancelled(), if incomplete_upload.is_some() => break None,
                     () = body_complete => {
                         deadline.set(upload.as_ref().map_or_else(Instant::now, |u| u.client_deadline()));
                         report(AttemptEvent::BodyComplete);
@@ -596,6 +598,9 @@
             Some(Err(_)) if tracker.blocked.get() && !tracker.started.get() => {
                 return report(AttemptEvent::Ended(Outcome::NotSent, None));
             }
+            Some(Err(_)) | None if !tracker.is_complete() && is_called_off(&control, &upload) => {
+                return report(AttemptEvent::Ended(Outcome::Cancelled, None));
+            }
             Some(Err(_)) | None if !tracker.is_complete() => {
                 return report(AttemptEvent::Ended(Outcome::ConnectFailed, None));
             }
@@ -615,6 +620,12 @@
     }
 }
 
+/// Returns whether an attempt ends because its request has an answer, though its endpoint takes the body.
+fn is_called_off(control: &AttemptControl, upload: &Option<Rc<Upload>>) -> bool {
+    let is_stuck = |upload: &Rc<Upload>| upload.is_endpoint_stuck();
+    !control.allows_attempts() && !upload.as_ref().is_some_and(is_stuck)
+}
+
 /// Returns whether a connection could not be attempted because this process or machine is short of a resource.
 fn is_resource_shortage(error: &io::Error) -> bool {
     use rustix::io::Errno;
--- a/crates/proxy-core/tests/layers.rs
+++ b/crates/proxy-core/tests/layers.rs
@@ -2,7 +2,7 @@
 use std::path::Path;
 
 /// The modules, from the lowest layer up.
-const LAYERS: [&str; 43] = [
+const LAYERS: [&str; 44] = [
     "backoff",
     "memory_queue",
     "body_memory",
@@ -22,6 +22,7 @@
     "inherited",
     "config",
     "hosts",
+    "body_arrival",
     "upload",
     "stream",
     "message",
--- a/crates/proxy/tests/long_bodies/mod.rs
+++ b/crates/proxy/tests/long_bodies/mod.rs
@@ -14,6 +14,8 @@
 pub const PIECE_BYTES: usize = 16_000;
 /// The time that a client waits for its answer after the last byte of its request.
 const CLIENT_PATIENCE: Duration = Duration::from_secs(8);
+/// The time for which an answer may come after its client's time.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
 const THREAD_STACK_BYTES: usize = 128 << 10;
 
 /// The limits of a process. The platform kills it above its memory limit.
@@ -250,11 +252,14 @@
     pub failed: usize,
     /// Requests that got no answer.
     pub unanswered: usize,
+    /// Requests whose answer came more than half a second after their time, which counts from the last byte.
+    pub late: usize,
 }
 
 impl Ends {
-    fn count(&mut self, status: Option<u16>) {
-        match status {
+    fn count(&mut self, answer: Option<&UploadAnswer>) {
+        self.late += usize::from(answer.is_some_and(|answer| answer.is_late));
+        match answer.map(|answer| answer.status) {
             Some(200) => self.served += 1,
             Some(429 | 503) => self.refused += 1,
             Some(status) => {
@@ -270,6 +275,7 @@
         self.refused += others.refused;
         self.failed += others.failed;
         self.unanswered += others.unanswered;
+        self.late += others.late;
     }
 }
 
@@ -304,7 +310,7 @@
     while Instant::now() < end {
         let mut stream = connection.take().unwrap_or_else(|| connect(address));
         let answer = upload(&mut stream, &format!("r-{number}-{request}"), body);
-        ends.count(answer.as_ref().map(|answer| answer.status));
+        ends.count(answer.as_ref());
         connection = answer.filter(|answer| !answer.closes).map(|_| stream);
         request += 1;
         if connection.is_none() {
@@ -325,6 +331,7 @@
 struct UploadAnswer {
     status: u16,
     closes: bool,
+    is_late: bool,
 }
 
 /// Sends a request with a body and reads the answer, which may come before the last byte is written.
@@ -333,8 +340,11 @@
     let written = stream
         .write_all(head.as_bytes())
         .and_then(|()| body.write(stream, PIECE_BYTES));
+    let written_at = Instant::now();
     let answer = read_message(&mut BufReader::new(&*stream))?;
+    let time = Duration::from_secs(body.client_timeout_seconds.into()) + ANSWER_SLACK;
     Some(UploadAnswer {
+        is_late: written.is_ok() && written_at.elapsed() > time,
         status: answer.status(),
         closes: written.is_err() || answer.header("connection") == Some("close"),
     })
