Keep the many fields of a waiting request as bytes, not as a map

Cause: a head of 1.3 kB with 94 fields becomes a map of some 25 kB that nobody counts, kept as long as its request; the HTTP library hands the map on.

Beyond 24 fields a request keeps bytes and makes the map for each attempt; oversized maps of responses are replaced.

--- a/crates/proxy-core/src/capture.rs
+++ b/crates/proxy-core/src/capture.rs
@@ -210,11 +210,7 @@
     attempts: Option<Vec<AttemptRecord<'a>>>,
     status: u16,
 ) -> RequestRecord<'a> {
-    let id = message
-        .headers
-        .get("x-request-id")
-        .and_then(|v| v.to_str().ok())
-        .unwrap_or_default();
+    let id = message.headers.text("x-request-id").unwrap_or_default();
     RequestRecord {
         id: id.into(),
         class: names
--- a/crates/proxy-core/src/driver.rs
+++ b/crates/proxy-core/src/driver.rs
@@ -364,7 +364,9 @@
             };
             decision.inspect(|d| d.set(Some(now)));
             if gate.send_stamps() {
-                insert_stamp(&mut outbound.headers, now);
+                outbound
+                    .headers
+                    .update(|headers| insert_stamp(headers, now));
             }
         }
         let answer_deadline = deadline - ANSWER_MARGIN;
@@ -871,8 +873,7 @@
 
 /// Returns the id that the client gave a request.
 fn client_id(outbound: &OutboundRequest) -> &str {
-    let id = outbound.headers.get("x-request-id");
-    id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+    outbound.headers.text("x-request-id").unwrap_or("-")
 }
 
 /// Logs the end of a request that was not served.
--- a/crates/proxy-core/src/exchange.rs
+++ b/crates/proxy-core/src/exchange.rs
@@ -18,6 +18,7 @@
 use crate::body_buffer::{BodyBuffer, BufferedBody};
 use crate::body_memory::{BodyMemory, MAX_BUFFERED_BYTES};
 use crate::message::{EndpointResponse, ResponseContent, strip_hop_by_hop};
+use crate::request_fields::fitted;
 use crate::response_arrival::ResponseArrival;
 use crate::stream::{RequestBody, ResponsePiece};
 use crate::upload::MAX_BODY_BYTES;
@@ -123,6 +124,7 @@
         }
         StatusCode::OK => {
             strip_hop_by_hop(&mut headers);
+            let headers = fitted(headers);
             if large {
                 return Ok(ExchangeResult::Large(LargeResponse {
                     headers,
--- a/crates/proxy-core/src/frontend.rs
+++ b/crates/proxy-core/src/frontend.rs
@@ -38,11 +38,12 @@
 use crate::lifecycle::{IdleConnection, SharedLifecycle};
 use crate::log::note_request;
 use crate::message::{
-    OutboundRequest, ResponseContent, origin_form, strip_hop_by_hop, text_response,
+    OutboundRequest, ResponseContent, detached, origin_form, strip_hop_by_hop, text_response,
 };
 use crate::note;
 use crate::pool::{Pool, RequestHead};
 use crate::request_body::{self, BodyError};
+use crate::request_fields::RequestFields;
 use crate::socket_options::{self, UnreadInput, unread_input};
 use crate::stream::{RequestContent, ResponseBody};
 use crate::upload::{self, MAX_BODY_BYTES, ReceiveChange, Upload};
@@ -567,6 +568,25 @@
             Ok(admitted) => admitted,
             Err(delay) => return self.reject(pool, delay).await,
         };
+        // The input for routing the request again, if that may be needed.
+        let routing_input = self
+            .router
+            .gate()
+            .map(|_| (head.method.clone(), head.uri.clone(), head.headers.clone()));
+        let mut headers = head.headers;
+        strip_hop_by_hop(&mut headers);
+        let request_id = pool
+            .features
+            .drills
+            .as_ref()
+            .and_then(|_| headers.get("x-request-id").cloned());
+        let uri = origin_form(&head.uri);
+        let (fields, uri) = match RequestFields::from(headers) {
+            fields @ RequestFields::Map(_) => (fields, uri),
+            fields @ RequestFields::Bytes { .. } => (fields, detached(&uri)),
+        };
+        let method = head.method;
+        drop(head.uri);
         let presence = ClientPresence::new(client.socket.borrow().clone());
         let received = tokio::select! {
             biased;
@@ -586,22 +606,10 @@
         };
         let upload = body.upload().cloned();
         client.read_rest();
-        // The input for routing the request again, if that may be needed.
-        let routing_input = self
-            .router
-            .gate()
-            .map(|_| (head.method.clone(), head.uri.clone(), head.headers.clone()));
-        let mut headers = head.headers;
-        strip_hop_by_hop(&mut headers);
-        let request_id = pool
-            .features
-            .drills
-            .as_ref()
-            .and_then(|_| headers.get("x-request-id").cloned());
         let mut outbound = OutboundRequest {
-            method: head.method,
-            uri: origin_form(&head.uri),
-            headers,
+            method,
+            uri,
+            headers: fields,
             body,
         };
         // The timeout counts from the request's last byte. During shutdown a late request is answered before the
@@ -835,8 +843,12 @@
     }
     if let (Some(capture), Some(parsed)) = (&pool.features.capture, parsed) {
         let pending = capture.start_record(parsed.class, parsed.tenant, parsed.timeout);
-        let (method, uri, headers, body) =
-            (head.method, head.uri, head.headers, RequestContent::empty());
+        let (method, uri, headers, body) = (
+            head.method,
+            head.uri,
+            head.headers.into(),
+            RequestContent::empty(),
+        );
         capture.record_rejected(
             &pending,
             &OutboundRequest {
--- a/crates/proxy-core/src/lib.rs
+++ b/crates/proxy-core/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod process;
 mod request_body;
 mod request_end;
+mod request_fields;
 mod response_arrival;
 pub mod service;
 mod socket_options;
--- a/crates/proxy-core/src/message.rs
+++ b/crates/proxy-core/src/message.rs
@@ -6,13 +6,14 @@
 use tokio::time::Instant;
 
 use crate::body_buffer::BufferedBody;
+use crate::request_fields::RequestFields;
 use crate::stream::{RequestBody, RequestContent, ResponseStream};
 
 /// A client's request in the form in which it is forwarded.
 pub struct OutboundRequest {
     pub method: Method,
     pub uri: Uri,
-    pub headers: HeaderMap,
+    pub headers: RequestFields,
     pub body: RequestContent,
 }
 
@@ -71,7 +72,7 @@
         OutboundRequest {
             method,
             uri,
-            headers: HeaderMap::new(),
+            headers: HeaderMap::new().into(),
             body: RequestContent::empty(),
         }
     }
@@ -86,7 +87,7 @@
         let mut request = Request::new(self.body.outbound());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.headers.clone();
+        *request.headers_mut() = self.headers.to_map();
         let left = deadline
             .saturating_duration_since(Instant::now())
             .as_secs_f64();
@@ -105,6 +106,11 @@
         .unwrap_or_default()
 }
 
+/// Returns a copy of an address that does not keep the buffer of the head in which it came.
+pub fn detached(uri: &Uri) -> Uri {
+    uri.to_string().parse().unwrap_or_else(|_| uri.clone())
+}
+
 /// Returns path and query, unchanged, also for a request in absolute form.
 pub fn origin_form(uri: &Uri) -> Uri {
     uri.path_and_query()
--- a/crates/proxy-core/tests/layers.rs
+++ b/crates/proxy-core/tests/layers.rs
@@ -2,7 +2,7 @@
 use std::path::Path;
 
 /// The modules, from the lowest layer up.
-const LAYERS: [&str; 44] = [
+const LAYERS: [&str; 45] = [
     "backoff",
     "memory_queue",
     "body_memory",
@@ -25,6 +25,7 @@
     "body_arrival",
     "upload",
     "stream",
+    "request_fields",
     "message",
     "response_arrival",
     "exchange",
--- a/crates/proxy/tests/hostile_clients.rs
+++ b/crates/proxy/tests/hostile_clients.rs
@@ -41,7 +41,7 @@
 }
 
 /// Writes what a function returns on one connection after another until the time is over. Answers are read and dropped.
-fn flood(address: SocketAddr, text: impl Fn(usize) -> String) -> usize {
+fn flood(address: SocketAddr, text: &impl Fn(usize) -> String) -> usize {
     let end = Instant::now() + FLOOD;
     let mut written = 0;
     let mut number = 0;
@@ -69,6 +69,40 @@
     written
 }
 
+/// The requests that a client sends at once, so few that the proxy keeps them all.
+const BATCH: usize = 20;
+
+/// Sends batches of requests on one connection, each when the answers to the one before have come.
+fn flood_in_batches(address: SocketAddr, text: &impl Fn(usize) -> String) -> usize {
+    let end = Instant::now() + FLOOD;
+    let (mut written, mut number) = (0, 0);
+    while Instant::now() < end {
+        let Ok(mut stream) = TcpStream::connect(address) else {
+            continue;
+        };
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(2)));
+        'connection: while Instant::now() < end {
+            let block: String = (0..BATCH).map(|offset| text(number + offset)).collect();
+            number += BATCH;
+            if stream.write_all(block.as_bytes()).is_err() {
+                break;
+            }
+            written += block.len();
+            let (mut answers, mut bytes) = (0, [0; 1 << 14]);
+            while answers < BATCH {
+                match stream.read(&mut bytes) {
+                    Ok(read @ 1..) => {
+                        let starts = bytes[..read].windows(9).filter(|w| w == b"HTTP/1.1 ");
+                        answers += starts.count();
+                    }
+                    _ => break 'connection,
+                }
+            }
+        }
+    }
+    written
+}
+
 /// Sends requests now and then, on a kept connection and on new ones, and returns the longest time to an answer.
 fn longest_answer(address: SocketAddr, stop: &AtomicBool) -> Duration {
     let mut longest = Duration::ZERO;
@@ -96,7 +130,15 @@
     longest
 }
 
-fn check_flood(name: &str, text: impl Fn(usize) -> String + Send + 'static) {
+fn check_flood(name: &str, text: impl Fn(usize) -> String + Send + Clone + 'static) {
+    let batched = text.clone();
+    check_flooder(name, move |address| flood(address, &text));
+    check_flooder(&format!("{name}, in batches"), move |address| {
+        flood_in_batches(address, &batched)
+    });
+}
+
+fn check_flooder(name: &str, flooder: impl Fn(SocketAddr) -> usize + Send + 'static) {
     let (_discovery, mut proxy) = start(&SMALL_LIMITS);
     let address = proxy.address;
     let stop = Arc::new(AtomicBool::new(false));
@@ -107,7 +149,7 @@
         })
         .collect();
     thread::sleep(Duration::from_millis(200));
-    let written = thread::spawn(move || flood(address, text))
+    let written = thread::spawn(move || flooder(address))
         .join()
         .expect("no panic");
     stop.store(true, Ordering::SeqCst);
