Keep a sixteenth of the memory back from bodies where connections may take the rest

At 32 MB and 1,024 descriptors the connections' part and the quarter for bodies exceeded the limit by themselves on paper (31.3 and 8 MB).

Other corners keep theirs. The boxes stay, as they cost nothing.

--- a/crates/proxy-core/src/body_memory.rs
+++ b/crates/proxy-core/src/body_memory.rs
@@ -55,12 +55,15 @@
 }
 
 impl BodyMemory {
-    /// Takes a quarter of a process's memory for all bodies, and for long ones most of what this many connections leave of
+    /// Takes a quarter of a process's memory for all bodies, or three sixteenths where connections may take the rest, and for long ones most of what this many connections leave of
     /// the rest. Long bodies leave a quarter of the first to others.
     pub fn new(memory_bytes: usize, connections: usize) -> Rc<Self> {
-        let buffer_bytes = (memory_bytes / 4).max(MIN_BUFFERED_BODIES * MAX_BUFFERED_BYTES);
         let others = PROCESS_BYTES + connections * CONNECTION_BYTES;
-        let left = memory_bytes.saturating_sub(others) / 10 * 9;
+        let unclaimed = memory_bytes.saturating_sub(others);
+        let left = unclaimed / 10 * 9;
+        let buffer_bytes = (memory_bytes / 4)
+            .min(unclaimed.max(memory_bytes / 16 * 3))
+            .max(MIN_BUFFERED_BODIES * MAX_BUFFERED_BYTES);
         let spare_bytes = left.saturating_sub(buffer_bytes);
         let reserve_bytes = (spare_bytes / 2).max(MIN_RESERVE_BYTES);
         let long_body_bytes = spare_bytes.max(reserve_bytes);
--- a/crates/proxy-core/src/client_presence.rs
+++ b/crates/proxy-core/src/client_presence.rs
@@ -64,6 +64,14 @@
     /// # Errors
     /// The client has left, or too many bytes are unread.
     pub async fn confirm(&self, deadline: Instant) -> Result<(), Absence> {
+        match self.check() {
+            // Boxed, so that attempts take no memory for a wait that is rare.
+            Err(Absence::Unknown) => Box::pin(self.wait_until_known(deadline)).await,
+            result => result,
+        }
+    }
+
+    async fn wait_until_known(&self, deadline: Instant) -> Result<(), Absence> {
         let end = deadline.min(Instant::now() + MAX_CONFIRMATION_TIME);
         loop {
             match self.check() {
--- a/crates/proxy-core/src/exchange.rs
+++ b/crates/proxy-core/src/exchange.rs
@@ -92,7 +92,8 @@
             break true;
         }
         let next = if is_held {
-            next_held_frame(&mut body, arrival, release.as_mut()).await
+            // Boxed, so that responses with a length take no memory for it.
+            Box::pin(next_held_frame(&mut body, arrival, release.as_mut())).await
         } else {
             Some(body.frame().await)
         };
