--- a/crates/proxy/tests/slow_peers.rs
+++ b/crates/proxy/tests/slow_peers.rs
@@ -5,6 +5,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -464,3 +465,60 @@
 fn requests_of_any_length_are_answered_in_time_if_their_endpoints_stop_reading() {
     check_uploads(STUCK, &[8_000_000, 32_000_000], 2);
 }
+
+/// When an attempt's head came, and the time that it told its endpoint.
+type ToldTimes = Arc<Mutex<Vec<(Instant, Duration)>>>;
+
+/// Starts an endpoint that takes the head of a request and some of its body, and resets the connection after a while.
+fn start_resetting_endpoint(told: &ToldTimes, after: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let told = told.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (stream, told) = (stream.expect("a connection"), told.clone());
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream);
+                while let Some(line) = read_line(&mut reader).filter(|line| !line.is_empty()) {
+                    if let Some(value) = line.to_ascii_lowercase().strip_prefix("x-timeout: ") {
+                        let time = Duration::from_secs_f64(value.parse().expect("a number"));
+                        told.lock().expect("no panic").push((Instant::now(), time));
+                    }
+                }
+                thread::sleep(after);
+                socket2::SockRef::from(reader.get_ref())
+                    .set_linger(Some(Duration::ZERO))
+                    .expect("an option");
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a second attempt that tells its endpoint more time than its client has left, as the last byte was read
+/// long after it was written.
+#[test]
+fn a_second_attempt_of_a_long_body_tells_no_more_than_its_client_has_left() {
+    const MAX_EXCESS: Duration = Duration::from_millis(150);
+    let timeout = Duration::from_secs(2);
+    for limits in LIMITS {
+        for chunked in [true, false] {
+            let told = ToldTimes::default();
+            let after = Duration::from_millis(500);
+            let endpoints: Vec<_> = (0..4)
+                .map(|_| start_resetting_endpoint(&told, after))
+                .collect();
+            let (_discovery, proxy) = start_proxy_for(&endpoints, &limits.setup());
+            let begun = Instant::now();
+            upload(proxy.address, "r-1", at_once(3_000_000, chunked), timeout);
+            let told = told.lock().expect("no panic");
+            for (at, time) in told.iter() {
+                // The last byte was written some ms after the begin.
+                let left = (begun + timeout).saturating_duration_since(*at);
+                println!("{limits:?} {chunked}: told {time:?}, left {left:?}");
+                assert!(*time <= left + MAX_EXCESS, "told {time:?}, left {left:?}");
+            }
+            assert!(told.len() > 1, "there is a second attempt");
+        }
+    }
+}
