Announce to a further attempt of a long body no more time than its client has left

Cause: while an attempt sends a body its last byte is found up to 0.2 s after it was written, and an uncertain one counts 0.15 s later; a further attempt announced the deadline that follows from that.

An attempt now announces the deadline less what the last byte may be older than its find. The deadline at which the proxy itself answers stays.

--- a/crates/proxy-core/src/body_arrival.rs
+++ b/crates/proxy-core/src/body_arrival.rs
@@ -28,6 +28,8 @@
     is_whole: Cell<bool>,
     /// The time at which the last byte arrived.
     last_byte_at: Cell<Option<Instant>>,
+    /// How much earlier the last byte may have arrived.
+    last_byte_uncertainty: Cell<Duration>,
     /// The time since which the client may have written what is not received.
     held_since: Cell<Option<Instant>>,
     /// The time at which a held body seemed to be received as far as it was written.
@@ -44,6 +46,7 @@
             received_bytes: Cell::new(received_bytes),
             is_whole: Cell::new(false),
             last_byte_at: Cell::new(None),
+            last_byte_uncertainty: Cell::default(),
             held_since: Cell::new(None),
             caught_up_at: Cell::new(None),
             timeout,
@@ -87,10 +90,18 @@
     }
 
     fn record_last_byte(&self, now: Instant) {
-        let held_since = self.held_since.get();
-        let if_held = held_since.map(|since| now.min(since + UNCERTAIN_ANSWER_DELAY));
-        let arrived_at = self.last_byte_at.get().or(if_held);
-        self.last_byte_at.set(Some(arrived_at.unwrap_or(now)));
+        if self.last_byte_at.get().is_some() {
+            return;
+        }
+        let held_since = self.held_since.get().unwrap_or(now);
+        let arrived_at = now.min(held_since + UNCERTAIN_ANSWER_DELAY);
+        self.last_byte_at.set(Some(arrived_at));
+        self.last_byte_uncertainty.set(arrived_at - held_since);
+    }
+
+    /// Returns how much earlier than counted the last byte may have arrived.
+    pub fn last_byte_uncertainty(&self) -> Duration {
+        self.last_byte_uncertainty.get()
     }
 
     /// Ends the hold when something arrives some time after the body was caught up: the client has written it since. What
--- a/crates/proxy-core/src/message.rs
+++ b/crates/proxy-core/src/message.rs
@@ -84,11 +84,13 @@
 
     /// Creates the request for one attempt; `X-Timeout` announces how long this proxy will wait.
     pub fn attempt_request(&self, deadline: Instant) -> Option<Request<RequestBody>> {
+        let upload = self.body.upload();
+        let announced = upload.map_or(deadline, |upload| upload.announced_deadline(deadline));
         let mut request = Request::new(self.body.outbound());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.to_map();
-        let left = deadline
+        let left = announced
             .saturating_duration_since(Instant::now())
             .as_secs_f64();
         let left = HeaderValue::from_str(&format!("{left:.3}")).ok()?;
--- a/crates/proxy-core/src/upload.rs
+++ b/crates/proxy-core/src/upload.rs
@@ -80,6 +80,8 @@
     arrival: BodyArrival,
     /// The number of attempts that are sending the body.
     senders: Cell<usize>,
+    /// An attempt began before the whole body was received.
+    was_sent_incomplete: Cell<bool>,
     /// Notified when an attempt stops sending the body, or waits for it to be received.
     sender_changed: Notify,
     client: ClientPresence,
@@ -136,6 +138,7 @@
             buffer: RefCell::new(beginning),
             rest: RefCell::new(Some(rest)),
             senders: Cell::new(0),
+            was_sent_incomplete: Cell::new(false),
             sender_changed: Notify::new(),
             client,
             confirmed_at: Cell::new(confirmed_at),
@@ -212,6 +215,18 @@
         self.arrival.earliest_client_deadline(unread_bytes)
     }
 
+    /// Returns the deadline that an attempt announces, which must not be later than the client's: while an attempt sends the
+    /// body, its last byte is found some time after it was written.
+    pub fn announced_deadline(&self, deadline: Instant) -> Instant {
+        let found_late = if self.was_sent_incomplete.get() {
+            receiving::MAX_LAST_BYTE_DELAY
+        } else {
+            Duration::ZERO
+        };
+        let earliest = self.earliest_client_deadline().unwrap_or(deadline);
+        deadline.min(earliest) - found_late - self.arrival.last_byte_uncertainty()
+    }
+
     /// Keeps attempts from sending the last byte, as the request has its answer.
     pub fn abort(&self) {
         self.aborted.set(true);
@@ -242,6 +257,9 @@
         self.place.finish();
         self.is_given_up.set(false);
         self.senders.set(self.senders.get() + 1);
+        let is_incomplete = !self.arrival.is_whole();
+        self.was_sent_incomplete
+            .set(self.was_sent_incomplete.get() || is_incomplete);
         self.sender_changed.notify_one();
         let mut buffer = self.buffer.borrow_mut();
         let received = buffer.take_body();
--- a/crates/proxy-core/src/upload_receiving.rs
+++ b/crates/proxy-core/src/upload_receiving.rs
@@ -24,6 +24,9 @@
 const MAX_PIECES_AHEAD_PER_POLL: usize = 32;
 /// The time after which a client that is ahead of the endpoint counts as such.
 const MIN_LAG: Duration = Duration::from_millis(150);
+/// The longest time after which the last byte of a body that is being sent is found, while there is memory.
+pub(super) const MAX_LAST_BYTE_DELAY: Duration = MIN_LAG.saturating_add(READ_AHEAD_INTERVAL);
+
 impl Upload {
     /// Receives the rest while no attempt sends it, as far as there is memory, until that changes.
     pub async fn receive_while_waiting(&self, memory: &BodyMemory) -> ReceiveChange {
