Pass on an arriving answer 30 to 50 ms before it is due, not 10

Two tests of slow_peers.rs failed once, four proxies at the same moment: first byte after more than 0.5 s.

A response that is arriving is passed on from the first tick within 50 ms of its time.

--- a/crates/balancer/src/stall_detection.rs
+++ b/crates/balancer/src/stall_detection.rs
@@ -5,7 +5,7 @@
 use crate::latency_estimator::SILENCE_MULTIPLE;
 use crate::request::{Attempt, AttemptState, Request, ResponseProgress};
 use crate::state::State;
-use crate::timing::{ANSWER_LEAD, TICK, answer_timer_token};
+use crate::timing::{ANSWER_LEAD, STREAM_LEAD, TICK, answer_timer_token};
 use crate::types::{Millis, Outcome, RequestId};
 
 /// Number of ticks before its due time at which the timer for a request's final answer is set.
@@ -41,6 +41,9 @@
         let request = &self.requests[&id];
         let answered = request.status.finished || request.status.response_started;
         let answer_by = self.answer_by(request);
+        if now + STREAM_LEAD > answer_by && self.stream_arriving_response(id, out) {
+            return;
+        }
         if !answered && now + ANSWER_TIMER_TICKS * TICK > answer_by {
             out.push(Action::Timer {
                 token: answer_timer_token(id),
--- a/crates/balancer/src/timing.rs
+++ b/crates/balancer/src/timing.rs
@@ -12,6 +12,10 @@
 /// Time before its due time at which a request in flight gets its final answer.
 pub(crate) const ANSWER_LEAD: Millis = 6.0;
 
+/// Time before its answer is due at which a response that is arriving is passed on, so that a delay of the process does not
+/// make its beginning late.
+pub(crate) const STREAM_LEAD: Millis = 50.0;
+
 /// Number of ticks between reviews of all endpoints.
 pub(crate) const REVIEW_TICKS: u64 = 5;
 
--- a/crates/balancer/tests/final_answer.rs
+++ b/crates/balancer/tests/final_answer.rs
@@ -212,6 +212,22 @@
     assert_eq!(final_answers(&out), 0);
 }
 
+/// Guards against a response whose beginning is late because the process was held up a little before it was due.
+#[test]
+fn a_response_that_is_arriving_is_passed_on_some_time_before_its_answer_is_due() {
+    const MIN_LEAD: Millis = 30.0;
+    let mut harness = Harness::new(settings(1), vec![endpoint(1)]);
+    assert_eq!(burst(&mut harness, 1, 1).len(), 1);
+    harness.handle(Event::ResponseArriving {
+        request: RequestId(1),
+        attempt: 0,
+        progressing: true,
+    });
+    let out = harness.advance(1200.0 - MIN_LEAD);
+    let is_stream = |action: &Action| matches!(action, Action::StreamResponse { .. });
+    assert!(out.iter().any(is_stream), "{out:?}");
+}
+
 /// Guards against a request without an answer in time, because its endpoint has stopped writing.
 #[test]
 fn a_response_that_has_stopped_is_replaced_by_an_answer() {
