--- a/crates/proxy-core/src/body_arrival.rs
+++ b/crates/proxy-core/src/body_arrival.rs
@@ -1,8 +1,8 @@
 //! How much of a streamed body has arrived, and when its client gives up: its time counts from its last byte, which may have
 //! been written long before it is read.
 //!
-//! While the body is received as it comes, the last byte counts from its read. Once it is held, because an endpoint takes
-//! it slowly and there is no memory for it, the last byte may stand in the buffers of the systems. Does no I/O.
+//! While the body is received as it comes, the last byte counts from its read. While it is paused, for want of memory, the
+//! last byte may stand in the buffers of the systems. Does no I/O.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -31,8 +31,8 @@
     /// How much earlier the last byte may have arrived.
     last_byte_uncertainty: Cell<Duration>,
     /// The time since which the client may have written what is not received.
-    held_since: Cell<Option<Instant>>,
-    /// The time at which a held body seemed to be received as far as it was written.
+    paused_since: Cell<Option<Instant>>,
+    /// The time at which a paused body seemed to be received as far as it was written.
     caught_up_at: Cell<Option<Instant>>,
     /// The time that the client waits after its last byte.
     timeout: Duration,
@@ -47,7 +47,7 @@
             is_whole: Cell::new(false),
             last_byte_at: Cell::new(None),
             last_byte_uncertainty: Cell::default(),
-            held_since: Cell::new(None),
+            paused_since: Cell::new(None),
             caught_up_at: Cell::new(None),
             timeout,
         }
@@ -93,10 +93,10 @@
         if self.last_byte_at.get().is_some() {
             return;
         }
-        let held_since = self.held_since.get().unwrap_or(now);
-        let arrived_at = now.min(held_since + UNCERTAIN_ANSWER_DELAY);
+        let paused_since = self.paused_since.get().unwrap_or(now);
+        let arrived_at = now.min(paused_since + UNCERTAIN_ANSWER_DELAY);
         self.last_byte_at.set(Some(arrived_at));
-        self.last_byte_uncertainty.set(arrived_at - held_since);
+        self.last_byte_uncertainty.set(arrived_at - paused_since);
     }
 
     /// Returns how much earlier than counted the last byte may have arrived.
@@ -104,26 +104,26 @@
         self.last_byte_uncertainty.get()
     }
 
-    /// Ends the hold when something arrives some time after the body was caught up: the client has written it since. What
-    /// arrives sooner the HTTP library may have kept.
+    /// Ends the pause when something arrives some time after the body was caught up: the client has written it since. What
+    /// arrives sooner may come from the HTTP library.
     fn release_if_caught_up(&self, now: Instant) {
         if let Some(caught_up_at) = self.caught_up_at.take()
             && now >= caught_up_at + LIBRARY_DELAY
         {
-            self.held_since.set(None);
+            self.paused_since.set(None);
         }
     }
 
     /// Records that the body is not received any more as it comes.
-    pub fn hold(&self, now: Instant) {
+    pub fn pause(&self, now: Instant) {
         self.release_if_caught_up(now);
-        let held_since = self.held_since.get().unwrap_or(now);
-        self.held_since.set(Some(held_since));
+        let paused_since = self.paused_since.get().unwrap_or(now);
+        self.paused_since.set(Some(paused_since));
     }
 
-    /// Returns whether the body is held.
-    pub fn is_held(&self) -> bool {
-        self.held_since().is_some()
+    /// Returns whether the body is paused.
+    pub fn is_paused(&self) -> bool {
+        self.paused_since().is_some()
     }
 
     /// Records that all that the client has written so far seems to be received.
@@ -132,8 +132,8 @@
         self.caught_up_at.set(Some(caught_up_at));
     }
 
-    fn held_since(&self) -> Option<Instant> {
-        self.held_since
+    fn paused_since(&self) -> Option<Instant> {
+        self.paused_since
             .get()
             .filter(|_| self.caught_up_at.get().is_none())
     }
@@ -144,7 +144,7 @@
             Some(missing) if missing <= LIBRARY_BUFFER_BYTES => self.record_last_byte(now),
             // More is missing than the client can have written.
             Some(missing) if missing > CLIENT_BUFFER_BYTES => {
-                self.held_since.set(self.held_since.get().map(|_| now));
+                self.paused_since.set(self.paused_since.get().map(|_| now));
             }
             _ => return false,
         }
@@ -162,13 +162,13 @@
         Some(self.last_byte_at.get()? + self.timeout)
     }
 
-    /// Returns when a client gives up whose last byte may have been written since the body is held; `None` if that is not
+    /// Returns when a client gives up whose last byte may have been written since the body is paused; `None` if that is not
     /// possible yet.
     pub fn earliest_client_deadline(&self, unread_bytes: u64) -> Option<Instant> {
         let missing = self.missing_bytes(unread_bytes).unwrap_or_default();
         let may_be_written = missing <= CLIENT_BUFFER_BYTES;
-        let held_since = self.held_since().filter(|_| may_be_written);
-        let if_written = || Some(held_since? + UNCERTAIN_ANSWER_DELAY + self.timeout);
+        let paused_since = self.paused_since().filter(|_| may_be_written);
+        let if_written = || Some(paused_since? + UNCERTAIN_ANSWER_DELAY + self.timeout);
         self.client_deadline().or_else(if_written)
     }
 
@@ -180,7 +180,7 @@
         transfer_time: impl FnOnce(u64) -> Duration,
         now: Instant,
     ) -> Instant {
-        let written_at = self.last_byte_at.get().or(self.held_since());
+        let written_at = self.last_byte_at.get().or(self.paused_since());
         let latest_end = || {
             let length = self.length.unwrap_or(max_bytes);
             now + transfer_time(length.saturating_sub(self.received_bytes.get()))
--- a/crates/proxy-core/src/driver.rs
+++ b/crates/proxy-core/src/driver.rs
@@ -432,8 +432,8 @@
         }
     }
 
-    /// Ends a request that has no answer yet. It is only rejected if no attempt in flight has sent a part of it;
-    /// otherwise it may have been executed and fails.
+    /// Ends a request that has no answer yet. It is only rejected if no attempt in flight has sent its last byte, and none
+    /// will as the upload is aborted with the answer; otherwise it may have been executed and fails.
     fn fail(&mut self, id: RequestId, reason: EndReason) {
         let is_incomplete = |active: &ActiveRequest| {
             let upload = active.outbound.body.upload();
--- a/crates/proxy-core/src/frontend.rs
+++ b/crates/proxy-core/src/frontend.rs
@@ -804,11 +804,11 @@
     }
 }
 
-/// Receives the rest of an upload while its request waits, until there is a change to report.
+/// Receives the rest of an upload until there is a change to report.
 async fn receive_rest(upload: Option<&Upload>, memory: &BodyMemory) -> ReceiveChange {
     match upload {
         // Boxed, so that requests without a long body take no memory for it.
-        Some(upload) => Box::pin(upload.receive_while_waiting(memory)).await,
+        Some(upload) => Box::pin(upload.receive_until_change(memory)).await,
         None => pending().await,
     }
 }
--- a/crates/proxy-core/src/lib.rs
+++ b/crates/proxy-core/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod account;
 mod attempt_control;
 pub mod backoff;
-mod body_arrival;
+pub mod body_arrival;
 pub mod body_buffer;
 pub mod body_memory;
 mod bounded_read;
@@ -42,7 +42,7 @@
 mod request_body;
 mod request_end;
 mod request_fields;
-mod response_arrival;
+pub mod response_arrival;
 pub mod service;
 mod socket_options;
 mod stream;
--- a/crates/proxy-core/src/request_end.rs
+++ b/crates/proxy-core/src/request_end.rs
@@ -31,28 +31,27 @@
 }
 
 impl EndReason {
-    /// The names of all reasons, in the order of their counters.
-    pub const NAMES: [&str; 20] = [
-        "arrival",
-        "answer-due",
-        "deadline",
-        "no-memory",
-        "evicted",
-        "client-stalled",
-        "client-left",
-        "process-exit",
-        "process-share",
-        "other",
-        "served",
-        "error",
-        "overloaded",
-        "timed-out",
-        "connect-failed",
-        "reset",
-        "cancelled",
-        "not-sent",
-        "response-cut",
-        "response-abandoned",
+    /// All reasons for which a request ends without a whole response, in the order of their counters.
+    pub const UNSERVED: [EndReason; 19] = [
+        EndReason::Arrival,
+        EndReason::AnswerDue,
+        EndReason::Deadline,
+        EndReason::NoMemory,
+        EndReason::Evicted,
+        EndReason::ClientStalled,
+        EndReason::ClientLeft,
+        EndReason::ProcessExit,
+        EndReason::ProcessShare,
+        EndReason::Other,
+        EndReason::AttemptEnded(Outcome::Error),
+        EndReason::AttemptEnded(Outcome::Overloaded),
+        EndReason::AttemptEnded(Outcome::TimedOut),
+        EndReason::AttemptEnded(Outcome::ConnectFailed),
+        EndReason::AttemptEnded(Outcome::Reset),
+        EndReason::AttemptEnded(Outcome::Cancelled),
+        EndReason::AttemptEnded(Outcome::NotSent),
+        EndReason::ResponseEnded(Outcome::Reset),
+        EndReason::ResponseEnded(Outcome::Cancelled),
     ];
 
     /// Returns the name in the log and in the metrics.
--- a/crates/proxy-core/src/response_arrival.rs
+++ b/crates/proxy-core/src/response_arrival.rs
@@ -10,10 +10,10 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::upload::MIN_BYTES_PER_SECOND;
+
 /// The longest time for which a response is held back from its head on. The rest of a long one must not be held back for 2 s.
 pub const MAX_HOLD_TIME: Duration = Duration::from_secs(1);
-/// The lowest mean rate of an endpoint that is still writing; sound ones write twice as fast.
-const MIN_BYTES_PER_SECOND: f64 = 32e3;
 /// The time after which the rate counts: a few small pieces say nothing of it.
 const MIN_RATE_TIME: Duration = Duration::from_millis(100);
 /// The size up to which a response that pauses is taken for a short one without its end.
--- a/crates/proxy-core/src/upload.rs
+++ b/crates/proxy-core/src/upload.rs
@@ -2,7 +2,8 @@
 //!
 //! While no attempt sends it, the rest is received as far as there is memory: only the end of what a client has sent
 //! shows that the client has left. Where memory did not suffice, the rest is received in turn (`memory_queue`), and an
-//! attempt does not begin before.
+//! attempt does not begin before. While an attempt sends it more slowly than the client, the last byte is looked for, as the
+//! client's time counts from it (`body_arrival`).
 
 #[path = "upload_receiving.rs"]
 mod receiving;
@@ -35,8 +36,8 @@
 pub const CLIENT_STALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// The time for which an endpoint may take nothing of a body that has arrived.
 const ENDPOINT_STALL_TIMEOUT: Duration = Duration::from_secs(10);
-/// The lowest mean rate at which a body must arrive since its first byte; clients send twice as fast.
-const MIN_BYTES_PER_SECOND: f64 = 32e3;
+/// The lowest mean rate at which a body must arrive since its first byte; sound peers send twice as fast.
+pub const MIN_BYTES_PER_SECOND: f64 = 32e3;
 /// The age at which it has to be confirmed anew that a client has not left: no attempt may begin over 0.1 s after.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(80);
 /// The shortest interval of looks at what the system has received.
@@ -57,7 +58,7 @@
     io::Error::new(io::ErrorKind::InvalidData, message)
 }
 
-/// A change in how a body is received while its request waits.
+/// A change in how a body is received until its request has an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReceiveChange {
     /// The body is received in another way, and its client gives up at another time.
@@ -297,7 +298,7 @@
     fn record_wait_for_data(&self) {
         let now = Instant::now();
         let next_check = self.checked_at.get() + MIN_CHECK_INTERVAL;
-        if now < next_check && !self.arrival.is_held() {
+        if now < next_check && !self.arrival.is_paused() {
             return;
         }
         self.checked_at.set(now);
@@ -307,7 +308,7 @@
             return;
         }
         self.caught_up_at.set(now);
-        if self.arrival.is_held() {
+        if self.arrival.is_paused() {
             self.arrival.record_caught_up(now);
             self.stalled_since.set(None);
             self.place.leave();
--- a/crates/proxy-core/src/upload_receiving.rs
+++ b/crates/proxy-core/src/upload_receiving.rs
@@ -28,8 +28,8 @@
 pub(super) const MAX_LAST_BYTE_DELAY: Duration = MIN_LAG.saturating_add(READ_AHEAD_INTERVAL);
 
 impl Upload {
-    /// Receives the rest while no attempt sends it, as far as there is memory, until that changes.
-    pub async fn receive_while_waiting(&self, memory: &BodyMemory) -> ReceiveChange {
+    /// Receives the rest beside the attempts, as far as there is memory, until there is a change to report.
+    pub async fn receive_until_change(&self, memory: &BodyMemory) -> ReceiveChange {
         loop {
             if self.place.take_eviction() {
                 self.is_given_up.set(true);
@@ -109,7 +109,7 @@
         } else if self.place.is_waiting() {
             self.wait_for_memory(memory).await;
         } else {
-            self.arrival.hold(Instant::now());
+            self.arrival.pause(Instant::now());
             self.place.join();
         }
     }
@@ -129,7 +129,7 @@
                 break;
             }
             if !self.buffer.borrow_mut().try_reserve_ahead(memory) {
-                self.arrival.hold(Instant::now());
+                self.arrival.pause(Instant::now());
                 break;
             }
             // The HTTP library reads on once it is asked to.
--- a/crates/proxy-core/src/upstream.rs
+++ b/crates/proxy-core/src/upstream.rs
@@ -512,7 +512,10 @@
         if let Err(absence) = confirmation {
             match absence {
                 Absence::Left => report(AttemptEvent::ClientLeft),
-                Absence::Unknown => report(AttemptEvent::MemoryExhausted),
+                Absence::Unknown if outbound.body.upload().is_some() => {
+                    report(AttemptEvent::MemoryExhausted);
+                }
+                Absence::Unknown => {} // the balancer may try again
             }
             report(AttemptEvent::Ended(Outcome::NotSent, None));
             return endpoint.keep_idle(connection);
