Play slow answers and stuck requests at the process that an upgrade replaces

SIGTERM to the old process 0.2 s after an answer without a length, or a long body whose endpoint stops reading, has begun, with the next process on the same listener: both end as without an upgrade.

--- a/crates/proxy/tests/slow_peers.rs
+++ b/crates/proxy/tests/slow_peers.rs
@@ -5,6 +5,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -274,6 +275,46 @@
     }
 }
 
+/// Guards against the same at the process that an upgrade replaces, while the next one takes new clients.
+#[test]
+fn slow_answers_and_requests_of_a_replaced_process_end_as_before() {
+    let timeout = Duration::from_millis(600);
+    for (endpoint, is_stuck) in [
+        (
+            start_endpoint(|_, stream| STEADY_ANSWER.write(stream)),
+            false,
+        ),
+        (start_reading_endpoint(STUCK), true),
+    ] {
+        let discovery = Discovery::new();
+        discovery.publish(&list(1, true, &[host("s-0", endpoint, "up", 0)]));
+        let listener = inheritable_listener();
+        let address = listener.local_addr().expect("an address");
+        let setup = || Setup {
+            inherited_socket: Some(listener.as_raw_fd()),
+            ..LIMITS[0].setup()
+        };
+        let mut previous = Proxy::up(&discovery, &setup());
+        let client = thread::spawn(move || {
+            if is_stuck {
+                let end = upload(address, "r-1", at_once(3_000_000, true), timeout);
+                let after = end.answered_after.unwrap_or_default();
+                [502, 503].contains(&end.status) && after <= timeout + ANSWER_SLACK
+            } else {
+                let received = receive_within(address, "submit", "r-1", timeout);
+                received.whole && received.bytes == STEADY_ANSWER.bytes
+            }
+        });
+        thread::sleep(Duration::from_millis(150));
+        let mut next = Proxy::start(&discovery, &setup());
+        thread::sleep(Duration::from_millis(50));
+        previous.terminate();
+        assert!(client.join().expect("no panic"), "stuck: {is_stuck}");
+        assert!(previous.wait().success());
+        assert!(next.is_running());
+    }
+}
+
 /// Guards against a short answer that is passed on without its end, in place of an answer in time.
 #[test]
 fn a_short_answer_that_stops_is_refused_in_time() {
