Move the reports of attempts out of the driver, and a response's framing out of exchange

No change of behaviour: 122 tests of proxy-core, slow_peers, crossings_servers, bodies and proxy pass.

--- a/crates/proxy-core/src/driver.rs
+++ b/crates/proxy-core/src/driver.rs
@@ -3,7 +3,6 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,6 +18,7 @@
 
 use crate::account::{self, TenantAccount};
 use crate::attempt_control::AttemptControl;
+use crate::attempt_report::{AttemptReport, EndpointPermit};
 use crate::capture::{Capture, PendingRecord};
 use crate::client_presence::ClientPresence;
 use crate::clock::Clock;
@@ -809,13 +809,7 @@
         let Some(active) = self.requests.get_mut(&request) else {
             return note!("the balancer forwarded an unknown request");
         };
-        let mut report = AttemptReport {
-            inbox: self.parts.inbox.clone(),
-            request,
-            attempt: active.attempts,
-            started_at: Instant::now(),
-            finished: false,
-        };
+        let mut report = AttemptReport::new(self.parts.inbox.clone(), request, active.attempts);
         active.attempts += 1;
         active.attempts_in_flight += 1;
         if let (Some(capture), Some(capture_entry)) =
@@ -904,89 +898,3 @@
 fn milliseconds_until(time: Instant) -> Millis {
     time.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0
 }
-
-/// A connection reserved at an endpoint that other tenants also use; released when dropped.
-struct EndpointPermit {
-    account: Rc<dyn TenantAccount>,
-    endpoint: u64,
-}
-
-impl EndpointPermit {
-    fn acquire(account: &Rc<dyn TenantAccount>, address: SocketAddr) -> Option<Self> {
-        let endpoint = endpoint_number(address);
-        account
-            .acquire_endpoint_connection(endpoint)
-            .then(|| EndpointPermit {
-                account: account.clone(),
-                endpoint,
-            })
-    }
-}
-
-impl Drop for EndpointPermit {
-    fn drop(&mut self) {
-        self.account.release_endpoint_connection(self.endpoint);
-    }
-}
-
-/// Returns the number that identifies an address in all accounts.
-pub fn endpoint_number(address: SocketAddr) -> u64 {
-    stable_hash(&address.to_string())
-}
-
-/// Reports the end of an attempt exactly once; an attempt dropped on the way may have been executed.
-struct AttemptReport {
-    inbox: Inbox,
-    request: RequestId,
-    attempt: u32,
-    started_at: Instant,
-    finished: bool,
-}
-
-impl AttemptReport {
-    fn handle_event(&mut self, event: AttemptEvent) {
-        let (request, attempt) = (self.request, self.attempt);
-        match event {
-            AttemptEvent::MemoryExhausted => self.inbox.send(Input::MemoryExhausted(request)),
-            AttemptEvent::ClientLeft => self.inbox.send(Input::ClientDisconnected(request)),
-            AttemptEvent::BodyComplete => {
-                self.started_at = Instant::now();
-                self.inbox.send(Input::BodyComplete(request));
-            }
-            AttemptEvent::ResponseArriving(progressing) => {
-                self.inbox.send(Input::ResponseArriving {
-                    request,
-                    attempt,
-                    progressing,
-                });
-            }
-            AttemptEvent::ResponseStarted(response) => self.inbox.send(Input::ResponseStarted {
-                request,
-                attempt,
-                response,
-            }),
-            AttemptEvent::Ended(outcome, response) => self.finish(outcome, response),
-        }
-    }
-
-    fn finish(&mut self, outcome: Outcome, response: Option<EndpointResponse>) {
-        self.finished = true;
-        let latency = self.started_at.elapsed().as_secs_f64() * 1000.0;
-        let (request, attempt) = (self.request, self.attempt);
-        self.inbox.send(Input::AttemptEnded {
-            request,
-            attempt,
-            latency,
-            outcome,
-            response,
-        });
-    }
-}
-
-impl Drop for AttemptReport {
-    fn drop(&mut self) {
-        if !self.finished {
-            self.finish(Outcome::Reset, None);
-        }
-    }
-}
--- a/crates/proxy-core/src/exchange.rs
+++ b/crates/proxy-core/src/exchange.rs
@@ -11,6 +11,7 @@
 use hyper::body::{Body as _, Frame, Incoming};
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::http::response::Parts;
 use hyper::{Request, StatusCode, Version};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -43,6 +44,39 @@
     pub remaining_body: Incoming,
 }
 
+/// How the end of a response's body is found.
+struct Framing {
+    /// The announced length.
+    length: Option<u64>,
+    /// The end is within the connection, so that this may be reused.
+    has_explicit_length: bool,
+    /// A truncated body can be detected.
+    is_delimited: bool,
+}
+
+impl Framing {
+    /// The end of the connection delimits a body if the head announces the close; an endpoint that crashes resets the
+    /// connection. Without the announcement a truncated body could not be detected.
+    fn of(head: &Parts, body: &Incoming) -> Self {
+        let length = body.size_hint().exact();
+        let has_close = |value: &HeaderValue| {
+            value.to_str().is_ok_and(|v| {
+                v.split(',')
+                    .any(|part| part.trim().eq_ignore_ascii_case("close"))
+            })
+        };
+        let connection = head.headers.get_all(header::CONNECTION);
+        let closes = head.version == Version::HTTP_10 || connection.iter().any(has_close);
+        let has_explicit_length =
+            length.is_some() || head.headers.contains_key(header::TRANSFER_ENCODING);
+        Framing {
+            length,
+            has_explicit_length,
+            is_delimited: has_explicit_length || closes,
+        }
+    }
+}
+
 /// Sends a request and reads the complete response, or as much of it as is buffered. A response whose length is not
 /// announced is held back until `release` or for some time, and its progress is recorded in `arrival`.
 pub async fn exchange(
@@ -57,26 +91,10 @@
         .await
         .map_err(|e| e.to_string())?;
     let (head, mut body) = response.into_parts();
-    // The end of the connection delimits a body if the head announces the close; an endpoint that crashes resets the
-    // connection. Without the announcement a truncated body could not be detected.
-    let length = body.size_hint().exact();
-    let has_close = |value: &HeaderValue| {
-        value.to_str().is_ok_and(|v| {
-            v.split(',')
-                .any(|part| part.trim().eq_ignore_ascii_case("close"))
-        })
-    };
-    let closes = head.version == Version::HTTP_10
-        || head
-            .headers
-            .get_all(header::CONNECTION)
-            .iter()
-            .any(has_close);
-    let has_explicit_length =
-        length.is_some() || head.headers.contains_key(header::TRANSFER_ENCODING);
-    let delimited = has_explicit_length || closes;
+    let framing = Framing::of(&head, &body);
+    let length = framing.length;
     // Only a successful response is forwarded; the body of any other is read so that the connection can be reused.
-    let is_forwarded = head.status == StatusCode::OK && delimited;
+    let is_forwarded = head.status == StatusCode::OK && framing.is_delimited;
     let is_long = length.is_some_and(|n| n > MAX_BUFFERED_BYTES as u64);
     let mut buffer = is_forwarded.then(|| BodyBuffer::new(length));
     let mut size = 0;
@@ -120,7 +138,7 @@
         .is_some_and(|v| v.as_bytes().trim_ascii() == b"1");
     let mut headers = head.headers;
     Ok(match head.status {
-        StatusCode::OK if !delimited => {
+        StatusCode::OK if !framing.is_delimited => {
             return Err("the response has neither a length nor an announced close".into());
         }
         StatusCode::OK => {
@@ -140,7 +158,7 @@
                     headers,
                     body: ResponseContent::Buffered(received),
                 }),
-                has_explicit_length,
+                framing.has_explicit_length,
             )
         }
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_processed => {
--- a/crates/proxy-core/src/lib.rs
+++ b/crates/proxy-core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod account;
 mod attempt_control;
+mod attempt_report;
 pub mod backoff;
 pub mod body_arrival;
 pub mod body_buffer;
--- a/crates/proxy-core/src/service.rs
+++ b/crates/proxy-core/src/service.rs
@@ -26,7 +26,7 @@
 use crate::upstream::Upstreams;
 use crate::vars::Counters;
 
-pub use crate::driver::endpoint_number;
+pub use crate::attempt_report::endpoint_number;
 pub use crate::frontend::{RouteError, Router};
 pub use crate::hosts::Host;
 
--- a/crates/proxy-core/tests/layers.rs
+++ b/crates/proxy-core/tests/layers.rs
@@ -2,7 +2,7 @@
 use std::path::Path;
 
 /// The modules, from the lowest layer up.
-const LAYERS: [&str; 47] = [
+const LAYERS: [&str; 48] = [
     "backoff",
     "memory_queue",
     "body_memory",
@@ -39,6 +39,7 @@
     "lifecycle",
     "attempt_control",
     "upstream",
+    "attempt_report",
     "capture",
     "discovery",
     "peers",
